Add design, build, checks and shared types

Cause: the repository was empty. Change: docs/design.md and docs/glossary.md, the CMake build, format and lint rules, tools/test, the control messages (protobuf) and the types that several slices share: instance ids, key hash, placement record, service document, fleet view, object API, control channel interface.

--- /dev/null
+++ b/src/persimmonrail/base/tests/base_test.cpp
@@ -0,0 +1,57 @@
+#include "persimmonrail/base/instance_id.h"
+#include "persimmonrail/base/key_hash.h"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <string>
+
+using namespace persimmonrail;
+
+// Guards against a changed hash function: stored partition ranges would then name other keys.
+TEST_CASE("key hashes are stable", "[base]")
+{
+    struct
+    {
+        const char *key;
+        uint64_t hash;
+    } const table[] = {
+        {"", 0xefd01f60ba992926ULL},
+        {"basin-17", 0x905556b89862d752ULL},
+        {"berth/4", 0xf342565c94695043ULL},
+    };
+    for (const auto &row : table) {
+        CAPTURE(row.key, hashToString(keyHash(row.key)));
+        CHECK(keyHash(row.key) == row.hash);
+    }
+}
+
+// Guards against a hash that puts similar keys into the same partition.
+TEST_CASE("sequential keys spread evenly over the hash space", "[base]")
+{
+    constexpr int partitions = 16;
+    constexpr int keysPerPartition = 1000;
+    std::array<int, partitions> counts{};
+    for (int i = 0; i < partitions * keysPerPartition; ++i) {
+        ++counts[keyHash("haul-" + std::to_string(i)) >> 60];
+    }
+    for (const int count : counts) {
+        CHECK(count > keysPerPartition * 9 / 10);
+        CHECK(count < keysPerPartition * 11 / 10);
+    }
+}
+
+// Guards against weights that ignore one of the two names.
+TEST_CASE("rendezvous weights depend on member and subject", "[base]")
+{
+    CHECK(rendezvousWeight("a", "x") != rendezvousWeight("b", "x"));
+    CHECK(rendezvousWeight("a", "x") != rendezvousWeight("a", "y"));
+    CHECK(rendezvousWeight("ab", "c") != rendezvousWeight("a", "bc"));
+}
+
+TEST_CASE("an instance is written as name and incarnation", "[base]")
+{
+    CHECK(toString(instance_id{"haulbook-1", 0xabc}) == "haulbook-1/0000000000000abc");
+    CHECK(drawIncarnation() != 0);
+    CHECK(drawIncarnation() != drawIncarnation());
+}
--- /dev/null
+++ b/src/persimmonrail/ownership/placement_record.cpp
@@ -0,0 +1,168 @@
+#include "persimmonrail/ownership/placement_record.h"
+
+#include "persimmonrail/base/text.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <sstream>
+
+namespace persimmonrail {
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+// JSON numbers lose precision above 2^53, so 64-bit values are stored as hexadecimal text.
+absl::StatusOr<uint64_t> parseHex(const std::string &text)
+{
+    uint64_t value = 0;
+    if (text.size() != 16 || !absl::SimpleHexAtoi(text, &value)) {
+        return absl::InvalidArgumentError(absl::StrCat("not a 64-bit hexadecimal value: ", text));
+    }
+    return value;
+}
+
+absl::StatusOr<instance_id> parseInstance(const std::string &text)
+{
+    if (text.empty()) {
+        return instance_id{};
+    }
+    const std::vector<std::string> parts = absl::StrSplit(text, '/');
+    if (parts.size() != 2 || parts[0].empty()) {
+        return absl::InvalidArgumentError(absl::StrCat("not an instance: ", text));
+    }
+    const auto incarnation = parseHex(parts[1]);
+    if (!incarnation.ok()) {
+        return incarnation.status();
+    }
+    return instance_id{parts[0], *incarnation};
+}
+
+std::string encodeInstance(const instance_id &id)
+{
+    return id.isNull() ? std::string() : toString(id);
+}
+
+Array::Ptr encodeInstances(const std::vector<instance_id> &ids)
+{
+    Array::Ptr array = new Array;
+    for (const auto &id : ids) {
+        array->add(encodeInstance(id));
+    }
+    return array;
+}
+
+absl::StatusOr<std::vector<instance_id>> parseInstances(const Object &object,
+                                                        const std::string &field)
+{
+    std::vector<instance_id> ids;
+    const Array::Ptr array = object.getArray(field);
+    if (array.isNull()) {
+        return ids;
+    }
+    for (size_t i = 0; i < array->size(); ++i) {
+        auto id = parseInstance(array->getElement<std::string>(i));
+        if (!id.ok()) {
+            return id.status();
+        }
+        ids.push_back(*std::move(id));
+    }
+    return ids;
+}
+
+absl::Status checkInvariants(const placement_record &record)
+{
+    constexpr size_t witnessCount = 3;
+    if (record.partition.empty() || record.range.first > record.range.last) {
+        return absl::InvalidArgumentError("record without partition or with an empty range");
+    }
+    if (record.owner.isNull()) {
+        return absl::InvalidArgumentError("record without owner");
+    }
+    if (record.witnesses.size() != witnessCount
+        || (!record.previousWitnesses.empty() && record.previousWitnesses.size() != witnessCount)) {
+        return absl::InvalidArgumentError("a witness set has three members");
+    }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<placement_record> decodeObject(const Object &object)
+{
+    placement_record record;
+    record.partition = object.getValue<std::string>("partition");
+    const auto first = parseHex(object.getValue<std::string>("first"));
+    const auto last = parseHex(object.getValue<std::string>("last"));
+    const auto term = parseHex(object.getValue<std::string>("term"));
+    auto owner = parseInstance(object.getValue<std::string>("owner"));
+    auto nextOwner = parseInstance(object.optValue<std::string>("next_owner", ""));
+    auto witnesses = parseInstances(object, "witnesses");
+    auto previousWitnesses = parseInstances(object, "previous_witnesses");
+    auto standbys = parseInstances(object, "standbys");
+    for (const auto &status :
+         {first.status(), last.status(), term.status(), owner.status(), nextOwner.status(),
+          witnesses.status(), previousWitnesses.status(), standbys.status()}) {
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    record.range = {*first, *last};
+    record.term = *term;
+    record.owner = *std::move(owner);
+    record.nextOwner = *std::move(nextOwner);
+    record.witnesses = *std::move(witnesses);
+    record.previousWitnesses = *std::move(previousWitnesses);
+    record.standbys = *std::move(standbys);
+    if (auto status = checkInvariants(record); !status.ok()) {
+        return status;
+    }
+    return record;
+}
+
+} // namespace
+
+std::string_view serviceOfPartition(std::string_view partition)
+{
+    return partition.substr(0, partition.find('/'));
+}
+
+std::string placementKey(std::string_view partition)
+{
+    return absl::StrCat("placement/", toAbsl(partition));
+}
+
+std::string encodeRecord(const placement_record &record)
+{
+    Object object;
+    object.set("partition", record.partition);
+    object.set("first", hashToString(record.range.first));
+    object.set("last", hashToString(record.range.last));
+    object.set("owner", encodeInstance(record.owner));
+    object.set("term", hashToString(record.term));
+    object.set("witnesses", encodeInstances(record.witnesses));
+    object.set("previous_witnesses", encodeInstances(record.previousWitnesses));
+    object.set("standbys", encodeInstances(record.standbys));
+    object.set("next_owner", encodeInstance(record.nextOwner));
+    std::ostringstream out;
+    object.stringify(out);
+    return out.str();
+}
+
+absl::StatusOr<placement_record> decodeRecord(std::string_view text)
+{
+    try {
+        Poco::JSON::Parser parser;
+        const auto object = parser.parse(std::string(text)).extract<Object::Ptr>();
+        return decodeObject(*object);
+    } catch (const Poco::Exception &error) {
+        return absl::InvalidArgumentError(
+            absl::StrCat("invalid placement record: ", error.displayText()));
+    }
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/tests/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
