--- /dev/null
+++ b/src/persimmonrail/document/tests/document_parser_test.cpp
@@ -0,0 +1,191 @@
+#include "persimmonrail/document/document_parser.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+using namespace persimmonrail;
+
+namespace {
+
+std::string example(const std::string &name)
+{
+    const auto root = std::filesystem::path(__FILE__).parent_path() / "../../../../examples";
+    std::ifstream file(root / name);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+// Replaces the first occurrence of `from` in the haulbook example.
+std::string edited(const std::string &from, const std::string &to)
+{
+    std::string text = example("haulbook.json");
+    const size_t position = text.find(from);
+    REQUIRE(position != std::string::npos);
+    return text.replace(position, from.size(), to);
+}
+
+struct fault
+{
+    const char *from;
+    const char *to;
+    const char *path;
+};
+
+} // namespace
+
+TEST_CASE("the example documents are valid", "[document]")
+{
+    const auto haulbook = parseServiceDocument(example("haulbook.json"));
+    REQUIRE(renderErrors(haulbook.errors).empty());
+    CHECK(haulbook.document->key->segment == 1);
+    CHECK(haulbook.document->partitions == 16);
+    CHECK(haulbook.document->checksGrants);
+    CHECK(haulbook.document->ranks[0].floor == 0.4);
+    CHECK(haulbook.document->operations[0].timeout == milliseconds(2000));
+    const auto ledger = parseServiceDocument(example("ledger.json"));
+    REQUIRE(renderErrors(ledger.errors).empty());
+    CHECK(!ledger.document->key);
+    CHECK(ledger.document->isPartitioned());
+}
+
+// Guards against a document taking effect with a value that the daemons cannot honour, and against
+// an error reported at the wrong place.
+TEST_CASE("each violation is reported once, at its path", "[document]")
+{
+    const auto &[from, to, path] = GENERATE(values<fault>({
+        {"\"haulbook\"", "\"Haulbook\"", "service"},
+        {"\"haulbook\"", "7", "service"},
+        {"\"service\": \"haulbook\",", "", "service"},
+        {"\"path\"", "\"cookie\"", "key.source"},
+        {"\"segment\": 1", "\"segment\": -1", "key.segment"},
+        {"\"segment\": 1", "\"segment\": 1, \"name\": \"a\"", "key.name"},
+        {"\"path\", \"segment\": 1", "\"header\", \"name\": \"a b\"", "key.name"},
+        {"\"path\", \"segment\": 1", "\"query\"", "key.name"},
+        {"{\"source\": \"path\", \"segment\": 1}", "null", "key"},
+        {"\"segment\": 1", "\"segment\": 1, \"part\": 2", "key.part"},
+        {"16", "12", "partitions"},
+        {"16", "131072", "partitions"},
+        {"16", "16.0", "partitions"},
+        {"16", "9999999999999999999", "partitions"},
+        {"16", "true", "partitions"},
+        {"\"partitions\": 16,", "", "partitions"},
+        {"true", "\"yes\"", "checks_grants"},
+        {"\"ranks\": [", "\"ranks\": [{\"name\": \"crew\", \"target_ms\": 1},", "ranks[2].name"},
+        {"0.4", "1.5", "ranks[0].floor"},
+        {"0.4", "-0.1", "ranks[0].floor"},
+        {"0.4", "0.61", "ranks"},
+        {"\"worth\": 8", "\"worth\": \"8\"", "ranks[0].worth"},
+        {"\"target_ms\": 40", "\"target_ms\": 0", "ranks[0].target_ms"},
+        {"\"rank\": \"tally\"", "\"rank\": \"tallies\"", "operations[3].rank"},
+        {"\"record-haul\"", "\"read-haul\"", "operations[1].name"},
+        {"\"POST\"", "\"GET\"", "operations[1].path_prefix"},
+        {"\"POST\"", "\"post\"", "operations[0].method"},
+        {"\"/hauls\"", "\"hauls\"", "operations[0].path_prefix"},
+        {"\"timeout_ms\": 2000", "\"timeout_ms\": 600001", "operations[0].timeout_ms"},
+        {"\"repeatable\": false", "\"repeatable\": 0", "operations[0].repeatable"},
+        {"\"repeatable\": false", "\"repeatable\": false, \"retries\": 3", "operations[0].retries"},
+        {"\"retired\": []", "\"retired\": [\"haulbook-1\"]", "retired[0]"},
+        {"\"retired\": []", "\"retired\": [\"a/0123456789abcdef\", \"a/0123456789abcdef\"]",
+         "retired[1]"},
+        {"\"retired\": []", "\"retired\": [1]", "retired[0]"},
+        {"\"retired\": []", "\"rank\": []", "rank"},
+        {"\"partitions\": 16", "\"partitions\": 16, \"partitions\": 16", "partitions"},
+        {"\"worth\": 4,", "\"worth\": 4, \"worth\": 4,", "ranks[1].worth"},
+    }));
+    CAPTURE(from, to);
+    const auto parsed = parseServiceDocument(edited(from, to));
+    CHECK(!parsed.document);
+    CAPTURE(renderErrors(parsed.errors));
+    REQUIRE(parsed.errors.size() == 1);
+    CHECK(parsed.errors[0].path == path);
+}
+
+// Guards against operators having to fix a document one error at a time.
+TEST_CASE("all errors of a document are listed", "[document]")
+{
+    const auto parsed = parseServiceDocument(
+        R"({"service":"a","ranks":[{"name":"x","target_ms":0}],"operations":[
+           {"name":"p","method":"GET","path_prefix":"/","rank":"y","timeout_ms":0,"repeatable":false}
+           ],"extra":1})");
+    std::vector<std::string> paths;
+    for (const auto &error : parsed.errors) {
+        paths.push_back(error.path);
+    }
+    CHECK(paths
+          == std::vector<std::string>{"ranks[0].target_ms", "operations[0].rank",
+                                      "operations[0].timeout_ms", "partitions", "extra"});
+}
+
+TEST_CASE("text that is no document is refused", "[document]")
+{
+    for (const std::string &text :
+         {std::string(), std::string("[]"), std::string("1"), std::string("{"),
+          std::string("{} {}"), std::string("{}x"), std::string("\xff\xfe"),
+          std::string("{\"service\":\"\xff\"}"), std::string("{\"a\":NaN}"),
+          std::string(R"({"a":1} // comment)"), std::string("{\"a\":}"),
+          std::string("{\"partitions\":99999999999999999999}"),
+          std::string(maxDocumentBytes + 1, ' '), std::string(200'000, '['),
+          "{\"a\":" + std::string(200, '[') + std::string(200, ']') + "}"}) {
+        CAPTURE(text.substr(0, 40));
+        const auto parsed = parseServiceDocument(text);
+        CHECK(!parsed.document);
+        CHECK(!parsed.errors.empty());
+    }
+}
+
+// Guards against a document that stops the coordinator: whatever bytes a team stores, parsing ends
+// with a document or with errors.
+TEST_CASE("damaged documents never escape validation", "[document]")
+{
+    std::mt19937 random(20240611);
+    const std::string original = example("haulbook.json");
+    const std::string alphabet = "{}[]\",:0123456789.eE-+\\u\x01\x80\xff truefalsn";
+    size_t refused = 0;
+    constexpr size_t rounds = 3000;
+    for (size_t round = 0; round < rounds; ++round) {
+        std::string text = original;
+        for (size_t edits = 1 + random() % 6; edits > 0; --edits) {
+            const size_t position = random() % text.size();
+            switch (random() % 4) {
+            case 0:
+                text.erase(position, 1 + random() % 20);
+                break;
+            case 1:
+                text.insert(position, text.substr(random() % text.size(), random() % 60));
+                break;
+            default:
+                text[position] = alphabet[random() % alphabet.size()];
+            }
+            if (text.empty()) {
+                text = "{";
+            }
+        }
+        CAPTURE(round);
+        const auto parsed = parseServiceDocument(text);
+        REQUIRE(parsed.document.has_value() == parsed.errors.empty());
+        refused += parsed.document ? 0 : 1;
+    }
+    CHECK(refused > rounds / 2);
+}
+
+TEST_CASE("operations match by method and whole path segments", "[document]")
+{
+    const auto document = *parseServiceDocument(example("haulbook.json")).document;
+    const auto nameOf = [&](const char *method, const char *path) {
+        const auto *operation = document.findOperation(method, path);
+        return operation == nullptr ? std::string() : operation->name;
+    };
+    CHECK(nameOf("POST", "/hauls/7") == "record-haul");
+    CHECK(nameOf("GET", "/hauls") == "read-haul");
+    CHECK(nameOf("GET", "/hauls?id=7") == "read-haul");
+    CHECK(nameOf("GET", "/haulsheet").empty());
+    CHECK(nameOf("GET", "/haul").empty());
+    CHECK(nameOf("DELETE", "/hauls/7").empty());
+    CHECK(document.rankIndex("audit") == 2);
+    CHECK(document.rankIndex("nothing") == 3);
+}
