--- a/src/persimmonrail/settings/daemon_settings.cpp
+++ b/src/persimmonrail/settings/daemon_settings.cpp
@@ -60,7 +60,7 @@
 
     std::string name(const std::string &flag, bool isRequired)
     {
-        const std::string value = text(flag, isRequired);
+        std::string value = text(flag, isRequired);
         if (!value.empty() && !isValidName(value)) {
             fail(flag, "must be 1 to 63 characters out of a-z, 0-9 and '-'");
         }
@@ -69,7 +69,7 @@
 
     std::string address(const std::string &flag)
     {
-        const std::string value = text(flag, true);
+        std::string value = text(flag, true);
         if (!value.empty()) {
             checkAddress(flag, value);
         }
@@ -110,7 +110,7 @@
         if (!m_values.contains(flag)) {
             return fallback;
         }
-        const std::string value = text(flag, false);
+        std::string value = text(flag, false);
         if (std::find(logLevels.begin(), logLevels.end(), value) == logLevels.end()) {
             fail(flag, "must be trace, debug, info, warn or error");
         }
--- a/src/persimmonrail/settings/flag_parser.cpp
+++ b/src/persimmonrail/settings/flag_parser.cpp
@@ -44,6 +44,7 @@
     std::vector<std::string> texts = {"program"};
     texts.insert(texts.end(), arguments.begin(), arguments.end());
     std::vector<char *> argv;
+    argv.reserve(texts.size() + 1);
     for (auto &text : texts) {
         argv.push_back(text.data());
     }
