Add the interfaces of the HTTP request path

The daemon is wired against the telemetry, upstream and gateway slices while they are written. Poco's chunked stream reports a broken connection as a regular end of the body, so framing gets a slice of its own, http, used by servers and clients alike.

--- /dev/null
+++ b/src/persimmonrail/gateway/forwarder.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "persimmonrail/base/request_outcome.h"
+#include "persimmonrail/http/http_client.h"
+
+#include <string>
+
+namespace persimmonrail {
+
+struct forward_result
+{
+    request_outcome outcome = request_outcome::NotRun;
+    std::string reason;
+    // The peer does not own the partition or could not be reached; another one may be tried if the
+    // request body can be sent again.
+    bool tryNext = false;
+    // Instance named in a "not owner" answer; empty if none was.
+    std::string holder;
+    // Whether the sink received the head of the answer.
+    bool answerStarted = false;
+    bool callerGone = false;
+    int status = 0;
+    milliseconds retryAfter{0};
+};
+
+// Forwards requests to the peer ports of other daemons over pooled connections. Thread safe.
+class forwarder
+{
+public:
+    forwarder();
+
+    // `request.address` is the peer address; `request.wanted` is set by the forwarder. Answers that
+    // did not run on the peer are not passed to the sink.
+    forward_result forward(client_request request, answer_sink &sink);
+
+private:
+    std::shared_ptr<connection_pool> m_pool;
+    http_client m_client;
+};
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/gateway/gateway_hooks.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "persimmonrail/base/clock.h"
+#include "persimmonrail/base/request_outcome.h"
+#include "persimmonrail/sync/fleet_view.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace persimmonrail {
+
+// Permission to run one request under a lease that this daemon holds. The lease holder counts it
+// as in flight until it is destroyed, so that a planned release waits for it.
+class lease_ticket
+{
+public:
+    virtual ~lease_ticket() = default;
+    virtual const std::string &partition() const = 0;
+    virtual uint64_t term() const = 0;
+    // Current end of the lease; renewals move it.
+    virtual steady_time leaseEnd() const = 0;
+};
+
+// Permission to use one slot of the upstream, given back on destruction.
+class admission_ticket
+{
+public:
+    virtual ~admission_ticket() = default;
+};
+
+struct admission_refusal
+{
+    std::string reason;
+    milliseconds retryAfter{0};
+};
+
+using admission_result = std::variant<std::unique_ptr<admission_ticket>, admission_refusal>;
+
+// An answer kept for resends of an at-most-once request.
+struct stored_answer
+{
+    int status = 0;
+    std::vector<std::pair<std::string, std::string>> fields;
+    std::string body;
+};
+
+// Decision on an at-most-once request before it is handed over.
+struct at_most_once_decision
+{
+    enum class action {
+        // Not seen before: hand it over, then call atMostOnceEnd.
+        Proceed,
+        // Answer with `answer`.
+        Replay,
+        // Answer with `outcome` and `reason`; nothing is handed over.
+        Refuse,
+    };
+    action what = action::Proceed;
+    std::shared_ptr<const stored_answer> answer;
+    request_outcome outcome = request_outcome::Unknown;
+    std::string reason;
+};
+
+// Decisions that the request path takes from other slices. All hooks run on traffic threads and
+// must be thread safe; only `admit` may block.
+struct gateway_hooks
+{
+    std::function<std::shared_ptr<const fleet_view>()> view;
+
+    // Returns null if this daemon holds no lease for the hash, or too little of it is left.
+    std::function<std::unique_ptr<lease_ticket>(std::string_view service, uint64_t hash,
+                                                steady_time now)>
+        localLease;
+    // Name of the instance that holds the partition as far as this daemon knows; empty if unknown.
+    // Sent with "not owner" answers. Optional.
+    std::function<std::string(std::string_view service, uint64_t hash)> holderHint;
+
+    // Daemons to try in order: recorded owner, hinted holder, standbys. Default: from the record.
+    std::function<std::vector<member_record>(const fleet_view &view, std::string_view service,
+                                             uint64_t hash, std::string_view hintedHolder)>
+        candidates;
+    // Instance for a request that any instance may run. Default: the members in rotation.
+    std::function<std::optional<member_record>(const fleet_view &view, std::string_view service)>
+        pickInstance;
+    // Told about each forwarded request, for the choice of instances. Optional.
+    std::function<void(const member_record &member, request_outcome outcome, milliseconds took)>
+        forwarded;
+
+    // Waits for a slot of the local upstream. Default: slot_admission.
+    std::function<admission_result(std::string_view service, size_t rank, steady_time deadline,
+                                   steady_time now)>
+        admit;
+
+    // `ticket` is the lease under which the request would run. Default: always Proceed.
+    std::function<at_most_once_decision(std::string_view service, std::string_view idempotencyKey,
+                                        const lease_ticket &ticket, steady_time now)>
+        atMostOnceBegin;
+    // `answer` is null if the answer was too large to keep or not whole.
+    std::function<void(std::string_view service, std::string_view idempotencyKey,
+                       request_outcome outcome, std::shared_ptr<const stored_answer> answer)>
+        atMostOnceEnd;
+};
+
+// Admits up to the upstream's slots, lets a few requests wait, and refuses the others. Knows no
+// ranks; the admission slice replaces it. Thread safe.
+class slot_admission
+{
+public:
+    // `slots` is read at each admission; at most `queueLength` requests wait, each for at most
+    // `maxWait`.
+    slot_admission(std::function<int()> slots, int queueLength, milliseconds maxWait);
+    ~slot_admission();
+
+    admission_result admit(steady_time deadline, steady_time now);
+    int inUse() const;
+
+private:
+    class state;
+    std::shared_ptr<state> m_state;
+};
+
+// The default of gateway_hooks::candidates.
+std::vector<member_record> recordCandidates(const fleet_view &view, std::string_view service,
+                                            uint64_t hash, std::string_view hintedHolder);
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/http/http_server.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "persimmonrail/http/http_client.h"
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace persimmonrail {
+
+// One request received by a server and its answer. Used by one thread.
+class server_exchange : public body_source
+{
+public:
+    server_exchange(http_stream &stream, Poco::Net::HTTPRequest request, body_framing framing,
+                    milliseconds idleTimeout);
+
+    const Poco::Net::HTTPRequest &request() const { return m_request; }
+    // The connection of the requester.
+    http_stream &connection() { return m_stream; }
+
+    // Body of the request. The first bodyPieceBytes are kept, so that a small body can be read
+    // again after rewind().
+    body_framing framing() const override { return m_reader.framing(); }
+    io_status read(std::string &piece, steady_time until) override;
+    bool rewind() override;
+    // Reads the whole body. Errors: TooLarge if it exceeds `maxBytes`.
+    io_status readAll(std::string &body, size_t maxBytes, steady_time until);
+
+    // Sends a whole answer. False if the requester is gone.
+    bool answer(Poco::Net::HTTPResponse &head, std::string_view body);
+    bool answer(int status, std::string_view body, const std::string &contentType);
+    // Sends a streamed answer: beginAnswer, any number of writeAnswer, endAnswer. An answer that
+    // is not ended makes the server close the connection, so the requester notices.
+    bool beginAnswer(Poco::Net::HTTPResponse &head, const body_framing &framing);
+    bool writeAnswer(std::string_view piece);
+    bool endAnswer();
+
+    bool answerStarted() const { return m_answerStarted; }
+    // Closes the connection after the answer.
+    void closeAfterAnswer() { m_keepAlive = false; }
+    // Whether another request may follow on the connection; drains the rest of a small body.
+    bool finish();
+
+private:
+    bool send(std::string_view bytes);
+
+    http_stream &m_stream;
+    Poco::Net::HTTPRequest m_request;
+    body_reader m_reader;
+    const milliseconds m_idleTimeout;
+    std::string m_kept;
+    bool m_keptAll = true;
+    bool m_replayKept = false;
+    bool m_continueSent = false;
+    bool m_keepAlive;
+    bool m_answerStarted = false;
+    bool m_answerEnded = false;
+    body_framing m_answerFraming;
+    uint64_t m_answerBytes = 0;
+};
+
+struct http_server_options
+{
+    // "ip:port"; port 0 picks a free one.
+    std::string address = "127.0.0.1:0";
+    // Connections beyond this number get a 503 and are closed. Each has a thread.
+    int maxConnections = 1024;
+    // A connection without a request, or without progress within one, is closed after this time.
+    milliseconds idleTimeout{30000};
+};
+
+// HTTP/1.1 server with one thread per connection, on Poco's TCPServer. Thread safe.
+class http_server
+{
+public:
+    // Runs on the thread of the connection.
+    using handler = std::function<void(server_exchange &exchange)>;
+    // Answers requests that are not valid HTTP, before the connection is closed.
+    using error_handler =
+        std::function<void(server_exchange &exchange, int status, const std::string &reason)>;
+
+    // Errors: Unavailable if the address can't be bound.
+    static absl::StatusOr<std::unique_ptr<http_server>>
+    listen(const http_server_options &options, handler handler, error_handler onError = {});
+    http_server(const http_server &) = delete;
+    http_server &operator=(const http_server &) = delete;
+    // Closes all connections and waits for their handlers.
+    ~http_server();
+
+    // The address with the port that was picked.
+    const std::string &address() const;
+    int connectionCount() const;
+    uint64_t refusedConnections() const;
+    // Closes the listening socket; open connections continue.
+    void stopListening();
+
+private:
+    class state;
+    explicit http_server(std::unique_ptr<state> state);
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/upstream/upstream_guard.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "persimmonrail/base/request_outcome.h"
+#include "persimmonrail/http/http_client.h"
+#include "persimmonrail/upstream/announcement.h"
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace persimmonrail {
+
+enum class upstream_state { Down, Up, Draining };
+
+std::string_view toString(upstream_state state);
+
+// Snapshot of what is known of the local upstream.
+struct upstream_status
+{
+    upstream_state state = upstream_state::Down;
+    // The newest announcement, valid or not; absent before the first one.
+    std::optional<upstream_announcement> announcement;
+    int inFlight = 0;
+    // Time since the last byte of an answer, or since the oldest request was handed over if that is
+    // later; zero while nothing is in flight.
+    milliseconds withoutProgress{0};
+    // Results of the last probes; hints only, since upstreams may report them late or wrongly.
+    std::optional<bool> healthHint;
+    std::optional<double> loadHint;
+};
+
+// One request to be handed to the upstream.
+struct hand_over
+{
+    Poco::Net::HTTPRequest message{Poco::Net::HTTPMessage::HTTP_1_1};
+    body_source *body = nullptr;
+    std::string requestId;
+    // Empty for services that are not partitioned.
+    std::string partition;
+    uint64_t term = 0;
+    std::optional<uint64_t> keyHash;
+    bool repeatable = false;
+    steady_time deadline;
+    // Nothing is handed over within the hand-over guard (20 ms) before this time.
+    steady_time leaseEnd = steady_time::max();
+    // Connection of the requester, watched so that a disconnect cancels the request.
+    http_stream *caller = nullptr;
+};
+
+struct hand_over_result
+{
+    request_outcome outcome = request_outcome::NotRun;
+    // Fixed word, such as "refused-connection", "truncated-answer" or "shed".
+    std::string reason;
+    // Whether the sink received the head of the answer, so that no other answer can be sent.
+    bool answerStarted = false;
+    // Whether the requester disconnected.
+    bool callerGone = false;
+    // Status of the upstream's answer, 0 if there is none.
+    int status = 0;
+    // From the upstream's refusal, zero if it gave none.
+    milliseconds retryAfter{0};
+};
+
+struct upstream_guard_options
+{
+    // An announcement counts for this time.
+    milliseconds announcementValidity{3000};
+    // No request is handed over within this time before the end of its lease.
+    milliseconds handOverGuard{20};
+    milliseconds controlTimeout{500};
+    // After this time without progress on an exchange, a new connection is probed; zero disables.
+    milliseconds progressTimeout{2000};
+};
+
+struct upstream_callbacks
+{
+    // Run on the thread that noticed the change, without locks held.
+    std::function<void(upstream_state state, const upstream_announcement &announcement)>
+        stateChanged;
+    // The upstream started anew: requests of the earlier run are lost, and it holds no grants.
+    std::function<void(const upstream_announcement &announcement)> restarted;
+};
+
+// Guards the upstream beside this daemon: what it announces, what it was granted and every request
+// handed to it. Thread safe.
+class upstream_guard
+{
+public:
+    explicit upstream_guard(const upstream_guard_options &options,
+                            upstream_callbacks callbacks = {});
+    upstream_guard(const upstream_guard &) = delete;
+    upstream_guard &operator=(const upstream_guard &) = delete;
+
+    // Takes an announcement. Errors: FailedPrecondition if it names another service or instance
+    // than the valid one in force.
+    absl::Status announce(const upstream_announcement &announcement, steady_time now);
+    // Ends the validity of an announcement that was not renewed; call at least every 250 ms.
+    void expire(steady_time now);
+    upstream_status status(steady_time now) const;
+    bool isUp(steady_time now) const;
+
+    // Blocks. Errors: Unavailable if there is no valid announcement or the upstream is not reached;
+    // Unknown if it may have taken the grants; FailedPrecondition if it answered with an error.
+    absl::Status pushGrants(const std::vector<upstream_grant> &grants, milliseconds validFor,
+                            steady_time now);
+    // Reads /v1/health and /v1/load; the results only show up as hints in status(). Blocks.
+    void probe(steady_time now);
+
+    // Hands one request over and streams the answer to the sink. Blocks until the answer is whole,
+    // the request has failed or its deadline has passed.
+    hand_over_result handOver(const hand_over &request, answer_sink &sink, steady_time now);
+    // Asks the upstream to stop a request. Best effort; blocks for at most the control timeout.
+    void cancel(const std::string &requestId, steady_time now);
+
+private:
+    struct running_request
+    {
+        steady_time lastProgress;
+    };
+
+    class progress_sink;
+
+    upstream_state stateAt(steady_time now) const;
+    void publish(upstream_state before, steady_time now);
+    std::optional<std::string> validAddress(steady_time now) const;
+    hand_over_result evaluate(const exchange_result &result, const hand_over &request) const;
+
+    const upstream_guard_options m_options;
+    const upstream_callbacks m_callbacks;
+    http_client m_client;
+    mutable std::mutex m_mutex;
+    std::optional<upstream_announcement> m_announcement;
+    steady_time m_validUntil;
+    upstream_state m_published = upstream_state::Down;
+    uint64_t m_nextRunning = 0;
+    std::map<uint64_t, running_request> m_running;
+    std::optional<bool> m_healthHint;
+    std::optional<double> m_loadHint;
+};
+
+} // namespace persimmonrail
