--- /dev/null
+++ b/src/persimmonrail/gateway/forwarder.cpp
@@ -0,0 +1,93 @@
+#include "persimmonrail/gateway/forwarder.h"
+
+#include "persimmonrail/base/header_names.h"
+
+#include <absl/strings/numbers.h>
+
+#include <algorithm>
+
+namespace persimmonrail {
+namespace {
+
+// Idle connections kept to each peer. A daemon has about 33 requests in flight in all.
+constexpr size_t maxIdleConnections = 16;
+
+bool hasRun(const Poco::Net::HTTPResponse &head)
+{
+    return head.get(outcomeHeader, "") == toString(request_outcome::Run);
+}
+
+void readDeclined(const Poco::Net::HTTPResponse &head, forward_result &result)
+{
+    const std::string outcome = head.get(outcomeHeader, "");
+    result.reason = head.get(reasonHeader, "");
+    result.status = head.getStatus();
+    result.holder = head.get(holderHeader, "");
+    int seconds = 0;
+    if (absl::SimpleAtoi(head.get("Retry-After", "0"), &seconds)) {
+        result.retryAfter = milliseconds(std::clamp(seconds, 0, 3600) * 1000);
+    }
+    if (outcome == toString(request_outcome::NotRun)) {
+        result.outcome = request_outcome::NotRun;
+        result.tryNext = isPassing(result.reason);
+        return;
+    }
+    result.outcome = request_outcome::Unknown;
+    if (outcome != toString(request_outcome::Unknown)) {
+        result.reason = "peer-answer-without-outcome";
+    }
+}
+
+} // namespace
+
+bool isPassing(std::string_view reason)
+{
+    // Reasons that end when the partition has moved or the upstream has been granted it.
+    static constexpr std::string_view passing[] = {"not-owner",
+                                                   "peer-refused-connection",
+                                                   "upstream-refused-connection",
+                                                   "upstream-down",
+                                                   "draining",
+                                                   "lease-ending",
+                                                   "stale-grant"};
+    return std::find(std::begin(passing), std::end(passing), reason) != std::end(passing);
+}
+
+forwarder::forwarder()
+    : m_pool(std::make_shared<connection_pool>(maxIdleConnections))
+    , m_client(m_pool)
+{ }
+
+forward_result forwarder::forward(client_request request, answer_sink &sink)
+{
+    request.wanted = hasRun;
+    const exchange_result exchange = m_client.exchange(request, sink);
+    forward_result result;
+    result.answerStarted = exchange.answerStarted;
+    result.callerGone = exchange.sinkGone;
+    result.reason = toString(exchange.state);
+    result.outcome = request_outcome::Unknown;
+    switch (exchange.state) {
+    case exchange_state::Whole:
+        result.outcome = request_outcome::Run;
+        result.status = exchange.head.getStatus();
+        result.reason = "answered";
+        break;
+    case exchange_state::Declined:
+        readDeclined(exchange.head, result);
+        break;
+    case exchange_state::NotSent:
+        result.outcome = request_outcome::NotRun;
+        result.reason = "peer-refused-connection";
+        result.tryNext = true;
+        break;
+    case exchange_state::CallerGone:
+        result.callerGone = true;
+        break;
+    default:
+        break;
+    }
+    return result;
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/gateway/forwarder.h
+++ b/src/persimmonrail/gateway/forwarder.h
@@ -4,6 +4,7 @@
 #include "persimmonrail/http/http_client.h"
 
 #include <string>
+#include <string_view>
 
 namespace persimmonrail {
 
@@ -23,6 +24,9 @@
     milliseconds retryAfter{0};
 };
 
+// Whether a request that was not run for this reason may run elsewhere, or here a little later.
+bool isPassing(std::string_view reason);
+
 // Forwards requests to the peer ports of other daemons over pooled connections. Thread safe.
 class forwarder
 {
--- a/src/persimmonrail/gateway/gateway_hooks.h
+++ b/src/persimmonrail/gateway/gateway_hooks.h
@@ -85,12 +85,21 @@
     std::function<std::vector<member_record>(const fleet_view &view, std::string_view service,
                                              uint64_t hash, std::string_view hintedHolder)>
         candidates;
-    // Instance for a request that any instance may run. Default: the members in rotation.
-    std::function<std::optional<member_record>(const fleet_view &view, std::string_view service)>
+    // Instance for a request that any instance may run, other than those in `tried`. Default: the
+    // members in order of name.
+    std::function<std::optional<member_record>(const fleet_view &view, std::string_view service,
+                                               const std::vector<instance_id> &tried,
+                                               steady_time now)>
         pickInstance;
-    // Told about each forwarded request, for the choice of instances. Optional.
-    std::function<void(const member_record &member, request_outcome outcome, milliseconds took)>
-        forwarded;
+    // Called once for each instance that pickInstance returned, when its attempt has ended.
+    // Optional.
+    std::function<void(std::string_view service, const member_record &member,
+                       request_outcome outcome, std::string_view reason,
+                       std::chrono::nanoseconds took, steady_time now)>
+        attemptEnded;
+    // Whether a repeatable request whose outcome is unknown may be sent again. Called with
+    // `isRetry` false for each first attempt. Default: no retries.
+    std::function<bool(bool isRetry, steady_time now)> retryBudget;
 
     // Waits for a slot of the local upstream. Default: slot_admission.
     std::function<admission_result(std::string_view service, size_t rank, steady_time deadline,
--- /dev/null
+++ b/src/persimmonrail/gateway/request_target.cpp
@@ -0,0 +1,159 @@
+#include "persimmonrail/gateway/request_target.h"
+
+#include "persimmonrail/base/key_hash.h"
+#include "persimmonrail/base/text.h"
+
+#include <Poco/Exception.h>
+#include <Poco/String.h>
+#include <Poco/URI.h>
+
+#include <absl/strings/str_split.h>
+
+#include <cctype>
+#include <random>
+#include <vector>
+
+namespace persimmonrail {
+namespace {
+
+absl::StatusOr<std::string> decode(std::string_view text)
+{
+    try {
+        std::string decoded;
+        Poco::URI::decode(std::string(text), decoded);
+        return decoded;
+    } catch (const Poco::Exception &) {
+        return absl::InvalidArgumentError("invalid percent-encoding");
+    }
+}
+
+// Collects the values under which the rule's name occurs in the query.
+absl::StatusOr<std::vector<std::string>> queryValues(const std::string &name,
+                                                     const std::string &query)
+{
+    std::vector<std::string> values;
+    for (const absl::string_view parameter : absl::StrSplit(query, '&', absl::SkipEmpty())) {
+        const std::pair<std::string, std::string> parts =
+            absl::StrSplit(parameter, absl::MaxSplits('=', 1));
+        const auto parameterName = decode(parts.first);
+        if (!parameterName.ok()) {
+            return parameterName.status();
+        }
+        if (*parameterName == name) {
+            const auto value = decode(parts.second);
+            if (!value.ok()) {
+                return value.status();
+            }
+            values.push_back(*value);
+        }
+    }
+    return values;
+}
+
+std::vector<std::string> headerValues(const std::string &name,
+                                      const Poco::Net::HTTPRequest &request)
+{
+    std::vector<std::string> values;
+    for (const auto &[field, value] : request) {
+        if (Poco::icompare(field, name) == 0) {
+            values.push_back(value);
+        }
+    }
+    return values;
+}
+
+} // namespace
+
+absl::StatusOr<request_target> parseTarget(const std::string &uri)
+{
+    const absl::string_view whole = uri;
+    const size_t pathEnd = whole.find('?');
+    const absl::string_view path = whole.substr(0, pathEnd);
+    if (path.empty() || path[0] != '/' || whole.find('#') != absl::string_view::npos) {
+        return absl::InvalidArgumentError("invalid path");
+    }
+    for (const absl::string_view segment : absl::StrSplit(path.substr(1), '/')) {
+        const auto decoded = decode({segment.data(), segment.size()});
+        if (!decoded.ok()) {
+            return decoded.status();
+        }
+        if (*decoded == "." || *decoded == "..") {
+            return absl::InvalidArgumentError("path with dot segments");
+        }
+    }
+    const size_t serviceEnd = path.find('/', 1);
+    request_target target;
+    target.service = std::string(path.substr(1, serviceEnd - 1));
+    target.path =
+        serviceEnd == absl::string_view::npos ? "/" : std::string(path.substr(serviceEnd));
+    if (pathEnd != absl::string_view::npos) {
+        target.query = std::string(whole.substr(pathEnd + 1));
+    }
+    return target;
+}
+
+absl::StatusOr<std::string> extractKey(const key_rule &rule, const request_target &target,
+                                       const Poco::Net::HTTPRequest &request)
+{
+    std::vector<std::string> values;
+    switch (rule.source) {
+    case key_source::PathSegment: {
+        const std::vector<std::string> segments = absl::StrSplit(target.path.substr(1), '/');
+        if (rule.segment >= 0 && static_cast<size_t>(rule.segment) < segments.size()) {
+            auto decoded = decode(segments[rule.segment]);
+            if (!decoded.ok()) {
+                return decoded.status();
+            }
+            values.push_back(*std::move(decoded));
+        }
+        break;
+    }
+    case key_source::QueryParameter: {
+        auto found = queryValues(rule.name, target.query);
+        if (!found.ok()) {
+            return found.status();
+        }
+        values = *std::move(found);
+        break;
+    }
+    case key_source::Header:
+        values = headerValues(rule.name, request);
+        break;
+    }
+    if (values.empty()) {
+        return absl::NotFoundError("no key");
+    }
+    if (values.size() > 1) {
+        return absl::InvalidArgumentError("more than one key");
+    }
+    if (values.front().empty()) {
+        return absl::InvalidArgumentError("empty key");
+    }
+    return values.front();
+}
+
+bool isUuidV7(std::string_view text)
+{
+    if (text.size() != 36) {
+        return false;
+    }
+    for (size_t i = 0; i < text.size(); ++i) {
+        const bool isDash = i == 8 || i == 13 || i == 18 || i == 23;
+        if (isDash ? text[i] != '-' : std::isxdigit(static_cast<unsigned char>(text[i])) == 0) {
+            return false;
+        }
+    }
+    return text[14] == '7' && std::string_view("89abAB").find(text[19]) != std::string_view::npos;
+}
+
+std::string drawRequestId()
+{
+    thread_local std::mt19937_64 random = [] {
+        std::random_device device;
+        std::seed_seq seed{device(), device(), device(), device()};
+        return std::mt19937_64(seed);
+    }();
+    return hashToString(random()) + hashToString(random());
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/http/http_body.cpp
@@ -0,0 +1,265 @@
+#include "persimmonrail/http/http_stream.h"
+
+#include <Poco/Exception.h>
+#include <Poco/String.h>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <vector>
+
+namespace persimmonrail {
+namespace {
+
+constexpr size_t maxChunkLineBytes = 1024;
+constexpr size_t maxTrailerBytes = 8 * 1024;
+
+// Reads the framing fields. Messages with both fields, repeated ones or unknown codings are refused
+// rather than interpreted, because two hops could then disagree about where the body ends.
+io_status explicitFraming(const Poco::Net::HTTPMessage &message, body_framing &framing)
+{
+    int lengths = 0;
+    int codings = 0;
+    std::string length;
+    std::string coding;
+    for (const auto &[name, value] : message) {
+        if (Poco::icompare(name, Poco::Net::HTTPMessage::CONTENT_LENGTH) == 0) {
+            ++lengths;
+            length = value;
+        } else if (Poco::icompare(name, Poco::Net::HTTPMessage::TRANSFER_ENCODING) == 0) {
+            ++codings;
+            coding = value;
+        }
+    }
+    if (lengths + codings > 1) {
+        return io_status::Malformed;
+    }
+    if (codings == 1) {
+        if (Poco::icompare(coding, "chunked") != 0) {
+            return io_status::Malformed;
+        }
+        framing = {body_framing::kind::Chunked, 0};
+    } else if (lengths == 1) {
+        uint64_t value = 0;
+        const char *const end = length.data() + length.size();
+        const auto parsed = std::from_chars(length.data(), end, value);
+        if (parsed.ec != std::errc() || parsed.ptr != end) {
+            return io_status::Malformed;
+        }
+        framing = {body_framing::kind::Length, value};
+    }
+    return io_status::Ok;
+}
+
+// Poco accepts control characters and continuation lines that other servers read differently.
+bool hasValidLines(const std::string &head)
+{
+    bool first = true;
+    for (absl::string_view line : absl::StrSplit(head, '\n')) {
+        if (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        const bool hasControl = std::any_of(line.begin(), line.end(), [](char c) {
+            return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f;
+        });
+        if (hasControl) {
+            return false;
+        }
+        if (!first && !line.empty()) {
+            const size_t colon = line.find(':');
+            if (colon == absl::string_view::npos || colon == 0
+                || line.substr(0, colon).find_first_of(" \t") != absl::string_view::npos) {
+                return false;
+            }
+        }
+        first = false;
+    }
+    return true;
+}
+
+} // namespace
+
+body_reader::body_reader(http_stream &stream, body_framing framing)
+    : m_stream(stream)
+    , m_framing(framing)
+    , m_left(framing.type == body_framing::kind::Length ? framing.length : 0)
+    , m_complete(framing.type == body_framing::kind::None
+                 || (framing.type == body_framing::kind::Length && framing.length == 0))
+{ }
+
+io_status body_reader::read(std::string &piece, steady_time until)
+{
+    piece.clear();
+    if (m_complete) {
+        return io_status::Ok;
+    }
+    if (m_framing.type == body_framing::kind::Chunked && m_left == 0) {
+        const io_status status = readChunkHeader(until);
+        if (status != io_status::Ok || m_complete) {
+            return status;
+        }
+    }
+    const bool isBounded = m_framing.type != body_framing::kind::UntilClose;
+    const size_t capacity = isBounded
+        ? static_cast<size_t>(std::min<uint64_t>(m_left, bodyPieceBytes))
+        : bodyPieceBytes;
+    piece.resize(capacity);
+    size_t count = 0;
+    const io_status status = m_stream.readSome(piece.data(), capacity, count, until);
+    piece.resize(count);
+    if (status == io_status::Closed && !isBounded) {
+        m_complete = true;
+        return io_status::Ok;
+    }
+    if (status == io_status::Ok && isBounded) {
+        m_left -= count;
+        m_complete = m_left == 0 && m_framing.type == body_framing::kind::Length;
+    }
+    return status;
+}
+
+io_status body_reader::readChunkHeader(steady_time until)
+{
+    std::string line;
+    if (m_inChunk) {
+        // The line ending after the previous chunk.
+        const io_status status = m_stream.readLine(line, maxChunkLineBytes, until);
+        if (status != io_status::Ok) {
+            return status;
+        }
+        if (!line.empty()) {
+            return io_status::Malformed;
+        }
+        m_inChunk = false;
+    }
+    if (const io_status status = m_stream.readLine(line, maxChunkLineBytes, until);
+        status != io_status::Ok) {
+        return status;
+    }
+    uint64_t size = 0;
+    const char *const end = line.data() + line.size();
+    const auto parsed = std::from_chars(line.data(), end, size, 16);
+    const bool isFollowedWell =
+        parsed.ptr == end || *parsed.ptr == ';' || *parsed.ptr == ' ' || *parsed.ptr == '\t';
+    if (parsed.ec != std::errc() || !isFollowedWell) {
+        return io_status::Malformed;
+    }
+    if (size == 0) {
+        return readTrailers(until);
+    }
+    m_left = size;
+    m_inChunk = true;
+    return io_status::Ok;
+}
+
+io_status body_reader::readTrailers(steady_time until)
+{
+    std::string line;
+    size_t total = 0;
+    do {
+        const io_status status = m_stream.readLine(line, maxChunkLineBytes, until);
+        if (status != io_status::Ok) {
+            return status;
+        }
+        total += line.size();
+        if (total > maxTrailerBytes) {
+            return io_status::Malformed;
+        }
+    } while (!line.empty());
+    m_complete = true;
+    return io_status::Ok;
+}
+
+std::string frameChunk(std::string_view piece)
+{
+    std::string framed = absl::StrCat(absl::Hex(piece.size()), "\r\n");
+    framed.append(piece);
+    framed.append("\r\n");
+    return framed;
+}
+
+io_status parseRequest(const std::string &head, Poco::Net::HTTPRequest &request)
+{
+    if (!hasValidLines(head)) {
+        return io_status::Malformed;
+    }
+    try {
+        std::istringstream input(head);
+        request.read(input);
+    } catch (const Poco::Exception &) {
+        return io_status::Malformed;
+    }
+    const std::string &uri = request.getURI();
+    const bool isKnownVersion = request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1
+        || request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
+    return isKnownVersion && !request.getMethod().empty() && !uri.empty() && uri.front() == '/'
+        ? io_status::Ok
+        : io_status::Malformed;
+}
+
+io_status parseResponse(const std::string &head, Poco::Net::HTTPResponse &response)
+{
+    if (!hasValidLines(head)) {
+        return io_status::Malformed;
+    }
+    try {
+        std::istringstream input(head);
+        response.read(input);
+    } catch (const Poco::Exception &) {
+        return io_status::Malformed;
+    }
+    return response.getStatus() >= 100 && response.getStatus() <= 599 ? io_status::Ok
+                                                                      : io_status::Malformed;
+}
+
+io_status requestFraming(const Poco::Net::HTTPRequest &request, body_framing &framing)
+{
+    framing = {};
+    return explicitFraming(request, framing);
+}
+
+io_status responseFraming(const Poco::Net::HTTPResponse &response, const std::string &method,
+                          body_framing &framing)
+{
+    const int status = response.getStatus();
+    framing = {};
+    if (status < 200 || status == 204 || status == 304 || method == "HEAD") {
+        return io_status::Ok;
+    }
+    framing = {body_framing::kind::UntilClose, 0};
+    return explicitFraming(response, framing);
+}
+
+void setFraming(Poco::Net::HTTPMessage &message, const body_framing &framing)
+{
+    message.erase(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
+    message.erase(Poco::Net::HTTPMessage::CONTENT_LENGTH);
+    if (framing.type == body_framing::kind::Length) {
+        message.set(Poco::Net::HTTPMessage::CONTENT_LENGTH, absl::StrCat(framing.length));
+    } else if (framing.type == body_framing::kind::Chunked) {
+        message.set(Poco::Net::HTTPMessage::TRANSFER_ENCODING, "chunked");
+    }
+}
+
+void removeConnectionFields(Poco::Net::HTTPMessage &message)
+{
+    std::vector<std::string> names = {
+        "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Upgrade", "Expect"};
+    for (const auto &[name, value] : message) {
+        if (Poco::icompare(name, "Connection") == 0) {
+            for (const absl::string_view listed : absl::StrSplit(value, ',')) {
+                names.emplace_back(absl::StripAsciiWhitespace(listed));
+            }
+        }
+    }
+    for (const std::string &name : names) {
+        message.erase(name);
+    }
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/http/http_stream.cpp
@@ -0,0 +1,252 @@
+#include "persimmonrail/http/http_stream.h"
+
+#include <Poco/Exception.h>
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
+namespace persimmonrail {
+namespace {
+
+constexpr size_t readBytes = 16 * 1024;
+
+int pollTimeout(steady_time until)
+{
+    const auto left = std::chrono::ceil<milliseconds>(until - std::chrono::steady_clock::now());
+    // Longer waits are split; callers loop until `until`.
+    return static_cast<int>(std::clamp<int64_t>(left.count(), 0, 60'000));
+}
+
+bool closedByPeer(int descriptor)
+{
+    char byte = 0;
+    const ssize_t n = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+} // namespace
+
+std::string_view toString(io_status status)
+{
+    switch (status) {
+    case io_status::Ok:
+        return "ok";
+    case io_status::Closed:
+        return "closed";
+    case io_status::TimedOut:
+        return "timed-out";
+    case io_status::Malformed:
+        return "malformed";
+    case io_status::TooLarge:
+        return "too-large";
+    case io_status::Cancelled:
+        return "cancelled";
+    }
+    return "closed";
+}
+
+http_stream::http_stream(const Poco::Net::StreamSocket &socket)
+    : m_socket(socket)
+    , m_descriptor(socket.impl()->sockfd())
+{
+    try {
+        m_socket.setBlocking(false);
+        m_socket.setNoDelay(true);
+    } catch (const Poco::Exception &) {
+        // The connection was reset meanwhile; the first read or write reports it.
+    }
+}
+
+http_stream::~http_stream() = default;
+
+void http_stream::watch(http_stream *other)
+{
+    m_watched = other;
+}
+
+io_status http_stream::wait(short events, steady_time until)
+{
+    for (;;) {
+        std::array<pollfd, 2> descriptors{};
+        descriptors[0] = {m_descriptor, events, 0};
+        nfds_t count = 1;
+        // Bytes that the watched peer sends early would end each wait at once, so from then on only
+        // the end of its connection is watched.
+        if (m_watched != nullptr) {
+            descriptors[1] = {m_watched->m_descriptor, POLLRDHUP, 0};
+            count = 2;
+        }
+        const int ready = ::poll(descriptors.data(), count, pollTimeout(until));
+        if (ready < 0 && errno != EINTR) {
+            return io_status::Closed;
+        }
+        if (count == 2 && descriptors[1].revents != 0) {
+            return io_status::Cancelled;
+        }
+        if (ready > 0 && descriptors[0].revents != 0) {
+            return io_status::Ok;
+        }
+        if (std::chrono::steady_clock::now() >= until) {
+            return io_status::TimedOut;
+        }
+    }
+}
+
+io_status http_stream::fill(steady_time until)
+{
+    m_buffer.erase(0, m_position);
+    m_position = 0;
+    const size_t before = m_buffer.size();
+    m_buffer.resize(before + readBytes);
+    for (;;) {
+        const ssize_t n = ::recv(m_descriptor, m_buffer.data() + before, readBytes, MSG_DONTWAIT);
+        if (n > 0) {
+            m_buffer.resize(before + static_cast<size_t>(n));
+            return io_status::Ok;
+        }
+        io_status status = io_status::Closed;
+        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+            status = wait(POLLIN, until);
+        }
+        if (status != io_status::Ok) {
+            m_buffer.resize(before);
+            return status;
+        }
+    }
+}
+
+io_status http_stream::waitReadable(steady_time until)
+{
+    return m_position < m_buffer.size() ? io_status::Ok : wait(POLLIN, until);
+}
+
+io_status http_stream::readHead(std::string &head, steady_time until)
+{
+    size_t searched = 0;
+    for (;;) {
+        // RFC 9112, section 2.2: empty lines before a head are skipped.
+        while (m_position < m_buffer.size()
+               && (m_buffer[m_position] == '\r' || m_buffer[m_position] == '\n')) {
+            ++m_position;
+        }
+        const std::string_view text = std::string_view(m_buffer).substr(m_position);
+        const size_t from = searched < 3 ? 0 : searched - 3;
+        size_t end = std::string_view::npos;
+        size_t endLength = 0;
+        for (const std::string_view mark : {"\r\n\r\n", "\n\n"}) {
+            const size_t found = text.find(mark, from);
+            if (found < end) {
+                end = found;
+                endLength = mark.size();
+            }
+        }
+        if (end != std::string_view::npos && end + endLength <= maxHeadBytes) {
+            head.assign(text.substr(0, end + endLength));
+            m_position += head.size();
+            return io_status::Ok;
+        }
+        if (text.size() > maxHeadBytes) {
+            return io_status::TooLarge;
+        }
+        searched = text.size();
+        if (const io_status status = fill(until); status != io_status::Ok) {
+            return status;
+        }
+    }
+}
+
+io_status http_stream::readSome(char *buffer, size_t capacity, size_t &count, steady_time until)
+{
+    count = 0;
+    if (m_position == m_buffer.size()) {
+        if (const io_status status = fill(until); status != io_status::Ok) {
+            return status;
+        }
+    }
+    count = std::min(capacity, m_buffer.size() - m_position);
+    std::copy_n(m_buffer.data() + m_position, count, buffer);
+    m_position += count;
+    return io_status::Ok;
+}
+
+io_status http_stream::readLine(std::string &line, size_t maxBytes, steady_time until)
+{
+    for (;;) {
+        const size_t end = m_buffer.find('\n', m_position);
+        if (end != std::string::npos && end - m_position <= maxBytes) {
+            line.assign(m_buffer, m_position, end - m_position);
+            if (!line.empty() && line.back() == '\r') {
+                line.pop_back();
+            }
+            m_position = end + 1;
+            return io_status::Ok;
+        }
+        if (m_buffer.size() - m_position > maxBytes) {
+            return io_status::Malformed;
+        }
+        if (const io_status status = fill(until); status != io_status::Ok) {
+            return status;
+        }
+    }
+}
+
+io_status http_stream::write(std::string_view bytes, size_t &written, steady_time until,
+                             bool stopOnInput)
+{
+    written = 0;
+    while (written < bytes.size()) {
+        if (stopOnInput && hasInput()) {
+            return io_status::Ok;
+        }
+        const ssize_t n = ::send(m_descriptor, bytes.data() + written, bytes.size() - written,
+                                 MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (n >= 0) {
+            written += static_cast<size_t>(n);
+            continue;
+        }
+        if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+            return io_status::Closed;
+        }
+        const short events = stopOnInput ? POLLOUT | POLLIN : POLLOUT;
+        if (const io_status status = wait(events, until); status != io_status::Ok) {
+            return status;
+        }
+    }
+    return io_status::Ok;
+}
+
+bool http_stream::hasInput()
+{
+    if (m_position < m_buffer.size()) {
+        return true;
+    }
+    pollfd descriptor{m_descriptor, POLLIN, 0};
+    return ::poll(&descriptor, 1, 0) > 0 && descriptor.revents != 0;
+}
+
+bool http_stream::isClosedByPeer()
+{
+    return m_position == m_buffer.size() && closedByPeer(m_descriptor);
+}
+
+void http_stream::shutdown()
+{
+    ::shutdown(m_descriptor, SHUT_RDWR);
+}
+
+void http_stream::lingerClose(steady_time until)
+{
+    ::shutdown(m_descriptor, SHUT_WR);
+    m_watched = nullptr;
+    io_status status = io_status::Ok;
+    while (status == io_status::Ok) {
+        m_position = m_buffer.size();
+        status = fill(until);
+    }
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -74,6 +74,9 @@
     bool isClosedByPeer();
     // Ends both directions; wakes a thread that waits in this stream. May be called by any thread.
     void shutdown();
+    // Ends the sending direction and discards input until the peer closes or `until`. Closing with
+    // unread input would reset the connection, and the peer could lose an answer sent before.
+    void lingerClose(steady_time until);
     int descriptor() const { return m_descriptor; }
 
 private:
--- /dev/null
+++ b/src/persimmonrail/http/server_exchange.cpp
@@ -0,0 +1,153 @@
+#include "persimmonrail/http/http_server.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace persimmonrail {
+
+server_exchange::server_exchange(http_stream &stream, Poco::Net::HTTPRequest request,
+                                 body_framing framing, milliseconds idleTimeout)
+    : m_stream(stream)
+    , m_request(std::move(request))
+    , m_reader(stream, framing)
+    , m_idleTimeout(idleTimeout)
+    , m_keepAlive(m_request.getKeepAlive())
+{ }
+
+io_status server_exchange::read(std::string &piece, steady_time until)
+{
+    if (m_replayKept) {
+        m_replayKept = false;
+        piece = m_kept;
+        if (!piece.empty()) {
+            return io_status::Ok;
+        }
+    }
+    if (!m_continueSent && !m_reader.isComplete()) {
+        m_continueSent = true;
+        if (m_request.getExpectContinue() && !m_stream.hasInput()
+            && !send("HTTP/1.1 100 Continue\r\n\r\n")) {
+            return io_status::Closed;
+        }
+    }
+    const io_status status =
+        m_reader.read(piece, std::min(until, std::chrono::steady_clock::now() + m_idleTimeout));
+    if (status == io_status::Ok && m_keptAll) {
+        if (m_kept.size() + piece.size() <= bodyPieceBytes) {
+            m_kept += piece;
+        } else {
+            m_keptAll = false;
+            std::string().swap(m_kept);
+        }
+    }
+    return status;
+}
+
+bool server_exchange::rewind()
+{
+    m_replayKept = m_keptAll;
+    return m_keptAll;
+}
+
+io_status server_exchange::readAll(std::string &body, size_t maxBytes, steady_time until)
+{
+    body.clear();
+    std::string piece;
+    for (;;) {
+        const io_status status = read(piece, until);
+        if (status != io_status::Ok) {
+            return status;
+        }
+        if (piece.empty()) {
+            return io_status::Ok;
+        }
+        body += piece;
+        if (body.size() > maxBytes) {
+            return io_status::TooLarge;
+        }
+    }
+}
+
+bool server_exchange::send(std::string_view bytes)
+{
+    // Each write must make progress within the idle timeout, however long the whole answer takes.
+    while (!bytes.empty()) {
+        size_t written = 0;
+        const io_status status =
+            m_stream.write(bytes, written, std::chrono::steady_clock::now() + m_idleTimeout);
+        bytes.remove_prefix(written);
+        if (status != io_status::Ok && (status != io_status::TimedOut || written == 0)) {
+            m_keepAlive = false;
+            return false;
+        }
+    }
+    return true;
+}
+
+bool server_exchange::answer(Poco::Net::HTTPResponse &head, std::string_view body)
+{
+    return beginAnswer(head, {body_framing::kind::Length, body.size()}) && writeAnswer(body)
+        && endAnswer();
+}
+
+bool server_exchange::answer(int status, std::string_view body, const std::string &contentType)
+{
+    Poco::Net::HTTPResponse head(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    head.setContentType(contentType);
+    return answer(head, body);
+}
+
+bool server_exchange::beginAnswer(Poco::Net::HTTPResponse &head, const body_framing &framing)
+{
+    m_answerStarted = true;
+    // A small body that was not read is discarded, so that the connection can be used again.
+    if (!m_reader.isComplete() && m_reader.framing().type == body_framing::kind::Length
+        && m_reader.framing().length <= bodyPieceBytes && !m_request.getExpectContinue()) {
+        std::string piece;
+        const steady_time until = std::chrono::steady_clock::now() + m_idleTimeout;
+        while (!m_reader.isComplete() && m_reader.read(piece, until) == io_status::Ok) { }
+    }
+    m_keepAlive = m_keepAlive && m_reader.isComplete();
+    removeConnectionFields(head);
+    head.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+    head.setKeepAlive(m_keepAlive);
+    const int status = head.getStatus();
+    m_answerFraming = framing;
+    if (m_request.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD || status == 204
+        || status == 304) {
+        // The fields describe the body that a GET would have got.
+        m_answerFraming = {};
+    } else {
+        setFraming(head, framing);
+    }
+    std::ostringstream text;
+    head.write(text);
+    return send(text.str());
+}
+
+bool server_exchange::writeAnswer(std::string_view piece)
+{
+    if (piece.empty() || m_answerFraming.type == body_framing::kind::None) {
+        return true;
+    }
+    m_answerBytes += piece.size();
+    return m_answerFraming.type == body_framing::kind::Chunked ? send(frameChunk(piece))
+                                                               : send(piece);
+}
+
+bool server_exchange::endAnswer()
+{
+    if (m_answerFraming.type == body_framing::kind::Chunked && !send(lastChunk)) {
+        return false;
+    }
+    m_answerEnded = m_answerFraming.type != body_framing::kind::Length
+        || m_answerBytes == m_answerFraming.length;
+    return m_answerEnded;
+}
+
+bool server_exchange::finish()
+{
+    return m_answerEnded && m_keepAlive && m_reader.isComplete();
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/upstream/announcement.cpp
@@ -0,0 +1,149 @@
+#include "persimmonrail/upstream/announcement.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <charconv>
+#include <sstream>
+
+namespace persimmonrail {
+namespace {
+
+constexpr int maxSlots = 100'000;
+
+absl::StatusOr<Poco::JSON::Object::Ptr> parseObject(std::string_view json)
+{
+    try {
+        Poco::JSON::Parser parser;
+        const auto value = parser.parse(std::string(json));
+        if (value.type() == typeid(Poco::JSON::Object::Ptr)) {
+            return value.extract<Poco::JSON::Object::Ptr>();
+        }
+    } catch (const Poco::Exception &error) {
+        return absl::InvalidArgumentError("not JSON: " + error.displayText());
+    }
+    return absl::InvalidArgumentError("not a JSON object");
+}
+
+bool parseHash(const std::string &text, uint64_t &hash)
+{
+    const char *const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, hash, 16);
+    return text.size() == 16 && parsed.ec == std::errc() && parsed.ptr == end;
+}
+
+std::string toText(const Poco::JSON::Object &object)
+{
+    std::ostringstream text;
+    object.stringify(text);
+    return text.str();
+}
+
+} // namespace
+
+absl::StatusOr<upstream_announcement> parseAnnouncement(std::string_view json)
+{
+    const auto object = parseObject(json);
+    if (!object.ok()) {
+        return object.status();
+    }
+    upstream_announcement result;
+    std::string field;
+    try {
+        const auto text = [&](const char *name) {
+            field = name;
+            return (*object)->getValue<std::string>(name);
+        };
+        result.service = text("service");
+        result.instance = text("instance");
+        result.bootId = text("boot_id");
+        result.address = text("address");
+        const Poco::Net::SocketAddress checked(result.address);
+        field = "slots";
+        result.slots = (*object)->getValue<int>("slots");
+        field = "draining";
+        result.draining = (*object)->optValue("draining", false);
+        field = "checks_grants";
+        result.checksGrants = (*object)->optValue("checks_grants", false);
+    } catch (const Poco::Exception &error) {
+        return absl::InvalidArgumentError(field + ": " + error.displayText());
+    }
+    for (const auto &[name, value] :
+         {std::pair("service", &result.service), std::pair("instance", &result.instance),
+          std::pair("boot_id", &result.bootId)}) {
+        if (value->empty()) {
+            return absl::InvalidArgumentError(std::string(name) + ": must not be empty");
+        }
+    }
+    if (result.slots < 1 || result.slots > maxSlots) {
+        return absl::InvalidArgumentError("slots: must be between 1 and "
+                                          + std::to_string(maxSlots));
+    }
+    return result;
+}
+
+std::string encodeAnnouncement(const upstream_announcement &announcement)
+{
+    Poco::JSON::Object object;
+    object.set("service", announcement.service);
+    object.set("instance", announcement.instance);
+    object.set("address", announcement.address);
+    object.set("slots", announcement.slots);
+    object.set("boot_id", announcement.bootId);
+    object.set("draining", announcement.draining);
+    object.set("checks_grants", announcement.checksGrants);
+    return toText(object);
+}
+
+std::string encodeGrants(const std::vector<upstream_grant> &grants, int64_t validMs)
+{
+    Poco::JSON::Array list;
+    for (const upstream_grant &grant : grants) {
+        Poco::JSON::Object entry;
+        entry.set("partition", grant.partition);
+        entry.set("term", grant.term);
+        entry.set("lower", hashToString(grant.range.first));
+        entry.set("upper", hashToString(grant.range.last));
+        list.add(entry);
+    }
+    Poco::JSON::Object object;
+    object.set("valid_ms", validMs);
+    object.set("grants", list);
+    return toText(object);
+}
+
+absl::StatusOr<std::vector<upstream_grant>> parseGrants(std::string_view json, int64_t &validMs)
+{
+    const auto object = parseObject(json);
+    if (!object.ok()) {
+        return object.status();
+    }
+    std::vector<upstream_grant> grants;
+    try {
+        validMs = (*object)->getValue<int64_t>("valid_ms");
+        const Poco::JSON::Array::Ptr list = (*object)->getArray("grants");
+        if (list.isNull()) {
+            return absl::InvalidArgumentError("grants: missing");
+        }
+        for (unsigned i = 0; i < list->size(); ++i) {
+            const Poco::JSON::Object::Ptr entry = list->getObject(i);
+            upstream_grant grant;
+            if (entry.isNull()
+                || !parseHash(entry->getValue<std::string>("lower"), grant.range.first)
+                || !parseHash(entry->getValue<std::string>("upper"), grant.range.last)) {
+                return absl::InvalidArgumentError("grants[" + std::to_string(i)
+                                                  + "]: invalid hash bounds");
+            }
+            grant.partition = entry->getValue<std::string>("partition");
+            grant.term = entry->getValue<uint64_t>("term");
+            grants.push_back(std::move(grant));
+        }
+    } catch (const Poco::Exception &error) {
+        return absl::InvalidArgumentError(error.displayText());
+    }
+    return grants;
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/upstream/upstream_guard.cpp
@@ -0,0 +1,361 @@
+#include "persimmonrail/upstream/upstream_guard.h"
+
+#include "persimmonrail/base/header_names.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace persimmonrail {
+namespace {
+
+// Idle connections kept to the upstream; upstreams accept 90 and more.
+constexpr size_t maxIdleConnections = 64;
+
+milliseconds retryAfterOf(const Poco::Net::HTTPResponse &head)
+{
+    int seconds = 0;
+    return absl::SimpleAtoi(head.get("Retry-After", "0"), &seconds)
+        ? milliseconds(std::clamp(seconds, 0, 3600) * 1000)
+        : milliseconds(0);
+}
+
+bool isRefusal(const Poco::Net::HTTPResponse &head)
+{
+    return head.getStatus() == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE
+        && head.has(refusedHeader);
+}
+
+// Load as a number: the value of the field "load", or of the whole document if it is a number.
+std::optional<double> parseLoad(const std::string &text)
+{
+    try {
+        Poco::JSON::Parser parser;
+        const auto value = parser.parse(text);
+        if (value.type() == typeid(Poco::JSON::Object::Ptr)) {
+            return value.extract<Poco::JSON::Object::Ptr>()->getValue<double>("load");
+        }
+    } catch (const Poco::Exception &) {
+        // A load that can't be read is no load; it is a hint only.
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+// Records progress on a request and passes the answer on.
+class upstream_guard::progress_sink : public answer_sink
+{
+public:
+    progress_sink(upstream_guard &guard, answer_sink &next, steady_time now)
+        : m_guard(guard)
+        , m_next(next)
+    {
+        const std::lock_guard lock(m_guard.m_mutex);
+        m_id = m_guard.m_nextRunning++;
+        m_guard.m_running[m_id] = {now, now};
+    }
+    progress_sink(const progress_sink &) = delete;
+    progress_sink &operator=(const progress_sink &) = delete;
+    ~progress_sink() override
+    {
+        const std::lock_guard lock(m_guard.m_mutex);
+        m_guard.m_running.erase(m_id);
+    }
+
+    bool begin(const Poco::Net::HTTPResponse &head, const body_framing &framing,
+               std::string_view first, bool whole) override
+    {
+        progress();
+        return m_next.begin(head, framing, first, whole);
+    }
+    bool write(std::string_view piece) override
+    {
+        progress();
+        return m_next.write(piece);
+    }
+    bool finish() override { return m_next.finish(); }
+
+private:
+    void progress()
+    {
+        const steady_time now = std::chrono::steady_clock::now();
+        const std::lock_guard lock(m_guard.m_mutex);
+        m_guard.m_running[m_id].lastProgress = now;
+    }
+
+    upstream_guard &m_guard;
+    answer_sink &m_next;
+    uint64_t m_id = 0;
+};
+
+std::string_view toString(upstream_state state)
+{
+    switch (state) {
+    case upstream_state::Down:
+        return "down";
+    case upstream_state::Up:
+        return "up";
+    case upstream_state::Draining:
+        return "draining";
+    }
+    return "down";
+}
+
+upstream_guard::upstream_guard(const upstream_guard_options &options, upstream_callbacks callbacks)
+    : m_options(options)
+    , m_callbacks(std::move(callbacks))
+    , m_client(std::make_shared<connection_pool>(maxIdleConnections))
+{ }
+
+upstream_state upstream_guard::stateAt(steady_time now) const
+{
+    if (!m_announcement || now >= m_validUntil) {
+        return upstream_state::Down;
+    }
+    return m_announcement->draining ? upstream_state::Draining : upstream_state::Up;
+}
+
+absl::Status upstream_guard::announce(const upstream_announcement &announcement, steady_time now)
+{
+    bool restarted = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_announcement && now < m_validUntil
+            && (m_announcement->service != announcement.service
+                || m_announcement->instance != announcement.instance)) {
+            return absl::FailedPreconditionError("this daemon serves " + m_announcement->instance
+                                                 + " of service " + m_announcement->service);
+        }
+        restarted = m_announcement && m_announcement->bootId != announcement.bootId;
+        if (announcement.draining && (!m_announcement || !m_announcement->draining || restarted)) {
+            m_drainingSince = now;
+        }
+        m_announcement = announcement;
+        m_validUntil = now + m_options.announcementValidity;
+        if (restarted) {
+            m_healthHint.reset();
+            m_loadHint.reset();
+        }
+    }
+    if (restarted && m_callbacks.restarted) {
+        m_callbacks.restarted(announcement);
+    }
+    publish(now);
+    return absl::OkStatus();
+}
+
+void upstream_guard::expire(steady_time now)
+{
+    publish(now);
+}
+
+void upstream_guard::publish(steady_time now)
+{
+    upstream_announcement announcement;
+    upstream_state state = upstream_state::Down;
+    {
+        const std::lock_guard lock(m_mutex);
+        state = stateAt(now);
+        if (state == m_published) {
+            return;
+        }
+        m_published = state;
+        announcement = *m_announcement;
+    }
+    if (m_callbacks.stateChanged) {
+        m_callbacks.stateChanged(state, announcement);
+    }
+}
+
+upstream_status upstream_guard::status(steady_time now) const
+{
+    const std::lock_guard lock(m_mutex);
+    upstream_status result;
+    result.state = stateAt(now);
+    result.announcement = m_announcement;
+    result.inFlight = static_cast<int>(m_running.size());
+    if (result.state == upstream_state::Draining) {
+        result.drainingFor = std::chrono::duration_cast<milliseconds>(now - m_drainingSince);
+    }
+    result.refusingConnections = m_refusingConnections;
+    result.healthHint = m_healthHint;
+    result.loadHint = m_loadHint;
+    if (!m_running.empty()) {
+        steady_time last = m_lastProgress;
+        steady_time oldest = steady_time::max();
+        for (const auto &[id, running] : m_running) {
+            last = std::max(last, running.lastProgress);
+            oldest = std::min(oldest, running.startedAt);
+        }
+        const steady_time since = std::max(last, oldest);
+        result.withoutProgress =
+            std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(now - since));
+    }
+    return result;
+}
+
+bool upstream_guard::isUp(steady_time now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return stateAt(now) == upstream_state::Up;
+}
+
+std::optional<std::string> upstream_guard::validAddress(steady_time now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return stateAt(now) == upstream_state::Down ? std::nullopt
+                                                : std::optional(m_announcement->address);
+}
+
+bool upstream_guard::refusesWhileDraining(const hand_over &request, steady_time now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return stateAt(now) == upstream_state::Draining
+        && (request.partition.empty() || now - m_drainingSince >= m_options.drainGrace);
+}
+
+absl::Status upstream_guard::pushGrants(const std::vector<upstream_grant> &grants,
+                                        milliseconds validFor, steady_time now)
+{
+    const auto address = validAddress(now);
+    if (!address) {
+        return absl::UnavailableError("the upstream has not announced itself");
+    }
+    const auto answer =
+        simpleRequest(m_client, *address, "PUT", "/v1/grants",
+                      encodeGrants(grants, validFor.count()), now + m_options.controlTimeout);
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    return answer->status / 100 == 2
+        ? absl::OkStatus()
+        : absl::FailedPreconditionError(absl::StrCat("status ", answer->status));
+}
+
+void upstream_guard::probe(steady_time now)
+{
+    const auto address = validAddress(now);
+    if (!address) {
+        return;
+    }
+    const steady_time until = now + m_options.controlTimeout;
+    const auto health = simpleRequest(m_client, *address, "GET", "/v1/health", "", until);
+    const auto load = simpleRequest(m_client, *address, "GET", "/v1/load", "", until);
+    const std::lock_guard lock(m_mutex);
+    m_healthHint = health.ok() && health->status == 200;
+    m_loadHint = load.ok() && load->status == 200 ? parseLoad(load->body) : std::nullopt;
+}
+
+void upstream_guard::cancel(const std::string &requestId, steady_time now)
+{
+    if (const auto address = validAddress(now)) {
+        // The answer makes no difference: the connection of the request is closed already.
+        const auto ignored =
+            simpleRequest(m_client, *address, "DELETE", "/v1/requests/" + requestId, "",
+                          now + m_options.controlTimeout);
+    }
+}
+
+bool upstream_guard::answersOnNewConnection(const std::string &address) const
+{
+    http_client fresh(std::make_shared<connection_pool>());
+    return simpleRequest(fresh, address, "GET", "/v1/health", "",
+                         std::chrono::steady_clock::now() + m_options.controlTimeout)
+        .ok();
+}
+
+hand_over_result upstream_guard::handOver(const hand_over &request, answer_sink &sink,
+                                          steady_time now)
+{
+    hand_over_result result;
+    const auto address = validAddress(now);
+    if (!address) {
+        result.reason = "upstream-down";
+        return result;
+    }
+    if (refusesWhileDraining(request, now)) {
+        result.reason = "draining";
+        return result;
+    }
+    client_request exchange;
+    exchange.address = *address;
+    exchange.message = request.message;
+    exchange.message.set(requestIdHeader, request.requestId);
+    const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - now);
+    exchange.message.set(deadlineHeader, absl::StrCat(std::max<int64_t>(left.count(), 0)));
+    for (const char *name : {termHeader, partitionHeader, keyHashHeader, rankHeader}) {
+        exchange.message.erase(name);
+    }
+    if (!request.partition.empty()) {
+        exchange.message.set(partitionHeader, request.partition);
+        exchange.message.set(termHeader, absl::StrCat(request.term));
+    }
+    if (request.keyHash) {
+        exchange.message.set(keyHashHeader, hashToString(*request.keyHash));
+    }
+    exchange.body = request.body;
+    exchange.repeatable = request.repeatable;
+    exchange.deadline = request.deadline;
+    if (request.leaseEnd != steady_time::max()) {
+        exchange.sendBefore = request.leaseEnd - m_options.handOverGuard;
+    }
+    exchange.caller = request.caller;
+    exchange.progressTimeout = m_options.progressTimeout;
+    exchange.probe = [this, &address] { return answersOnNewConnection(*address); };
+    exchange.wanted = [](const Poco::Net::HTTPResponse &head) { return !isRefusal(head); };
+
+    progress_sink progress(*this, sink, now);
+    return evaluate(m_client.exchange(exchange, progress), request);
+}
+
+hand_over_result upstream_guard::evaluate(const exchange_result &exchange, const hand_over &request)
+{
+    hand_over_result result;
+    result.answerStarted = exchange.answerStarted;
+    result.callerGone = exchange.sinkGone;
+    result.reason = toString(exchange.state);
+    result.outcome = request_outcome::Unknown;
+    switch (exchange.state) {
+    case exchange_state::Whole:
+        result.outcome = request_outcome::Run;
+        result.status = exchange.head.getStatus();
+        result.reason = "answered";
+        break;
+    case exchange_state::Declined:
+        result.outcome = request_outcome::NotRun;
+        result.status = exchange.head.getStatus();
+        result.reason = exchange.head.get(refusedHeader, "shed");
+        result.retryAfter = retryAfterOf(exchange.head);
+        break;
+    case exchange_state::NotSent:
+        result.outcome = request_outcome::NotRun;
+        result.reason =
+            exchange.detail == "lease-ending" ? "lease-ending" : "upstream-refused-connection";
+        break;
+    case exchange_state::CallerGone:
+        result.callerGone = true;
+        break;
+    default:
+        break;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_refusingConnections = result.reason == "upstream-refused-connection";
+        if (exchange.state == exchange_state::Whole || exchange.state == exchange_state::Declined) {
+            m_lastProgress = std::chrono::steady_clock::now();
+        }
+    }
+    // The upstream may still be running a request without a whole answer; its work is of no use.
+    if (result.outcome == request_outcome::Unknown) {
+        cancel(request.requestId, std::chrono::steady_clock::now());
+    }
+    return result;
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/upstream/upstream_guard.h
+++ b/src/persimmonrail/upstream/upstream_guard.h
@@ -25,10 +25,14 @@
     upstream_state state = upstream_state::Down;
     // The newest announcement, valid or not; absent before the first one.
     std::optional<upstream_announcement> announcement;
+    // Time since the upstream announced that it drains; zero if it does not.
+    milliseconds drainingFor{0};
     int inFlight = 0;
     // Time since the last byte of an answer, or since the oldest request was handed over if that is
     // later; zero while nothing is in flight.
     milliseconds withoutProgress{0};
+    // Whether the last hand-over failed because the upstream refused the connection.
+    bool refusingConnections = false;
     // Results of the last probes; hints only, since upstreams may report them late or wrongly.
     std::optional<bool> healthHint;
     std::optional<double> loadHint;
@@ -73,6 +77,9 @@
     milliseconds announcementValidity{3000};
     // No request is handed over within this time before the end of its lease.
     milliseconds handOverGuard{20};
+    // A draining upstream still gets requests for the partitions it holds during this time, so that
+    // they are served until they have moved. Requests of other services are refused at once.
+    milliseconds drainGrace{2500};
     milliseconds controlTimeout{500};
     // After this time without progress on an exchange, a new connection is probed; zero disables.
     milliseconds progressTimeout{2000};
@@ -121,15 +128,18 @@
 private:
     struct running_request
     {
+        steady_time startedAt;
         steady_time lastProgress;
     };
 
     class progress_sink;
 
     upstream_state stateAt(steady_time now) const;
-    void publish(upstream_state before, steady_time now);
+    void publish(steady_time now);
     std::optional<std::string> validAddress(steady_time now) const;
-    hand_over_result evaluate(const exchange_result &result, const hand_over &request) const;
+    bool refusesWhileDraining(const hand_over &request, steady_time now) const;
+    hand_over_result evaluate(const exchange_result &exchange, const hand_over &request);
+    bool answersOnNewConnection(const std::string &address) const;
 
     const upstream_guard_options m_options;
     const upstream_callbacks m_callbacks;
@@ -137,7 +147,10 @@
     mutable std::mutex m_mutex;
     std::optional<upstream_announcement> m_announcement;
     steady_time m_validUntil;
+    steady_time m_drainingSince;
     upstream_state m_published = upstream_state::Down;
+    bool m_refusingConnections = false;
+    steady_time m_lastProgress;
     uint64_t m_nextRunning = 0;
     std::map<uint64_t, running_request> m_running;
     std::optional<bool> m_healthHint;
