--- /dev/null
+++ b/src/persimmonrail/requests/tests/at_most_once_table_test.cpp
@@ -0,0 +1,155 @@
+#include "persimmonrail/requests/at_most_once_table.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace persimmonrail;
+using action = at_most_once_verdict::action;
+using std::chrono::seconds;
+
+namespace {
+
+const wall_time start{seconds(1'800'000'000)};
+const wall_time longAgo = start - seconds(3600);
+
+idempotency_key keyIssuedAt(wall_time issued, uint8_t number = 1)
+{
+    idempotency_key key;
+    auto ms = std::chrono::duration_cast<milliseconds>(issued.time_since_epoch()).count();
+    for (int i = 5; i >= 0; --i) {
+        key.bytes[i] = static_cast<uint8_t>(ms);
+        ms >>= 8;
+    }
+    key.bytes[6] = 0x70;
+    key.bytes[8] = 0x80;
+    key.bytes[15] = number;
+    return key;
+}
+
+std::shared_ptr<const kept_answer> answerOf(size_t bytes)
+{
+    return std::make_shared<const kept_answer>(kept_answer{200, {}, std::string(bytes, 'a')});
+}
+
+} // namespace
+
+// Guards against a key that is read as another one, or a random UUID whose first bytes are taken
+// for a time.
+TEST_CASE("idempotency keys are UUIDs of version 7", "[requests]")
+{
+    struct
+    {
+        const char *text;
+        bool valid;
+    } const table[] = {
+        {"01a2b3c4-d5e6-7abc-8def-0123456789ab", true},
+        {"01A2B3C4-D5E6-7ABC-BDEF-0123456789AB", true},
+        {"01a2b3c4-d5e6-4abc-8def-0123456789ab", false},
+        {"01a2b3c4-d5e6-7abc-cdef-0123456789ab", false},
+        {"01a2b3c4-d5e6-7abc-8def-0123456789a", false},
+        {"01a2b3c4d5e6-7abc-8def-0123456789abc", false},
+        {"01a2b3c4-d5e6-7abc-8def-0123456789ag", false},
+        {"", false},
+    };
+    for (const auto &row : table) {
+        CAPTURE(row.text);
+        CHECK(parseIdempotencyKey(row.text).ok() == row.valid);
+    }
+    CHECK(parseIdempotencyKey("01a2b3c4-d5e6-7abc-8def-0123456789ab")->issuedAt()
+          == wall_time(milliseconds(0x01a2b3c4d5e6)));
+}
+
+// Guards against a second run of a request that its caller sends again.
+TEST_CASE("a resent request is not handed over again", "[requests]")
+{
+    at_most_once_table table;
+    const auto key = keyIssuedAt(start);
+    REQUIRE(table.begin("orderbook", key, longAgo, start).what == action::Proceed);
+    CHECK(table.begin("orderbook", key, longAgo, start).what == action::Refuse);
+
+    struct
+    {
+        request_outcome outcome;
+        bool keepsAnswer;
+        action expected;
+    } const rows[] = {
+        {request_outcome::Run, true, action::Replay},
+        {request_outcome::Run, false, action::Refuse},
+        {request_outcome::Unknown, false, action::Refuse},
+        {request_outcome::NotRun, false, action::Proceed},
+    };
+    uint8_t number = 10;
+    for (const auto &row : rows) {
+        CAPTURE(toString(row.outcome), row.keepsAnswer);
+        const auto resent = keyIssuedAt(start, number++);
+        REQUIRE(table.begin("orderbook", resent, longAgo, start).what == action::Proceed);
+        table.end("orderbook", resent, row.outcome, row.keepsAnswer ? answerOf(10) : nullptr);
+        const auto verdict = table.begin("orderbook", resent, longAgo, start);
+        CHECK(verdict.what == row.expected);
+        CHECK((verdict.what != action::Refuse || verdict.outcome == request_outcome::Unknown));
+    }
+}
+
+// Guards against a run that an earlier owner, whose memory is lost, may have made already.
+TEST_CASE("keys of uncertain history are refused as unknown", "[requests]")
+{
+    struct
+    {
+        const char *what;
+        seconds issued;
+        seconds tenureStart;
+        action expected;
+    } const table[] = {
+        {"issued long after the tenure began", seconds(0), seconds(-60), action::Proceed},
+        {"issued before the tenure began", seconds(-61), seconds(-60), action::Refuse},
+        {"issued within the clock skew of its begin", seconds(-56), seconds(-60), action::Refuse},
+        {"older than the retention", seconds(-601), seconds(-3600), action::Refuse},
+        {"issued in the future", seconds(6), seconds(-3600), action::Refuse},
+        {"caller's clock slightly ahead", seconds(4), seconds(-3600), action::Proceed},
+    };
+    for (const auto &row : table) {
+        CAPTURE(row.what);
+        at_most_once_table fresh;
+        const auto verdict =
+            fresh.begin("s", keyIssuedAt(start + row.issued), start + row.tenureStart, start);
+        CHECK(verdict.what == row.expected);
+        CHECK((verdict.what == action::Proceed || verdict.outcome == request_outcome::Unknown));
+    }
+}
+
+// Guards against an entry that is dropped while its key would still be accepted, which would let
+// the request run twice, and against memory without bound.
+TEST_CASE("entries outlive the acceptance of their keys", "[requests]")
+{
+    at_most_once_options options;
+    options.maxEntries = 2;
+    at_most_once_table table(options);
+    const auto key = keyIssuedAt(start);
+    REQUIRE(table.begin("s", key, longAgo, start).what == action::Proceed);
+    table.end("s", key, request_outcome::Run, nullptr);
+    REQUIRE(table.begin("s", keyIssuedAt(start, 2), longAgo, start).what == action::Proceed);
+    const auto full = table.begin("s", keyIssuedAt(start, 3), longAgo, start);
+    CHECK(full.what == action::Refuse);
+    CHECK(full.outcome == request_outcome::NotRun);
+    for (int later = 0; later < 2000; later += 10) {
+        CAPTURE(later);
+        CHECK(table.begin("s", key, longAgo, start + seconds(later)).what == action::Refuse);
+    }
+    CHECK(table.size() == 0);
+}
+
+TEST_CASE("kept answers are bounded", "[requests]")
+{
+    at_most_once_options options;
+    options.maxAnswerBytes = 10000;
+    at_most_once_table table(options);
+    for (uint8_t number = 1; number <= 20; ++number) {
+        const auto key = keyIssuedAt(start, number);
+        REQUIRE(table.begin("s", key, longAgo, start).what == action::Proceed);
+        table.end("s", key, request_outcome::Run, answerOf(1000));
+        CHECK(table.answerBytes() <= options.maxAnswerBytes);
+    }
+    CHECK(table.begin("s", keyIssuedAt(start, 1), longAgo, start).what == action::Refuse);
+    CHECK(table.begin("s", keyIssuedAt(start, 20), longAgo, start).what == action::Replay);
+}
