--- a/src/persimmonrail/gateway/forwarder.cpp
+++ b/src/persimmonrail/gateway/forwarder.cpp
@@ -12,6 +12,21 @@
 // Idle connections kept to each peer. A daemon has about 33 requests in flight in all.
 constexpr size_t maxIdleConnections = 16;
 
+// After this time without progress, the peer is asked whether it still has the request. Most
+// requests are answered within 14 ms.
+constexpr milliseconds progressTimeout{1000};
+constexpr milliseconds probeTimeout{500};
+
+// Whether the peer answers on a new connection that it does not have the request: its answer, or
+// the request, was lost on the connection used.
+bool isLost(const std::string &address, const std::string &requestId)
+{
+    http_client fresh(std::make_shared<connection_pool>());
+    const auto answer = simpleRequest(fresh, address, "GET", inFlightPath + requestId, "",
+                                      std::chrono::steady_clock::now() + probeTimeout);
+    return answer.ok() && answer->status == 404;
+}
+
 bool hasRun(const Poco::Net::HTTPResponse &head)
 {
     return head.get(outcomeHeader, "") == toString(request_outcome::Run);
@@ -61,6 +76,10 @@
 forward_result forwarder::forward(client_request request, answer_sink &sink)
 {
     request.wanted = hasRun;
+    request.progressTimeout = progressTimeout;
+    request.probe = [address = request.address, id = request.message.get(requestIdHeader, "")] {
+        return isLost(address, id);
+    };
     const exchange_result exchange = m_client.exchange(request, sink);
     forward_result result;
     result.answerStarted = exchange.answerStarted;
--- a/src/persimmonrail/gateway/forwarder.h
+++ b/src/persimmonrail/gateway/forwarder.h
@@ -27,14 +27,18 @@
 // Whether a request that was not run for this reason may run elsewhere, or here a little later.
 bool isPassing(std::string_view reason);
 
+// Path under which a peer port tells whether a request is in flight there: 200 or 404.
+inline constexpr char inFlightPath[] = "/v1/requests/";
+
 // Forwards requests to the peer ports of other daemons over pooled connections. Thread safe.
 class forwarder
 {
 public:
     forwarder();
 
-    // `request.address` is the peer address; `request.wanted` is set by the forwarder. Answers that
-    // did not run on the peer are not passed to the sink.
+    // `request.address` is the peer address, and the message carries the request id;
+    // `request.wanted` and the probe are set by the forwarder. Answers that did not run on the peer
+    // are not passed to the sink.
     forward_result forward(client_request request, answer_sink &sink);
 
 private:
--- /dev/null
+++ b/src/persimmonrail/gateway/request_call.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "persimmonrail/gateway/request_path.h"
+#include "persimmonrail/gateway/request_target.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmonrail {
+
+// What one attempt, or the whole request, came to.
+struct call_result
+{
+    request_outcome outcome = request_outcome::NotRun;
+    std::string reason;
+    // Status of an answer that persimmonrail itself gives; 0 derives it from the outcome.
+    int status = 0;
+    milliseconds retryAfter{0};
+    // The request may run elsewhere, or here a little later.
+    bool tryNext = false;
+    bool answerStarted = false;
+    bool callerGone = false;
+    std::string holder;
+};
+
+// One request on its way through this daemon. Used by the thread of its connection.
+class request_call
+{
+public:
+    request_call(request_path &path, server_exchange &exchange);
+
+    void serveCaller();
+    void servePeer();
+    void answerError(const call_result &result);
+
+private:
+    // Steps of the ingress daemon; each returns a result if the request ends there.
+    std::optional<call_result> findOperation();
+    std::optional<call_result> findKey();
+    void setDeadline(milliseconds timeout);
+    call_result routeByHash();
+    call_result tryCandidates();
+    call_result routeToAny();
+
+    call_result runLocal(const lease_ticket *ticket);
+    call_result admitAndHandOver(const lease_ticket *ticket,
+                                 std::shared_ptr<const stored_answer> &kept);
+    call_result forwardTo(const member_record &member);
+    // Whether another attempt may follow one with this result.
+    bool mayContinue(const call_result &result);
+    // Whether the body can be sent once more; an attempt needs it.
+    bool prepareBody();
+    void logAttempt(std::string_view instance, const lease_ticket *ticket,
+                    const call_result &result);
+    void finish(const call_result &result);
+
+    request_path &m_path;
+    server_exchange &m_exchange;
+    const steady_time m_start;
+    std::string m_requestId;
+    Poco::Net::HTTPRequest m_message;
+    std::shared_ptr<const fleet_view> m_view;
+    std::shared_ptr<const service_document> m_document;
+    request_target m_target;
+    std::string m_rank;
+    size_t m_rankIndex = 0;
+    bool m_repeatable = false;
+    std::string m_idempotencyKey;
+    std::optional<uint64_t> m_hash;
+    steady_time m_deadline;
+    std::string m_holderHint;
+};
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/gateway/request_path.cpp
@@ -0,0 +1,139 @@
+#include "persimmonrail/gateway/request_path.h"
+
+#include "persimmonrail/base/header_names.h"
+#include "persimmonrail/gateway/request_call.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace persimmonrail {
+namespace {
+
+std::optional<member_record> firstUntried(const fleet_view &view, std::string_view service,
+                                          const std::vector<instance_id> &tried, steady_time)
+{
+    for (const member_record *member : view.membersOf(service)) {
+        if (std::find(tried.begin(), tried.end(), member->id) == tried.end()) {
+            return *member;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+request_path::request_path(request_path_options options, gateway_hooks hooks, upstream_guard &guard,
+                           decision_log &log, metrics &metrics)
+    : m_options(std::move(options))
+    , m_hooks(std::move(hooks))
+    , m_guard(guard)
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_defaultAdmission(std::make_unique<slot_admission>(
+          [&guard] {
+              const auto status = guard.status(std::chrono::steady_clock::now());
+              return status.announcement ? status.announcement->slots : 0;
+          },
+          m_options.queueLength, m_options.maxQueueTime))
+{
+    if (!m_hooks.localLease) {
+        m_hooks.localLease = [](std::string_view, uint64_t, steady_time) { return nullptr; };
+    }
+    if (!m_hooks.holderHint) {
+        m_hooks.holderHint = [](std::string_view, uint64_t) { return std::string(); };
+    }
+    if (!m_hooks.candidates) {
+        m_hooks.candidates = recordCandidates;
+    }
+    if (!m_hooks.pickInstance) {
+        m_hooks.pickInstance = firstUntried;
+    }
+    if (!m_hooks.retryBudget) {
+        m_hooks.retryBudget = [](bool isRetry, steady_time) { return !isRetry; };
+    }
+    if (!m_hooks.admit) {
+        m_hooks.admit = [this](std::string_view, size_t, steady_time deadline, steady_time now) {
+            return m_defaultAdmission->admit(deadline, now);
+        };
+    }
+    if (!m_hooks.atMostOnceBegin) {
+        m_hooks.atMostOnceBegin = [](std::string_view, std::string_view, const lease_ticket &,
+                                     steady_time) { return at_most_once_decision(); };
+    }
+    if (!m_hooks.atMostOnceEnd) {
+        m_hooks.atMostOnceEnd = [](std::string_view, std::string_view, request_outcome,
+                                   const std::shared_ptr<const stored_answer> &) {};
+    }
+}
+
+request_path::~request_path() = default;
+
+void request_path::serveCaller(server_exchange &exchange)
+{
+    request_call(*this, exchange).serveCaller();
+}
+
+void request_path::servePeer(server_exchange &exchange)
+{
+    const std::string id = exchange.request().get(requestIdHeader, "");
+    std::multiset<std::string, std::less<>>::iterator entry;
+    {
+        const std::lock_guard lock(m_mutex);
+        entry = m_peerRequests.insert(id);
+    }
+    request_call(*this, exchange).servePeer();
+    const std::lock_guard lock(m_mutex);
+    m_peerRequests.erase(entry);
+}
+
+bool request_path::isInFlight(const std::string &requestId) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_peerRequests.contains(requestId);
+}
+
+void request_path::serveError(server_exchange &exchange, int status, const std::string &reason)
+{
+    call_result result;
+    result.status = status;
+    result.reason = reason;
+    request_call(*this, exchange).answerError(result);
+}
+
+std::string request_path::explain(std::string_view service, std::string_view key,
+                                  steady_time now) const
+{
+    Poco::JSON::Object answer;
+    const uint64_t hash = keyHash(key);
+    answer.set("service", std::string(service));
+    answer.set("key_hash", hashToString(hash));
+    const auto view = m_hooks.view();
+    if (view) {
+        answer.set("revision", view->revision);
+        answer.set("known_service", view->documents.contains(service));
+        if (const versioned_record *const record = view->findRecord(service, hash)) {
+            answer.set("partition", record->record.partition);
+            answer.set("recorded_owner", toString(record->record.owner));
+            answer.set("recorded_term", record->record.term);
+        }
+        Poco::JSON::Array candidates;
+        for (const auto &member : m_hooks.candidates(*view, service, hash, {})) {
+            candidates.add(toString(member.id));
+        }
+        answer.set("candidates", candidates);
+    }
+    if (const auto ticket = m_hooks.localLease(service, hash, now)) {
+        answer.set("held_by", m_options.instance);
+        answer.set("term", ticket->term());
+    } else if (const std::string holder = m_hooks.holderHint(service, hash); !holder.empty()) {
+        answer.set("held_by", holder);
+    }
+    std::ostringstream text;
+    answer.stringify(text);
+    return text.str();
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/gateway/request_path.h
+++ b/src/persimmonrail/gateway/request_path.h
@@ -8,6 +8,8 @@
 #include "persimmonrail/upstream/upstream_guard.h"
 
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 namespace persimmonrail {
@@ -18,8 +20,11 @@
     std::string instance;
     // Pause between rounds over the candidates of a key.
     milliseconds roundPause{50};
-    // Timeout of requests for which a peer has no operation rule.
-    milliseconds defaultTimeout{10000};
+    // Instances that are tried for a request that any instance may run.
+    int maxInstances = 3;
+    // Of the default admission: requests that wait for a slot, and how long.
+    int queueLength = 20;
+    milliseconds maxQueueTime{100};
 };
 
 class request_call;
@@ -39,6 +44,8 @@
     void serveCaller(server_exchange &exchange);
     // Request forwarded by another daemon; never forwarded again.
     void servePeer(server_exchange &exchange);
+    // Whether a request with this id runs here on behalf of another daemon.
+    bool isInFlight(const std::string &requestId) const;
     // Answers a request that is not valid HTTP.
     void serveError(server_exchange &exchange, int status, const std::string &reason);
 
@@ -55,6 +62,8 @@
     metrics &m_metrics;
     forwarder m_forwarder;
     std::unique_ptr<slot_admission> m_defaultAdmission;
+    mutable std::mutex m_mutex;
+    std::multiset<std::string, std::less<>> m_peerRequests;
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -63,7 +63,8 @@
             if (status != io_status::TimedOut || until >= m_request.deadline) {
                 return status;
             }
-            if (m_request.probe()) {
+            // An answer that arrived while the probe ran ends the silence.
+            if (m_request.probe() && !m_stream.hasInput()) {
                 m_silent = true;
                 return status;
             }
--- a/src/persimmonrail/http/http_client.h
+++ b/src/persimmonrail/http/http_client.h
@@ -107,7 +107,8 @@
     http_stream *caller = nullptr;
     // After this time without progress, `probe` is asked; zero waits until the deadline.
     milliseconds progressTimeout{0};
-    // Returns whether a new connection to the address answers.
+    // Asked over a new connection: whether the peer answers there and this connection is therefore
+    // to be given up.
     std::function<bool()> probe;
     // Returns whether the answer is to be passed to the sink; all are if it is empty.
     std::function<bool(const Poco::Net::HTTPResponse &head)> wanted;
--- a/src/persimmonrail/http/http_stream.cpp
+++ b/src/persimmonrail/http/http_stream.cpp
@@ -219,6 +219,11 @@
     return io_status::Ok;
 }
 
+bool http_stream::waitClosed(steady_time until)
+{
+    return wait(POLLRDHUP, until) != io_status::TimedOut;
+}
+
 bool http_stream::hasInput()
 {
     if (m_position < m_buffer.size()) {
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -67,6 +67,8 @@
                     bool stopOnInput = false);
     // Waits until bytes can be read.
     io_status waitReadable(steady_time until);
+    // Waits until `until` or until the peer closes the connection; true in the latter case.
+    bool waitClosed(steady_time until);
 
     // Whether bytes can be read, or the connection has been closed by its peer.
     bool hasInput();
--- a/src/persimmonrail/upstream/upstream_guard.cpp
+++ b/src/persimmonrail/upstream/upstream_guard.cpp
@@ -306,7 +306,10 @@
         exchange.sendBefore = request.leaseEnd - m_options.handOverGuard;
     }
     exchange.caller = request.caller;
-    exchange.progressTimeout = m_options.progressTimeout;
+    if (request.repeatable) {
+        exchange.progressTimeout = std::chrono::duration_cast<milliseconds>(
+            std::chrono::duration<double>(left) * m_options.silentShare);
+    }
     exchange.probe = [this, &address] { return answersOnNewConnection(*address); };
     exchange.wanted = [](const Poco::Net::HTTPResponse &head) { return !isRefusal(head); };
 
--- a/src/persimmonrail/upstream/upstream_guard.h
+++ b/src/persimmonrail/upstream/upstream_guard.h
@@ -81,8 +81,10 @@
     // they are served until they have moved. Requests of other services are refused at once.
     milliseconds drainGrace{2500};
     milliseconds controlTimeout{500};
-    // After this time without progress on an exchange, a new connection is probed; zero disables.
-    milliseconds progressTimeout{2000};
+    // After this share of the time left, a repeatable request without any progress is given up if
+    // the upstream answers on a new connection: open connections can go silent for good. Others
+    // wait until their deadline, since giving them up early gains nothing.
+    double silentShare = 0.75;
 };
 
 struct upstream_callbacks
