--- a/src/persimmonrail/http/http_body.cpp
+++ b/src/persimmonrail/http/http_body.cpp
@@ -213,8 +213,8 @@
     } catch (const Poco::Exception &) {
         return io_status::Malformed;
     }
-    return response.getStatus() >= 100 && response.getStatus() <= 599 ? io_status::Ok
-                                                                      : io_status::Malformed;
+    const int status = response.getStatus();
+    return status >= 100 && status <= 599 ? io_status::Ok : io_status::Malformed;
 }
 
 io_status requestFraming(const Poco::Net::HTTPRequest &request, body_framing &framing)
--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -113,7 +113,7 @@
             refuse(stream, 400, "missing-host");
             return false;
         }
-        server_exchange exchange(stream, std::move(request), framing, options.idleTimeout);
+        server_exchange exchange(stream, request, framing, options.idleTimeout);
         handle(exchange);
         return exchange.finish();
     }
--- a/src/persimmonrail/http/http_server.h
+++ b/src/persimmonrail/http/http_server.h
@@ -15,8 +15,8 @@
 class server_exchange : public body_source
 {
 public:
-    server_exchange(http_stream &stream, Poco::Net::HTTPRequest request, body_framing framing,
-                    milliseconds idleTimeout);
+    server_exchange(http_stream &stream, const Poco::Net::HTTPRequest &request,
+                    body_framing framing, milliseconds idleTimeout);
 
     const Poco::Net::HTTPRequest &request() const { return m_request; }
     // The connection of the requester.
--- a/src/persimmonrail/http/server_exchange.cpp
+++ b/src/persimmonrail/http/server_exchange.cpp
@@ -5,10 +5,10 @@
 
 namespace persimmonrail {
 
-server_exchange::server_exchange(http_stream &stream, Poco::Net::HTTPRequest request,
+server_exchange::server_exchange(http_stream &stream, const Poco::Net::HTTPRequest &request,
                                  body_framing framing, milliseconds idleTimeout)
     : m_stream(stream)
-    , m_request(std::move(request))
+    , m_request(request)
     , m_reader(stream, framing)
     , m_idleTimeout(idleTimeout)
     , m_keepAlive(m_request.getKeepAlive())
--- /dev/null
+++ b/src/persimmonrail/http/tests/http_test.cpp
@@ -0,0 +1,277 @@
+#include "persimmonrail/http/http_client.h"
+#include "persimmonrail/http/http_server.h"
+#include "standins/scripted_server.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace persimmonrail;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Long enough for any machine; only tests of timeouts use shorter ones.
+constexpr milliseconds generous{60'000};
+
+steady_time after(milliseconds time)
+{
+    return std::chrono::steady_clock::now() + time;
+}
+
+class recording_sink : public answer_sink
+{
+public:
+    bool begin(const Poco::Net::HTTPResponse &, const body_framing &, std::string_view first,
+               bool whole) override
+    {
+        body = first;
+        finished = whole;
+        return true;
+    }
+    bool write(std::string_view piece) override
+    {
+        body += piece;
+        return true;
+    }
+    bool finish() override
+    {
+        finished = true;
+        return true;
+    }
+
+    std::string body;
+    bool finished = false;
+};
+
+client_request requestTo(const std::string &address)
+{
+    client_request request;
+    request.address = address;
+    request.message.setURI("/x");
+    request.deadline = after(generous);
+    return request;
+}
+
+std::unique_ptr<http_server> echoServer(const http_server_options &options = {})
+{
+    auto server = http_server::listen(options, [](server_exchange &exchange) {
+        std::string body;
+        if (exchange.readAll(body, 16 * 1024 * 1024, after(generous)) == io_status::Ok) {
+            exchange.answer(200, body, "text/plain");
+        } else {
+            exchange.closeAfterAnswer();
+            exchange.answer(400, "", "text/plain");
+        }
+    });
+    REQUIRE(server.ok());
+    return *std::move(server);
+}
+
+} // namespace
+
+// Guards against requests that two hops would split differently, and against crashes on input that
+// is not HTTP.
+TEST_CASE("malformed requests are refused", "[http]")
+{
+    const auto server = echoServer();
+    struct
+    {
+        const char *name;
+        std::string bytes;
+        const char *status;
+    } const table[] = {
+        {"no request line", "nonsense\r\n\r\n", "HTTP/1.1 400"},
+        {"two lengths",
+         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+         "HTTP/1.1 400"},
+        {"length and chunks",
+         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "0\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"negative length", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"length with letters", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1x\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"unknown coding", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"field without colon", "GET / HTTP/1.1\r\nHost: a\r\nbroken\r\n\r\n", "HTTP/1.1 400"},
+        {"space in field name", "GET / HTTP/1.1\r\nHost: a\r\nX Y: 1\r\n\r\n", "HTTP/1.1 400"},
+        {"folded field", "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n 2\r\n\r\n", "HTTP/1.1 400"},
+        {"NUL in field", std::string("GET / HTTP/1.1\r\nHost: a\r\nX: \0\r\n\r\n", 33),
+         "HTTP/1.1 400"},
+        {"no host", "GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 400"},
+        {"authority form", "GET example:80 HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400"},
+        {"unknown version", "GET / HTTP/3.7\r\nHost: a\r\n\r\n", "HTTP/1.1 400"},
+        {"old version", "GET / HTTP/1.0\r\nHost: a\r\n\r\n", "HTTP/1.1 505"},
+        {"oversized head",
+         "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(40'000, 'x') + "\r\n\r\n",
+         "HTTP/1.1 431"},
+        {"bad chunk size", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+         "HTTP/1.1 400"},
+    };
+    for (const auto &row : table) {
+        CAPTURE(row.name);
+        const std::string answer = exchangeBytes(server->address(), row.bytes);
+        CHECK(answer.substr(0, 12) == row.status);
+    }
+    std::mt19937 random(11);
+    for (int i = 0; i < 50; ++i) {
+        std::string bytes(1 + random() % 2000, '\0');
+        std::generate(bytes.begin(), bytes.end(), [&] { return static_cast<char>(random()); });
+        exchangeBytes(server->address(), bytes + "\r\n\r\n");
+    }
+    const std::string valid = "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    CHECK(exchangeBytes(server->address(), valid).substr(0, 12) == "HTTP/1.1 200");
+}
+
+// Guards against an answer that is passed on as whole although its connection broke off.
+TEST_CASE("the client tells whole answers from truncated ones", "[http]")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    struct
+    {
+        const char *name;
+        std::string answer;
+        exchange_state state;
+        const char *body;
+    } const table[] = {
+        {"length", ok + "Content-Length: 5\r\n\r\nhello", exchange_state::Whole, "hello"},
+        {"empty", ok + "Content-Length: 0\r\n\r\n", exchange_state::Whole, ""},
+        {"chunks",
+         ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=1\r\nllo\r\n0\r\nT: 1\r\n\r\n",
+         exchange_state::Whole, "hello"},
+        {"interim answer", "HTTP/1.1 102 Processing\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+         exchange_state::Whole, "ok"},
+        {"short length", ok + "Content-Length: 6\r\n\r\nhello", exchange_state::Truncated, ""},
+        {"cut in chunk", ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhel",
+         exchange_state::Truncated, ""},
+        {"no last chunk", ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+         exchange_state::Truncated, ""},
+        {"cut in last chunk", ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+         exchange_state::Truncated, ""},
+        {"no framing", ok + "\r\nhello", exchange_state::Truncated, ""},
+        {"cut in head", ok + "Content-Le", exchange_state::NoAnswer, ""},
+        {"no HTTP", "what?\r\n\r\n", exchange_state::Truncated, ""},
+        {"nothing", "", exchange_state::NoAnswer, ""},
+    };
+    for (const auto &row : table) {
+        CAPTURE(row.name);
+        scripted_server server([&](Poco::Net::StreamSocket &socket, int) {
+            readHeadText(socket);
+            sendText(socket, row.answer);
+        });
+        http_client client(std::make_shared<connection_pool>());
+        recording_sink sink;
+        const exchange_result result = client.exchange(requestTo(server.address()), sink);
+        CHECK(toString(result.state) == toString(row.state));
+        CHECK(sink.body == row.body);
+        CHECK(sink.finished == (row.state == exchange_state::Whole));
+    }
+}
+
+// Guards against running a request twice: bytes of a request that may not be repeated must not be
+// sent again when a reused connection turns out to be closed.
+TEST_CASE("a closed reused connection is replaced only where that is safe", "[http]")
+{
+    struct
+    {
+        const char *name;
+        bool repeatable;
+        bool closeWhileIdle;
+        exchange_state state;
+    } const table[] = {
+        {"repeatable", true, false, exchange_state::Whole},
+        {"not repeatable", false, false, exchange_state::NoAnswer},
+        {"closed before anything was sent", false, true, exchange_state::Whole},
+    };
+    for (const auto &row : table) {
+        CAPTURE(row.name);
+        scripted_server server([&](Poco::Net::StreamSocket &socket, int index) {
+            readHeadText(socket);
+            sendText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+            if (index > 0 || !row.closeWhileIdle) {
+                readHeadText(socket);
+            }
+        });
+        const auto pool = std::make_shared<connection_pool>();
+        http_client client(pool);
+        recording_sink sink;
+        client_request request = requestTo(server.address());
+        request.repeatable = row.repeatable;
+        REQUIRE(client.exchange(request, sink).state == exchange_state::Whole);
+        REQUIRE(pool->idleCount() == 1);
+        CHECK(toString(client.exchange(request, sink).state) == toString(row.state));
+        CHECK(server.connectionCount() == (row.state == exchange_state::Whole ? 2 : 1));
+    }
+}
+
+// Guards against waiting for a silent peer beyond the deadline, and against giving up a peer that
+// is merely slow.
+TEST_CASE("a silent connection ends at the deadline or by the probe", "[http]")
+{
+    for (const bool probeAnswers : {false, true}) {
+        CAPTURE(probeAnswers);
+        scripted_server server([](Poco::Net::StreamSocket &socket, int) {
+            readHeadText(socket);
+            readHeadText(socket);
+        });
+        http_client client(std::make_shared<connection_pool>());
+        recording_sink sink;
+        client_request request = requestTo(server.address());
+        request.deadline = after(probeAnswers ? generous : 100ms);
+        request.progressTimeout = 20ms;
+        request.probe = [probeAnswers] { return probeAnswers; };
+        const exchange_state expected =
+            probeAnswers ? exchange_state::Silent : exchange_state::TimedOut;
+        CHECK(toString(client.exchange(request, sink).state) == toString(expected));
+    }
+}
+
+TEST_CASE("a refused connection means that nothing was sent", "[http]")
+{
+    std::string address;
+    {
+        const scripted_server gone([](Poco::Net::StreamSocket &, int) {});
+        address = gone.address();
+    }
+    http_client client(std::make_shared<connection_pool>());
+    recording_sink sink;
+    CHECK(client.exchange(requestTo(address), sink).state == exchange_state::NotSent);
+}
+
+// Guards against an unbounded number of threads.
+TEST_CASE("connections beyond the limit are refused with an answer", "[http]")
+{
+    http_server_options options;
+    options.maxConnections = 2;
+    const auto server = echoServer(options);
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::vector<Poco::Net::StreamSocket> held;
+    for (int i = 0; i < options.maxConnections; ++i) {
+        held.emplace_back(Poco::Net::SocketAddress(server->address()));
+        sendText(held.back(), request);
+        CHECK(readHeadText(held.back()).substr(0, 12) == "HTTP/1.1 200");
+    }
+    const std::string refused = exchangeBytes(server->address(), "");
+    CHECK(refused.substr(0, 12) == "HTTP/1.1 503");
+    CHECK(refused.find("Persimmonrail-Outcome: not-run") != std::string::npos);
+    CHECK(server->refusedConnections() == 1);
+    CHECK(server->connectionCount() == options.maxConnections);
+}
+
+// Guards against requests that get lost or mixed up on one connection.
+TEST_CASE("requests sent ahead on one connection are answered in order", "[http]")
+{
+    const auto server = echoServer();
+    const std::string answer = exchangeBytes(
+        server->address(),
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none"
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n"
+        "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 5\r\n\r\nthree");
+    const size_t one = answer.find("\r\n\r\none");
+    const size_t two = answer.find("\r\n\r\ntwo", one);
+    CHECK(one != std::string::npos);
+    CHECK(two != std::string::npos);
+    CHECK(answer.find("\r\n\r\nthree", two) != std::string::npos);
+}
