--- a/src/persimmonrail/sync/fleet_view.h
+++ b/src/persimmonrail/sync/fleet_view.h
@@ -48,8 +48,8 @@
     std::map<std::string, std::shared_ptr<const service_document>, std::less<>> documents;
     // By partition name.
     std::map<std::string, versioned_record, std::less<>> records;
-    // Records of each service, ordered by the first hash of their range; single-key records come
-    // after the range that contains them.
+    // Records of each service: first the ranges, then the single-key records, each group ordered by
+    // first hash. Filled by indexRecords().
     std::map<std::string, std::vector<const versioned_record *>, std::less<>> recordsByService;
 
     // Returns the record of the smallest range that contains the hash, or null if there is none.
@@ -60,4 +60,7 @@
     std::vector<const member_record *> membersOf(std::string_view service) const;
 };
 
+// Fills `recordsByService` from `records`. The view must not be copied or moved afterwards.
+void indexRecords(fleet_view &view);
+
 } // namespace persimmonrail
