Add state distribution, placement planning and routing

Cause: daemons need the platform's objects without 6,700 watches, a plan that spreads partitions, and a choice of instances. Balance and routing have no tests yet.

--- a/src/persimmonrail/balance/coordinator.h
+++ b/src/persimmonrail/balance/coordinator.h
@@ -7,7 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,8 +16,13 @@
 
 // A member without an answer for this long is removed, once another daemon confirms it.
 inline constexpr std::chrono::seconds memberSilence{60};
-// Each member of a coordinated service is pinged once in this time.
-inline constexpr std::chrono::seconds memberPingInterval{10};
+// The coordinator pings each member of its service once per interval. The interval grows with the
+// service, so that a coordinator sends at most 100 pings a second up to 1,000 members.
+inline constexpr milliseconds memberPingPerMember{10};
+inline constexpr milliseconds memberPingMinimum{1000};
+inline constexpr milliseconds memberPingMaximum{10000};
+// A member that missed this many pings is given no partitions.
+inline constexpr int silentAfterPings = 3;
 // A service without records is placed once its members have not changed for this time, so that
 // instances that start together share the first placement without moves.
 inline constexpr std::chrono::seconds initialSettleTime{2};
@@ -28,9 +33,10 @@
 inline constexpr std::chrono::seconds coordinatorRetryInterval{5};
 
 // The duties of a service's coordinator: placement, acceptance of documents, removal of failed
-// members. Every daemon runs one; it acts for the services in whose election it has the highest
-// rank among the members that answer. A wrong belief costs only a conflict, since all writes are
-// conditional.
+// members. Every daemon runs one; it acts for its upstream's service while it has the highest rank
+// among the service's members that answer. A second election among all members fills the role for
+// services without members and for daemons without upstream. A wrong belief costs only a conflict,
+// since all writes are conditional.
 //
 // Pure but for its hooks; belongs to the control thread.
 class coordinator
@@ -57,8 +63,8 @@
 
     // To be called when the view has changed.
     void setView(std::shared_ptr<const fleet_view> view, steady_time now);
-    // Requests a second by partition of a service, as observed by their owners.
-    void setWeights(std::string_view service, std::map<std::string, double, std::less<>> weights);
+    // Requests a second by partition of the own service, as observed by the owners.
+    void setWeights(std::map<std::string, double, std::less<>> weights);
 
     // Members that are due for a ping at `now`; to be called every 250 ms or so.
     std::vector<member_record> duePings(steady_time now);
@@ -69,25 +75,58 @@
     // Acts on everything that is due; to be called about once a second.
     void tick(steady_time now);
 
-    // Services that this daemon coordinates at `now`.
-    std::vector<std::string> coordinated(steady_time now) const;
+    // Whether this daemon coordinates the service at `now`.
+    bool coordinates(std::string_view service, steady_time now) const;
 
 private:
-    struct service_state;
-    struct member_state;
+    // What the coordinator knows of a member that it pings.
+    struct member_state
+    {
+        steady_time pingedAt{};
+        // Last answer, or the time since when the member has been pinged.
+        steady_time heardAt{};
+        steady_time askedAt{};
+        size_t helpersAsked = 0;
+        // Set once a helper confirmed that the member doesn't answer.
+        std::optional<steady_time> confirmedAt;
+        steady_time removalAt{};
+    };
+    struct pending_write
+    {
+        uint64_t version = 0;
+        bool isMove = false;
+        steady_time at{};
+    };
 
-    bool coordinates(const service_state &service, steady_time now) const;
-    void placeService(const std::string &service, service_state &state, steady_time now);
+    // Members whose liveness this daemon is responsible for at `now`.
+    std::vector<const member_record *> watched(steady_time now) const;
+    milliseconds pingInterval(size_t members) const;
+    member_condition conditionOf(const member_record &member, steady_time now) const;
+    void place(steady_time now);
+    placement_options placementOptions(steady_time now) const;
     void acceptDocuments(steady_time now);
     void checkMembers(steady_time now);
-    const member_record *chooseHelper(const member_record &suspect) const;
+    void checkSilentMember(const member_record &member, member_state &state, steady_time now);
+    const member_record *chooseHelper(const member_record &suspect, size_t attempt) const;
 
     instance_id m_self;
     std::string m_availabilityZone;
     hooks m_hooks;
     std::shared_ptr<const fleet_view> m_view;
-    std::map<std::string, std::shared_ptr<service_state>, std::less<>> m_services;
-    std::map<instance_id, std::shared_ptr<member_state>> m_members;
+    std::string m_service;
+    std::optional<rank_election> m_election;
+    rank_election m_fallback;
+    // Members of the own service, to notice a change.
+    std::vector<instance_id> m_serviceMembers;
+    steady_time m_membersChangedAt{};
+    std::map<instance_id, member_state> m_members;
+    std::map<std::string, steady_time, std::less<>> m_electionPings;
+    // By partition.
+    std::map<std::string, pending_write, std::less<>> m_writes;
+    // By service.
+    std::map<std::string, pending_write, std::less<>> m_acceptances;
+    std::map<std::string, double, std::less<>> m_weights;
+    steady_time m_loadPlanAt{};
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/balance/placement_plan.h
+++ b/src/persimmonrail/balance/placement_plan.h
@@ -19,6 +19,8 @@
     placement_record record;
     // Version that the platform must hold for the write to take effect; 0 creates the record.
     uint64_t expectedVersion = 0;
+    // Whether a move evens out load rather than numbers.
+    bool loadDriven = false;
     // For the decision log.
     std::string reason;
 };
@@ -26,6 +28,17 @@
 // Returns "create", "move", "cancel-move" or "repair-standbys".
 std::string_view toString(record_change::change_kind kind);
 
+// What is known of a member beyond its record.
+enum class member_condition {
+    // May be given partitions.
+    Available,
+    // Gives up its partitions by planned moves.
+    Draining,
+    // Doesn't answer. Its partitions are not moved, since only their owner can hand them over; the
+    // standbys claim them.
+    Silent,
+};
+
 struct placement_hooks
 {
     // Returns three instances, or fewer if the fleet is too small to place the partition.
@@ -35,9 +48,8 @@
     std::function<std::vector<instance_id>(const fleet_view &view, std::string_view service,
                                            const instance_id &owner, std::string_view partition)>
         chooseStandbys;
-    // Whether the member may be given partitions. A member that may not (it drains, or doesn't
-    // answer) gives up those it has, as far as it still answers moves.
-    std::function<bool(const member_record &member)> mayOwn;
+    // Unset if all members are available.
+    std::function<member_condition(const member_record &member)> condition;
 };
 
 struct placement_options
--- a/src/persimmonrail/base/instance_id.h
+++ b/src/persimmonrail/base/instance_id.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace persimmonrail {
 
@@ -13,7 +14,11 @@
     std::string name;
     uint64_t incarnation = 0;
 
-    auto operator<=>(const instance_id &) const = default;
+    bool operator==(const instance_id &) const = default;
+    auto operator<=>(const instance_id &other) const
+    {
+        return std::tie(name, incarnation) <=> std::tie(other.name, other.incarnation);
+    }
     bool isNull() const { return name.empty(); }
 };
 
--- a/src/persimmonrail/routing/instance_picker.h
+++ b/src/persimmonrail/routing/instance_picker.h
@@ -72,6 +72,7 @@
         int inFlight = 0;
         // Moving average in microseconds; 0 before the first response.
         double latency = 0;
+        steady_time sampledAt{};
         int failures = 0;
         int ejections = 0;
         steady_time ejectedUntil{};
@@ -81,8 +82,9 @@
 
     instance *drawBetter(std::vector<instance *> &candidates, steady_time now);
     instance *draw(const std::vector<instance *> &candidates, steady_time now);
-    bool isOverloaded(const instance &local, const instance &remote) const;
-    double score(const instance &candidate) const;
+    bool isOverloaded(const instance &local, const instance &remote, steady_time now) const;
+    double latency(const instance &candidate, steady_time now) const;
+    double score(const instance &candidate, steady_time now) const;
     double ramp(const instance &candidate, steady_time now) const;
     void eject(instance &failing, steady_time now);
     size_t countEjected(steady_time now) const;
--- /dev/null
+++ b/src/persimmonrail/sync/fleet_view.cpp
@@ -0,0 +1,149 @@
+#include "persimmonrail/sync/fleet_view.h"
+
+#include "persimmonrail/base/text.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace persimmonrail {
+namespace {
+
+using Poco::JSON::Object;
+
+absl::StatusOr<member_record> decodeObject(const Object &object)
+{
+    member_record member;
+    member.id.name = object.getValue<std::string>("name");
+    const auto incarnation = object.getValue<std::string>("incarnation");
+    member.region = object.getValue<std::string>("region");
+    member.availabilityZone = object.getValue<std::string>("availability_zone");
+    member.service = object.optValue<std::string>("service", "");
+    member.peerAddress = object.getValue<std::string>("peer_address");
+    member.controlAddress = object.getValue<std::string>("control_address");
+    member.slots = object.optValue<int>("slots", 0);
+    if (incarnation.size() != 16 || !absl::SimpleHexAtoi(incarnation, &member.id.incarnation)) {
+        return absl::InvalidArgumentError(
+            absl::StrCat("not a 64-bit hexadecimal value: ", incarnation));
+    }
+    if (member.id.name.empty() || member.id.incarnation == 0) {
+        return absl::InvalidArgumentError("member without name or incarnation");
+    }
+    if (member.availabilityZone.empty() || member.controlAddress.empty()
+        || member.peerAddress.empty()) {
+        return absl::InvalidArgumentError("member without availability zone or address");
+    }
+    if (member.slots < 0) {
+        return absl::InvalidArgumentError("member with a negative number of slots");
+    }
+    return member;
+}
+
+bool startsBefore(const versioned_record *left, const versioned_record *right)
+{
+    const auto &leftRange = left->record.range;
+    const auto &rightRange = right->record.range;
+    if (leftRange.isSingleKey() != rightRange.isSingleKey()) {
+        return rightRange.isSingleKey();
+    }
+    return leftRange.first < rightRange.first;
+}
+
+} // namespace
+
+std::string memberKey(std::string_view instanceName)
+{
+    return absl::StrCat("member/", toAbsl(instanceName));
+}
+
+std::string encodeMember(const member_record &member)
+{
+    Object object;
+    object.set("name", member.id.name);
+    object.set("incarnation", hashToString(member.id.incarnation));
+    object.set("region", member.region);
+    object.set("availability_zone", member.availabilityZone);
+    object.set("service", member.service);
+    object.set("peer_address", member.peerAddress);
+    object.set("control_address", member.controlAddress);
+    object.set("slots", member.slots);
+    std::ostringstream out;
+    object.stringify(out);
+    return out.str();
+}
+
+absl::StatusOr<member_record> decodeMember(std::string_view text)
+{
+    try {
+        Poco::JSON::Parser parser;
+        const auto object = parser.parse(std::string(text)).extract<Object::Ptr>();
+        return decodeObject(*object);
+    } catch (const Poco::Exception &error) {
+        return absl::InvalidArgumentError(
+            absl::StrCat("invalid member record: ", error.displayText()));
+    }
+}
+
+const versioned_record *fleet_view::findRecord(std::string_view service, uint64_t hash) const
+{
+    const auto entry = recordsByService.find(service);
+    if (entry == recordsByService.end()) {
+        return nullptr;
+    }
+    const auto &records = entry->second;
+    const auto singles =
+        std::partition_point(records.begin(), records.end(), [](const versioned_record *record) {
+            return !record->record.range.isSingleKey();
+        });
+    const auto single = std::lower_bound(singles, records.end(), hash,
+                                         [](const versioned_record *record, uint64_t value) {
+                                             return record->record.range.first < value;
+                                         });
+    if (single != records.end() && (*single)->record.range.first == hash) {
+        return *single;
+    }
+    const auto after = std::upper_bound(records.begin(), singles, hash,
+                                        [](uint64_t value, const versioned_record *record) {
+                                            return value < record->record.range.first;
+                                        });
+    if (after == records.begin() || !(*std::prev(after))->record.range.contains(hash)) {
+        return nullptr;
+    }
+    return *std::prev(after);
+}
+
+const member_record *fleet_view::findMember(const instance_id &id) const
+{
+    const auto entry = members.find(id.name);
+    return entry != members.end() && entry->second.id == id ? &entry->second : nullptr;
+}
+
+std::vector<const member_record *> fleet_view::membersOf(std::string_view service) const
+{
+    std::vector<const member_record *> result;
+    for (const auto &[name, member] : members) {
+        if (member.service == service) {
+            result.push_back(&member);
+        }
+    }
+    return result;
+}
+
+void indexRecords(fleet_view &view)
+{
+    view.recordsByService.clear();
+    for (const auto &[partition, record] : view.records) {
+        const std::string service(serviceOfPartition(partition));
+        view.recordsByService[service].push_back(&record);
+    }
+    for (auto &[service, records] : view.recordsByService) {
+        std::sort(records.begin(), records.end(), startsBefore);
+    }
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/sync/object_store.h
+++ b/src/persimmonrail/sync/object_store.h
@@ -24,13 +24,17 @@
 // Hard limit on tombstones, about 10 MB. Only more than 18 deletions a second over an hour reach
 // it; daemons further behind than the dropped ones then pull the whole state.
 inline constexpr size_t maximumTombstones = 65536;
+// Consecutive answers that can't be applied for lack of tombstones before the whole state is
+// pulled.
+inline constexpr int refusalsBeforeWholePull = 4;
 
 // The newest known version of every platform object, tombstones included, and the revision up to
 // which that knowledge is complete.
 //
-// Versions only move forward, and a change is never skipped: an answer that starts above the known
-// revision is ignored. A daemon that is too far behind for its peer's tombstones pulls the whole
-// state into a staging area and adopts it at once when it is complete.
+// Versions only move forward, and a change is never skipped: an answer is applied only if it starts
+// at or below the known revision and its source still holds all tombstones above that revision. An
+// empty store, or one too far behind for its peers' tombstones, pulls the whole state into a
+// staging area and adopts it at once when it is complete.
 //
 // Belongs to the control thread; the views it builds may be shared with other threads.
 class object_store
@@ -61,19 +65,19 @@
     // The request to send next: everything after the known revision, or after the staged one while
     // the whole state is pulled.
     wire::Pull nextPull() const;
-    // Applies the answer to a pull after `afterRevision`. Returns false if the answer was ignored:
-    // it starts above what is known, or brings nothing new.
+    // Applies the answer to a pull after `afterRevision`. Returns false if the answer was ignored,
+    // because it starts above what is known or brings nothing new. After a truncated answer
+    // (complete_to below revision) the next pull should follow at once, from the same peer.
     bool applyPull(uint64_t afterRevision, const wire::PullReply &reply, steady_time now);
     // Applies the answer to a watch of all keys from `sinceRevision`. Returns as applyPull() does.
     bool applyWatch(uint64_t sinceRevision, const object_list &changes, steady_time now);
     // Applies a list of all keys (prefix ""). Known objects that are missing from it were deleted.
-    // Returns false if the list is older than what is known.
+    // Returns as applyPull() does.
     bool applyList(const object_list &list, steady_time now);
 
     // Answers a peer's pull with objects in version order and remembers the revision it reported.
     // Until markReady() the answer holds only the floor, so that a daemon that may be behind is no
-    // source for others. An answer without objects, with complete_to 0 and a revision above the
-    // asked one tells the peer to pull the whole state (nextPull() of the peer then does so).
+    // source for others.
     wire::PullReply answerPull(const wire::Pull &pull, const instance_id &asking);
     void markReady();
 
--- /dev/null
+++ b/src/persimmonrail/sync/pull_schedule.cpp
@@ -0,0 +1,50 @@
+#include "persimmonrail/sync/pull_schedule.h"
+
+#include <array>
+
+namespace persimmonrail {
+
+pull_schedule::pull_schedule(location self, std::vector<std::string> seeds, random_source random)
+    : m_self(std::move(self))
+    , m_seeds(std::move(seeds))
+    , m_random(std::move(random))
+{ }
+
+std::optional<pull_schedule::target> pull_schedule::next(const fleet_view &view)
+{
+    std::vector<const member_record *> sameZone;
+    std::vector<const member_record *> otherZone;
+    std::vector<const member_record *> otherRegion;
+    for (const auto &[name, member] : view.members) {
+        if (name == m_self.instance) {
+            continue;
+        }
+        if (member.region != m_self.region) {
+            otherRegion.push_back(&member);
+        } else if (member.availabilityZone != m_self.availabilityZone) {
+            otherZone.push_back(&member);
+        } else {
+            sameZone.push_back(&member);
+        }
+    }
+    // The groups in order of preference; a later one stands in for an empty one.
+    std::array groups{&sameZone, &otherZone, &otherRegion};
+    const uint64_t draw = drawBelow(m_random, otherRegionEvery);
+    if (draw == 0) {
+        groups = {&otherRegion, &otherZone, &sameZone};
+    } else if (draw <= otherRegionEvery / otherZoneEvery) {
+        groups = {&otherZone, &otherRegion, &sameZone};
+    }
+    for (const auto *group : groups) {
+        if (!group->empty()) {
+            const auto *member = (*group)[drawBelow(m_random, group->size())];
+            return target{member->id.name, member->controlAddress};
+        }
+    }
+    if (m_seeds.empty()) {
+        return std::nullopt;
+    }
+    return target{"", m_seeds[drawBelow(m_random, m_seeds.size())]};
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/sync/rank_election.cpp
@@ -0,0 +1,96 @@
+#include "persimmonrail/sync/rank_election.h"
+
+#include <algorithm>
+
+namespace persimmonrail {
+
+rank_election::rank_election(std::string selfName, std::string subject, size_t holders)
+    : m_selfName(std::move(selfName))
+    , m_subject(std::move(subject))
+    , m_holders(holders)
+{ }
+
+void rank_election::setMembers(const std::vector<const member_record *> &eligible, steady_time now)
+{
+    std::vector<std::pair<uint64_t, const member_record *>> ranked;
+    ranked.reserve(eligible.size());
+    for (const auto *member : eligible) {
+        ranked.emplace_back(rendezvousWeight(member->id.name, m_subject), member);
+    }
+    const size_t count = std::min(electionCandidates, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranked.end(), [](const auto &left, const auto &right) {
+                          return left.first != right.first
+                              ? left.first > right.first
+                              : left.second->id.name < right.second->id.name;
+                      });
+    m_candidates.clear();
+    for (size_t i = 0; i < count; ++i) {
+        m_candidates.push_back(*ranked[i].second);
+    }
+    const bool candidate =
+        std::any_of(m_candidates.begin(), m_candidates.end(),
+                    [&](const member_record &member) { return member.id.name == m_selfName; });
+    if (!candidate) {
+        m_candidateSince.reset();
+    } else if (!m_candidateSince) {
+        m_candidateSince = now;
+    }
+    std::erase_if(m_answers, [&](const auto &answer) {
+        return std::none_of(
+            m_candidates.begin(), m_candidates.end(),
+            [&](const member_record &member) { return member.id.name == answer.first; });
+    });
+}
+
+std::vector<member_record> rank_election::pingTargets() const
+{
+    std::vector<member_record> targets;
+    if (m_candidateSince) {
+        std::copy_if(m_candidates.begin(), m_candidates.end(), std::back_inserter(targets),
+                     [&](const member_record &member) { return member.id.name != m_selfName; });
+    }
+    return targets;
+}
+
+void rank_election::noteAnswer(std::string_view name, steady_time now)
+{
+    const bool known =
+        std::any_of(m_candidates.begin(), m_candidates.end(),
+                    [&](const member_record &member) { return member.id.name == name; });
+    if (known) {
+        m_answers.insert_or_assign(std::string(name), now);
+    }
+}
+
+bool rank_election::holdsRole(steady_time now) const
+{
+    if (!m_candidateSince) {
+        return false;
+    }
+    size_t higher = 0;
+    size_t alive = 0;
+    for (const auto &member : m_candidates) {
+        if (member.id.name == m_selfName) {
+            break;
+        }
+        ++higher;
+        const auto answer = m_answers.find(member.id.name);
+        if (answer != m_answers.end() && now - answer->second < electionAnswerAge) {
+            ++alive;
+        }
+    }
+    return higher < m_holders || (alive < m_holders && now - *m_candidateSince >= electionGrace);
+}
+
+std::vector<std::string> rank_election::candidates() const
+{
+    std::vector<std::string> names;
+    names.reserve(m_candidates.size());
+    for (const auto &member : m_candidates) {
+        names.push_back(member.id.name);
+    }
+    return names;
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/sync/readiness.h
+++ b/src/persimmonrail/sync/readiness.h
@@ -18,6 +18,10 @@
 // in two availability zones; in both cases it has reached its floor. Once ready, a daemon stays
 // ready.
 //
+// While the platform answers, a fresh daemon should not wait for peers, since in a starting fleet
+// none may be ready yet: after its first pull it makes one watch from the pulled revision (see
+// relay_watch), which is a platform read and costs far less than a list.
+//
 // Belongs to the control thread.
 class readiness
 {
@@ -30,14 +34,14 @@
     // are not ready themselves (revision 0) raise the floor only.
     void notePull(const instance_id &peer, const wire::PullReply &reply);
 
-    // `revision` is the store's; `seeds` the number of configured seed addresses.
-    bool evaluate(uint64_t revision, const fleet_view &view, size_t seeds);
+    // `revision` is the store's.
+    bool evaluate(uint64_t revision, const fleet_view &view);
     bool isReady() const { return m_ready; }
     // Highest revision that a peer remembers of this instance's earlier runs.
     uint64_t floor() const { return m_floor; }
 
 private:
-    bool hasCaughtUpWithPeers(uint64_t revision, const fleet_view &view, size_t seeds) const;
+    bool hasCaughtUpWithPeers(uint64_t revision, const fleet_view &view) const;
 
     std::string m_selfName;
     bool m_ready = false;
--- a/src/persimmonrail/sync/relay_watch.h
+++ b/src/persimmonrail/sync/relay_watch.h
@@ -13,11 +13,14 @@
 // Duration of one long poll. It bounds the time that the destructor takes; 48 relays cause 24
 // reads a second.
 inline constexpr milliseconds watchWait{2000};
+// Pause between two long polls. It lets one call fetch the changes of a burst: 48 relays make at
+// most 480 reads a second.
+inline constexpr milliseconds watchPause{100};
 inline constexpr milliseconds watchBackoffInitial{200};
 inline constexpr milliseconds watchBackoffMaximum{10000};
 
-// Follows all platform objects on a thread of its own while this daemon is a relay: a list if
-// nothing is known yet or the store has compacted the revision, then long polls.
+// Follows all platform objects on a thread of its own, while this daemon is a relay or not yet
+// ready: a list if nothing is known yet or the store has compacted the revision, then long polls.
 //
 // Thread safe. Hooks run on the watch's thread.
 class relay_watch
@@ -40,14 +43,13 @@
 
     // Starts to follow the changes after `revision`; 0 lists first. No effect while active.
     void activate(uint64_t revision);
-    // Makes no further call; the result of one in progress is dropped. Doesn't wait.
+    // Makes no further call. Doesn't wait for one in progress; its result may be dropped.
     void deactivate();
     bool isActive() const;
 
 private:
     void run();
-    absl::Status step(uint64_t generation);
-    bool isCurrent(uint64_t generation) const;
+    absl::Status step(uint64_t generation, uint64_t revision, bool lists);
 
     object_api m_api;
     hooks m_hooks;
@@ -58,6 +60,7 @@
     // Increases with each activation, so that a call made before it can't continue after it.
     uint64_t m_generation = 0;
     uint64_t m_revision = 0;
+    bool m_mustList = true;
     std::thread m_thread;
 };
 
--- /dev/null
+++ b/src/persimmonrail/sync/tests/election_test.cpp
@@ -0,0 +1,218 @@
+#include "persimmonrail/sync/pull_schedule.h"
+#include "persimmonrail/sync/readiness.h"
+#include "persimmonrail/sync/relay_election.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace persimmonrail;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start = steady_time{} + 1h;
+
+fleet_view makeView(const std::vector<std::string> &zones, int perZone)
+{
+    fleet_view view;
+    for (const auto &zone : zones) {
+        for (int i = 0; i < perZone; ++i) {
+            const std::string name = zone + "-" + std::to_string(i);
+            view.members[name] = {{name, 1},     zone.substr(0, 1), zone, "s",
+                                  "127.0.0.1:1", "127.0.0.1:2",     1};
+        }
+    }
+    return view;
+}
+
+wire::PullReply statedRevision(uint64_t revision, uint64_t floor)
+{
+    wire::PullReply reply;
+    reply.set_revision(revision);
+    reply.set_floor(floor);
+    return reply;
+}
+
+} // namespace
+
+// Guards against all pulls staying in a zone that is cut off, and against traffic across zones.
+TEST_CASE("pulls are spread over zones and regions as designed")
+{
+    const auto view = makeView({"a1", "a2", "b1"}, 10);
+    pull_schedule schedule({"a1-0", "a1", "a"}, {"seed"}, std::mt19937_64(7));
+    std::map<std::string, int> pulls;
+    constexpr int total = 32000;
+    for (int i = 0; i < total; ++i) {
+        const auto target = schedule.next(view);
+        REQUIRE(target.has_value());
+        REQUIRE(target->instance != "a1-0");
+        ++pulls[target->instance.substr(0, 2)];
+    }
+    CHECK(pulls["b1"] == Approx(total / 32.0).epsilon(0.1));
+    CHECK(pulls["a2"] == Approx(total / 8.0).epsilon(0.1));
+}
+
+TEST_CASE("pulls fall back to other groups and to seeds")
+{
+    const auto [zones, expected] = GENERATE(table<std::vector<std::string>, std::string>(
+        {{{"a2"}, "a2-0"}, {{"b1"}, "b1-0"}, {{"a1"}, ""}, {std::vector<std::string>{}, ""}}));
+    // In zone a1 the asking daemon is the only member.
+    const auto view = makeView(zones, 1);
+    pull_schedule schedule({"a1-0", "a1", "a"}, {"seed"}, std::mt19937_64(7));
+    for (int i = 0; i < 100; ++i) {
+        const auto target = schedule.next(view);
+        REQUIRE(target.has_value());
+        CHECK(target->instance == expected);
+        CHECK(target->controlAddress == (expected.empty() ? "seed" : "127.0.0.1:2"));
+    }
+    CHECK_FALSE(pull_schedule({"a1-0", "a1", "a"}, {}, std::mt19937_64(7)).next({}).has_value());
+}
+
+// Guards against a zone without relays after losses, and against more watches than two per zone.
+TEST_CASE("the relays are the two highest-ranked members that answer")
+{
+    const auto lost = GENERATE(values<std::vector<size_t>>({{}, {0}, {1}, {0, 1}, {0, 1, 2, 3}}));
+    const auto view = makeView({"a1"}, 40);
+    const std::mt19937_64 random(7);
+    std::map<std::string, relay_election> elections;
+    for (const auto &[name, member] : view.members) {
+        elections.try_emplace(name, name, "a1", start, random).first->second.setView(view, start);
+    }
+    rank_election ranking("", "relay/a1", relaysPerZone);
+    std::vector<const member_record *> members;
+    for (const auto &[name, member] : view.members) {
+        members.push_back(&member);
+    }
+    ranking.setMembers(members, start);
+    const auto candidates = ranking.candidates();
+    REQUIRE(candidates.size() == electionCandidates);
+    const auto isLost = [&](const std::string &name) {
+        return std::any_of(lost.begin(), lost.end(),
+                           [&](size_t index) { return candidates[index] == name; });
+    };
+    std::vector<std::string> expected;
+    for (const auto &name : candidates) {
+        if (!isLost(name) && expected.size() < relaysPerZone) {
+            expected.push_back(name);
+        }
+    }
+    for (auto now = start; now <= start + 20s; now += electionPingInterval) {
+        std::vector<std::string> relays;
+        for (auto &[name, election] : elections) {
+            for (const auto &target : election.pingTargets()) {
+                // The lost members answer until second 8.
+                if (!isLost(target.id.name) || now < start + 8s) {
+                    election.noteAnswer(target.id.name, now);
+                }
+            }
+            if (election.isRelay(now) && (!isLost(name) || now < start + 8s)) {
+                relays.push_back(name);
+            }
+        }
+        if (now == start + 7s) {
+            std::sort(relays.begin(), relays.end());
+            auto first = std::vector(candidates.begin(), candidates.begin() + 2);
+            std::sort(first.begin(), first.end());
+            CHECK(relays == first);
+        }
+        if (now >= start + 13s) {
+            std::sort(relays.begin(), relays.end());
+            std::sort(expected.begin(), expected.end());
+            CHECK(relays == expected);
+        }
+    }
+}
+
+// Guards against a first daemon that waits forever for a relay.
+TEST_CASE("a daemon that knows no member of its zone reads the platform itself")
+{
+    relay_election election("a1-0", "a1", start, std::mt19937_64(7));
+    election.setView(makeView({"b1"}, 3), start);
+    CHECK(election.isRelay(start + bootstrapSpread));
+    election.setView(makeView({"a1"}, 40), start);
+    CHECK(election.isRelay(start + bootstrapSpread) == false);
+}
+
+// Guards against a fresh daemon that adopts a state older than one in force.
+TEST_CASE("a fresh daemon is ready only by the platform or enough peers")
+{
+    struct answer
+    {
+        std::string peer;
+        uint64_t revision;
+        uint64_t floor;
+    };
+    struct row
+    {
+        std::string name;
+        std::vector<std::string> zones;
+        int perZone;
+        bool platform;
+        std::vector<answer> answers;
+        uint64_t revision;
+        bool ready;
+    };
+    const auto row = GENERATE(values<struct row>({
+        {"nothing known", {}, 0, false, {}, 0, false},
+        {"platform read, no floor", {}, 0, true, {}, 50, true},
+        {"platform read, not yet applied", {}, 0, true, {}, 49, false},
+        {"platform read, below the floor", {"a1"}, 9, true, {{"a1-1", 9, 60}}, 50, false},
+        {"two peers", {"a1", "a2"}, 9, false, {{"a1-1", 9, 0}, {"a2-1", 9, 0}}, 9, false},
+        {"three peers of one zone",
+         {"a1", "a2"},
+         9,
+         false,
+         {{"a1-1", 9, 0}, {"a1-2", 9, 0}, {"a1-3", 9, 0}},
+         9,
+         false},
+        {"three peers of two zones",
+         {"a1", "a2"},
+         9,
+         false,
+         {{"a1-1", 9, 0}, {"a1-2", 9, 0}, {"a2-3", 9, 0}},
+         9,
+         true},
+        {"one peer asked three times",
+         {"a1", "a2"},
+         9,
+         false,
+         {{"a1-1", 9, 0}, {"a1-1", 9, 0}, {"a1-1", 9, 0}},
+         9,
+         false},
+        {"behind the newest of three peers",
+         {"a1", "a2"},
+         9,
+         false,
+         {{"a1-1", 9, 0}, {"a1-2", 9, 0}, {"a2-3", 10, 0}},
+         9,
+         false},
+        {"below the floor of three peers",
+         {"a1", "a2"},
+         9,
+         false,
+         {{"a1-1", 9, 0}, {"a1-2", 9, 12}, {"a2-3", 9, 0}},
+         9,
+         false},
+        {"peers that are not ready",
+         {"a1", "a2"},
+         9,
+         false,
+         {{"a1-1", 0, 0}, {"a1-2", 0, 0}, {"a2-3", 0, 0}},
+         9,
+         false},
+        {"all peers of a small fleet", {"a1", "a2"}, 1, false, {{"a2-0", 9, 0}}, 9, true},
+        {"all peers of one zone", {"a1"}, 3, false, {{"a1-1", 9, 0}, {"a1-2", 9, 0}}, 9, true},
+        {"alone", {"a1"}, 1, false, {}, 9, false},
+    }));
+    CAPTURE(row.name);
+    readiness ready("a1-0");
+    if (row.platform) {
+        ready.notePlatformRead(50);
+    }
+    for (const auto &answer : row.answers) {
+        ready.notePull({answer.peer, 1}, statedRevision(answer.revision, answer.floor));
+    }
+    CHECK(ready.evaluate(row.revision, makeView(row.zones, row.perZone)) == row.ready);
+}
