Add the platform's HTTP client and its stand-in

Cause: daemons and the operator command line reach the platform over HTTP; tests need a platform with its rate limit, outages and lost answers. Change: object API over POCO Net with kept-alive connections, read-back of writes without an answer, and a stand-in usable in-process or as the program platform_standin. A malformed answer to a write is Unknown rather than DataLoss, because the write may have taken effect.

--- /dev/null
+++ b/src/persimmonrail/platform/http_object_api.cpp
@@ -0,0 +1,283 @@
+#include "persimmonrail/platform/http_object_api.h"
+
+#include "persimmonrail/base/socket_address.h"
+#include "persimmonrail/platform/http_connection_pool.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/URI.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace persimmonrail {
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+std::string encodeUri(const std::string &text, const std::string &reserved)
+{
+    std::string encoded;
+    Poco::URI::encode(text, reserved, encoded);
+    return encoded;
+}
+
+std::string objectTarget(const std::string &key)
+{
+    return absl::StrCat("/v1/objects/", encodeUri(key, "?#%&+=;:@!$'()*,[]"));
+}
+
+std::string parameter(const std::string &text)
+{
+    return encodeUri(text, "?#%&+=;:@!$'()*,[]/");
+}
+
+absl::Status malformed(const std::string &reason)
+{
+    return absl::DataLossError(absl::StrCat("malformed answer of the platform: ", reason));
+}
+
+absl::Status checkStatus(int status)
+{
+    const std::string message = absl::StrCat("platform answered ", status);
+    switch (status) {
+    case 200:
+        return absl::OkStatus();
+    case 404:
+        return absl::NotFoundError(message);
+    case 409:
+        return absl::AbortedError(message);
+    case 410:
+        return absl::OutOfRangeError(message);
+    case 429:
+        return absl::ResourceExhaustedError(message);
+    case 503:
+        return absl::UnavailableError(message);
+    default:
+        break;
+    }
+    if (status >= 400 && status < 500) {
+        return absl::InvalidArgumentError(message);
+    }
+    return status >= 500 ? absl::UnknownError(message) : malformed(message);
+}
+
+// Runs `decode` on the JSON object in an answer.
+template <typename Value, typename Decode>
+absl::StatusOr<Value> decodeAnswer(const http_answer &answer, const Decode &decode)
+{
+    try {
+        Poco::JSON::Parser parser;
+        return decode(*parser.parse(answer.body).extract<Object::Ptr>());
+    } catch (const Poco::Exception &error) {
+        return malformed(error.displayText());
+    } catch (const std::exception &error) {
+        return malformed(error.what());
+    }
+}
+
+// Poco converts between numbers, texts and booleans; versions are integers only.
+uint64_t readNumber(const Object &object, const std::string &field)
+{
+    const auto value = object.get(field);
+    if (!value.isInteger() || value.isBoolean()) {
+        throw Poco::DataFormatException(field);
+    }
+    return value.convert<Poco::UInt64>();
+}
+
+std::string readText(const Object &object, const std::string &field)
+{
+    return object.get(field).extract<std::string>();
+}
+
+stored_object readObject(const Object &object)
+{
+    stored_object stored;
+    stored.key = readText(object, "key");
+    stored.version = readNumber(object, "version");
+    stored.deleted = object.has("deleted") && object.get("deleted").extract<bool>();
+    if (!stored.deleted) {
+        stored.value = readText(object, "value");
+    }
+    if (stored.version == 0) {
+        throw Poco::DataFormatException("version");
+    }
+    return stored;
+}
+
+object_list readList(const Object &object, const std::string &field)
+{
+    object_list list;
+    list.revision = readNumber(object, "revision");
+    const Array::Ptr entries = object.getArray(field);
+    if (entries.isNull()) {
+        throw Poco::DataFormatException(field);
+    }
+    for (unsigned i = 0; i < entries->size(); ++i) {
+        const Object::Ptr entry = entries->getObject(i);
+        if (entry.isNull()) {
+            throw Poco::DataFormatException(field);
+        }
+        list.objects.push_back(readObject(*entry));
+    }
+    return list;
+}
+
+// Thread safe: the pool is, and the other members are constant.
+class http_object_client
+{
+public:
+    http_object_client(const Poco::Net::SocketAddress &address, milliseconds timeout)
+        : m_pool(address, timeout)
+        , m_timeout(timeout)
+    { }
+
+    absl::StatusOr<stored_object> get(const std::string &key)
+    {
+        if (key.empty()) {
+            return absl::InvalidArgumentError("key is empty");
+        }
+        const auto answer = read(objectTarget(key), m_timeout);
+        if (!answer.ok()) {
+            return answer.status();
+        }
+        auto object = decodeAnswer<stored_object>(*answer, readObject);
+        if (object.ok() && object->key != key) {
+            return malformed(absl::StrCat("object ", object->key, " instead of ", key));
+        }
+        return object;
+    }
+
+    absl::StatusOr<object_list> list(const std::string &prefix)
+    {
+        return readObjects(absl::StrCat("/v1/objects?prefix=", parameter(prefix)), "objects",
+                           m_timeout);
+    }
+
+    absl::StatusOr<object_list> watch(const std::string &prefix, uint64_t revision,
+                                      milliseconds wait)
+    {
+        return readObjects(absl::StrCat("/v1/watch?prefix=", parameter(prefix), "&since=", revision,
+                                        "&wait_ms=", wait.count()),
+                           "events", m_timeout + wait);
+    }
+
+    absl::StatusOr<uint64_t> write(const std::string &method, const std::string &key,
+                                   uint64_t expectedVersion, const std::string &value)
+    {
+        if (key.empty() || value.size() > maxObjectBytes) {
+            return absl::InvalidArgumentError("key is empty or value exceeds one megabyte");
+        }
+        const std::string target = absl::StrCat(objectTarget(key), "?version=", expectedVersion);
+        const auto answer = m_pool.exchange({method, target, value, m_timeout, false});
+        auto version = answer.ok() ? readVersion(*answer) : answer.status();
+        // The write may have taken effect although its answer is unusable.
+        if (version.status().code() == absl::StatusCode::kDataLoss) {
+            return absl::UnknownError(version.status().message());
+        }
+        return version;
+    }
+
+private:
+    static absl::StatusOr<uint64_t> readVersion(const http_answer &answer)
+    {
+        if (answer.status == 404) {
+            return absl::InvalidArgumentError("platform answered 404 to a write");
+        }
+        if (auto status = checkStatus(answer.status); !status.ok()) {
+            return status;
+        }
+        auto version = decodeAnswer<uint64_t>(
+            answer, [](const Object &object) { return readNumber(object, "version"); });
+        if (version.ok() && *version == 0) {
+            return malformed("version 0");
+        }
+        return version;
+    }
+
+    absl::StatusOr<object_list> readObjects(const std::string &target, const std::string &field,
+                                            milliseconds timeout)
+    {
+        const auto answer = read(target, timeout);
+        if (!answer.ok()) {
+            return answer.status();
+        }
+        return decodeAnswer<object_list>(
+            *answer, [&](const Object &object) { return readList(object, field); });
+    }
+
+    absl::StatusOr<http_answer> read(const std::string &target, milliseconds timeout)
+    {
+        auto answer = m_pool.exchange({"GET", target, "", timeout, true});
+        auto status = answer.ok() ? checkStatus(answer->status) : answer.status();
+        // A read has no effect, so a broken exchange leaves nothing in doubt.
+        if (status.code() == absl::StatusCode::kUnknown) {
+            status = absl::UnavailableError(status.message());
+        }
+        if (!status.ok()) {
+            return status;
+        }
+        return answer;
+    }
+
+    http_connection_pool m_pool;
+    const milliseconds m_timeout;
+};
+
+object_api failingApi(const absl::Status &status)
+{
+    object_api api;
+    api.get = [status](const std::string &) { return status; };
+    api.put = [status](const std::string &, uint64_t, const std::string &) { return status; };
+    api.remove = [status](const std::string &, uint64_t) { return status; };
+    api.list = [status](const std::string &) { return status; };
+    api.watch = [status](const std::string &, uint64_t, milliseconds) { return status; };
+    return api;
+}
+
+} // namespace
+
+object_api makeHttpObjectApi(const std::string &address, milliseconds timeout)
+{
+    const auto parsed = parseSocketAddress(address);
+    if (!parsed.ok()) {
+        return failingApi(parsed.status());
+    }
+    auto client = std::make_shared<http_object_client>(*parsed, timeout);
+    object_api api;
+    api.get = [client](const std::string &key) { return client->get(key); };
+    api.put = [client](const std::string &key, uint64_t version, const std::string &value) {
+        return client->write("PUT", key, version, value);
+    };
+    api.remove = [client](const std::string &key, uint64_t version) {
+        return client->write("DELETE", key, version, "");
+    };
+    api.list = [client](const std::string &prefix) { return client->list(prefix); };
+    api.watch = [client](const std::string &prefix, uint64_t revision, milliseconds wait) {
+        return client->watch(prefix, revision, wait);
+    };
+    return api;
+}
+
+absl::StatusOr<read_back_result> readBack(const object_api &api, const std::string &key,
+                                          uint64_t expectedVersion, const std::string &value)
+{
+    const auto object = api.get(key);
+    const bool isMissing = object.status().code() == absl::StatusCode::kNotFound;
+    if (!object.ok() && !isMissing) {
+        return object.status();
+    }
+    const uint64_t version = isMissing ? 0 : object->version;
+    if (version == expectedVersion) {
+        return read_back_result{read_back_state::NotWritten, version};
+    }
+    const bool isWritten = version > expectedVersion && object->value == value;
+    return read_back_result{isWritten ? read_back_state::Written : read_back_state::Replaced,
+                            version};
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/tests/standins/platform_standin.cpp
@@ -0,0 +1,364 @@
+#include "standins/platform_standin.h"
+
+#include "standins/json_server.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/UTF8Encoding.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+
+namespace standins {
+namespace {
+
+using namespace std::chrono;
+using persimmonrail::stored_object;
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+// The platform stores values of up to one megabyte.
+constexpr size_t maxValueBytes = 1'000'000;
+constexpr milliseconds maxWait{60'000};
+
+constexpr char objectsPath[] = "/v1/objects";
+constexpr char watchPath[] = "/v1/watch";
+constexpr char controlPath[] = "/control/";
+
+json_answer failure(int status, const std::string &message)
+{
+    json_answer result{status};
+    result.body->set("error", message);
+    return result;
+}
+
+// Values travel inside JSON, which holds UTF-8 only.
+bool isUtf8(const std::string &text)
+{
+    const auto *position = reinterpret_cast<const unsigned char *>(text.data());
+    const auto *end = position + text.size();
+    while (position < end) {
+        const int length = *position < 0x80 ? 1 : *position < 0xe0 ? 2 : *position < 0xf0 ? 3 : 4;
+        if (end - position < length || !Poco::UTF8Encoding::isLegal(position, length)) {
+            return false;
+        }
+        position += length;
+    }
+    return true;
+}
+
+Array::Ptr encode(const std::vector<stored_object> &objects)
+{
+    Array::Ptr array = new Array;
+    for (const auto &object : objects) {
+        Object::Ptr entry = new Object;
+        entry->set("key", object.key);
+        entry->set("version", object.version);
+        entry->set("deleted", object.deleted);
+        entry->set("value", object.value);
+        array->add(entry);
+    }
+    return array;
+}
+
+json_answer writeAnswer(const object_store::write_result &result)
+{
+    json_answer reply{result.isApplied ? 200 : 409};
+    reply.body->set("version", result.version);
+    return reply;
+}
+
+} // namespace
+
+class platform_standin::implementation
+{
+public:
+    // Everything that tests and the control paths change.
+    struct state
+    {
+        bool isOutage = false;
+        milliseconds delay{0};
+        int dropAnswers = 0;
+        platform_budget budget;
+        object_store store = {};
+    };
+
+    implementation(const std::string &address, platform_budget budget);
+    ~implementation();
+
+    std::string address() const { return m_server.address(); }
+    platform_calls calls() const;
+    void change(const std::function<void(state &)> &action);
+    void awaitWaitingWatches(uint64_t count);
+
+private:
+    std::optional<json_answer> handle(const json_call &call);
+    json_answer control(const json_call &call);
+    std::optional<json_answer> serve(const json_call &call);
+    // The functions below are called with the mutex held.
+    bool admitRead();
+    bool admitWrite();
+    json_answer readObject(const std::string &key) const;
+    std::optional<json_answer> writeObject(const json_call &call, const std::string &key);
+    json_answer listObjects(const std::string &prefix) const;
+    json_answer watch(const json_call &call, std::unique_lock<std::mutex> &lock);
+
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_isStopping = false;
+    state m_state;
+    platform_calls m_calls;
+    rate_window m_reads;
+    rate_window m_writes;
+    json_server m_server;
+};
+
+platform_standin::implementation::implementation(const std::string &address, platform_budget budget)
+    : m_state{.budget = budget}
+    , m_server(address, maxValueBytes, [this](const json_call &call) { return handle(call); })
+{ }
+
+platform_standin::implementation::~implementation()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    // The server's destructor waits for calls, which end now.
+    m_changed.notify_all();
+}
+
+platform_calls platform_standin::implementation::calls() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_calls;
+}
+
+void platform_standin::implementation::change(const std::function<void(state &)> &action)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        action(m_state);
+    }
+    m_changed.notify_all();
+}
+
+void platform_standin::implementation::awaitWaitingWatches(uint64_t count)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [&] { return m_calls.waitingWatches >= count; });
+}
+
+std::optional<json_answer> platform_standin::implementation::handle(const json_call &call)
+{
+    return call.path.starts_with(controlPath) ? control(call) : serve(call);
+}
+
+bool platform_standin::implementation::admitRead()
+{
+    ++m_calls.reads;
+    const bool isAdmitted =
+        m_reads.admit(steady_clock::now(), m_state.budget.readsPerSecond, m_calls.waitingWatches);
+    m_calls.refused += isAdmitted ? 0 : 1;
+    return isAdmitted;
+}
+
+bool platform_standin::implementation::admitWrite()
+{
+    ++m_calls.writes;
+    const bool isAdmitted = m_writes.admit(steady_clock::now(), m_state.budget.writesPerSecond, 0);
+    m_calls.refused += isAdmitted ? 0 : 1;
+    return isAdmitted;
+}
+
+std::optional<json_answer> platform_standin::implementation::serve(const json_call &call)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_until(lock, steady_clock::now() + m_state.delay,
+                         [this] { return m_isStopping; });
+    if (!(call.method == "GET" ? admitRead() : admitWrite())) {
+        return failure(429, "rate exceeded");
+    }
+    if (m_state.isOutage) {
+        return failure(503, "outage");
+    }
+    if (call.path == watchPath && call.method == "GET") {
+        return watch(call, lock);
+    }
+    if (call.path == objectsPath && call.method == "GET") {
+        return listObjects(call.text("prefix"));
+    }
+    const std::string directory = std::string(objectsPath) + "/";
+    if (!call.path.starts_with(directory) || call.path.size() == directory.size()) {
+        return failure(404, "no such path");
+    }
+    const std::string key = call.path.substr(directory.size());
+    if (call.method == "GET") {
+        return readObject(key);
+    }
+    return writeObject(call, key);
+}
+
+json_answer platform_standin::implementation::readObject(const std::string &key) const
+{
+    const auto *object = m_state.store.find(key);
+    if (object == nullptr) {
+        return failure(404, "no such object");
+    }
+    json_answer reply;
+    reply.body->set("key", key);
+    reply.body->set("version", object->version);
+    reply.body->set("value", object->value);
+    return reply;
+}
+
+std::optional<json_answer> platform_standin::implementation::writeObject(const json_call &call,
+                                                                         const std::string &key)
+{
+    const auto version = call.number("version");
+    if (!version) {
+        return failure(400, "version is missing");
+    }
+    if (call.body.size() > maxValueBytes) {
+        return failure(413, "value exceeds one megabyte");
+    }
+    if (!isUtf8(call.body)) {
+        return failure(400, "value is not UTF-8");
+    }
+    if (call.method != "PUT" && call.method != "DELETE") {
+        return failure(405, "method not allowed");
+    }
+    const auto result = call.method == "PUT" ? m_state.store.put(key, *version, call.body)
+                                             : m_state.store.remove(key, *version);
+    m_changed.notify_all();
+    if (result.isApplied && m_state.dropAnswers > 0) {
+        --m_state.dropAnswers;
+        return std::nullopt;
+    }
+    return writeAnswer(result);
+}
+
+json_answer platform_standin::implementation::listObjects(const std::string &prefix) const
+{
+    json_answer reply;
+    reply.body->set("revision", m_state.store.revision());
+    reply.body->set("objects", encode(m_state.store.list(prefix)));
+    return reply;
+}
+
+json_answer platform_standin::implementation::watch(const json_call &call,
+                                                    std::unique_lock<std::mutex> &lock)
+{
+    const auto since = call.number("since");
+    const auto wait = call.number("wait_ms");
+    if (!since || !wait) {
+        return failure(400, "since or wait_ms is missing");
+    }
+    const std::string prefix = call.text("prefix");
+    const auto limit = std::min(maxWait, milliseconds(*wait));
+    const auto isReady = [&] {
+        const auto changes = m_state.store.changes(prefix, *since);
+        return m_isStopping || m_state.isOutage || !changes || !changes->empty();
+    };
+    ++m_calls.waitingWatches;
+    m_changed.notify_all();
+    m_changed.wait_until(lock, steady_clock::now() + limit, isReady);
+    --m_calls.waitingWatches;
+    if (m_state.isOutage || m_isStopping) {
+        return failure(503, "outage");
+    }
+    const auto changes = m_state.store.changes(prefix, *since);
+    if (!changes) {
+        return failure(410, "revision is compacted");
+    }
+    json_answer reply;
+    reply.body->set("revision", m_state.store.revision());
+    reply.body->set("events", encode(*changes));
+    return reply;
+}
+
+json_answer platform_standin::implementation::control(const json_call &call)
+{
+    const std::string command = call.path.substr(sizeof controlPath - 1);
+    if (command == "calls" && call.method == "GET") {
+        const auto counts = calls();
+        json_answer reply;
+        reply.body->set("reads", counts.reads);
+        reply.body->set("writes", counts.writes);
+        reply.body->set("waiting_watches", counts.waitingWatches);
+        reply.body->set("refused", counts.refused);
+        return reply;
+    }
+    if (call.method != "POST") {
+        return failure(405, "method not allowed");
+    }
+    const auto power = call.text("state");
+    const auto delayMs = call.number("ms");
+    const auto count = call.number("count");
+    const auto reads = call.number("reads");
+    const auto writes = call.number("writes");
+    if (command == "outage" && (power == "on" || power == "off")) {
+        change([&](implementation::state &state) { state.isOutage = power == "on"; });
+    } else if (command == "delay" && delayMs) {
+        change([&](implementation::state &state) { state.delay = milliseconds(*delayMs); });
+    } else if (command == "drop-answers" && count) {
+        change([&](implementation::state &state) { state.dropAnswers = static_cast<int>(*count); });
+    } else if (command == "compact") {
+        change([](implementation::state &state) { state.store.compact(); });
+    } else if (command == "budget" && reads && writes) {
+        change([&](implementation::state &state) { state.budget = {*reads, *writes}; });
+    } else {
+        return failure(400, "unknown command or parameter");
+    }
+    return {};
+}
+
+platform_standin::platform_standin(const std::string &address, platform_budget budget)
+    : m_implementation(std::make_unique<implementation>(address, budget))
+{ }
+
+platform_standin::~platform_standin() = default;
+
+std::string platform_standin::address() const
+{
+    return m_implementation->address();
+}
+
+platform_calls platform_standin::calls() const
+{
+    return m_implementation->calls();
+}
+
+void platform_standin::setOutage(bool enabled)
+{
+    m_implementation->change([=](implementation::state &state) { state.isOutage = enabled; });
+}
+
+void platform_standin::setDelay(milliseconds delay)
+{
+    m_implementation->change([=](implementation::state &state) { state.delay = delay; });
+}
+
+void platform_standin::dropAnswers(int count)
+{
+    m_implementation->change([=](implementation::state &state) { state.dropAnswers = count; });
+}
+
+void platform_standin::compact()
+{
+    m_implementation->change([](implementation::state &state) { state.store.compact(); });
+}
+
+void platform_standin::setBudget(platform_budget budget)
+{
+    m_implementation->change([=](implementation::state &state) { state.budget = budget; });
+}
+
+void platform_standin::awaitWaitingWatches(uint64_t count)
+{
+    m_implementation->awaitWaitingWatches(count);
+}
+
+} // namespace standins
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "standins/object_store.h"
+
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -7,13 +9,6 @@
 
 namespace standins {
 
-// Calls per second that the platform admits. A waiting watch takes one read in every second.
-struct platform_budget
-{
-    uint64_t readsPerSecond = 2'000;
-    uint64_t writesPerSecond = 400;
-};
-
 // Calls since the start, refused ones included.
 struct platform_calls
 {
