Add the operator command line persimmonctl

Cause: operators change the system only by changing a service's document; two of them may do so at the same time, and the platform may lose the answer to a write. Connection errors name the address.

--- /dev/null
+++ b/src/persimmonrail/cli/command_line.cpp
@@ -0,0 +1,214 @@
+#include "persimmonrail/cli/command_line.h"
+
+#include "persimmonrail/base/socket_address.h"
+#include "persimmonrail/cli/apply_command.h"
+#include "persimmonrail/cli/read_commands.h"
+#include "persimmonrail/document/document_parser.h"
+#include "persimmonrail/settings/flag_parser.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <set>
+
+namespace persimmonrail {
+namespace {
+
+constexpr uint64_t defaultWaitMs = 30'000;
+constexpr uint64_t maxWaitMs = 3'600'000;
+
+constexpr char platformFlag[] = "platform-address";
+constexpr char expectFlag[] = "expect-version";
+constexpr char waitFlag[] = "wait-ms";
+constexpr char daemonFlag[] = "daemon";
+
+const std::vector<flag_description> &cliFlags()
+{
+    static const std::vector<flag_description> flags = {
+        {platformFlag, "IP:PORT", "platform; or PERSIMMONRAIL_PLATFORM_ADDRESS"},
+        {expectFlag, "N", "apply: version that the stored document must have"},
+        {waitFlag, "N", "apply: time limit for the verdict (default 30000)"},
+        {daemonFlag, "IP:PORT", "explain: admin address of a daemon"},
+        {"version", "", "print the version and exit"},
+        {"help", "", "print this text and exit"},
+    };
+    return flags;
+}
+
+constexpr char commandHelp[] =
+    "Usage: persimmonctl COMMAND [ARGUMENT]... [FLAG]...\n\n"
+    "  validate FILE           check a service document\n"
+    "  apply FILE              store a service document and wait for the verdict\n"
+    "  show SERVICE            print the document, the accepted version and the status\n"
+    "  status [SERVICE]        print the status of one service or of all\n"
+    "  explain SERVICE KEY     print how a daemon routes a key; needs --daemon\n"
+    "  members                 print the members of the fleet\n\n";
+
+struct command_description
+{
+    size_t minOperands;
+    size_t maxOperands;
+    bool usesPlatform;
+    std::set<std::string> flags;
+    // Operands follow the name of the command.
+    std::function<cli_exit(const cli_session &, const std::vector<std::string> &operands,
+                           const flag_values &)>
+        run;
+};
+
+std::optional<uint64_t> readNumber(const flag_values &values, const std::string &flag)
+{
+    const auto found = values.find(flag);
+    uint64_t number = 0;
+    const bool isNumber = found != values.end() && absl::SimpleAtoi(found->second, &number);
+    return isNumber ? std::optional(number) : std::nullopt;
+}
+
+cli_exit runApply(const cli_session &session, const std::vector<std::string> &operands,
+                  const flag_values &values)
+{
+    const auto wait = readNumber(values, waitFlag).value_or(defaultWaitMs);
+    return applyDocument(session,
+                         {operands[0], readNumber(values, expectFlag), milliseconds(wait)});
+}
+
+const std::map<std::string, command_description> &commands()
+{
+    using operand_list = std::vector<std::string>;
+    static const std::map<std::string, command_description> table = {
+        {"validate",
+         {1,
+          1,
+          false,
+          {},
+          [](const cli_session &session, const operand_list &operands, const flag_values &) {
+              return validateFile(session, operands[0]);
+          }}},
+        {"apply", {1, 1, true, {platformFlag, expectFlag, waitFlag}, runApply}},
+        {"show",
+         {1,
+          1,
+          true,
+          {platformFlag},
+          [](const cli_session &session, const operand_list &operands, const flag_values &) {
+              return showService(session, operands[0]);
+          }}},
+        {"status",
+         {0,
+          1,
+          true,
+          {platformFlag},
+          [](const cli_session &session, const operand_list &operands, const flag_values &) {
+              return showStatus(session, operands.empty() ? "" : operands[0]);
+          }}},
+        {"explain",
+         {2,
+          2,
+          false,
+          {daemonFlag},
+          [](const cli_session &session, const operand_list &operands, const flag_values &values) {
+              return explainKey(session, values.at(daemonFlag), operands[0], operands[1]);
+          }}},
+        {"members",
+         {0,
+          0,
+          true,
+          {platformFlag},
+          [](const cli_session &session, const operand_list &, const flag_values &) {
+              return listMembers(session);
+          }}},
+    };
+    return table;
+}
+
+// Returns what is wrong with the flags of a command.
+std::vector<std::string> checkFlags(const command_description &command, const flag_values &given,
+                                    const flag_values &values)
+{
+    std::vector<std::string> faults;
+    for (const auto &[flag, value] : given) {
+        if (!command.flags.contains(flag)) {
+            faults.push_back(absl::StrCat("--", flag, ": does not apply to this command"));
+        }
+    }
+    for (const char *flag : {platformFlag, daemonFlag}) {
+        if (!command.flags.contains(flag)) {
+            continue;
+        }
+        const auto found = values.find(flag);
+        const auto address = parseSocketAddress(found == values.end() ? "" : found->second);
+        if (found == values.end()) {
+            faults.push_back(absl::StrCat("--", flag, ": is required"));
+        } else if (!address.ok()) {
+            faults.push_back(
+                absl::StrCat("--", flag, ": ", std::string(address.status().message())));
+        }
+    }
+    for (const char *flag : {expectFlag, waitFlag}) {
+        const auto number = readNumber(values, flag);
+        if (values.contains(flag) && (!number || (flag == waitFlag && *number > maxWaitMs))) {
+            faults.push_back(absl::StrCat("--", flag, ": must be a number in range"));
+        }
+    }
+    return faults;
+}
+
+cli_exit usage(std::ostream &err, const std::vector<std::string> &faults)
+{
+    for (const auto &fault : faults) {
+        err << "persimmonctl: " << fault << "\n";
+    }
+    err << "persimmonctl: see --help\n";
+    return cli_exit::Usage;
+}
+
+} // namespace
+
+cli_exit runCommandLine(const std::vector<std::string> &arguments,
+                        const environment_map &environment, const cli_hooks &hooks,
+                        std::ostream &out, std::ostream &err)
+{
+    const auto parsed = parseFlags(cliFlags(), arguments, {});
+    if (parsed.values.contains("help")) {
+        out << commandHelp << describeFlags(cliFlags());
+        return cli_exit::Ok;
+    }
+    if (parsed.values.contains("version")) {
+        out << "persimmonctl " << PERSIMMONRAIL_VERSION << "\n";
+        return cli_exit::Ok;
+    }
+    if (!parsed.faults.empty() || parsed.operands.empty()) {
+        return usage(err,
+                     parsed.faults.empty() ? std::vector<std::string>{"command is missing"}
+                                           : parsed.faults);
+    }
+    const auto found = commands().find(parsed.operands[0]);
+    if (found == commands().end()) {
+        return usage(err, {absl::StrCat("unknown command '", parsed.operands[0], "'")});
+    }
+    const auto &command = found->second;
+    const std::vector<std::string> operands(parsed.operands.begin() + 1, parsed.operands.end());
+    if (operands.size() < command.minOperands || operands.size() > command.maxOperands) {
+        return usage(err, {absl::StrCat(found->first, ": wrong number of arguments")});
+    }
+    // Only the platform's address has a variable: a daemon's other variables may be set too.
+    flag_values values = parsed.values;
+    if (const auto address = environment.find(variableName(platformFlag));
+        address != environment.end()) {
+        values.emplace(platformFlag, address->second);
+    }
+    if (const auto faults = checkFlags(command, parsed.values, values); !faults.empty()) {
+        return usage(err, faults);
+    }
+    const bool takesService = found->first == "show" || found->first == "status";
+    if (takesService && !operands.empty() && !isValidName(operands[0])) {
+        return usage(err, {absl::StrCat("'", operands[0], "' is not the name of a service")});
+    }
+    cli_session session{hooks, {}, out, err};
+    if (command.usesPlatform) {
+        session.platform = hooks.connect(values.at(platformFlag));
+    }
+    return command.run(session, operands, values);
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/platform/http_connection_pool.cpp
+++ b/src/persimmonrail/platform/http_connection_pool.cpp
@@ -23,7 +23,7 @@
 
 absl::Status broken(const std::string &reason)
 {
-    return absl::UnknownError(absl::StrCat("exchange with the platform broke: ", reason));
+    return absl::UnknownError(absl::StrCat("exchange broke: ", reason));
 }
 
 // Reads the body; the stream swallows exceptions of the socket, so the length is checked.
@@ -104,8 +104,7 @@
         connection->open();
         return lease{std::move(connection), false};
     } catch (const Poco::Exception &error) {
-        return absl::UnavailableError(
-            absl::StrCat("cannot connect to the platform: ", error.displayText()));
+        return absl::UnavailableError(absl::StrCat("cannot connect: ", error.displayText()));
     }
 }
 
@@ -142,13 +141,13 @@
     } catch (const MessageException &error) {
         return absl::DataLossError(absl::StrCat("malformed answer: ", error.displayText()));
     } catch (const Poco::TimeoutException &) {
-        return absl::DeadlineExceededError("the platform does not answer in time");
+        return absl::DeadlineExceededError("no answer in time");
     } catch (const Poco::Exception &error) {
         return broken(error.displayText());
     }
 }
 
-absl::StatusOr<http_answer> http_connection_pool::exchange(const http_call &call)
+absl::StatusOr<http_answer> http_connection_pool::attempt(const http_call &call)
 {
     auto first = acquire(false);
     if (!first.ok()) {
@@ -157,17 +156,25 @@
     const bool isReused = first->isReused;
     auto answer = send(call, std::move(first->connection));
     // A second attempt after a timeout would double the caller's waiting time.
-    if (absl::IsUnknown(answer.status()) && isReused && call.isRepeatable) {
-        auto second = acquire(true);
-        if (!second.ok()) {
-            return second.status();
-        }
-        answer = send(call, std::move(second->connection));
+    if (!absl::IsUnknown(answer.status()) || !isReused || !call.isRepeatable) {
+        return answer;
     }
-    if (absl::IsDeadlineExceeded(answer.status())) {
-        return absl::UnknownError(answer.status().message());
+    auto second = acquire(true);
+    if (!second.ok()) {
+        return second.status();
+    }
+    return send(call, std::move(second->connection));
+}
+
+absl::StatusOr<http_answer> http_connection_pool::exchange(const http_call &call)
+{
+    auto answer = attempt(call);
+    if (answer.ok()) {
+        return answer;
     }
-    return answer;
+    const auto code = absl::IsDeadlineExceeded(answer.status()) ? absl::StatusCode::kUnknown
+                                                                : answer.status().code();
+    return absl::Status(code, absl::StrCat(m_address.toString(), ": ", answer.status().message()));
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/platform/http_connection_pool.h
+++ b/src/persimmonrail/platform/http_connection_pool.h
@@ -54,6 +54,8 @@
 
     absl::StatusOr<lease> acquire(bool mustBeNew);
     void release(std::unique_ptr<session> connection);
+    absl::StatusOr<http_answer> attempt(const http_call &call);
+    // Reports a timeout as DeadlineExceeded.
     absl::StatusOr<http_answer> send(const http_call &call, std::unique_ptr<session> connection);
 
     const Poco::Net::SocketAddress m_address;
