Test balance and routing, reuse views, fix planning faults

Cause: the tests found that a plan balanced numbers before all records existed (2 to 8 needless moves at 160 and 333 partitions), that a standby which had become the owner stayed listed as its own standby, that one indivisible hot partition stopped all load moves, and that one slow sample kept an instance out of use. A trial with 6,700 members and 26,800 records took about 45 ms for each new view. Change: number and load moves wait for all records; the next busiest instance is helped; latency averages age. view_builder brings the previous view up to date once nobody else holds it.

--- a/src/persimmonrail/balance/placement_plan.cpp
+++ b/src/persimmonrail/balance/placement_plan.cpp
@@ -1,7 +1,5 @@
 #include "persimmonrail/balance/placement_plan.h"
 
-#include "persimmonrail/base/text.h"
-
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -30,10 +28,13 @@
         collectMembers();
         collectRecords();
         if (!m_available.empty()) {
-            createRecords(partitions);
+            const bool isComplete = createRecords(partitions);
             moveFromDraining();
-            moveByNumber();
-            moveByLoad();
+            // Numbers and loads mean nothing before all records exist.
+            if (isComplete) {
+                moveByNumber();
+                moveByLoad();
+            }
         }
         repairStandbys();
         return std::move(m_changes);
@@ -149,7 +150,8 @@
         m_changes.push_back({kind, std::move(record), version, false, std::move(reason)});
     }
 
-    void createRecords(size_t partitions)
+    // Returns whether no record was missing.
+    bool createRecords(size_t partitions)
     {
         const auto missing = missingRanges(partitions);
         size_t total = missing.size();
@@ -170,6 +172,7 @@
             extras -= owner->count == share && extras > 0 ? 1 : 0;
             ++owner->count;
         }
+        return missing.empty();
     }
 
     std::vector<hash_range> missingRanges(size_t partitions) const
@@ -313,57 +316,61 @@
             return;
         }
         double total = 0;
-        holding *busiest = nullptr;
+        std::vector<holding *> busiestFirst;
         for (auto &[id, holder] : m_available) {
             total += holder.load;
-            if (busiest == nullptr || holder.load > busiest->load) {
-                busiest = &holder;
-            }
+            busiestFirst.push_back(&holder);
         }
+        std::stable_sort(
+            busiestFirst.begin(), busiestFirst.end(),
+            [](const holding *left, const holding *right) { return left->load > right->load; });
         const double mean = total / static_cast<double>(m_available.size());
-        if (busiest->load <= mean * (1 + m_options.loadTrigger)) {
-            return;
-        }
-        const auto best = findLoadMove(*busiest);
-        if (best.there == nullptr || best.gain < mean * m_options.loadGain) {
-            return;
-        }
-        move(*best.there, busiest, *best.receiver, true, "loads differ");
-        if (best.back != nullptr) {
-            move(*best.back, best.receiver, *busiest, true, "loads differ, exchange");
+        // The busiest may be so for one partition that nothing can divide; then the next is helped.
+        for (auto *busy : busiestFirst) {
+            if (busy->load <= mean * (1 + m_options.loadTrigger)) {
+                return;
+            }
+            const auto best = findLoadMove(*busy);
+            if (best.there != nullptr && best.gain >= mean * m_options.loadGain) {
+                move(*best.there, busy, *best.receiver, true, "loads differ");
+                if (best.back != nullptr) {
+                    move(*best.back, best.receiver, *busy, true, "loads differ, exchange");
+                }
+                return;
+            }
         }
     }
 
-    load_move findLoadMove(const holding &busiest)
+    load_move findLoadMove(const holding &busy)
     {
         load_move best;
         for (auto &[id, receiver] : m_available) {
-            if (&receiver == &busiest) {
+            if (&receiver == &busy) {
                 continue;
             }
-            for (const auto *there : busiest.movable) {
-                if (busiest.count > receiver.count) {
-                    consider(best, busiest, {&receiver, there, nullptr});
+            for (const auto *there : busy.movable) {
+                if (busy.count > receiver.count) {
+                    consider(best, busy, {&receiver, there, nullptr});
                 }
                 if (m_options.movesUnderWay < 2) {
                     continue;
                 }
                 for (const auto *back : receiver.movable) {
-                    consider(best, busiest, {&receiver, there, back});
+                    consider(best, busy, {&receiver, there, back});
                 }
             }
         }
         return best;
     }
 
-    void consider(load_move &best, const holding &busiest, load_move candidate) const
+    void consider(load_move &best, const holding &busy, load_move candidate) const
     {
         double shifted = weightOf(candidate.there->record);
         if (candidate.back != nullptr) {
             shifted -= weightOf(candidate.back->record);
         }
-        const double after = std::max(busiest.load - shifted, candidate.receiver->load + shifted);
-        candidate.gain = busiest.load - after;
+        const double after = std::max(busy.load - shifted, candidate.receiver->load + shifted);
+        candidate.gain = busy.load - after;
         // An exchange costs two moves, so it must gain clearly more than a single one.
         constexpr double exchangeAdvantage = 1.1;
         const bool costsMore = candidate.back != nullptr && best.back == nullptr;
@@ -389,8 +396,11 @@
     {
         const auto &record = versioned.record;
         std::vector<instance_id> standbys;
+        // A standby that has become the owner may still be listed.
         std::copy_if(record.standbys.begin(), record.standbys.end(), std::back_inserter(standbys),
-                     [&](const instance_id &id) { return m_view.findMember(id) != nullptr; });
+                     [&](const instance_id &id) {
+                         return m_view.findMember(id) != nullptr && id != record.owner;
+                     });
         // The standbys of a lost owner claim it; a change of the record would only delay them.
         if (m_view.findMember(record.owner) == nullptr && !standbys.empty()) {
             return false;
@@ -462,29 +472,4 @@
         .plan(static_cast<size_t>(document->second->partitions));
 }
 
-std::vector<hash_range> equalRanges(size_t count)
-{
-    std::vector<hash_range> ranges;
-    ranges.reserve(count);
-    constexpr uint64_t lastHash = std::numeric_limits<uint64_t>::max();
-    if (count == 0) {
-        return ranges;
-    }
-    const uint64_t width = lastHash / count;
-    // The ranges at the start take up the remainder, one hash each.
-    const uint64_t remainder = lastHash % count + 1;
-    uint64_t first = 0;
-    for (size_t i = 0; i < count; ++i) {
-        const uint64_t last = i + 1 == count ? lastHash : first + width - (i < remainder ? 0 : 1);
-        ranges.push_back({first, last});
-        first = last + 1;
-    }
-    return ranges;
-}
-
-std::string partitionName(std::string_view service, const hash_range &range)
-{
-    return absl::StrCat(toAbsl(service), "/", hashToString(range.first));
-}
-
 } // namespace persimmonrail
--- a/src/persimmonrail/balance/placement_plan.h
+++ b/src/persimmonrail/balance/placement_plan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "persimmonrail/balance/hash_division.h"
 #include "persimmonrail/sync/fleet_view.h"
 
 #include <functional>
@@ -80,9 +81,4 @@
                                          const placement_hooks &hooks,
                                          const placement_options &options);
 
-// Returns the `count` equal ranges that divide the hash space of a service.
-std::vector<hash_range> equalRanges(size_t count);
-// Returns "<service>/<first hash>".
-std::string partitionName(std::string_view service, const hash_range &range);
-
 } // namespace persimmonrail
--- a/src/persimmonrail/routing/instance_picker.cpp
+++ b/src/persimmonrail/routing/instance_picker.cpp
@@ -99,9 +99,10 @@
     }
     // A failure that comes fast must not make the instance look fast.
     if (outcome == result::Answered || (outcome == result::Failed && sample > finished.latency)) {
-        finished.latency = finished.latency == 0
-            ? sample
-            : finished.latency + latencySmoothing * (sample - finished.latency);
+        // The older the average, the more the sample counts.
+        const double aged = 1 - decay(finished, now);
+        const double weight = finished.latency == 0 ? 1 : std::max(latencySmoothing, aged);
+        finished.latency += weight * (sample - finished.latency);
         finished.sampledAt = now;
     }
     if (outcome == result::Failed) {
@@ -161,14 +162,21 @@
     return local.inFlight >= limit || slow;
 }
 
-// The average halves with time, so that an instance that was slow once is tried again.
-double instance_picker::latency(const instance &candidate, steady_time now) const
+// Share of the average that is left after the time since the last sample.
+double instance_picker::decay(const instance &candidate, steady_time now)
 {
-    const std::chrono::duration<double> idle = std::max(now - candidate.sampledAt, {});
-    return candidate.latency * std::exp2(-(idle / latencyHalfLife));
+    const std::chrono::duration<double> idle =
+        std::max(now - candidate.sampledAt, steady_time::duration::zero());
+    return std::exp2(-(idle / latencyHalfLife));
 }
 
-double instance_picker::score(const instance &candidate, steady_time now) const
+// Decreases with time, so that an instance that was slow once is tried again.
+double instance_picker::latency(const instance &candidate, steady_time now)
+{
+    return candidate.latency * decay(candidate, now);
+}
+
+double instance_picker::score(const instance &candidate, steady_time now)
 {
     // Keeps the in-flight count in force for instances without samples or with very old ones.
     constexpr double leastLatency = 100;
--- a/src/persimmonrail/routing/instance_picker.h
+++ b/src/persimmonrail/routing/instance_picker.h
@@ -83,8 +83,9 @@
     instance *drawBetter(std::vector<instance *> &candidates, steady_time now);
     instance *draw(const std::vector<instance *> &candidates, steady_time now);
     bool isOverloaded(const instance &local, const instance &remote, steady_time now) const;
-    double latency(const instance &candidate, steady_time now) const;
-    double score(const instance &candidate, steady_time now) const;
+    static double decay(const instance &candidate, steady_time now);
+    static double latency(const instance &candidate, steady_time now);
+    static double score(const instance &candidate, steady_time now);
     double ramp(const instance &candidate, steady_time now) const;
     void eject(instance &failing, steady_time now);
     size_t countEjected(steady_time now) const;
--- /dev/null
+++ b/src/persimmonrail/routing/tests/instance_picker_test.cpp
@@ -0,0 +1,200 @@
+#include "persimmonrail/routing/instance_picker.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <thread>
+
+using namespace persimmonrail;
+using namespace std::chrono_literals;
+using result = instance_picker::result;
+
+namespace {
+
+const steady_time start = steady_time{} + 1h;
+
+std::vector<member_record> makeMembers(int local, int remote)
+{
+    std::vector<member_record> members;
+    for (int i = 0; i < local + remote; ++i) {
+        const std::string name = (i < local ? "local" : "remote") + std::to_string(i);
+        members.push_back({{name, 1}, "r", i < local ? "own" : "other", "s", "p", "c", 10});
+    }
+    return members;
+}
+
+std::vector<const member_record *> pointers(const std::vector<member_record> &members)
+{
+    std::vector<const member_record *> result;
+    result.reserve(members.size());
+    for (const auto &member : members) {
+        result.push_back(&member);
+    }
+    return result;
+}
+
+// Picks and finishes `count` requests, one after the other; returns the picks by instance.
+std::map<std::string, int> serve(instance_picker &picker, int count, steady_time now,
+                                 const std::function<result(const std::string &)> &outcome)
+{
+    std::map<std::string, int> picks;
+    for (int i = 0; i < count; ++i) {
+        const auto picked = picker.pick({}, now);
+        REQUIRE(picked.has_value());
+        ++picks[picked->id.name];
+        picker.finish(picked->id, outcome(picked->id.name), 5ms, now);
+    }
+    return picks;
+}
+
+result answered(const std::string &)
+{
+    return result::Answered;
+}
+
+} // namespace
+
+// Guards against traffic across availability zones without need.
+TEST_CASE("the own zone is preferred until it is overloaded")
+{
+    const auto members = makeMembers(2, 4);
+    instance_picker picker("own", std::mt19937_64(5));
+    picker.setInstances(pointers(members), start);
+    // Two instances of 10 slots: 8 in flight each count as overload.
+    for (int i = 0; i < 16; ++i) {
+        CHECK(picker.pick({}, start)->availabilityZone == "own");
+    }
+    int remote = 0;
+    for (int i = 0; i < 8; ++i) {
+        remote += picker.pick({}, start)->availabilityZone == "other" ? 1 : 0;
+    }
+    CHECK(remote == 8);
+}
+
+// Guards against a slow instance keeping its share, and against it never being tried again.
+TEST_CASE("a slow instance gets less, and is tried again later")
+{
+    const auto members = makeMembers(3, 0);
+    instance_picker picker("own", std::mt19937_64(5));
+    picker.setInstances(pointers(members), start);
+    const auto serveSlowly = [&](steady_time now, milliseconds slow) {
+        int slowPicks = 0;
+        for (int i = 0; i < 300; ++i) {
+            const auto picked = picker.pick({}, now + i * 10ms);
+            const bool isSlow = picked->id.name == "local0";
+            slowPicks += isSlow ? 1 : 0;
+            picker.finish(picked->id, result::Answered, isSlow ? slow : 5ms, now + i * 10ms);
+        }
+        return slowPicks;
+    };
+    CHECK(serveSlowly(start, 100ms) < 20);
+    CHECK(serveSlowly(start + 60s, 5ms) > 50);
+}
+
+// Guards against one failing instance taking requests, and against the ejection of so many that
+// the rest is overloaded.
+TEST_CASE("failing instances are ejected, at most half of them")
+{
+    const auto [failing, ejected] = GENERATE(table<int, size_t>({{0, 0}, {1, 1}, {2, 2}, {4, 2}}));
+    const auto members = makeMembers(4, 0);
+    instance_picker picker("own", std::mt19937_64(5));
+    picker.setInstances(pointers(members), start);
+    serve(picker, 400, start, [failing = failing](const std::string &name) {
+        return name.back() - '0' < failing ? result::Failed : result::Answered;
+    });
+    CHECK(picker.ejected(start) == ejected);
+    CHECK(picker.ejected(start + 1s) == 0);
+}
+
+TEST_CASE("a single instance is never ejected")
+{
+    const auto members = makeMembers(1, 0);
+    instance_picker picker("own", std::mt19937_64(5));
+    picker.setInstances(pointers(members), start);
+    serve(picker, 20, start, [](const std::string &) { return result::Failed; });
+    CHECK(picker.ejected(start) == 0);
+}
+
+// Guards against an instance that fails again and again taking requests every second, and against
+// one that is punished for failures long past.
+TEST_CASE("repeated ejections last longer and are forgotten")
+{
+    const auto members = makeMembers(2, 0);
+    instance_picker picker("own", std::mt19937_64(5));
+    picker.setInstances(pointers(members), start);
+    auto now = start;
+    for (const auto duration : {1s, 2s, 4s, 8s, 16s, 32s, 60s, 60s}) {
+        for (int i = 0; i < 3; ++i) {
+            picker.finish(members[0].id, result::Failed, 1ms, now);
+        }
+        CHECK(picker.ejected(now + duration - 1ms) == 1);
+        CHECK(picker.ejected(now + duration) == 0);
+        now += duration;
+    }
+    now += 31s;
+    for (int i = 0; i < 3; ++i) {
+        picker.finish(members[0].id, result::Failed, 1ms, now);
+    }
+    CHECK(picker.ejected(now + 1s) == 0);
+}
+
+// Guards against a cold instance that gets its full share at once.
+TEST_CASE("a new instance starts slowly")
+{
+    const auto [elapsed, least, most] =
+        GENERATE(table<milliseconds, int, int>({{0ms, 1, 150}, {10000ms, 200, 600}}));
+    auto members = makeMembers(3, 0);
+    instance_picker picker("own", std::mt19937_64(5));
+    picker.setInstances(pointers(members), start);
+    serve(picker, 300, start, answered);
+    members.push_back({{"new", 1}, "r", "own", "s", "p", "c", 10});
+    picker.setInstances(pointers(members), start);
+    const auto picks = serve(picker, 1200, start + elapsed, answered);
+    const int given = picks.count("new") == 0 ? 0 : picks.at("new");
+    CHECK(given >= least);
+    CHECK(given <= most);
+}
+
+// Guards against a retry at the instance that has just failed.
+TEST_CASE("instances that were tried are left out")
+{
+    const auto members = makeMembers(2, 1);
+    instance_picker picker("own", std::mt19937_64(5));
+    picker.setInstances(pointers(members), start);
+    std::vector<instance_id> tried;
+    for (size_t i = 0; i < members.size(); ++i) {
+        const auto picked = picker.pick(tried, start);
+        REQUIRE(picked.has_value());
+        CHECK(std::find(tried.begin(), tried.end(), picked->id) == tried.end());
+        tried.push_back(picked->id);
+    }
+    CHECK_FALSE(picker.pick(tried, start).has_value());
+}
+
+// Guards against in-flight counts that drift when threads pick while the set of instances changes.
+TEST_CASE("threads share one picker")
+{
+    const auto members = makeMembers(4, 4);
+    instance_picker picker("own", std::mt19937_64(5));
+    picker.setInstances(pointers(members), start);
+    std::vector<std::thread> threads;
+    threads.reserve(4);
+    for (int i = 0; i < 4; ++i) {
+        threads.emplace_back([&, i] {
+            for (int request = 0; request < 2000; ++request) {
+                if (i == 0 && request % 100 == 0) {
+                    picker.setInstances(pointers(members), start);
+                }
+                const auto picked = picker.pick({}, start);
+                picker.finish(picked->id, result::Answered, 1ms, start);
+            }
+        });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    // With all counts back at 0, the own zone takes requests up to its limit of 8 per instance.
+    for (int i = 0; i < 24; ++i) {
+        CHECK(picker.pick({}, start)->availabilityZone == "own");
+    }
+}
--- /dev/null
+++ b/src/persimmonrail/routing/tests/routing_test.cpp
@@ -0,0 +1,176 @@
+#include "persimmonrail/base/backoff.h"
+#include "persimmonrail/routing/deadline.h"
+#include "persimmonrail/routing/retry_budget.h"
+#include "persimmonrail/routing/route_candidates.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <random>
+#include <thread>
+
+using namespace persimmonrail;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start = steady_time{} + 1h;
+
+} // namespace
+
+// Guards against requests sent to members that have restarted since the record was written, sent
+// twice to one member, or sent to members that never own the key.
+TEST_CASE("candidates come in the order owner, hint, next owner, standbys")
+{
+    struct row
+    {
+        std::string name;
+        std::string owner;
+        std::string hint;
+        std::string nextOwner;
+        std::vector<std::string> standbys;
+        std::vector<std::string> expected;
+    };
+    const auto row = GENERATE(values<struct row>({
+        {"plain", "a", "", "", {"b", "c"}, {"a", "b", "c"}},
+        {"hint before standbys", "a", "c", "", {"b", "c"}, {"a", "c", "b"}},
+        {"hint not in the record", "a", "d", "", {"b"}, {"a", "d", "b"}},
+        {"unknown hint", "a", "x", "", {"b"}, {"a", "b"}},
+        {"hint is the owner", "a", "a", "", {"b"}, {"a", "b"}},
+        {"move under way", "a", "", "d", {"b"}, {"a", "d", "b"}},
+        {"owner gone", "x", "", "", {"b", "c"}, {"b", "c"}},
+        {"owner restarted", "restarted", "", "", {"b"}, {"b"}},
+        {"standby restarted", "a", "", "", {"restarted", "c"}, {"a", "c"}},
+        {"nobody known", "x", "", "", {}, {}},
+    }));
+    CAPTURE(row.name);
+    fleet_view view;
+    for (const auto *name : {"a", "b", "c", "d"}) {
+        view.members[name].id = {name, 1};
+    }
+    view.members["restarted"].id = {"restarted", 2};
+    auto &record = view.records["s/0"].record;
+    record.range = {0, 99};
+    record.owner = {row.owner, 1};
+    if (!row.nextOwner.empty()) {
+        record.nextOwner = {row.nextOwner, 1};
+    }
+    for (const auto &standby : row.standbys) {
+        record.standbys.push_back({standby, 1});
+    }
+    indexRecords(view);
+    std::vector<std::string> names;
+    for (const auto *member : routeCandidates(view, "s", 7, row.hint)) {
+        names.push_back(member->id.name);
+    }
+    CHECK(names == row.expected);
+    CHECK(routeCandidates(view, "s", 100, row.hint).empty());
+}
+
+// Guards against retries that multiply an overload.
+TEST_CASE("retries stay within a tenth of first attempts plus the minimum")
+{
+    const int attemptsPerSecond = GENERATE(0, 10, 1000, 2388);
+    const double allowedPerSecond = attemptsPerSecond * 0.1 + 1;
+    retry_budget budget(start, {});
+    int retries = 0;
+    constexpr int seconds = 20;
+    for (int second = 0; second < seconds; ++second) {
+        for (int i = 0; i < std::max(10, attemptsPerSecond); ++i) {
+            const auto now = start + second * 1s
+                + std::chrono::microseconds(1000000 / std::max(10, attemptsPerSecond) * i);
+            if (i < attemptsPerSecond) {
+                budget.noteFirstAttempt(now);
+            }
+            retries += budget.tryRetry(now) ? 1 : 0;
+        }
+    }
+    CHECK(retries <= seconds * allowedPerSecond + 1);
+    CHECK(retries >= seconds * allowedPerSecond * 0.9 - 2);
+}
+
+TEST_CASE("an unused budget is bounded")
+{
+    retry_budget budget(start, {});
+    for (int i = 0; i < 100000; ++i) {
+        budget.noteFirstAttempt(start);
+    }
+    int retries = 0;
+    while (budget.tryRetry(start)) {
+        ++retries;
+    }
+    CHECK(retries == 50);
+}
+
+// Guards against lost updates between traffic threads.
+TEST_CASE("threads share one budget")
+{
+    retry_budget budget(start, {0.1, 0.0, 1e9});
+    std::atomic<int> retries = 0;
+    std::vector<std::thread> threads;
+    threads.reserve(4);
+    for (int i = 0; i < 4; ++i) {
+        threads.emplace_back([&] {
+            for (int attempt = 0; attempt < 10000; ++attempt) {
+                budget.noteFirstAttempt(start);
+                retries += budget.tryRetry(start) ? 1 : 0;
+            }
+        });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    while (budget.tryRetry(start)) {
+        ++retries;
+    }
+    CHECK(retries >= 3999);
+    CHECK(retries <= 4000);
+}
+
+// Guards against delays that grow without bound or come in step.
+TEST_CASE("delays double up to the maximum, with jitter in the upper half")
+{
+    backoff delays(50ms, 1000ms, std::mt19937_64(3));
+    for (const int upper : {50, 100, 200, 400, 800, 1000, 1000}) {
+        const auto delay = delays.next();
+        CHECK(delay >= milliseconds(upper / 2));
+        CHECK(delay <= milliseconds(upper));
+    }
+    delays.reset();
+    CHECK(delays.next() <= 50ms);
+}
+
+// Guards against a hop that extends the caller's deadline, and against overflow.
+TEST_CASE("the deadline of a request is the lesser of timeout and header")
+{
+    const auto [header, expected] =
+        GENERATE(table<std::string, int>({{"", 2000},
+                                          {"500", 500},
+                                          {"0", 0},
+                                          {"2000", 2000},
+                                          {"999999", 2000},
+                                          {"18446744073709551615", 2000},
+                                          {"-1", -1},
+                                          {"18446744073709551616", -1},
+                                          {"5s", -1}}));
+    CAPTURE(header);
+    const auto result = deadline::ofRequest(header, 2000ms, start);
+    REQUIRE(result.ok() == (expected >= 0));
+    if (result.ok()) {
+        CHECK(result->remaining(start) == milliseconds(expected));
+        CHECK(result->isExpired(start) == (expected == 0));
+        CHECK(result->headerValue(start) == std::to_string(expected));
+        CHECK(result->remaining(start + 1h) == 0ms);
+        CHECK(result->clamp(700ms, start) == milliseconds(std::min(700, expected)));
+        CHECK(result->allows(700ms, start) == (expected > 700));
+    } else {
+        CHECK(absl::IsInvalidArgument(result.status()));
+    }
+}
+
+TEST_CASE("the header value is rounded down")
+{
+    const deadline limit(start + 1500us);
+    CHECK(limit.headerValue(start) == "1");
+    CHECK(limit.headerValue(start + 600us) == "0");
+}
--- a/src/persimmonrail/sync/fleet_view.cpp
+++ b/src/persimmonrail/sync/fleet_view.cpp
@@ -137,12 +137,29 @@
 void indexRecords(fleet_view &view)
 {
     view.recordsByService.clear();
+    std::string_view last;
     for (const auto &[partition, record] : view.records) {
-        const std::string service(serviceOfPartition(partition));
-        view.recordsByService[service].push_back(&record);
+        const auto service = serviceOfPartition(partition);
+        if (service != last) {
+            indexRecords(view, service);
+            last = service;
+        }
+    }
+}
+
+void indexRecords(fleet_view &view, std::string_view service)
+{
+    std::vector<const versioned_record *> records;
+    const std::string prefix = std::string(service) + "/";
+    for (auto entry = view.records.lower_bound(prefix);
+         entry != view.records.end() && entry->first.starts_with(prefix); ++entry) {
+        records.push_back(&entry->second);
     }
-    for (auto &[service, records] : view.recordsByService) {
-        std::sort(records.begin(), records.end(), startsBefore);
+    std::sort(records.begin(), records.end(), startsBefore);
+    if (records.empty()) {
+        view.recordsByService.erase(std::string(service));
+    } else {
+        view.recordsByService.insert_or_assign(std::string(service), std::move(records));
     }
 }
 
--- a/src/persimmonrail/sync/fleet_view.h
+++ b/src/persimmonrail/sync/fleet_view.h
@@ -62,5 +62,7 @@
 
 // Fills `recordsByService` from `records`. The view must not be copied or moved afterwards.
 void indexRecords(fleet_view &view);
+// Does so for one service.
+void indexRecords(fleet_view &view, std::string_view service);
 
 } // namespace persimmonrail
--- a/src/persimmonrail/sync/tests/object_store_test.cpp
+++ b/src/persimmonrail/sync/tests/object_store_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+
 using namespace persimmonrail;
 using namespace std::chrono_literals;
 
@@ -234,3 +236,61 @@
     CHECK(last->revision == 20);
     CHECK(before->members.size() == 1);
 }
+
+// Guards against a view that changes while somebody holds it, and against one that is brought up to
+// date incompletely.
+TEST_CASE("views are equal to newly built ones and don't change while held")
+{
+    std::mt19937_64 random(11);
+    object_store store(noHooks());
+    std::map<std::string, stored_object> platform;
+    std::vector<std::pair<std::shared_ptr<const fleet_view>, std::string>> held;
+    const auto describe = [](const fleet_view &view) {
+        std::string text;
+        for (const auto &[name, member] : view.members) {
+            text += encodeMember(member);
+        }
+        for (const auto &[service, records] : view.recordsByService) {
+            for (const auto *record : records) {
+                text += encodeRecord(record->record) + std::to_string(record->version);
+            }
+        }
+        return text;
+    };
+    for (uint64_t version = 1; version <= 2000; ++version) {
+        const std::string name = std::to_string(random() % 40);
+        stored_object changed{"member/" + name, version, random() % 4 == 0, ""};
+        if (random() % 2 == 0) {
+            const std::string partition = "s" + name.substr(0, 1) + "/" + name;
+            const uint64_t hash = random() % 10;
+            placement_record record{partition, {hash, hash + random() % 3}, {"o", 1}, 1, {}, {}, {},
+                                    {}};
+            record.witnesses = {{"a", 1}, {"b", 1}, {"c", version}};
+            changed.key = placementKey(partition);
+            changed.value = encodeRecord(record);
+        } else {
+            changed.value = encodeMember({{name, version}, "r", "z", "s", "p", "c", 1});
+        }
+        store.applyWatch(version - 1, {version, {changed}}, start);
+        platform[changed.key] = changed;
+        const auto view = store.buildView();
+        if (random() % 10 == 0) {
+            held.emplace_back(view, describe(*view));
+        }
+        if (held.size() > 3) {
+            REQUIRE(describe(*held.front().first) == held.front().second);
+            held.erase(held.begin());
+        }
+        if (version % 20 == 0) {
+            object_list list{version, {}};
+            for (const auto &[key, object] : platform) {
+                if (!object.deleted) {
+                    list.objects.push_back(object);
+                }
+            }
+            object_store fresh(noHooks());
+            fresh.applyList(list, start);
+            REQUIRE(describe(*view) == describe(*fresh.buildView()));
+        }
+    }
+}
--- a/src/persimmonrail/sync/view_builder.cpp
+++ b/src/persimmonrail/sync/view_builder.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <atomic>
+
 namespace persimmonrail {
 namespace {
 
@@ -11,14 +13,16 @@
 constexpr std::string_view acceptedPrefix = "accepted/";
 constexpr std::string_view placementPrefix = "placement/";
 
-template <typename Map> bool eraseKey(Map &map, std::string_view key)
+bool isInView(std::string_view key)
 {
-    const auto entry = map.find(key);
-    if (entry == map.end()) {
-        return false;
-    }
-    map.erase(entry);
-    return true;
+    return key.starts_with(memberPrefix) || key.starts_with(acceptedPrefix)
+        || key.starts_with(placementPrefix);
+}
+
+// Returns the key without its prefix.
+std::string nameOf(std::string_view key)
+{
+    return std::string(key.substr(key.find('/') + 1));
 }
 
 absl::Status nameMismatch(std::string_view name)
@@ -37,82 +41,145 @@
 view_builder::build(uint64_t revision,
                     const std::function<const stored_object *(std::string_view)> &find)
 {
-    bool changed = !m_view;
-    for (const auto &key : m_changed) {
-        changed = update(key, find(key)) || changed;
+    auto updates = decodeChanges(find);
+    if (m_current && updates.empty()) {
+        return m_current;
     }
-    m_changed.clear();
-    if (changed) {
-        auto view = std::make_shared<fleet_view>(m_decoded);
-        view->revision = revision;
-        indexRecords(*view);
-        m_view = std::move(view);
+    std::vector<std::string> keys;
+    keys.reserve(updates.size());
+    for (const auto &update : updates) {
+        keys.push_back(update.key);
     }
-    return m_view;
+    auto next = takeSpare();
+    apply(*next, std::move(updates));
+    next->revision = revision;
+    m_spare = std::move(m_current);
+    m_spareDiffers = std::move(keys);
+    m_current = std::move(next);
+    return m_current;
 }
 
-bool view_builder::update(std::string_view key, const stored_object *object)
+std::vector<view_builder::update>
+view_builder::decodeChanges(const std::function<const stored_object *(std::string_view)> &find)
 {
-    if (object == nullptr || object->deleted) {
-        if (key.starts_with(memberPrefix)) {
-            return eraseKey(m_decoded.members, key.substr(memberPrefix.size()));
+    std::vector<update> updates;
+    for (const auto &key : m_changed) {
+        if (!isInView(key)) {
+            continue;
         }
-        if (key.starts_with(acceptedPrefix)) {
-            return eraseKey(m_decoded.documents, key.substr(acceptedPrefix.size()));
+        const auto *object = find(key);
+        if (object == nullptr || object->deleted) {
+            updates.push_back({key, std::monostate()});
+            continue;
+        }
+        auto decoded = decode(*object);
+        if (decoded.ok()) {
+            updates.push_back(*std::move(decoded));
+        } else if (m_hooks.undecodable) {
+            m_hooks.undecodable(*object, decoded.status());
         }
-        return key.starts_with(placementPrefix)
-            && eraseKey(m_decoded.records, key.substr(placementPrefix.size()));
-    }
-    if (!key.starts_with(memberPrefix) && !key.starts_with(acceptedPrefix)
-        && !key.starts_with(placementPrefix)) {
-        return false;
-    }
-    const auto status = decode(*object);
-    if (!status.ok() && m_hooks.undecodable) {
-        m_hooks.undecodable(*object, status);
     }
-    return status.ok();
+    m_changed.clear();
+    return updates;
 }
 
-absl::Status view_builder::decode(const stored_object &object)
+absl::StatusOr<view_builder::update> view_builder::decode(const stored_object &object) const
 {
-    const std::string_view key = object.key;
-    if (key.starts_with(memberPrefix)) {
+    const std::string name = nameOf(object.key);
+    if (object.key.starts_with(memberPrefix)) {
         auto member = decodeMember(object.value);
         if (!member.ok()) {
             return member.status();
         }
-        if (member->id.name != key.substr(memberPrefix.size())) {
+        if (member->id.name != name) {
             return nameMismatch(member->id.name);
         }
-        std::string name = member->id.name;
-        m_decoded.members.insert_or_assign(std::move(name), *std::move(member));
-        return absl::OkStatus();
+        return update{object.key, *std::move(member)};
     }
-    if (key.starts_with(acceptedPrefix)) {
+    if (object.key.starts_with(acceptedPrefix)) {
         auto document = m_hooks.parseDocument(object.value);
         if (!document.ok()) {
             return document.status();
         }
-        if (document->service != key.substr(acceptedPrefix.size())) {
+        if (document->service != name) {
             return nameMismatch(document->service);
         }
-        std::string service = document->service;
-        m_decoded.documents.insert_or_assign(
-            std::move(service), std::make_shared<const service_document>(*std::move(document)));
-        return absl::OkStatus();
+        return update{object.key, std::make_shared<const service_document>(*std::move(document))};
     }
     auto record = decodeRecord(object.value);
     if (!record.ok()) {
         return record.status();
     }
-    if (record->partition != key.substr(placementPrefix.size())) {
+    if (record->partition != name) {
         return nameMismatch(record->partition);
     }
-    std::string partition = record->partition;
-    m_decoded.records.insert_or_assign(std::move(partition),
-                                       versioned_record{*std::move(record), object.version});
-    return absl::OkStatus();
+    return update{object.key, versioned_record{*std::move(record), object.version}};
+}
+
+// Returns a view with the content of the current one that nobody else holds.
+std::shared_ptr<fleet_view> view_builder::takeSpare()
+{
+    if (!m_current) {
+        return std::make_shared<fleet_view>();
+    }
+    if (m_spare && m_spare.use_count() == 1) {
+        // Orders the reads of the last other holder before the changes made here.
+        std::atomic_thread_fence(std::memory_order_acquire);
+        std::vector<update> updates;
+        updates.reserve(m_spareDiffers.size());
+        for (const auto &key : m_spareDiffers) {
+            updates.push_back(contentOf(*m_current, key));
+        }
+        apply(*m_spare, std::move(updates));
+        return std::move(m_spare);
+    }
+    auto copy = std::make_shared<fleet_view>(*m_current);
+    indexRecords(*copy);
+    return copy;
+}
+
+view_builder::update view_builder::contentOf(const fleet_view &view, const std::string &key)
+{
+    const std::string name = nameOf(key);
+    if (key.starts_with(memberPrefix)) {
+        const auto entry = view.members.find(name);
+        return entry == view.members.end() ? update{key, std::monostate()}
+                                           : update{key, entry->second};
+    }
+    if (key.starts_with(acceptedPrefix)) {
+        const auto entry = view.documents.find(name);
+        return entry == view.documents.end() ? update{key, std::monostate()}
+                                             : update{key, entry->second};
+    }
+    const auto entry = view.records.find(name);
+    return entry == view.records.end() ? update{key, std::monostate()} : update{key, entry->second};
+}
+
+void view_builder::apply(fleet_view &view, std::vector<update> updates)
+{
+    std::set<std::string> services;
+    for (auto &update : updates) {
+        const std::string name = nameOf(update.key);
+        if (auto *member = std::get_if<member_record>(&update.content)) {
+            view.members.insert_or_assign(name, std::move(*member));
+        } else if (auto *document =
+                       std::get_if<std::shared_ptr<const service_document>>(&update.content)) {
+            view.documents.insert_or_assign(name, std::move(*document));
+        } else if (auto *record = std::get_if<versioned_record>(&update.content)) {
+            view.records.insert_or_assign(name, std::move(*record));
+            services.emplace(serviceOfPartition(name));
+        } else if (update.key.starts_with(memberPrefix)) {
+            view.members.erase(name);
+        } else if (update.key.starts_with(acceptedPrefix)) {
+            view.documents.erase(name);
+        } else {
+            view.records.erase(name);
+            services.emplace(serviceOfPartition(name));
+        }
+    }
+    for (const auto &service : services) {
+        indexRecords(view, service);
+    }
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/sync/view_builder.h
+++ b/src/persimmonrail/sync/view_builder.h
@@ -6,11 +6,16 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <variant>
+#include <vector>
 
 namespace persimmonrail {
 
-// Decodes the objects that a view consists of and keeps the last good version of each, so that a
-// new view costs the decoding of what has changed and a copy.
+// Builds views and keeps the last good version of each object in them.
+//
+// A view of the largest fleet takes about 45 ms to copy, too much for each change. The view before
+// the current one is therefore brought up to date and used again, once nobody else holds it; only
+// if somebody still does is the current one copied.
 //
 // Belongs to the control thread.
 class view_builder
@@ -24,14 +29,28 @@
     build(uint64_t revision, const std::function<const stored_object *(std::string_view)> &find);
 
 private:
-    bool update(std::string_view key, const stored_object *object);
-    absl::Status decode(const stored_object &object);
+    // The new content of one object; std::monostate if it is deleted.
+    struct update
+    {
+        std::string key;
+        std::variant<std::monostate, member_record, std::shared_ptr<const service_document>,
+                     versioned_record>
+            content;
+    };
+
+    std::vector<update>
+    decodeChanges(const std::function<const stored_object *(std::string_view)> &find);
+    absl::StatusOr<update> decode(const stored_object &object) const;
+    std::shared_ptr<fleet_view> takeSpare();
+    static update contentOf(const fleet_view &view, const std::string &key);
+    static void apply(fleet_view &view, std::vector<update> updates);
 
     object_store::hooks m_hooks;
     std::set<std::string> m_changed;
-    // Its index is not filled.
-    fleet_view m_decoded;
-    std::shared_ptr<const fleet_view> m_view;
+    std::shared_ptr<fleet_view> m_current;
+    // The view before the current one, and the keys in which they differ.
+    std::shared_ptr<fleet_view> m_spare;
+    std::vector<std::string> m_spareDiffers;
 };
 
 } // namespace persimmonrail
