--- a/src/persimmonrail/ownership/lease_witness.h
+++ b/src/persimmonrail/ownership/lease_witness.h
@@ -44,6 +44,10 @@
     // Returns the notices due at `now`. A notice is repeated every `noticeInterval` until the
     // partition is granted again or `stopNotices` is called.
     std::vector<expiry_notice> takeDueNotices(steady_time now);
+    // Starts notices for a partition that this instance witnesses according to a record. If nobody
+    // ever claims it, a notice becomes due after lease + drift margin; without it no standby would
+    // learn that the recorded owner was lost before its first claim.
+    void watch(const std::string &partition, steady_time now);
     // Ends the notices for a partition that this instance no longer witnesses. Its state is kept,
     // as an adopted record version stays adopted.
     void stopNotices(const std::string &partition);
--- /dev/null
+++ b/src/persimmonrail/ownership/tests/simulation.cpp
@@ -0,0 +1,432 @@
+#include "persimmonrail/ownership/tests/simulation.h"
+
+#include "persimmonrail/ownership/lease_state.h"
+#include "persimmonrail/ownership/witness_choice.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace persimmonrail {
+namespace {
+
+constexpr size_t nodeCount = 6;
+constexpr size_t partitionCount = 4;
+constexpr milliseconds tickInterval{20};
+constexpr milliseconds probeInterval{5};
+constexpr milliseconds faultPeriod{12000};
+
+} // namespace
+
+simulation::simulation(uint64_t seed, disabled_mechanisms disabled)
+    : m_disabled(disabled)
+    , m_random(seed)
+    , m_nodes(nodeCount)
+    , m_faultsEnd(m_now + faultPeriod)
+{
+    if (disabled.waitForExpiry) {
+        m_timing.driftMargin = milliseconds(-600);
+    }
+    for (size_t i = 0; i < nodeCount; ++i) {
+        m_nodes[i].id.name = absl::StrCat("berthdesk-", i);
+        m_nodes[i].zone = absl::StrCat("zone-", i % 3);
+        m_nodes[i].clockRate = 1 + 0.0002 * static_cast<double>(between(-100, 100).count());
+        startNode(i);
+    }
+    registerMembers();
+    createRecords();
+    for (size_t i = 0; i < nodeCount; ++i) {
+        scheduleTick(i);
+    }
+    scheduleProbe();
+    scheduleFault();
+}
+
+simulation_result simulation::run()
+{
+    runUntil(m_faultsEnd);
+    const bool platformUp = chance(0.5);
+    stopFaults(platformUp);
+    const auto stoppedAt = m_now;
+    const auto quick = quicklyRecoverable();
+    runUntil(stoppedAt + milliseconds(2000));
+    const auto requireServed = [&](const std::string &partition, std::string_view when) {
+        if (m_history[partition].lastServed < stoppedAt) {
+            fail(absl::StrCat(partition, " is not served ", std::string(when),
+                              platformUp ? " with the platform" : " without the platform"));
+        }
+    };
+    for (const auto &partition : quick) {
+        requireServed(partition, "2 s after the faults");
+    }
+    if (platformUp && m_result.violation.empty()) {
+        runUntil(stoppedAt + milliseconds(15000));
+        for (const auto &[partition, history] : m_history) {
+            requireServed(partition, "15 s after the faults");
+        }
+    }
+    return m_result;
+}
+
+void simulation::replaceWitnessBehindStaleViews()
+{
+    m_faults = false;
+    const auto record = m_view->records.at("berthdesk/0").record;
+    const auto standby =
+        *std::find_if(record.standbys.begin(), record.standbys.end(), [&](auto &id) {
+            return id != record.witnesses[0] && id != record.witnesses[1];
+        });
+    for (const auto &id : {standby, record.witnesses[0], record.witnesses[1]}) {
+        m_nodes[indexOf(id)].viewFrozenUntil = m_faultsEnd;
+        m_nodes[indexOf(id)].engine->onView(m_view, m_now);
+    }
+    const auto cutFrom = [this](const instance_id &a, const instance_id &b, milliseconds delay) {
+        at(m_now + delay, [this, a = indexOf(a), b = indexOf(b)] {
+            m_cuts.insert({a, b});
+            m_cuts.insert({b, a});
+        });
+    };
+    cutFrom(record.owner, record.witnesses[0], milliseconds(1000));
+    cutFrom(record.owner, record.witnesses[1], milliseconds(7500));
+    // Otherwise the standby would read the record back.
+    at(m_now + milliseconds(7500), [this] { m_platformUp = false; });
+}
+
+void simulation::at(steady_time time, std::function<void()> action)
+{
+    m_events.push({time, m_order++, std::move(action)});
+}
+
+void simulation::onNode(size_t index, steady_time time, const std::function<void(node &)> &action)
+{
+    at(time, [this, index, generation = m_nodes[index].generation, action] {
+        auto &node = m_nodes[index];
+        if (node.generation != generation) {
+            return;
+        }
+        if (m_now < node.pausedUntil) {
+            onNode(index, node.pausedUntil, action);
+            return;
+        }
+        action(node);
+    });
+}
+
+void simulation::runUntil(steady_time end)
+{
+    while (!m_events.empty() && m_events.top().at <= end && m_result.violation.empty()) {
+        const auto next = m_events.top();
+        m_events.pop();
+        m_now = next.at;
+        next.action();
+    }
+    m_now = end;
+}
+
+steady_time simulation::localTime(const node &node) const
+{
+    const auto elapsed = m_now - node.startedAt;
+    return node.startedAt
+        + std::chrono::duration_cast<steady_time::duration>(elapsed * node.clockRate);
+}
+
+bool simulation::chance(double probability)
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
+}
+
+milliseconds simulation::between(int low, int high)
+{
+    return milliseconds(std::uniform_int_distribution<int>(low, high)(m_random));
+}
+
+size_t simulation::anyNode()
+{
+    return static_cast<size_t>(between(0, nodeCount - 1).count());
+}
+
+size_t simulation::indexOf(const instance_id &id) const
+{
+    const auto it = std::find_if(m_nodes.begin(), m_nodes.end(),
+                                 [&](const node &node) { return node.id.name == id.name; });
+    return static_cast<size_t>(it - m_nodes.begin());
+}
+
+void simulation::startNode(size_t index)
+{
+    auto &node = m_nodes[index];
+    ++node.generation;
+    node.id.incarnation = m_random() | 1;
+    node.startedAt = m_now;
+    node.registered = false;
+    node.upstreamTerms.clear();
+    node.table = std::make_unique<serving_table>(m_timing);
+    node.engine = std::make_unique<ownership_engine>(ownership_engine::builder()
+                                                         .self(node.id)
+                                                         .hooks(hooksFor(index))
+                                                         .servingTable(*node.table)
+                                                         .timing(m_timing)
+                                                         .seed(m_random())
+                                                         .build());
+    if (node.upstreamUp) {
+        node.engine->onUpstreamUp(localTime(node));
+    }
+}
+
+ownership_hooks simulation::hooksFor(size_t index)
+{
+    ownership_hooks hooks;
+    hooks.send = [this, index](const instance_id &to, const wire::Request &request,
+                               milliseconds timeout, const auto &done) {
+        sendMessage(index, to, request, timeout, done);
+    };
+    hooks.putRecord = [this, index](const std::string &key, uint64_t expected,
+                                    const std::string &text,
+                                    const auto &done) { put(index, key, expected, text, done); };
+    hooks.getRecord = [this, index](const std::string &key, const auto &done) {
+        get(index, key, done);
+    };
+    hooks.applyGrants = [this, index](const std::vector<lease_grant> &grants, const auto &done) {
+        applyGrants(index, grants, done);
+    };
+    hooks.log = [this, index](const std::string &line) {
+        if (m_keepLog) {
+            const auto ms = std::chrono::floor<milliseconds>(m_now.time_since_epoch()).count();
+            m_log.push_back(absl::StrCat(ms % 3600000, " ", m_nodes[index].id.name, " ", line));
+        }
+    };
+    return hooks;
+}
+
+void simulation::createRecords()
+{
+    publishView();
+    const uint64_t width = ~uint64_t{0} / partitionCount;
+    for (size_t i = 0; i < partitionCount; ++i) {
+        placement_record record;
+        record.partition = absl::StrCat("berthdesk/", i);
+        record.range = {i * width, (i + 1) * width - 1};
+        record.owner = m_nodes[i % nodeCount].id;
+        record.term = 1;
+        record.witnesses = chooseWitnesses(*m_view, record.owner, record.partition);
+        record.standbys = chooseStandbys(*m_view, "berthdesk", record.owner, record.partition);
+        (void)applyPut(placementKey(record.partition), 0, encodeRecord(record));
+        m_history[record.partition].hash = record.range.first;
+    }
+}
+
+void simulation::scheduleTick(size_t index)
+{
+    // A tick chain outlives restarts, so it checks the pause itself. After a pause traffic threads
+    // may run before the control thread does.
+    const auto awake = m_nodes[index].pausedUntil + between(0, 15);
+    at(std::max(m_now + tickInterval, awake), [this, index] {
+        auto &node = m_nodes[index];
+        if (m_now >= node.pausedUntil) {
+            const auto local = localTime(node);
+            if (m_now >= node.viewFrozenUntil) {
+                node.engine->onView(m_view, local);
+            }
+            node.engine->tick(local);
+            node.lastTick = local;
+        }
+        scheduleTick(index);
+    });
+}
+
+void simulation::scheduleProbe()
+{
+    at(m_now + probeInterval, [this] {
+        for (size_t i = 0; i < nodeCount; ++i) {
+            for (auto &[partition, history] : m_history) {
+                probe(i, partition, history);
+            }
+        }
+        scheduleProbe();
+    });
+}
+
+void simulation::scheduleFault()
+{
+    at(m_now + between(50, 600), [this] {
+        if (m_faults) {
+            injectFault();
+            scheduleFault();
+        }
+    });
+}
+
+void simulation::injectFault()
+{
+    const auto node = anyNode();
+    const auto other = anyNode();
+    const auto ifFaults = [this](std::function<void()> action) {
+        return [this, action = std::move(action)] {
+            if (m_faults) {
+                action();
+            }
+        };
+    };
+    switch (between(0, 9).count()) {
+    case 0:
+    case 1:
+        m_cuts.insert({node, other});
+        at(m_now + between(200, 7000), [this, node, other] { m_cuts.erase({node, other}); });
+        break;
+    case 2:
+        for (size_t i = 0; i < nodeCount; ++i) {
+            m_cuts.insert({node, i});
+            at(m_now + between(200, 2500), [this, node, i] { m_cuts.erase({node, i}); });
+        }
+        break;
+    case 3:
+    case 4:
+        pauseNode(node, between(50, 2500));
+        break;
+    case 5:
+        if (chance(0.5)) {
+            restartNode(node);
+        }
+        break;
+    case 6:
+        m_platformUp = false;
+        at(m_now + between(500, 4000), [this] { m_platformUp |= m_faults; });
+        break;
+    case 7:
+        m_nodes[node].viewFrozenUntil = m_now + between(500, 8000);
+        break;
+    case 8:
+        setUpstream(node, false);
+        at(m_now + between(100, 1500), ifFaults([this, node] { setUpstream(node, true); }));
+        break;
+    default:
+        m_lossRate = 0.25;
+        at(m_now + between(200, 1500), [this] { m_lossRate = 0; });
+        requestMove();
+        break;
+    }
+}
+
+void simulation::pauseNode(size_t index, milliseconds duration)
+{
+    m_nodes[index].pausedUntil = std::min(m_now + duration, m_faultsEnd);
+}
+
+void simulation::restartNode(size_t index)
+{
+    // Requests that the upstream was running end with it.
+    for (auto &[partition, history] : m_history) {
+        std::erase_if(history.inFlight, [&](const auto &r) { return r.node == index; });
+    }
+    startNode(index);
+    pauseNode(index, between(20, 500));
+}
+
+void simulation::setUpstream(size_t index, bool up)
+{
+    auto &node = m_nodes[index];
+    node.upstreamUp = up;
+    if (!up) {
+        for (auto &[partition, history] : m_history) {
+            std::erase_if(history.inFlight, [&](const auto &r) { return r.node == index; });
+        }
+    }
+    onNode(index, m_now, [this](simulation::node &target) {
+        if (target.upstreamUp) {
+            target.engine->onUpstreamUp(localTime(target));
+        } else {
+            target.engine->onUpstreamDown(localTime(target));
+        }
+    });
+}
+
+void simulation::stopFaults(bool platformUp)
+{
+    m_faults = false;
+    m_cuts.clear();
+    m_lossRate = 0;
+    m_platformUp = platformUp;
+    if (m_keepLog) {
+        for (const auto &node : m_nodes) {
+            m_log.push_back(absl::StrCat("running ", toString(node.id)));
+        }
+        for (const auto &[key, object] : m_objects) {
+            m_log.push_back(absl::StrCat("record ", object.version, " ", object.value));
+        }
+    }
+    for (size_t i = 0; i < nodeCount; ++i) {
+        m_nodes[i].viewFrozenUntil = m_now;
+        setUpstream(i, true);
+    }
+}
+
+void simulation::probe(size_t index, const std::string &partition, partition_history &history)
+{
+    auto &node = m_nodes[index];
+    while (!history.inFlight.empty() && history.inFlight.front().end <= m_now) {
+        history.inFlight.pop_front();
+    }
+    if (m_now < node.pausedUntil || !node.upstreamUp) {
+        return;
+    }
+    const auto checkedAt = m_disabled.selfCheck ? node.lastTick : localTime(node);
+    auto ticket = node.table->begin("berthdesk", history.hash, checkedAt);
+    if (!ticket) {
+        return;
+    }
+    const auto term = ticket->lease().term;
+    const bool overlaps =
+        std::any_of(history.inFlight.begin(), history.inFlight.end(),
+                    [&](const request_in_flight &other) { return other.node != index; });
+    const bool sharesTerm = term == history.term && index != history.node;
+    if (overlaps || sharesTerm || term < history.term) {
+        fail(absl::StrCat(partition, " served by ", node.id.name, " in term ", term, " after ",
+                          m_nodes[history.node].id.name, " in term ", history.term,
+                          overlaps ? ", requests overlap" : ""));
+    }
+    history.term = term;
+    history.node = index;
+    history.lastServed = m_now;
+    ++m_result.served;
+    // Shorter than the hand-over guard, so that requests end within the lease.
+    history.inFlight.push_back({index, m_now + between(1, 15), std::move(ticket)});
+}
+
+std::set<std::string> simulation::quicklyRecoverable() const
+{
+    std::set<std::string> partitions;
+    for (const auto &[partition, entry] : m_view->records) {
+        const auto &record = entry.record;
+        const auto keepsMajority = [&](const std::vector<instance_id> &set) {
+            return std::count_if(set.begin(), set.end(),
+                                 [&](const auto &id) { return isRunning(id); })
+                >= 2;
+        };
+        auto claimants = record.standbys;
+        claimants.push_back(record.owner);
+        if (keepsMajority(record.witnesses)
+            && (record.previousWitnesses.empty() || keepsMajority(record.previousWitnesses))
+            && std::any_of(claimants.begin(), claimants.end(),
+                           [&](const auto &id) { return isRunning(id); })) {
+            partitions.insert(partition);
+        }
+    }
+    return partitions;
+}
+
+bool simulation::isRunning(const instance_id &id) const
+{
+    return std::any_of(m_nodes.begin(), m_nodes.end(),
+                       [&](const node &node) { return node.id == id; });
+}
+
+void simulation::fail(const std::string &text)
+{
+    if (m_result.violation.empty()) {
+        const auto ms = std::chrono::floor<milliseconds>(m_now.time_since_epoch()).count();
+        m_result.violation = absl::StrCat(ms % 3600000, " ms: ", text);
+    }
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/ownership/tests/simulation_environment.cpp
@@ -0,0 +1,202 @@
+#include "persimmonrail/ownership/tests/simulation.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+// The network, the platform and the upstreams of the simulation.
+
+namespace persimmonrail {
+
+void simulation::sendMessage(size_t from, const instance_id &to, const wire::Request &request,
+                             milliseconds timeout, const ownership_hooks::reply_completion &done)
+{
+    const size_t receiver = indexOf(to);
+    const auto isDone = std::make_shared<bool>(false);
+    const auto complete = [this, isDone, done](absl::StatusOr<wire::Reply> reply) {
+        return [this, isDone, done, reply = std::move(reply)](node &sender) {
+            if (!std::exchange(*isDone, true)) {
+                done(reply, localTime(sender));
+            }
+        };
+    };
+    onNode(from, m_now + timeout, complete(absl::DeadlineExceededError("no reply")));
+    const int copies = m_faults && chance(0.03) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        const auto delay = [this] {
+            return m_faults && chance(0.02) ? between(1, 1600) : between(1, 4);
+        };
+        if (receiver == m_nodes.size() || chance(m_lossRate) || m_cuts.contains({from, receiver})) {
+            continue;
+        }
+        onNode(receiver, m_now + delay(), [=, this](node &target) {
+            const auto reply = answer(target, request);
+            if (!chance(m_lossRate) && !m_cuts.contains({receiver, from})) {
+                // The sender may have restarted since; its new process never sees the reply.
+                onNode(from, m_now + delay(), complete(reply));
+            }
+        });
+    }
+}
+
+wire::Reply simulation::answer(node &receiver, const wire::Request &request)
+{
+    wire::Reply reply;
+    if (request.has_ping()) {
+        reply.mutable_sender()->set_name(receiver.id.name);
+        reply.mutable_sender()->set_incarnation(receiver.id.incarnation);
+        const auto uptime =
+            std::chrono::floor<milliseconds>(localTime(receiver) - receiver.startedAt);
+        reply.mutable_ping()->set_uptime_ms(static_cast<uint64_t>(uptime.count()));
+        return reply;
+    }
+    auto changed = request;
+    if (m_disabled.recordVersions) {
+        constexpr uint64_t sameForAll = uint64_t{1} << 40;
+        for (auto &lease : *changed.mutable_heartbeat()->mutable_leases()) {
+            lease.set_record_version(sameForAll);
+        }
+        if (request.has_claim()) {
+            changed = request;
+            changed.mutable_claim()->mutable_lease()->set_record_version(sameForAll);
+        } else if (request.has_release()) {
+            changed = request;
+            changed.mutable_release()->mutable_lease()->set_record_version(sameForAll);
+        } else if (request.has_lapse_notice()) {
+            changed = request;
+            changed.mutable_lapse_notice()->set_record_version(0);
+        }
+    }
+    return receiver.engine->onRequest(changed, localTime(receiver));
+}
+
+void simulation::put(size_t from, const std::string &key, uint64_t expected,
+                     const std::string &text, const ownership_hooks::put_completion &done)
+{
+    const auto complete = [this, done](const absl::StatusOr<uint64_t> &version) {
+        return [this, done, version](node &writer) { done(version, localTime(writer)); };
+    };
+    at(m_now + between(1, 5), [=, this] {
+        const auto answered = m_now + between(1, 5);
+        if (!m_platformUp) {
+            onNode(from, answered, complete(absl::UnavailableError("platform is down")));
+            return;
+        }
+        if (m_faults && chance(0.15)) {
+            // The answer is lost; the write takes effect now, late or never.
+            onNode(from, answered + between(0, 300), complete(absl::UnknownError("no answer")));
+            if (chance(0.7)) {
+                at(m_now + (chance(0.5) ? between(0, 5) : between(5, 3000)),
+                   [=, this] { (void)applyPut(key, expected, text); });
+            }
+            return;
+        }
+        onNode(from, answered, complete(applyPut(key, expected, text)));
+    });
+}
+
+absl::StatusOr<uint64_t> simulation::applyPut(const std::string &key, uint64_t expected,
+                                              const std::string &text)
+{
+    auto &object = m_objects[key];
+    if (object.version != expected) {
+        return absl::AbortedError("version differs");
+    }
+    object = {key, ++m_revision, false, text};
+    publishView();
+    return object.version;
+}
+
+void simulation::get(size_t from, const std::string &key,
+                     const ownership_hooks::get_completion &done)
+{
+    at(m_now + between(1, 5), [=, this] {
+        absl::StatusOr<stored_object> result = absl::UnavailableError("platform is down");
+        if (m_platformUp) {
+            result = m_objects.at(key);
+        }
+        onNode(from, m_now + between(1, 5),
+               [this, done, result](node &reader) { done(result, localTime(reader)); });
+    });
+}
+
+void simulation::applyGrants(size_t index, const std::vector<lease_grant> &grants,
+                             const ownership_hooks::grant_completion &done)
+{
+    onNode(index, m_now + between(1, 3), [this, grants, done](node &node) {
+        if (!node.upstreamUp || (m_faults && chance(0.02))) {
+            done(absl::UnavailableError("upstream does not answer"), localTime(node));
+            return;
+        }
+        for (const auto &grant : grants) {
+            auto &term = node.upstreamTerms[grant.partition];
+            if (grant.term < term) {
+                fail(absl::StrCat("grant of term ", grant.term, " after ", term, " for ",
+                                  grant.partition));
+            }
+            term = grant.term;
+        }
+        done(absl::OkStatus(), localTime(node));
+    });
+}
+
+void simulation::registerMembers()
+{
+    for (auto &node : m_nodes) {
+        if (m_platformUp && !node.registered) {
+            node.registered = true;
+            ++m_revision;
+        }
+    }
+    publishView();
+    at(m_now + milliseconds(100), [this] { registerMembers(); });
+}
+
+void simulation::requestMove()
+{
+    const auto &name =
+        std::next(m_history.begin(), between(0, static_cast<int>(m_history.size()) - 1).count())
+            ->first;
+    const auto &object = m_objects.at(placementKey(name));
+    auto record = decodeRecord(object.value);
+    if (m_platformUp && record.ok()) {
+        record->nextOwner = m_nodes[anyNode()].id;
+        (void)applyPut(object.key, object.version, encodeRecord(*record));
+    }
+}
+
+void simulation::publishView()
+{
+    if (m_view && m_view->revision == m_revision) {
+        return;
+    }
+    auto view = std::make_shared<fleet_view>();
+    view->revision = m_revision;
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+        const auto &node = m_nodes[i];
+        const auto old = m_view ? m_view->members.find(node.id.name) : view->members.end();
+        member_record member;
+        member.id = node.id;
+        member.region = "pomorze";
+        member.availabilityZone = node.zone;
+        member.service = "berthdesk";
+        member.controlAddress = absl::StrCat("10.0.0.", i, ":7000");
+        if (!node.registered) {
+            if (!m_view || old == m_view->members.end()) {
+                continue;
+            }
+            member = old->second;
+        }
+        view->members[node.id.name] = member;
+    }
+    for (const auto &[key, object] : m_objects) {
+        if (auto record = decodeRecord(object.value); record.ok()) {
+            const auto partition = record->partition;
+            view->records[partition] = {*std::move(record), object.version};
+        }
+    }
+    m_view = std::move(view);
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/ownership/tests/simulation_test.cpp
@@ -0,0 +1,92 @@
+#include "persimmonrail/ownership/tests/simulation.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace persimmonrail;
+
+namespace {
+
+constexpr uint64_t seedCount = 200;
+
+void checkSeeds(uint64_t first, uint64_t last)
+{
+    size_t served = 0;
+    for (uint64_t seed = first; seed <= last; ++seed) {
+        const auto result = simulation(seed, {}).run();
+        CAPTURE(seed, result.violation);
+        CHECK(result.violation.empty());
+        served += result.served;
+    }
+    CHECK(served > 0);
+}
+
+bool reportsTwoOwners(const simulation_result &result)
+{
+    return result.violation.find("served by") != std::string::npos;
+}
+
+} // namespace
+
+// Guards against two owners at one time (P1), terms that go back, and partitions that stay unserved
+// after a tolerated loss.
+TEST_CASE("no fault gives a partition two owners or leaves it unserved", "[ownership][simulation]")
+{
+    checkSeeds(1, seedCount);
+}
+
+// The same with more seeds, for changes to the protocol; too slow for each build.
+TEST_CASE("many seeds", "[.][simulation-long]")
+{
+    checkSeeds(1, 5000);
+}
+
+// Prints the decisions of one run, for the analysis of a failed seed.
+TEST_CASE("replay of the seed in OWNERSHIP_SEED", "[.][simulation-replay]")
+{
+    const char *seed = std::getenv("OWNERSHIP_SEED");
+    REQUIRE(seed != nullptr);
+    simulation run(std::strtoull(seed, nullptr, 10), {});
+    run.keepLog();
+    const auto result = run.run();
+    for (const auto &line : run.logLines()) {
+        std::cout << line << '\n';
+    }
+    CHECK(result.violation.empty());
+    std::cout << result.violation << '\n';
+}
+
+// Guards against a checker that would not notice a broken protocol.
+TEST_CASE("the checker notices a missing mechanism", "[ownership][simulation]")
+{
+    disabled_mechanisms disabled;
+    SECTION("leases end early at witnesses")
+    {
+        disabled.waitForExpiry = true;
+    }
+    SECTION("no check of the lease after a pause")
+    {
+        disabled.selfCheck = true;
+    }
+    bool noticed = false;
+    for (uint64_t seed = 1; seed <= seedCount && !noticed; ++seed) {
+        noticed = reportsTwoOwners(simulation(seed, disabled).run());
+    }
+    CHECK(noticed);
+}
+
+// Guards against a standby that wins under an outdated record, whose witnesses the owner has
+// replaced (W2). Random faults reach this too rarely for a test.
+TEST_CASE("a standby with an outdated record cannot win", "[ownership][simulation]")
+{
+    disabled_mechanisms disabled;
+    disabled.recordVersions = GENERATE(false, true);
+    simulation run(1, disabled);
+    run.replaceWitnessBehindStaleViews();
+    const auto result = run.run();
+    CAPTURE(disabled.recordVersions, result.violation);
+    CHECK(reportsTwoOwners(result) == disabled.recordVersions);
+    CHECK(result.violation.empty() != disabled.recordVersions);
+}
--- a/src/persimmonrail/ownership/witness_choice.h
+++ b/src/persimmonrail/ownership/witness_choice.h
@@ -19,14 +19,14 @@
 // hosts other than the owner's and each other's, in three availability zones where the region has
 // them. Sites with too few hosts get instances that share a host rather than none. Returns fewer
 // than three if the region has fewer other members, and none if the owner is no member; a record
-// must not be written then.
+// must not be written then. The choice depends on the owner alone, so that the heartbeats of all
+// its partitions share three streams; `partition` is for choices by partition in the future.
 std::vector<instance_id> chooseWitnesses(const fleet_view &view, const instance_id &owner,
                                          std::string_view partition);
 
 // Completes `kept` to three witnesses by the rules of chooseWitnesses() without choosing any of
 // `avoided`.
 std::vector<instance_id> completeWitnesses(const fleet_view &view, const instance_id &owner,
-                                           std::string_view partition,
                                            std::vector<instance_id> kept,
                                            const std::vector<instance_id> &avoided);
 
--- /dev/null
+++ b/src/persimmonrail/ownership/write_pacer.cpp
@@ -0,0 +1,49 @@
+#include "persimmonrail/ownership/write_pacer.h"
+
+#include <algorithm>
+
+namespace persimmonrail {
+
+write_pacer::write_pacer(limits limits, uint64_t seed)
+    : m_limits(limits)
+    , m_random(seed)
+    , m_tokens(limits.burst)
+{ }
+
+bool write_pacer::isReady(steady_time now)
+{
+    refill(now);
+    return m_tokens >= 1 && now >= m_blockedUntil;
+}
+
+void write_pacer::take(steady_time now)
+{
+    refill(now);
+    m_tokens -= 1;
+}
+
+void write_pacer::onRefused(steady_time now)
+{
+    m_backoff = std::clamp(m_backoff * 2, m_limits.firstBackoff, m_limits.maxBackoff);
+    // Half of the delay is random, so that instances do not retry in step after an outage.
+    const auto half = m_backoff.count() / 2;
+    std::uniform_int_distribution<milliseconds::rep> jitter(0, half);
+    m_blockedUntil = now + milliseconds(half + jitter(m_random));
+}
+
+void write_pacer::onAnswered()
+{
+    m_backoff = milliseconds(0);
+}
+
+void write_pacer::refill(steady_time now)
+{
+    if (now <= m_refilledAt) {
+        return;
+    }
+    const std::chrono::duration<double> elapsed = now - m_refilledAt;
+    m_tokens = std::min(m_limits.burst, m_tokens + elapsed.count() * m_limits.perSecond);
+    m_refilledAt = now;
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/ownership/write_pacer.h
+++ b/src/persimmonrail/ownership/write_pacer.h
@@ -24,6 +24,8 @@
 
     // Whether a call is admitted at `now`.
     bool isReady(steady_time now);
+    // Whether the platform refused the last call and the backoff has not ended.
+    bool isBackingOff(steady_time now) const { return now < m_blockedUntil; }
     // Takes a token; call only if isReady().
     void take(steady_time now);
     // Delays the next call after ResourceExhausted or Unavailable.
