Test the request path and keep uncertain outcomes uncertain

Tests over several daemons showed that a request whose first attempt may have run could be answered not-run, if a later attempt was refused. Such outcomes are now unknown, in the client and on the ingress daemon. At-most-once answers are recorded before they are sent, so that a resend that follows at once finds them.

--- a/src/persimmonrail/gateway/caller_sink.cpp
+++ b/src/persimmonrail/gateway/caller_sink.cpp
@@ -35,10 +35,10 @@
     }
 }
 
-caller_sink::caller_sink(server_exchange &exchange, std::string requestId, bool keep)
+caller_sink::caller_sink(server_exchange &exchange, std::string requestId, keep_hook keep)
     : m_exchange(exchange)
     , m_requestId(std::move(requestId))
-    , m_keep(keep)
+    , m_keep(std::move(keep))
 { }
 
 bool caller_sink::begin(const Poco::Net::HTTPResponse &head, const body_framing &framing,
@@ -54,7 +54,7 @@
         for (const auto &[name, value] : answer) {
             kept->fields.emplace_back(name, value);
         }
-        m_kept = std::move(kept);
+        m_keep(std::move(kept));
     }
     const body_framing sent =
         whole ? body_framing{body_framing::kind::Length, first.size()} : framing;
--- a/src/persimmonrail/gateway/caller_sink.h
+++ b/src/persimmonrail/gateway/caller_sink.h
@@ -3,6 +3,7 @@
 #include "persimmonrail/gateway/gateway_hooks.h"
 #include "persimmonrail/http/http_server.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -15,21 +16,22 @@
 class caller_sink : public answer_sink
 {
 public:
-    // If `keep` is set, a whole answer of at most bodyPieceBytes is kept for resends.
-    caller_sink(server_exchange &exchange, std::string requestId, bool keep);
+    // Receives a whole answer before the requester does, so that a resend which follows at once
+    // finds it.
+    using keep_hook = std::function<void(std::shared_ptr<const stored_answer> answer)>;
+
+    // `keep` gets whole answers of at most bodyPieceBytes; empty keeps none.
+    caller_sink(server_exchange &exchange, std::string requestId, keep_hook keep = {});
 
     bool begin(const Poco::Net::HTTPResponse &head, const body_framing &framing,
                std::string_view first, bool whole) override;
     bool write(std::string_view piece) override;
     bool finish() override;
 
-    std::shared_ptr<const stored_answer> kept() const { return m_kept; }
-
 private:
     server_exchange &m_exchange;
     const std::string m_requestId;
-    const bool m_keep;
-    std::shared_ptr<const stored_answer> m_kept;
+    const keep_hook m_keep;
 };
 
 // Sends a kept answer.
--- a/src/persimmonrail/gateway/request_call.cpp
+++ b/src/persimmonrail/gateway/request_call.cpp
@@ -1,7 +1,6 @@
 #include "persimmonrail/gateway/request_call.h"
 
 #include "persimmonrail/base/header_names.h"
-#include "persimmonrail/gateway/caller_sink.h"
 
 #include <Poco/JSON/Object.h>
 
@@ -69,7 +68,7 @@
     } else {
         logAttempt("", nullptr, *ended);
     }
-    finish(*ended);
+    finish(*std::move(ended));
 }
 
 std::optional<call_result> request_call::findOperation()
@@ -140,6 +139,10 @@
 
 bool request_call::mayContinue(const call_result &result)
 {
+    if (result.outcome == request_outcome::Unknown) {
+        m_mayHaveRun = true;
+        m_unknownReason = result.reason;
+    }
     if (result.answerStarted || result.callerGone || !prepareBody()) {
         return false;
     }
@@ -255,7 +258,7 @@
     request.repeatable = m_repeatable;
     request.deadline = m_deadline;
     request.caller = &m_exchange.connection();
-    caller_sink sink(m_exchange, m_requestId, false);
+    caller_sink sink(m_exchange, m_requestId);
     const forward_result forwarded = m_path.m_forwarder.forward(std::move(request), sink);
     call_result result;
     result.outcome = forwarded.outcome;
@@ -277,41 +280,53 @@
     const steady_time now = currentTime();
     const upstream_status status = m_path.m_guard.status(now);
     call_result result;
-    std::shared_ptr<const stored_answer> kept;
     if (!status.announcement || status.state == upstream_state::Down) {
         result = notRun("upstream-down");
     } else if (status.announcement->service != m_target.service) {
         result = notRun("wrong-service");
     } else if (m_repeatable) {
-        result = admitAndHandOver(ticket, kept);
+        result = admitAndHandOver(ticket, {});
     } else if (ticket == nullptr) {
         result = notRun("not-owner");
     } else {
-        const at_most_once_decision decision =
-            m_path.m_hooks.atMostOnceBegin(m_target.service, m_idempotencyKey, *ticket, now);
-        switch (decision.what) {
-        case at_most_once_decision::action::Proceed:
-            result = admitAndHandOver(ticket, kept);
-            m_path.m_hooks.atMostOnceEnd(m_target.service, m_idempotencyKey, result.outcome, kept);
-            break;
-        case at_most_once_decision::action::Replay:
-            result.outcome = request_outcome::Run;
-            result.reason = "answered-from-record";
-            result.answerStarted = true;
-            result.callerGone = !sendStored(m_exchange, *decision.answer, m_requestId);
-            break;
-        case at_most_once_decision::action::Refuse:
-            result.outcome = decision.outcome;
-            result.reason = decision.reason;
-            break;
-        }
+        result = runAtMostOnce(*ticket, now);
     }
     logAttempt(m_path.m_options.instance, ticket, result);
     return result;
 }
 
+call_result request_call::runAtMostOnce(const lease_ticket &ticket, steady_time now)
+{
+    const auto &hooks = m_path.m_hooks;
+    const at_most_once_decision decision =
+        hooks.atMostOnceBegin(m_target.service, m_idempotencyKey, ticket, now);
+    call_result result;
+    if (decision.what == at_most_once_decision::action::Refuse) {
+        result.outcome = decision.outcome;
+        result.reason = decision.reason;
+        return result;
+    }
+    if (decision.what == at_most_once_decision::action::Replay) {
+        result.outcome = request_outcome::Run;
+        result.reason = "answered-from-record";
+        result.answerStarted = true;
+        result.callerGone = !sendStored(m_exchange, *decision.answer, m_requestId);
+        return result;
+    }
+    bool ended = false;
+    result = admitAndHandOver(&ticket, [&](std::shared_ptr<const stored_answer> answer) {
+        ended = true;
+        hooks.atMostOnceEnd(m_target.service, m_idempotencyKey, request_outcome::Run,
+                            std::move(answer));
+    });
+    if (!ended) {
+        hooks.atMostOnceEnd(m_target.service, m_idempotencyKey, result.outcome, nullptr);
+    }
+    return result;
+}
+
 call_result request_call::admitAndHandOver(const lease_ticket *ticket,
-                                           std::shared_ptr<const stored_answer> &kept)
+                                           const caller_sink::keep_hook &keep)
 {
     const admission_result admitted =
         m_path.m_hooks.admit(m_target.service, m_rankIndex, m_deadline, currentTime());
@@ -335,9 +350,8 @@
     request.repeatable = m_repeatable;
     request.deadline = m_deadline;
     request.caller = &m_exchange.connection();
-    caller_sink sink(m_exchange, m_requestId, !m_repeatable);
+    caller_sink sink(m_exchange, m_requestId, keep);
     const hand_over_result handed = m_path.m_guard.handOver(request, sink, currentTime());
-    kept = sink.kept();
     call_result result;
     result.outcome = handed.outcome;
     result.reason = handed.reason;
@@ -367,8 +381,13 @@
     m_path.m_log.write(line);
 }
 
-void request_call::finish(const call_result &result)
+void request_call::finish(call_result result)
 {
+    if (m_mayHaveRun && result.outcome == request_outcome::NotRun) {
+        result.outcome = request_outcome::Unknown;
+        result.reason = m_unknownReason;
+        result.status = 0;
+    }
     // Names of unknown services come from callers and would make the number of series unbounded.
     const std::string service = m_document ? m_document->service : std::string();
     m_path.m_metrics.recordLatency(service, m_rank, result.outcome, currentTime() - m_start);
--- a/src/persimmonrail/gateway/request_call.h
+++ b/src/persimmonrail/gateway/request_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "persimmonrail/gateway/caller_sink.h"
 #include "persimmonrail/gateway/request_path.h"
 #include "persimmonrail/gateway/request_target.h"
 
@@ -44,8 +45,8 @@
     call_result routeToAny();
 
     call_result runLocal(const lease_ticket *ticket);
-    call_result admitAndHandOver(const lease_ticket *ticket,
-                                 std::shared_ptr<const stored_answer> &kept);
+    call_result runAtMostOnce(const lease_ticket &ticket, steady_time now);
+    call_result admitAndHandOver(const lease_ticket *ticket, const caller_sink::keep_hook &keep);
     call_result forwardTo(const member_record &member);
     // Whether another attempt may follow one with this result.
     bool mayContinue(const call_result &result);
@@ -53,7 +54,7 @@
     bool prepareBody();
     void logAttempt(std::string_view instance, const lease_ticket *ticket,
                     const call_result &result);
-    void finish(const call_result &result);
+    void finish(call_result result);
 
     request_path &m_path;
     server_exchange &m_exchange;
@@ -70,6 +71,10 @@
     std::optional<uint64_t> m_hash;
     steady_time m_deadline;
     std::string m_holderHint;
+    // An attempt ended with an unknown outcome, so the request may have run whatever later attempts
+    // come to.
+    bool m_mayHaveRun = false;
+    std::string m_unknownReason;
 };
 
 } // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/gateway/tests/test_fleet.cpp
@@ -0,0 +1,147 @@
+#include "test_fleet.h"
+
+#include "persimmonrail/base/header_names.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/StreamCopier.h>
+
+#include <catch2/catch.hpp>
+
+namespace persimmonrail {
+namespace {
+
+constexpr uint64_t testTerm = 7;
+
+class test_ticket : public lease_ticket
+{
+public:
+    const std::string &partition() const override { return m_partition; }
+    uint64_t term() const override { return testTerm; }
+    steady_time leaseEnd() const override { return std::chrono::steady_clock::now() + generous; }
+
+private:
+    const std::string m_partition = "standin/all";
+};
+
+} // namespace
+
+test_fleet::test_fleet()
+{
+    m_record.version = 1;
+    m_record.record.partition = "standin/all";
+    m_record.record.range = {0, UINT64_MAX};
+    m_record.record.term = testTerm;
+}
+
+std::shared_ptr<const service_document> test_fleet::document(const std::string &service) const
+{
+    auto result = std::make_shared<service_document>();
+    result->service = service;
+    if (service == "standin") {
+        result->key = key_rule{key_source::PathSegment, 1, ""};
+        result->partitions = 1;
+    }
+    result->ranks = {{"urgent", milliseconds(10), 1, 0}, {"bulk", milliseconds(100), 1, 0}};
+    result->operations = {
+        {"write", "PUT", "/records", "urgent", m_timeout, true},
+        {"read", "GET", "/records", "bulk", m_timeout, true},
+        {"credit", "POST", "/records", "urgent", m_timeout, false},
+    };
+    return result;
+}
+
+void test_fleet::publish()
+{
+    auto view = std::make_shared<fleet_view>();
+    view->revision = 1;
+    view->members = m_members;
+    view->documents["standin"] = document("standin");
+    view->documents["photos"] = document("photos");
+    const auto record = view->records.emplace(m_record.record.partition, m_record).first;
+    view->recordsByService["standin"] = {&record->second};
+    m_view = std::move(view);
+}
+
+test_fleet::daemon &test_fleet::add(const std::string &name, const std::string &service,
+                                    const std::function<void(daemon &)> &change)
+{
+    daemon &added = *m_daemons.emplace_back(std::make_unique<daemon>());
+    added.name = name;
+    added.options.instance = name;
+    added.hooks.view = [this] { return m_view.load(); };
+    added.hooks.localLease = [&added](std::string_view, uint64_t,
+                                      steady_time) -> std::unique_ptr<lease_ticket> {
+        if (added.onLookup) {
+            added.onLookup();
+        }
+        return added.holdsLease ? std::make_unique<test_ticket>() : nullptr;
+    };
+    added.hooks.holderHint = [&added](std::string_view, uint64_t) { return added.holderHint; };
+    if (change) {
+        change(added);
+    }
+    added.path = std::make_unique<request_path>(added.options, added.hooks, added.guard, added.log,
+                                                added.counters);
+    added.callers = *caller_server::listen({}, *added.path);
+    added.peers = *peer_server::listen({}, *added.path);
+    if (!service.empty()) {
+        upstream_standin_options options;
+        options.service = service;
+        options.instance = name;
+        options.checksGrants = service == "standin";
+        added.standin = *upstream_standin::start(options);
+        const steady_time now = std::chrono::steady_clock::now();
+        // Valid for the whole test, since nothing renews the announcement.
+        REQUIRE(added.guard.announce(added.standin->announcement(), now + generous).ok());
+        REQUIRE(added.guard.pushGrants({{"standin/all", testTerm, {0, UINT64_MAX}}}, generous, now)
+                    .ok());
+    }
+    member_record member;
+    member.id = {name, 1};
+    member.service = service;
+    member.peerAddress = added.peers->address();
+    m_members[name] = member;
+    publish();
+    return added;
+}
+
+void test_fleet::place(const std::string &owner, const std::vector<std::string> &standbys)
+{
+    m_record.record.owner = {owner, 1};
+    m_record.record.standbys.clear();
+    for (const std::string &standby : standbys) {
+        m_record.record.standbys.push_back({standby, 1});
+    }
+    publish();
+}
+
+void test_fleet::setPeerAddress(const std::string &name, const std::string &address)
+{
+    m_members[name].peerAddress = address;
+    publish();
+}
+
+caller_answer call(const std::string &address, const std::string &method, const std::string &uri,
+                   const std::string &body, const std::vector<std::string> &fields)
+{
+    Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
+    session.setTimeout(Poco::Timespan(60, 0));
+    Poco::Net::HTTPRequest request(method, uri, Poco::Net::HTTPMessage::HTTP_1_1);
+    for (const std::string &field : fields) {
+        const size_t colon = field.find(": ");
+        request.add(field.substr(0, colon), field.substr(colon + 2));
+    }
+    request.setContentLength(static_cast<std::streamsize>(body.size()));
+    caller_answer answer;
+    session.sendRequest(request) << body << std::flush;
+    std::istream &input = session.receiveResponse(answer.head);
+    Poco::StreamCopier::copyToString(input, answer.body);
+    answer.status = answer.head.getStatus();
+    answer.outcome = answer.head.get(outcomeHeader, "");
+    answer.reason = answer.head.get(reasonHeader, "");
+    answer.whole =
+        answer.head.getContentLength() == static_cast<std::streamsize>(answer.body.size());
+    return answer;
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -363,6 +363,15 @@
 exchange_result http_client::exchange(const client_request &request, answer_sink &sink)
 {
     bool fresh = false;
+    bool sentEarlier = false;
+    // Once bytes of the request were sent, a later attempt that sends nothing does not make it
+    // certain that the request did not run.
+    const auto judge = [&sentEarlier](exchange_result result) {
+        if (sentEarlier && result.state == exchange_state::NotSent) {
+            result.state = exchange_state::NoAnswer;
+        }
+        return result;
+    };
     for (;;) {
         auto connection = fresh ? m_pool->connect(request.address, request.deadline)
                                 : m_pool->take(request.address, request.deadline);
@@ -370,7 +379,7 @@
             exchange_result result;
             result.state = exchange_state::NotSent;
             result.detail = std::string(connection.status().message());
-            return result;
+            return judge(std::move(result));
         }
         attempt current(request, *connection->stream, sink);
         exchange_result result = current.run();
@@ -383,6 +392,7 @@
             && (request.body == nullptr || request.body->rewind())) {
             m_pool->drop(request.address);
             fresh = true;
+            sentEarlier = current.anySent();
             continue;
         }
         const bool ended =
@@ -390,7 +400,7 @@
         if (ended && current.isReusable()) {
             m_pool->giveBack(std::move(*connection));
         }
-        return result;
+        return judge(std::move(result));
     }
 }
 
--- a/src/persimmonrail/http/tests/http_test.cpp
+++ b/src/persimmonrail/http/tests/http_test.cpp
@@ -206,6 +206,45 @@
     }
 }
 
+// Guards P4: a request that was sent and whose second attempt was refused may have run.
+TEST_CASE("a refused second attempt does not hide that the first one was sent", "[http]")
+{
+    class closing_body : public body_source
+    {
+    public:
+        body_framing framing() const override { return {body_framing::kind::Length, 1}; }
+        io_status read(std::string &piece, steady_time) override
+        {
+            piece = m_read ? "" : "x";
+            m_read = true;
+            return io_status::Ok;
+        }
+        bool rewind() override
+        {
+            server.reset();
+            m_read = false;
+            return true;
+        }
+        std::unique_ptr<scripted_server> server;
+
+    private:
+        bool m_read = false;
+    };
+    closing_body body;
+    body.server = std::make_unique<scripted_server>([](Poco::Net::StreamSocket &socket, int) {
+        readHeadText(socket);
+        sendText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+        readHeadText(socket);
+    });
+    http_client client(std::make_shared<connection_pool>());
+    recording_sink sink;
+    client_request request = requestTo(body.server->address());
+    request.repeatable = true;
+    REQUIRE(client.exchange(request, sink).state == exchange_state::Whole);
+    request.body = &body;
+    CHECK(toString(client.exchange(request, sink).state) == toString(exchange_state::NoAnswer));
+}
+
 // Guards against waiting for a silent peer beyond the deadline, and against giving up a peer that
 // is merely slow.
 TEST_CASE("a silent connection ends at the deadline or by the probe", "[http]")
