Record since when a partition is served under its term

Cause: the at-most-once table has to refuse idempotency keys that an earlier owner may have seen, and needs the start of the tenure for it. Change: serving_table keeps the time at which serving under the present term began.

--- a/src/persimmonrail/ownership/engine_leases.cpp
+++ b/src/persimmonrail/ownership/engine_leases.cpp
@@ -397,7 +397,7 @@
     }
     const auto &record = lease.known.record;
     if (lease.granted) {
-        m_table.publish(record.partition, record.range, lease.term, lease.leaseEnd);
+        m_table.publish(record.partition, record.range, lease.term, lease.leaseEnd, now);
         if (std::exchange(lease.suspendedAt, std::nullopt)) {
             log(lease, "resume", "lease renewed");
         }
--- a/src/persimmonrail/ownership/serving_table.cpp
+++ b/src/persimmonrail/ownership/serving_table.cpp
@@ -63,16 +63,30 @@
 }
 
 void serving_table::publish(const std::string &partition, hash_range range, uint64_t term,
-                            steady_time leaseEnd)
+                            steady_time leaseEnd, steady_time now)
 {
     const std::lock_guard lock(m_mutex);
     auto &entry = m_entries[partition];
+    if (entry.term != term) {
+        entry.since = now;
+    }
     entry.range = range;
     entry.term = term;
     entry.leaseEnd = leaseEnd;
     entry.stopped = false;
 }
 
+std::optional<steady_time> serving_table::servingSince(std::string_view partition,
+                                                       uint64_t term) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(partition);
+    if (it == m_entries.end() || it->second.term != term) {
+        return std::nullopt;
+    }
+    return it->second.since;
+}
+
 void serving_table::stop(const std::string &partition)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/persimmonrail/ownership/serving_table.h
+++ b/src/persimmonrail/ownership/serving_table.h
@@ -65,7 +65,9 @@
 
     // Starts or extends serving a partition under `term`, also after stop().
     void publish(const std::string &partition, hash_range range, uint64_t term,
-                 steady_time leaseEnd);
+                 steady_time leaseEnd, steady_time now);
+    // When serving the partition under `term` began; nothing if it is not served under this term.
+    std::optional<steady_time> servingSince(std::string_view partition, uint64_t term) const;
     // Admits no further requests for the partition.
     void stop(const std::string &partition);
     // Requests admitted by begin() and not finished.
@@ -77,6 +79,8 @@
         hash_range range;
         uint64_t term = 0;
         steady_time leaseEnd;
+        // Start of serving under `term`.
+        steady_time since;
         bool stopped = true;
         std::shared_ptr<std::atomic<size_t>> count = std::make_shared<std::atomic<size_t>>(0);
     };
