--- /dev/null
+++ b/src/persimmonrail/daemon/daemon.cpp
@@ -0,0 +1,37 @@
+#include "persimmonrail/daemon/daemon.h"
+
+#include "persimmonrail/daemon/daemon_state.h"
+
+namespace persimmonrail {
+
+absl::StatusOr<std::unique_ptr<daemon>> daemon::start(const daemon_settings &settings)
+{
+    auto created = std::make_unique<state>(settings);
+    if (auto status = created->start(); !status.ok()) {
+        return status;
+    }
+    return std::unique_ptr<daemon>(new daemon(std::move(created)));
+}
+
+daemon::daemon(std::unique_ptr<state> state)
+    : m_state(std::move(state))
+{ }
+
+daemon::~daemon() = default;
+
+bool daemon::stop()
+{
+    return m_state->stop();
+}
+
+const std::string &daemon::callerAddress() const
+{
+    return m_state->callers().address();
+}
+
+const std::string &daemon::adminAddress() const
+{
+    return m_state->admin().address();
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/daemon/daemon_traffic.cpp
@@ -0,0 +1,191 @@
+// The request path of the daemon: hooks from the gateway to the control state.
+#include "persimmonrail/daemon/daemon_state.h"
+
+#include "persimmonrail/routing/route_candidates.h"
+
+#include <ctime>
+
+namespace persimmonrail {
+namespace {
+
+// A ticket of the serving table in the form in which the gateway takes it.
+class serving_lease_ticket : public lease_ticket
+{
+public:
+    explicit serving_lease_ticket(serving_table::ticket ticket)
+        : m_ticket(std::move(ticket))
+    { }
+
+    const std::string &partition() const override { return m_ticket.lease().partition; }
+    uint64_t term() const override { return m_ticket.lease().term; }
+    steady_time leaseEnd() const override { return m_ticket.lease().leaseEnd; }
+
+private:
+    serving_table::ticket m_ticket;
+};
+
+double processCpuSeconds()
+{
+    timespec used{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
+}
+
+} // namespace
+
+absl::Status daemon::state::startTraffic()
+{
+    request_path_options options;
+    options.instance = m_self.name;
+    m_path.emplace(options, makeGatewayHooks(), m_guard, m_log, m_metrics);
+
+    http_server_options server;
+    server.address = m_settings.peerAddress;
+    server.maxConnections = m_settings.maxCallerConnections;
+    auto peers = peer_server::listen(server, *m_path);
+    if (!peers.ok()) {
+        return peers.status();
+    }
+    m_peers = *std::move(peers);
+    server.address = m_settings.callerAddress;
+    auto callers = caller_server::listen(server, *m_path);
+    if (!callers.ok()) {
+        return callers.status();
+    }
+    m_callers = *std::move(callers);
+    server.address = m_settings.adminAddress;
+    auto admin = admin_server::listen(server, makeAdminHooks());
+    if (!admin.ok()) {
+        return admin.status();
+    }
+    m_admin = *std::move(admin);
+    return absl::OkStatus();
+}
+
+gateway_hooks daemon::state::makeGatewayHooks()
+{
+    gateway_hooks hooks;
+    hooks.view = [this] { return m_sync ? m_sync->view() : std::make_shared<const fleet_view>(); };
+    hooks.localLease = [this](std::string_view service, uint64_t hash,
+                              steady_time now) -> std::unique_ptr<lease_ticket> {
+        auto ticket = m_serving.begin(service, hash, now);
+        if (!ticket) {
+            return nullptr;
+        }
+        return std::make_unique<serving_lease_ticket>(*std::move(ticket));
+    };
+    hooks.candidates = [](const fleet_view &view, std::string_view service, uint64_t hash,
+                          std::string_view hintedHolder) {
+        std::vector<member_record> members;
+        for (const auto *member : routeCandidates(view, service, hash, hintedHolder)) {
+            members.push_back(*member);
+        }
+        return members;
+    };
+    hooks.pickInstance = [this](const fleet_view &, std::string_view service,
+                                const std::vector<instance_id> &tried,
+                                steady_time now) { return m_instances.pick(service, tried, now); };
+    hooks.attemptEnded = [this](std::string_view service, const member_record &member,
+                                request_outcome outcome, std::string_view reason,
+                                std::chrono::nanoseconds took, steady_time now) {
+        m_instances.finish(service, member.id, outcome, reason, took, now);
+    };
+    hooks.retryBudget = [this](bool isRetry, steady_time now) {
+        if (isRetry) {
+            return m_retries.tryRetry(now);
+        }
+        m_retries.noteFirstAttempt(now);
+        return true;
+    };
+    hooks.atMostOnceBegin = [this](std::string_view service, std::string_view idempotencyKey,
+                                   const lease_ticket &ticket, steady_time now) {
+        return beginAtMostOnce(service, idempotencyKey, ticket, now);
+    };
+    hooks.atMostOnceEnd = [this](std::string_view service, std::string_view idempotencyKey,
+                                 request_outcome outcome,
+                                 const std::shared_ptr<const stored_answer> &answer) {
+        endAtMostOnce(service, idempotencyKey, outcome, answer);
+    };
+    return hooks;
+}
+
+at_most_once_decision daemon::state::beginAtMostOnce(std::string_view service,
+                                                     std::string_view idempotencyKey,
+                                                     const lease_ticket &ticket, steady_time now)
+{
+    at_most_once_decision decision;
+    const auto key = parseIdempotencyKey(idempotencyKey);
+    const auto since = m_serving.servingSince(ticket.partition(), ticket.term());
+    if (!key.ok() || !since) {
+        decision.what = at_most_once_decision::action::Refuse;
+        decision.outcome = request_outcome::NotRun;
+        decision.reason = key.ok() ? "not-owner" : "invalid-idempotency-key";
+        return decision;
+    }
+    const wall_time wallNow = std::chrono::system_clock::now();
+    const auto tenure = std::chrono::duration_cast<wall_time::duration>(now - *since);
+    const auto verdict = m_atMostOnce.begin(service, *key, wallNow - tenure, wallNow);
+    decision.outcome = verdict.outcome;
+    decision.reason = verdict.reason;
+    decision.answer = verdict.answer;
+    switch (verdict.what) {
+    case at_most_once_verdict::action::Proceed:
+        decision.what = at_most_once_decision::action::Proceed;
+        break;
+    case at_most_once_verdict::action::Replay:
+        decision.what = at_most_once_decision::action::Replay;
+        break;
+    case at_most_once_verdict::action::Refuse:
+        decision.what = at_most_once_decision::action::Refuse;
+        break;
+    }
+    return decision;
+}
+
+void daemon::state::endAtMostOnce(std::string_view service, std::string_view idempotencyKey,
+                                  request_outcome outcome,
+                                  const std::shared_ptr<const stored_answer> &answer)
+{
+    if (const auto key = parseIdempotencyKey(idempotencyKey); key.ok()) {
+        m_atMostOnce.end(service, *key, outcome, answer);
+    }
+}
+
+admin_hooks daemon::state::makeAdminHooks()
+{
+    addGauges();
+    admin_hooks hooks;
+    hooks.announce = [this](const upstream_announcement &announcement) {
+        if (announcement.service != m_settings.service) {
+            return absl::FailedPreconditionError("the daemon is set up for another service");
+        }
+        return m_guard.announce(announcement, std::chrono::steady_clock::now());
+    };
+    hooks.metricsText = [this] { return m_metrics.renderText(); };
+    hooks.notReadyReason = [this] { return notReadyReason(); };
+    hooks.explain = [this](const std::string &service, const std::string &key) {
+        return m_path->explain(service, key, std::chrono::steady_clock::now());
+    };
+    hooks.state = [this] { return describeState(); };
+    return hooks;
+}
+
+void daemon::state::addGauges()
+{
+    m_metrics.addGauge("persimmonrail_process_cpu_seconds", processCpuSeconds);
+    m_metrics.addGauge("persimmonrail_ready", [this] { return notReadyReason().empty() ? 1 : 0; });
+    m_metrics.addGauge("persimmonrail_relay", [this] { return m_sync->isRelay() ? 1 : 0; });
+    m_metrics.addGauge("persimmonrail_state_revision", [this] { return m_sync->revision(); });
+    m_metrics.addGauge("persimmonrail_control_sent_bytes",
+                       [this] { return m_messenger->traffic().bytesSent.load(); });
+    m_metrics.addGauge("persimmonrail_control_received_bytes",
+                       [this] { return m_messenger->traffic().bytesReceived.load(); });
+    m_metrics.addGauge("persimmonrail_control_sent_messages",
+                       [this] { return m_messenger->traffic().messagesSent.load(); });
+    m_metrics.addGauge("persimmonrail_control_received_messages",
+                       [this] { return m_messenger->traffic().messagesReceived.load(); });
+    m_metrics.addGauge("persimmonrail_platform_reads", [this] { return m_platform->reads(); });
+    m_metrics.addGauge("persimmonrail_platform_writes", [this] { return m_platform->writes(); });
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/daemon/platform_worker.cpp
+++ b/src/persimmonrail/daemon/platform_worker.cpp
@@ -5,23 +5,12 @@
 platform_worker::platform_worker(object_api api, control_loop &loop)
     : m_api(std::move(api))
     , m_loop(loop)
-    , m_thread([this] { run(); })
 { }
 
-platform_worker::~platform_worker()
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        m_stopping = true;
-    }
-    m_wakeUp.notify_all();
-    m_thread.join();
-}
-
 void platform_worker::put(const std::string &key, uint64_t expectedVersion,
                           const std::string &value, write_completion done)
 {
-    enqueue([this, key, expectedVersion, value, done = std::move(done)] {
+    m_worker.enqueue([this, key, expectedVersion, value, done = std::move(done)] {
         ++m_writes;
         auto version = m_api.put(key, expectedVersion, value);
         m_loop.post([done, version = std::move(version)](steady_time now) { done(version, now); });
@@ -31,7 +20,7 @@
 void platform_worker::remove(const std::string &key, uint64_t expectedVersion,
                              write_completion done)
 {
-    enqueue([this, key, expectedVersion, done = std::move(done)] {
+    m_worker.enqueue([this, key, expectedVersion, done = std::move(done)] {
         ++m_writes;
         auto version = m_api.remove(key, expectedVersion);
         m_loop.post([done, version = std::move(version)](steady_time now) { done(version, now); });
@@ -40,36 +29,11 @@
 
 void platform_worker::get(const std::string &key, read_completion done)
 {
-    enqueue([this, key, done = std::move(done)] {
+    m_worker.enqueue([this, key, done = std::move(done)] {
         ++m_reads;
         auto object = m_api.get(key);
         m_loop.post([done, object = std::move(object)](steady_time now) { done(object, now); });
     });
 }
 
-void platform_worker::enqueue(std::function<void()> call)
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        m_calls.push_back(std::move(call));
-    }
-    m_wakeUp.notify_one();
-}
-
-void platform_worker::run()
-{
-    std::unique_lock lock(m_mutex);
-    while (true) {
-        m_wakeUp.wait(lock, [this] { return m_stopping || !m_calls.empty(); });
-        if (m_stopping) {
-            return;
-        }
-        const auto call = std::move(m_calls.front());
-        m_calls.pop_front();
-        lock.unlock();
-        call();
-        lock.lock();
-    }
-}
-
 } // namespace persimmonrail
--- a/src/persimmonrail/daemon/platform_worker.h
+++ b/src/persimmonrail/daemon/platform_worker.h
@@ -1,14 +1,11 @@
 #pragma once
 
+#include "persimmonrail/daemon/background_worker.h"
 #include "persimmonrail/daemon/control_loop.h"
 #include "persimmonrail/platform/object_api.h"
 
 #include <atomic>
-#include <condition_variable>
-#include <deque>
 #include <functional>
-#include <mutex>
-#include <thread>
 
 namespace persimmonrail {
 
@@ -25,8 +22,6 @@
     platform_worker(object_api api, control_loop &loop);
     platform_worker(const platform_worker &) = delete;
     platform_worker &operator=(const platform_worker &) = delete;
-    // Waits for the call under way; completions of calls not yet begun are dropped.
-    ~platform_worker();
 
     // Called on the control thread, as are the completions.
     void put(const std::string &key, uint64_t expectedVersion, const std::string &value,
@@ -38,18 +33,12 @@
     uint64_t writes() const { return m_writes; }
 
 private:
-    void enqueue(std::function<void()> call);
-    void run();
-
     object_api m_api;
     control_loop &m_loop;
     std::atomic<uint64_t> m_reads{0};
     std::atomic<uint64_t> m_writes{0};
-    std::mutex m_mutex;
-    std::condition_variable m_wakeUp;
-    std::deque<std::function<void()>> m_calls;
-    bool m_stopping = false;
-    std::thread m_thread;
+    // Declared last: its thread uses the members above until it has ended.
+    background_worker m_worker;
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/gateway/gateway_hooks.h
+++ b/src/persimmonrail/gateway/gateway_hooks.h
@@ -2,6 +2,7 @@
 
 #include "persimmonrail/base/clock.h"
 #include "persimmonrail/base/request_outcome.h"
+#include "persimmonrail/requests/at_most_once_table.h"
 #include "persimmonrail/sync/fleet_view.h"
 
 #include <functional>
@@ -42,13 +43,7 @@
 
 using admission_result = std::variant<std::unique_ptr<admission_ticket>, admission_refusal>;
 
-// An answer kept for resends of an at-most-once request.
-struct stored_answer
-{
-    int status = 0;
-    std::vector<std::pair<std::string, std::string>> fields;
-    std::string body;
-};
+using stored_answer = kept_answer;
 
 // Decision on an at-most-once request before it is handed over.
 struct at_most_once_decision
--- a/src/persimmonrail/gateway/request_path.cpp
+++ b/src/persimmonrail/gateway/request_path.cpp
@@ -12,6 +12,23 @@
 namespace persimmonrail {
 namespace {
 
+// Counts a request from construction to destruction.
+class counted_request
+{
+public:
+    explicit counted_request(std::atomic<int> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    counted_request(const counted_request &) = delete;
+    counted_request &operator=(const counted_request &) = delete;
+    ~counted_request() { --m_count; }
+
+private:
+    std::atomic<int> &m_count;
+};
+
 std::optional<member_record> firstUntried(const fleet_view &view, std::string_view service,
                                           const std::vector<instance_id> &tried, steady_time)
 {
@@ -73,11 +90,13 @@
 
 void request_path::serveCaller(server_exchange &exchange)
 {
+    const counted_request counted(m_inFlight);
     request_call(*this, exchange).serveCaller();
 }
 
 void request_path::servePeer(server_exchange &exchange)
 {
+    const counted_request counted(m_inFlight);
     const std::string id = exchange.request().get(requestIdHeader, "");
     std::multiset<std::string, std::less<>>::iterator entry;
     {
--- a/src/persimmonrail/gateway/request_path.h
+++ b/src/persimmonrail/gateway/request_path.h
@@ -7,6 +7,7 @@
 #include "persimmonrail/telemetry/metrics.h"
 #include "persimmonrail/upstream/upstream_guard.h"
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -46,6 +47,8 @@
     void servePeer(server_exchange &exchange);
     // Whether a request with this id runs here on behalf of another daemon.
     bool isInFlight(const std::string &requestId) const;
+    // Requests of callers and of other daemons that are being served.
+    int inFlight() const { return m_inFlight; }
     // Answers a request that is not valid HTTP.
     void serveError(server_exchange &exchange, int status, const std::string &reason);
 
@@ -62,6 +65,7 @@
     metrics &m_metrics;
     forwarder m_forwarder;
     std::unique_ptr<slot_admission> m_defaultAdmission;
+    std::atomic<int> m_inFlight{0};
     mutable std::mutex m_mutex;
     std::multiset<std::string, std::less<>> m_peerRequests;
 };
--- /dev/null
+++ b/src/persimmonraild/main.cpp
@@ -0,0 +1,65 @@
+// The daemon that runs beside one upstream.
+#include "persimmonrail/daemon/daemon.h"
+#include "persimmonrail/settings/daemon_settings.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitFailed = 1;
+constexpr int exitUsage = 2;
+
+// Blocks the signals that end the daemon in this thread and in those it starts.
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+int run(const persimmonrail::daemon_settings &settings)
+{
+    const sigset_t stopSignals = blockStopSignals();
+    // A peer that closes its connection shows as an error of the write.
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto daemon = persimmonrail::daemon::start(settings);
+    if (!daemon.ok()) {
+        std::cerr << "persimmonraild: " << daemon.status().message() << "\n";
+        return exitFailed;
+    }
+    int received = 0;
+    sigwait(&stopSignals, &received);
+    return (*daemon)->stop() ? exitOk : exitFailed;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const auto parsed =
+        persimmonrail::parseDaemonSettings(arguments, persimmonrail::environmentFrom(environ));
+    if (!parsed.ok()) {
+        std::cerr << "persimmonraild: " << parsed.status().message() << "\n";
+        return exitUsage;
+    }
+    switch (parsed->action) {
+    case persimmonrail::daemon_action::ShowHelp:
+        std::cout << persimmonrail::daemonHelp();
+        return exitOk;
+    case persimmonrail::daemon_action::ShowVersion:
+        std::cout << "persimmonraild " PERSIMMONRAIL_VERSION "\n";
+        return exitOk;
+    case persimmonrail::daemon_action::Check:
+        std::cout << "settings are valid\n";
+        return exitOk;
+    case persimmonrail::daemon_action::Run:
+        return run(parsed->settings);
+    }
+    return exitUsage;
+}
