Bound the errors of a service document

Cause: review of the parser. A document within its size limit could yield tens of thousands of errors, each with the long name of its parent, so its status would exceed the platform's value limit and the daemon's memory; control characters in field names reached the operator's terminal. Change: at most 200 errors are kept and the rest counted, texts are cut at 256 bytes, control characters are escaped.

--- a/src/persimmonrail/document/document_acceptance.cpp
+++ b/src/persimmonrail/document/document_acceptance.cpp
@@ -27,10 +27,10 @@
     return out.str();
 }
 
-absl::Status invalid(std::string_view what, const std::vector<document_error> &errors)
+absl::Status invalid(std::string_view what, const error_list &errors)
 {
     return absl::InvalidArgumentError(
-        absl::StrCat("invalid ", std::string(what), ": ", renderErrors(errors)));
+        absl::StrCat("invalid ", std::string(what), ": ", renderErrors(errors.errors())));
 }
 
 std::optional<int64_t> readVersion(object_reader &reader)
@@ -119,7 +119,7 @@
 
 absl::StatusOr<accepted_document> decodeAccepted(std::string_view text)
 {
-    std::vector<document_error> errors;
+    error_list errors;
     const auto object = parseJsonObject(text, maxStoredDepth, errors);
     if (object.isNull()) {
         return invalid("accepted document", errors);
@@ -155,7 +155,7 @@
 
 absl::StatusOr<document_status> decodeStatus(std::string_view text)
 {
-    std::vector<document_error> faults;
+    error_list faults;
     const auto object = parseJsonObject(text, maxStoredDepth, faults);
     if (object.isNull()) {
         return invalid("document status", faults);
--- a/src/persimmonrail/document/document_parser.cpp
+++ b/src/persimmonrail/document/document_parser.cpp
@@ -281,15 +281,15 @@
             {"", absl::StrCat("holds ", json.size(), " bytes, the maximum is ", maxDocumentBytes)});
         return parsed;
     }
-    const auto object = parseJsonObject(json, maxDocumentDepth, parsed.errors);
-    if (object.isNull()) {
-        return parsed;
-    }
-    object_reader root(object, "", parsed.errors);
-    auto document = readDocument(root);
-    if (parsed.errors.empty()) {
-        parsed.document = std::move(document);
+    error_list errors;
+    if (const auto object = parseJsonObject(json, maxDocumentDepth, errors); !object.isNull()) {
+        object_reader root(object, "", errors);
+        auto document = readDocument(root);
+        if (errors.empty()) {
+            parsed.document = std::move(document);
+        }
     }
+    parsed.errors = errors.errors();
     return parsed;
 }
 
--- a/src/persimmonrail/document/document_parser.h
+++ b/src/persimmonrail/document/document_parser.h
@@ -19,6 +19,9 @@
 inline constexpr milliseconds minOperationTimeout{1};
 inline constexpr milliseconds maxOperationTimeout{600'000};
 
+// Errors beyond this number are counted only.
+inline constexpr size_t maxDocumentErrors = 200;
+
 struct document_error
 {
     // Position in the document such as "operations[2].rank"; empty for the document as a whole.
@@ -32,12 +35,14 @@
 {
     // Present exactly if there are no errors.
     std::optional<service_document> document;
-    // Every error found, in document order of the fields that were checked.
+    // Every error found, in the order of the checks; at most maxDocumentErrors, followed by one
+    // that counts the rest.
     std::vector<document_error> errors;
 };
 
 // Parses and validates a service document as a whole. Text that is not JSON yields one error;
-// otherwise every violation is listed, unknown and repeated fields included.
+// otherwise every violation is listed, unknown and repeated fields included. Long texts in errors
+// are cut and control characters escaped.
 parsed_document parseServiceDocument(std::string_view json);
 
 // Returns one line per error, "path: message".
--- a/src/persimmonrail/document/json_reader.cpp
+++ b/src/persimmonrail/document/json_reader.cpp
@@ -15,11 +15,13 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
+constexpr size_t maxErrorTextBytes = 256;
+
 // Builds the JSON value and reports repeated fields, of which Poco keeps only the last one.
 class checking_handler : public Poco::JSON::ParseHandler
 {
 public:
-    explicit checking_handler(std::vector<document_error> &errors)
+    explicit checking_handler(error_list &errors)
         : m_errors(errors)
     { }
 
@@ -49,7 +51,7 @@
         auto &frame = m_frames.back();
         frame.field = name;
         if (!frame.seen.insert(name).second) {
-            m_errors.push_back({path(), "field is repeated"});
+            m_errors.add(path(), "field is repeated");
         }
     }
     void value(int number) override { scalar(number); }
@@ -103,10 +105,29 @@
         return text;
     }
 
-    std::vector<document_error> &m_errors;
+    error_list &m_errors;
     std::vector<frame> m_frames;
 };
 
+// Escapes control characters, which must not reach an operator's terminal, and cuts the text.
+std::string bounded(std::string_view text)
+{
+    std::string safe;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        const bool isContinuation = (byte & 0xc0) == 0x80;
+        if (safe.size() >= maxErrorTextBytes && !isContinuation) {
+            return safe + "...";
+        }
+        if (byte < ' ' || byte == 0x7f) {
+            absl::StrAppend(&safe, "\\x", absl::Hex(byte, absl::kZeroPad2));
+        } else {
+            safe.push_back(c);
+        }
+    }
+    return safe;
+}
+
 std::string describeRange(int64_t lowest, int64_t highest)
 {
     return absl::StrCat("must be an integer from ", lowest, " to ", highest);
@@ -114,28 +135,44 @@
 
 } // namespace
 
-Object::Ptr parseJsonObject(std::string_view json, int maxDepth,
-                            std::vector<document_error> &errors)
+void error_list::add(std::string_view path, std::string_view message)
+{
+    if (m_errors.size() < maxDocumentErrors) {
+        m_errors.push_back({bounded(path), bounded(message)});
+    } else {
+        ++m_omitted;
+    }
+}
+
+std::vector<document_error> error_list::errors() const
+{
+    auto errors = m_errors;
+    if (m_omitted > 0) {
+        errors.push_back({"", absl::StrCat(m_omitted, " further errors are not listed")});
+    }
+    return errors;
+}
+
+Object::Ptr parseJsonObject(std::string_view json, int maxDepth, error_list &errors)
 {
     try {
         Poco::JSON::Parser parser(new checking_handler(errors));
         parser.setDepth(static_cast<size_t>(maxDepth));
         const Var value = parser.parse(std::string(json));
         if (value.type() != typeid(Object::Ptr)) {
-            errors.push_back({"", "must be a JSON object"});
+            errors.add("", "must be a JSON object");
             return nullptr;
         }
         return value.extract<Object::Ptr>();
     } catch (const Poco::Exception &error) {
-        errors.push_back({"", absl::StrCat("not valid JSON: ", error.message())});
+        errors.add("", absl::StrCat("not valid JSON: ", error.message()));
     } catch (const std::exception &error) {
-        errors.push_back({"", absl::StrCat("not valid JSON: ", error.what())});
+        errors.add("", absl::StrCat("not valid JSON: ", error.what()));
     }
     return nullptr;
 }
 
-object_reader::object_reader(Object::Ptr object, std::string path,
-                             std::vector<document_error> &errors)
+object_reader::object_reader(Object::Ptr object, std::string path, error_list &errors)
     : m_object(std::move(object))
     , m_path(std::move(path))
     , m_errors(&errors)
@@ -149,14 +186,14 @@
     return absl::StrCat(m_path, ".", field);
 }
 
-void object_reader::fail(const std::string &field, std::string message)
+void object_reader::fail(const std::string &field, std::string_view message)
 {
-    failAt(pathOf(field), std::move(message));
+    failAt(pathOf(field), message);
 }
 
-void object_reader::failAt(std::string path, std::string message)
+void object_reader::failAt(std::string_view path, std::string_view message)
 {
-    m_errors->push_back({std::move(path), std::move(message)});
+    m_errors->add(path, message);
 }
 
 Var object_reader::take(const std::string &field, bool isRequired)
--- a/src/persimmonrail/document/json_reader.h
+++ b/src/persimmonrail/document/json_reader.h
@@ -14,10 +14,25 @@
 
 namespace persimmonrail {
 
+// Collects errors within fixed bounds, whatever the document holds: the first maxDocumentErrors are
+// kept, with long texts cut and control characters escaped. Without the bounds a small document
+// with thousands of faults would yield a status beyond the platform's value limit.
+class error_list
+{
+public:
+    void add(std::string_view path, std::string_view message);
+    bool empty() const { return m_errors.empty(); }
+    // Returns the errors, followed by one that counts those left out, if any.
+    std::vector<document_error> errors() const;
+
+private:
+    std::vector<document_error> m_errors;
+    size_t m_omitted = 0;
+};
+
 // Parses JSON whose outermost value is an object. Adds an error for malformed text, for nesting
 // beyond `maxDepth` and for each repeated field; returns null if the text is malformed.
-Poco::JSON::Object::Ptr parseJsonObject(std::string_view json, int maxDepth,
-                                        std::vector<document_error> &errors);
+Poco::JSON::Object::Ptr parseJsonObject(std::string_view json, int maxDepth, error_list &errors);
 
 // Reads the fields of one JSON object by type and collects every violation. Each accessor marks its
 // field as known; reportUnknown() complains about all others.
@@ -25,15 +40,14 @@
 {
 public:
     // `errors` must outlive the reader.
-    object_reader(Poco::JSON::Object::Ptr object, std::string path,
-                  std::vector<document_error> &errors);
+    object_reader(Poco::JSON::Object::Ptr object, std::string path, error_list &errors);
 
     bool has(const std::string &field) const { return m_object->has(field); }
     // Path of a field, or of the object itself if `field` is empty.
     std::string pathOf(const std::string &field) const;
-    void fail(const std::string &field, std::string message);
+    void fail(const std::string &field, std::string_view message);
     // Adds an error at a full path, as needed for elements of an array.
-    void failAt(std::string path, std::string message);
+    void failAt(std::string_view path, std::string_view message);
 
     // A missing field is an error for these.
     std::optional<std::string> text(const std::string &field);
@@ -67,7 +81,7 @@
 
     Poco::JSON::Object::Ptr m_object;
     std::string m_path;
-    std::vector<document_error> *m_errors;
+    error_list *m_errors;
     std::set<std::string> m_known;
 };
 
--- a/src/persimmonrail/document/tests/document_parser_test.cpp
+++ b/src/persimmonrail/document/tests/document_parser_test.cpp
@@ -138,6 +138,25 @@
     }
 }
 
+// Guards against a small document whose status exceeds the platform's value limit or the daemon's
+// memory: each repeated field would otherwise carry the long name of its parent.
+TEST_CASE("errors of a document are bounded in number and size", "[document]")
+{
+    std::string text = "{\"" + std::string(100'000, 'n') + "\\u001b\":{\"a\":1";
+    for (int i = 0; i < 20'000; ++i) {
+        text += ",\"a\":1";
+    }
+    text += "}}";
+    const auto parsed = parseServiceDocument(text);
+    CHECK(!parsed.document);
+    REQUIRE(parsed.errors.size() == maxDocumentErrors + 1);
+    CHECK(parsed.errors.back().message.ends_with("further errors are not listed"));
+    CHECK(renderErrors(parsed.errors).size() < 100'000);
+    const auto escaped = parseServiceDocument(R"({"\u001b[2J":1})");
+    REQUIRE(!escaped.errors.empty());
+    CHECK(renderErrors(escaped.errors).find("\\x1b[2J: unknown field") != std::string::npos);
+}
+
 // Guards against a document that stops the coordinator: whatever bytes a team stores, parsing ends
 // with a document or with errors.
 TEST_CASE("damaged documents never escape validation", "[document]")
