Pass held-back views on readiness; measure capacity slopes

Cause: a view that arrived before the daemon was ready never reached the ownership engine unless another change followed. Change: the sync driver passes the present view on when readiness turns true. tools/measure-capacity prints the growth of state, lease traffic, control messages, connections and at-most-once entries.

--- a/src/persimmonrail/daemon/sync_driver.cpp
+++ b/src/persimmonrail/daemon/sync_driver.cpp
@@ -81,7 +81,6 @@
 
 void sync_driver::pull(steady_time now)
 {
-    updateReadiness();
     const auto target = m_schedule.next(*view());
     if (!target) {
         publish(now);
@@ -154,25 +153,26 @@
         const std::lock_guard lock(m_viewMutex);
         m_view = next;
     }
-    updateReadiness();
     if (changed) {
         m_election.setView(*next, now);
+    }
+    // A view that was held back until the daemon is ready is passed on then, changed or not.
+    if (updateReadiness() || changed) {
         m_onView(next, now);
     }
 }
 
-void sync_driver::updateReadiness()
+bool sync_driver::updateReadiness()
 {
-    if (m_readiness.isReady()) {
-        return;
-    }
-    if (m_readiness.evaluate(m_store.revision(), *view())) {
-        m_ready = true;
-        m_store.markReady();
-        m_log.write(
-            log_level::Info,
-            absl::StrCat("state complete at revision ", m_store.revision(), "; ready to serve"));
+    if (m_ready || !m_readiness.evaluate(m_store.revision(), *view())) {
+        return false;
     }
+    m_ready = true;
+    m_store.markReady();
+    m_log.write(
+        log_level::Info,
+        absl::StrCat("state complete at revision ", m_store.revision(), "; ready to serve"));
+    return true;
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/daemon/sync_driver.h
+++ b/src/persimmonrail/daemon/sync_driver.h
@@ -59,7 +59,8 @@
                      steady_time now);
     relay_watch::hooks watchHooks();
     void publish(steady_time now);
-    void updateReadiness();
+    // Returns true once, when the daemon becomes ready.
+    bool updateReadiness();
 
     control_loop &m_loop;
     control_messenger &m_messenger;
--- /dev/null
+++ b/tests/measure/capacity_measure_main.cpp
@@ -0,0 +1,370 @@
+// Measures how the control state and its processor time grow with the size of the fleet. Prints one
+// JSON line per measurement; docs/CAPACITY.md uses the slopes.
+
+#include "persimmonrail/ownership/ownership_engine.h"
+#include "persimmonrail/peer/control_channel.h"
+#include "persimmonrail/platform/object_api.h"
+#include "persimmonrail/requests/at_most_once_table.h"
+#include "persimmonrail/sync/object_store.h"
+
+#include <absl/strings/str_cat.h>
+#include <malloc.h>
+
+#include <ctime>
+#include <deque>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <random>
+
+using namespace persimmonrail;
+
+namespace {
+
+constexpr int partitionsPerInstance = 4;
+
+double cpuSeconds()
+{
+    timespec used{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
+}
+
+size_t heapBytes()
+{
+    const auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+size_t residentBytes()
+{
+    std::ifstream statm("/proc/self/statm");
+    size_t total = 0;
+    size_t resident = 0;
+    statm >> total >> resident;
+    return resident * 4096;
+}
+
+instance_id instanceAt(int index)
+{
+    return {absl::StrCat("haulbook-", index), 0x1000000000000000ULL + index};
+}
+
+member_record memberAt(int index)
+{
+    member_record member;
+    member.id = instanceAt(index);
+    member.region = absl::StrCat("region-", index % 6);
+    member.availabilityZone = absl::StrCat("zone-", index % 24);
+    member.service = absl::StrCat("service-", index / 24);
+    const std::string host = absl::StrCat("10.", index / 250, ".", index % 250, ".1");
+    member.peerAddress = absl::StrCat(host, ":7102");
+    member.controlAddress = absl::StrCat(host, ":7103");
+    member.slots = 10;
+    return member;
+}
+
+placement_record recordAt(int index, int instances)
+{
+    placement_record record;
+    const int owner = index / partitionsPerInstance;
+    const uint64_t first = static_cast<uint64_t>(index) << 40;
+    record.partition = absl::StrCat("service-", owner / 24, "/", hashToString(first));
+    record.range = {first, first + 0xffff};
+    record.owner = instanceAt(owner);
+    record.term = 7;
+    for (int i = 1; i <= 3; ++i) {
+        record.witnesses.push_back(instanceAt((owner + i) % instances));
+        record.standbys.push_back(instanceAt((owner + 3 + i) % instances));
+    }
+    return record;
+}
+
+object_list fleetState(int instances)
+{
+    object_list list;
+    for (int i = 0; i < instances; ++i) {
+        const auto member = memberAt(i);
+        list.objects.push_back(
+            {memberKey(member.id.name), ++list.revision, false, encodeMember(member)});
+    }
+    for (int i = 0; i < instances * partitionsPerInstance; ++i) {
+        const auto record = recordAt(i, instances);
+        list.objects.push_back(
+            {placementKey(record.partition), ++list.revision, false, encodeRecord(record)});
+    }
+    return list;
+}
+
+// State of a daemon: every member and record, as objects and as the view that traffic uses.
+void measureState(int instances)
+{
+    const auto list = fleetState(instances);
+    size_t encoded = 0;
+    for (const auto &object : list.objects) {
+        encoded += object.key.size() + object.value.size();
+    }
+    const size_t heapBefore = heapBytes();
+    const double cpuBefore = cpuSeconds();
+    object_store store({nullptr, nullptr});
+    const steady_time now{};
+    store.applyList(list, now);
+    store.markReady();
+    auto view = store.buildView();
+    const double loadCpu = cpuSeconds() - cpuBefore;
+
+    // A change of one record, as it arrives with a pull.
+    constexpr int changes = 200;
+    const double changeBefore = cpuSeconds();
+    uint64_t revision = list.revision;
+    for (int i = 0; i < changes; ++i) {
+        auto record = recordAt(i * 7 % (instances * partitionsPerInstance), instances);
+        record.term = 8 + i;
+        wire::PullReply reply;
+        auto *object = reply.add_objects();
+        object->set_key(placementKey(record.partition));
+        object->set_version(revision + 1);
+        object->set_value(encodeRecord(record));
+        reply.set_complete_to(revision + 1);
+        reply.set_revision(revision + 1);
+        store.applyPull(revision, reply, now);
+        ++revision;
+        view = store.buildView();
+    }
+    const double changeCpu = (cpuSeconds() - changeBefore) / changes;
+
+    constexpr int pulls = 20000;
+    wire::Pull pull;
+    pull.set_after_revision(revision);
+    const double pullBefore = cpuSeconds();
+    for (int i = 0; i < pulls; ++i) {
+        store.answerPull(pull, instanceAt(i % instances));
+    }
+    const double pullCpu = (cpuSeconds() - pullBefore) / pulls;
+
+    constexpr int lookups = 200000;
+    std::mt19937_64 random(1);
+    const double lookupBefore = cpuSeconds();
+    size_t found = 0;
+    for (int i = 0; i < lookups; ++i) {
+        const auto partition = static_cast<uint64_t>(random() % (24 * partitionsPerInstance));
+        found += view->findRecord("service-0", partition << 40) != nullptr;
+    }
+    const double lookupCpu = (cpuSeconds() - lookupBefore) / lookups;
+    std::cout << absl::StrCat("{\"measurement\":\"state\",\"instances\":", instances,
+                              ",\"objects\":", list.objects.size(), ",\"encoded_bytes\":", encoded,
+                              ",\"heap_bytes\":", heapBytes() - heapBefore,
+                              ",\"load_cpu_s\":", loadCpu, ",\"change_cpu_us\":", changeCpu * 1e6,
+                              ",\"empty_pull_cpu_us\":", pullCpu * 1e6,
+                              ",\"lookup_cpu_us\":", lookupCpu * 1e6, ",\"found\":", found, "}\n");
+}
+
+// One owner and its three witnesses as engines in one process, without a network in between. The
+// processor time covers the owner's work and that of three witnesses for it, which equals what one
+// daemon does on average: it owns, and it witnesses for three owners.
+void measureLeases(int partitions)
+{
+    const int instances = 8;
+    auto view = std::make_shared<fleet_view>();
+    view->revision = 1;
+    for (int i = 0; i < instances; ++i) {
+        auto member = memberAt(i);
+        member.service = "haulbook";
+        member.region = "region-0";
+        view->members[member.id.name] = member;
+    }
+    for (int i = 0; i < partitions; ++i) {
+        auto record = recordAt(i, instances);
+        record.partition = absl::StrCat("haulbook/", hashToString(record.range.first));
+        record.owner = instanceAt(0);
+        record.witnesses = {instanceAt(1), instanceAt(2), instanceAt(3)};
+        record.standbys = {instanceAt(4)};
+        view->records[record.partition] = {record, static_cast<uint64_t>(i) + 2};
+    }
+    indexRecords(*view);
+
+    struct traffic
+    {
+        uint64_t messages = 0;
+        uint64_t bytes = 0;
+    } sent;
+    std::deque<std::function<void(steady_time)>> pending;
+    std::vector<std::unique_ptr<serving_table>> tables;
+    std::vector<ownership_engine> engines;
+    engines.reserve(4);
+    for (int i = 0; i < 4; ++i) {
+        tables.push_back(std::make_unique<serving_table>());
+        ownership_hooks hooks;
+        hooks.send = [&, from = instanceAt(i)](const instance_id &to, wire::Request request,
+                                               milliseconds,
+                                               ownership_hooks::reply_completion done) {
+            request.mutable_sender()->set_name(from.name);
+            request.mutable_sender()->set_incarnation(from.incarnation);
+            ++sent.messages;
+            sent.bytes += request.ByteSizeLong();
+            pending.emplace_back([&, to, request, done](steady_time now) {
+                for (int target = 1; target < 4; ++target) {
+                    if (instanceAt(target) == to) {
+                        auto reply = engines[target].onRequest(request, now);
+                        reply.mutable_sender()->set_name(to.name);
+                        reply.mutable_sender()->set_incarnation(to.incarnation);
+                        ++sent.messages;
+                        sent.bytes += reply.ByteSizeLong();
+                        done(reply, now);
+                        return;
+                    }
+                }
+                done(absl::UnavailableError("not simulated"), now);
+            });
+        };
+        hooks.putRecord = [](const std::string &, uint64_t, const std::string &,
+                             const ownership_hooks::put_completion &) {};
+        hooks.getRecord = [](const std::string &, const ownership_hooks::get_completion &) {};
+        hooks.applyGrants = [&](const std::vector<lease_grant> &,
+                                const ownership_hooks::grant_completion &done) {
+            pending.emplace_back([done](steady_time now) { done(absl::OkStatus(), now); });
+        };
+        engines.push_back(ownership_engine::builder()
+                              .self(instanceAt(i))
+                              .hooks(std::move(hooks))
+                              .servingTable(*tables.back())
+                              .build());
+    }
+    steady_time now{std::chrono::hours(1)};
+    const auto run = [&](std::chrono::seconds duration) {
+        for (const auto end = now + duration; now < end; now += milliseconds(20)) {
+            for (auto &engine : engines) {
+                engine.tick(now);
+            }
+            while (!pending.empty()) {
+                const auto next = std::move(pending.front());
+                pending.pop_front();
+                next(now);
+            }
+        }
+    };
+    for (auto &engine : engines) {
+        engine.onView(view, now);
+    }
+    engines[0].onUpstreamUp(now);
+    run(std::chrono::seconds(2));
+    size_t held = 0;
+    for (const auto &[name, record] : view->records) {
+        held += tables[0]->find("haulbook", record.record.range.first, now).has_value();
+    }
+    sent = {};
+    constexpr std::chrono::seconds measured{60};
+    const double cpuBefore = cpuSeconds();
+    run(measured);
+    const double cpu = (cpuSeconds() - cpuBefore) / static_cast<double>(measured.count());
+    const auto perSecond = [&](uint64_t value) {
+        return static_cast<double>(value) / static_cast<double>(measured.count());
+    };
+    std::cout << absl::StrCat("{\"measurement\":\"leases\",\"partitions\":", partitions,
+                              ",\"held\":", held, ",\"messages_per_s\":", perSecond(sent.messages),
+                              ",\"bytes_per_s\":", perSecond(sent.bytes), ",\"cpu_share\":", cpu,
+                              "}\n");
+}
+
+// Requests and replies of 600 B over loopback; both ends run in this process.
+void measureMessages(int count)
+{
+    const auto handler = [](const wire::Request &, const control_channel::responder &respond) {
+        wire::Reply reply;
+        reply.mutable_ping()->set_revision(1);
+        respond(reply);
+    };
+    const auto server = *control_channel::listen("127.0.0.1:0", handler);
+    const auto client = *control_channel::listen("127.0.0.1:0", handler);
+    wire::Request request;
+    for (int i = 0; i < 12; ++i) {
+        auto *lease = request.mutable_heartbeat()->add_leases();
+        lease->set_partition("haulbook/0123456789abcdef");
+        lease->set_record_version(1000000);
+        lease->set_term(7);
+    }
+    const double cpuBefore = cpuSeconds();
+    for (int i = 0; i < count; ++i) {
+        std::promise<void> answered;
+        client->send(server->address(), request, milliseconds(5000),
+                     [&](const absl::StatusOr<wire::Reply> &) { answered.set_value(); });
+        answered.get_future().wait();
+    }
+    const double cpu = (cpuSeconds() - cpuBefore) / count;
+    std::cout << absl::StrCat("{\"measurement\":\"message\",\"count\":", count,
+                              ",\"request_bytes\":", request.ByteSizeLong(),
+                              ",\"cpu_us_per_exchange_both_ends\":", cpu * 1e6, "}\n");
+}
+
+// Memory of open control connections to distinct peers; both ends run in this process.
+void measureConnections(int peers)
+{
+    const auto handler = [](const wire::Request &, const control_channel::responder &respond) {
+        wire::Reply reply;
+        reply.mutable_ping();
+        respond(reply);
+    };
+    // One server under several addresses, each of which the client takes for a peer.
+    const auto server = *control_channel::listen("0.0.0.0:0", handler);
+    const std::string port = server->address().substr(server->address().rfind(':'));
+    const auto client = *control_channel::listen("127.0.0.1:0", handler);
+    const size_t before = residentBytes();
+    wire::Request request;
+    request.mutable_ping();
+    for (int i = 0; i < peers; ++i) {
+        std::promise<void> answered;
+        client->send(absl::StrCat("127.1.", i / 250, ".", i % 250 + 1, port), request,
+                     milliseconds(5000),
+                     [&](const absl::StatusOr<wire::Reply> &) { answered.set_value(); });
+        answered.get_future().wait();
+    }
+    std::cout << absl::StrCat("{\"measurement\":\"connections\",\"peers\":", peers,
+                              ",\"resident_bytes_both_ends\":", residentBytes() - before, "}\n");
+}
+
+void measureAtMostOnce(int entries)
+{
+    const size_t before = heapBytes();
+    at_most_once_options options;
+    options.maxEntries = entries;
+    at_most_once_table table(options);
+    const wall_time now{std::chrono::hours(500000)};
+    const auto ms = std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
+    const double cpuBefore = cpuSeconds();
+    for (int i = 0; i < entries; ++i) {
+        idempotency_key key;
+        for (int byte = 0; byte < 6; ++byte) {
+            key.bytes[byte] = static_cast<uint8_t>(ms >> (8 * (5 - byte)));
+        }
+        for (int byte = 0; byte < 4; ++byte) {
+            key.bytes[12 + byte] = static_cast<uint8_t>(i >> (8 * byte));
+        }
+        table.begin("orderbook", key, now - std::chrono::hours(1), now);
+        table.end("orderbook", key, request_outcome::Run, nullptr);
+    }
+    std::cout << absl::StrCat("{\"measurement\":\"at_most_once\",\"entries\":", table.size(),
+                              ",\"heap_bytes\":", heapBytes() - before, ",\"cpu_us_per_request\":",
+                              (cpuSeconds() - cpuBefore) / entries * 1e6, "}\n");
+}
+
+} // namespace
+
+int main()
+{
+    for (const int instances : {400, 800, 1600, 3200, 6700}) {
+        measureState(instances);
+    }
+    for (const int partitions : {4, 8, 16, 32}) {
+        measureLeases(partitions);
+    }
+    for (const int count : {4000, 8000, 16000, 32000}) {
+        measureMessages(count);
+    }
+    for (const int peers : {50, 100, 200, 400}) {
+        measureConnections(peers);
+    }
+    for (const int entries : {50000, 100000, 200000}) {
+        measureAtMostOnce(entries);
+    }
+    return 0;
+}
