--- a/tests/measure/capacity_measure_main.cpp
+++ b/tests/measure/capacity_measure_main.cpp
@@ -162,111 +162,151 @@
 // One owner and its three witnesses as engines in one process, without a network in between. The
 // processor time covers the owner's work and that of three witnesses for it, which equals what one
 // daemon does on average: it owns, and it witnesses for three owners.
-void measureLeases(int partitions)
+class lease_measurement
 {
-    const int instances = 8;
-    auto view = std::make_shared<fleet_view>();
-    view->revision = 1;
-    for (int i = 0; i < instances; ++i) {
-        auto member = memberAt(i);
-        member.service = "haulbook";
-        member.region = "region-0";
-        view->members[member.id.name] = member;
+public:
+    explicit lease_measurement(int partitions)
+        : m_view(makeView(partitions))
+    {
+        m_engines.reserve(engineCount);
+        for (int i = 0; i < engineCount; ++i) {
+            m_tables.push_back(std::make_unique<serving_table>());
+            m_engines.push_back(ownership_engine::builder()
+                                    .self(instanceAt(i))
+                                    .hooks(makeHooks(i))
+                                    .servingTable(*m_tables.back())
+                                    .build());
+            m_engines.back().onView(m_view, m_now);
+        }
+        m_engines[0].onUpstreamUp(m_now);
     }
-    for (int i = 0; i < partitions; ++i) {
-        auto record = recordAt(i, instances);
-        record.partition = absl::StrCat("haulbook/", hashToString(record.range.first));
-        record.owner = instanceAt(0);
-        record.witnesses = {instanceAt(1), instanceAt(2), instanceAt(3)};
-        record.standbys = {instanceAt(4)};
-        view->records[record.partition] = {record, static_cast<uint64_t>(i) + 2};
+
+    void measure()
+    {
+        run(std::chrono::seconds(2));
+        m_messages = 0;
+        m_bytes = 0;
+        constexpr std::chrono::seconds measured{60};
+        const double cpuBefore = cpuSeconds();
+        run(measured);
+        const auto perSecond = [&](double value) {
+            return value / static_cast<double>(measured.count());
+        };
+        std::cout << absl::StrCat(
+            "{\"measurement\":\"leases\",\"partitions\":", m_view->records.size(),
+            ",\"held\":", held(), ",\"messages_per_s\":", perSecond(m_messages),
+            ",\"bytes_per_s\":", perSecond(m_bytes),
+            ",\"cpu_share\":", perSecond(cpuSeconds() - cpuBefore), "}\n");
     }
-    indexRecords(*view);
 
-    struct traffic
+private:
+    // The owner and its witnesses; further members are standbys that do nothing.
+    static constexpr int engineCount = 4;
+    static constexpr int memberCount = 8;
+
+    static std::shared_ptr<fleet_view> makeView(int partitions)
+    {
+        auto view = std::make_shared<fleet_view>();
+        view->revision = 1;
+        for (int i = 0; i < memberCount; ++i) {
+            auto member = memberAt(i);
+            member.service = "haulbook";
+            member.region = "region-0";
+            view->members[member.id.name] = member;
+        }
+        for (int i = 0; i < partitions; ++i) {
+            auto record = recordAt(i, memberCount);
+            record.partition = absl::StrCat("haulbook/", hashToString(record.range.first));
+            record.owner = instanceAt(0);
+            record.witnesses = {instanceAt(1), instanceAt(2), instanceAt(3)};
+            record.standbys = {instanceAt(engineCount)};
+            view->records[record.partition] = {record, static_cast<uint64_t>(i) + 2};
+        }
+        indexRecords(*view);
+        return view;
+    }
+
+    ownership_hooks makeHooks(int sender)
     {
-        uint64_t messages = 0;
-        uint64_t bytes = 0;
-    } sent;
-    std::deque<std::function<void(steady_time)>> pending;
-    std::vector<std::unique_ptr<serving_table>> tables;
-    std::vector<ownership_engine> engines;
-    engines.reserve(4);
-    for (int i = 0; i < 4; ++i) {
-        tables.push_back(std::make_unique<serving_table>());
         ownership_hooks hooks;
-        hooks.send = [&, from = instanceAt(i)](const instance_id &to, wire::Request request,
-                                               milliseconds,
-                                               ownership_hooks::reply_completion done) {
-            request.mutable_sender()->set_name(from.name);
-            request.mutable_sender()->set_incarnation(from.incarnation);
-            ++sent.messages;
-            sent.bytes += request.ByteSizeLong();
-            pending.emplace_back([&, to, request, done](steady_time now) {
-                for (int target = 1; target < 4; ++target) {
-                    if (instanceAt(target) == to) {
-                        auto reply = engines[target].onRequest(request, now);
-                        reply.mutable_sender()->set_name(to.name);
-                        reply.mutable_sender()->set_incarnation(to.incarnation);
-                        ++sent.messages;
-                        sent.bytes += reply.ByteSizeLong();
-                        done(reply, now);
-                        return;
-                    }
-                }
-                done(absl::UnavailableError("not simulated"), now);
-            });
+        hooks.send = [this, sender](const instance_id &to, wire::Request request, milliseconds,
+                                    const ownership_hooks::reply_completion &done) {
+            setSender(request, instanceAt(sender));
+            count(request);
+            m_pending.emplace_back(
+                [this, to, request, done](steady_time now) { deliver(to, request, done, now); });
         };
         hooks.putRecord = [](const std::string &, uint64_t, const std::string &,
                              const ownership_hooks::put_completion &) {};
         hooks.getRecord = [](const std::string &, const ownership_hooks::get_completion &) {};
-        hooks.applyGrants = [&](const std::vector<lease_grant> &,
-                                const ownership_hooks::grant_completion &done) {
-            pending.emplace_back([done](steady_time now) { done(absl::OkStatus(), now); });
+        hooks.applyGrants = [this](const std::vector<lease_grant> &,
+                                   const ownership_hooks::grant_completion &done) {
+            m_pending.emplace_back([done](steady_time now) { done(absl::OkStatus(), now); });
         };
-        engines.push_back(ownership_engine::builder()
-                              .self(instanceAt(i))
-                              .hooks(std::move(hooks))
-                              .servingTable(*tables.back())
-                              .build());
+        return hooks;
+    }
+
+    template <typename Message> static void setSender(Message &message, const instance_id &id)
+    {
+        message.mutable_sender()->set_name(id.name);
+        message.mutable_sender()->set_incarnation(id.incarnation);
     }
-    steady_time now{std::chrono::hours(1)};
-    const auto run = [&](std::chrono::seconds duration) {
-        for (const auto end = now + duration; now < end; now += milliseconds(20)) {
-            for (auto &engine : engines) {
-                engine.tick(now);
+
+    void count(const google::protobuf::MessageLite &message)
+    {
+        ++m_messages;
+        m_bytes += static_cast<double>(message.ByteSizeLong());
+    }
+
+    void deliver(const instance_id &to, const wire::Request &request,
+                 const ownership_hooks::reply_completion &done, steady_time now)
+    {
+        for (int target = 0; target < engineCount; ++target) {
+            if (instanceAt(target) == to) {
+                auto reply = m_engines[target].onRequest(request, now);
+                setSender(reply, to);
+                count(reply);
+                done(reply, now);
+                return;
+            }
+        }
+        done(absl::UnavailableError("a member without an engine"), now);
+    }
+
+    void run(std::chrono::seconds duration)
+    {
+        constexpr milliseconds tick{20};
+        for (const auto end = m_now + duration; m_now < end; m_now += tick) {
+            for (auto &engine : m_engines) {
+                engine.tick(m_now);
             }
-            while (!pending.empty()) {
-                const auto next = std::move(pending.front());
-                pending.pop_front();
-                next(now);
+            while (!m_pending.empty()) {
+                const auto next = std::move(m_pending.front());
+                m_pending.pop_front();
+                next(m_now);
             }
         }
-    };
-    for (auto &engine : engines) {
-        engine.onView(view, now);
     }
-    engines[0].onUpstreamUp(now);
-    run(std::chrono::seconds(2));
-    size_t held = 0;
-    for (const auto &[name, record] : view->records) {
-        held += tables[0]->find("haulbook", record.record.range.first, now).has_value();
+
+    size_t held() const
+    {
+        size_t count = 0;
+        for (const auto &[name, record] : m_view->records) {
+            count += m_tables[0]->find("haulbook", record.record.range.first, m_now).has_value();
+        }
+        return count;
     }
-    sent = {};
-    constexpr std::chrono::seconds measured{60};
-    const double cpuBefore = cpuSeconds();
-    run(measured);
-    const double cpu = (cpuSeconds() - cpuBefore) / static_cast<double>(measured.count());
-    const auto perSecond = [&](uint64_t value) {
-        return static_cast<double>(value) / static_cast<double>(measured.count());
-    };
-    std::cout << absl::StrCat("{\"measurement\":\"leases\",\"partitions\":", partitions,
-                              ",\"held\":", held, ",\"messages_per_s\":", perSecond(sent.messages),
-                              ",\"bytes_per_s\":", perSecond(sent.bytes), ",\"cpu_share\":", cpu,
-                              "}\n");
-}
 
-// Requests and replies of 600 B over loopback; both ends run in this process.
+    std::shared_ptr<fleet_view> m_view;
+    steady_time m_now{std::chrono::hours(1)};
+    std::vector<std::unique_ptr<serving_table>> m_tables;
+    std::vector<ownership_engine> m_engines;
+    std::deque<std::function<void(steady_time)>> m_pending;
+    double m_messages = 0;
+    double m_bytes = 0;
+};
+
+// Heartbeats for 12 leases over loopback; both ends run in this process.
 void measureMessages(int count)
 {
     const auto handler = [](const wire::Request &, const control_channel::responder &respond) {
@@ -355,7 +395,7 @@
         measureState(instances);
     }
     for (const int partitions : {4, 8, 16, 32}) {
-        measureLeases(partitions);
+        lease_measurement(partitions).measure();
     }
     for (const int count : {4000, 8000, 16000, 32000}) {
         measureMessages(count);
