Measure the cost of a new view per fleet size

Cause: each changed object makes the engine, the coordinator and the instance pickers look through the whole view. Change: tools/measure-capacity reports the processor time of each.

--- a/tests/measure/capacity_measure_main.cpp
+++ b/tests/measure/capacity_measure_main.cpp
@@ -1,6 +1,8 @@
 // Measures how the control state and its processor time grow with the size of the fleet. Prints one
 // JSON line per measurement; docs/CAPACITY.md uses the slopes.
 
+#include "persimmonrail/balance/coordinator.h"
+#include "persimmonrail/daemon/instance_directory.h"
 #include "persimmonrail/ownership/ownership_engine.h"
 #include "persimmonrail/peer/control_channel.h"
 #include "persimmonrail/platform/object_api.h"
@@ -159,6 +161,62 @@
                               ",\"lookup_cpu_us\":", lookupCpu * 1e6, ",\"found\":", found, "}\n");
 }
 
+// What a daemon does for each new view beyond building it: the ownership engine, the coordinator
+// and the instance pickers take it.
+void measureViews(int instances)
+{
+    const auto list = fleetState(instances);
+    const steady_time now{std::chrono::hours(1)};
+    object_store store({nullptr, nullptr});
+    store.applyList(list, now);
+    serving_table table;
+    ownership_hooks hooks;
+    hooks.send = [](const instance_id &, const wire::Request &, milliseconds,
+                    const ownership_hooks::reply_completion &) {};
+    hooks.putRecord = [](const std::string &, uint64_t, const std::string &,
+                         const ownership_hooks::put_completion &) {};
+    hooks.getRecord = [](const std::string &, const ownership_hooks::get_completion &) {};
+    hooks.applyGrants = [](const std::vector<lease_grant> &,
+                           const ownership_hooks::grant_completion &) {};
+    auto engine = ownership_engine::builder()
+                      .self(instanceAt(0))
+                      .hooks(std::move(hooks))
+                      .servingTable(table)
+                      .build();
+    coordinator::hooks coordinatorHooks;
+    coordinatorHooks.newerDocuments = [] { return std::vector<stored_object>(); };
+    coordinator coordinating(instanceAt(0), "zone-0", coordinatorHooks);
+    instance_directory directory("zone-0", [] { return [] { return uint64_t{1}; }; });
+
+    constexpr int changes = 50;
+    double engineCpu = 0;
+    double coordinatorCpu = 0;
+    double directoryCpu = 0;
+    const auto timed = [](double &sum, const std::function<void()> &call) {
+        const double before = cpuSeconds();
+        call();
+        sum += cpuSeconds() - before;
+    };
+    for (int i = 0; i < changes; ++i) {
+        auto record = recordAt(i * 7, instances);
+        record.term = 8 + i;
+        const uint64_t revision = list.revision + i;
+        store.applyWatch(
+            revision,
+            {revision + 1,
+             {{placementKey(record.partition), revision + 1, false, encodeRecord(record)}}},
+            now);
+        const auto view = store.buildView();
+        timed(engineCpu, [&] { engine.onView(view, now); });
+        timed(coordinatorCpu, [&] { coordinating.setView(view, now); });
+        timed(directoryCpu, [&] { directory.setView(*view, now); });
+    }
+    std::cout << absl::StrCat("{\"measurement\":\"view\",\"instances\":", instances,
+                              ",\"engine_cpu_us\":", engineCpu / changes * 1e6,
+                              ",\"coordinator_cpu_us\":", coordinatorCpu / changes * 1e6,
+                              ",\"directory_cpu_us\":", directoryCpu / changes * 1e6, "}\n");
+}
+
 // One owner and its three witnesses as engines in one process, without a network in between. The
 // processor time covers the owner's work and that of three witnesses for it, which equals what one
 // daemon does on average: it owns, and it witnesses for three owners.
@@ -393,6 +451,7 @@
 {
     for (const int instances : {400, 800, 1600, 3200, 6700}) {
         measureState(instances);
+        measureViews(instances);
     }
     for (const int partitions : {4, 8, 16, 32}) {
         lease_measurement(partitions).measure();
