Correct the test of moves of lost owners

The test also removed the owners of repaired records and so left no member to move from. Change: only owners of moved records are removed; a guard checks that one is left.

--- a/src/persimmonrail/balance/tests/placement_plan_test.cpp
+++ b/src/persimmonrail/balance/tests/placement_plan_test.cpp
@@ -147,8 +147,11 @@
     std::set<std::string> owners;
     for (const auto &change : planPlacement(fleet.view(), "s", hooks, {})) {
         fleet.write(change);
-        owners.insert(change.record.owner.name);
+        if (change.kind == change_kind::Move) {
+            owners.insert(change.record.owner.name);
+        }
     }
+    REQUIRE(owners.size() < 3);
     for (const auto &owner : owners) {
         fleet.leave(owner);
     }
