--- /dev/null
+++ b/src/persimmonrail/ownership/tests/lease_witness_test.cpp
@@ -0,0 +1,158 @@
+#include "persimmonrail/ownership/lease_witness.h"
+
+#include <catch2/catch.hpp>
+
+using namespace persimmonrail;
+
+namespace {
+
+enum class step_kind { Heartbeat, Claim, Release };
+
+struct step
+{
+    step_kind kind;
+    // Milliseconds after the start.
+    int at;
+    const char *sender;
+    uint64_t recordVersion;
+    uint64_t term;
+    // Not checked for releases, which get no verdict.
+    wire::LeaseVerdict::Code expected = wire::LeaseVerdict::UNSPECIFIED;
+    uint64_t incarnation = 7;
+};
+
+struct sequence
+{
+    const char *name;
+    std::vector<step> steps;
+};
+
+const instance_id self{"ledger-0", 7};
+constexpr steady_time start{std::chrono::hours(1)};
+
+wire::LeaseVerdict::Code perform(lease_witness &witness, const step &step)
+{
+    const auto now = start + milliseconds(step.at);
+    const instance_id sender{step.sender, 1};
+    wire::PartitionLease lease;
+    lease.set_partition("haulbook/0");
+    lease.set_record_version(step.recordVersion);
+    lease.set_term(step.term);
+    if (step.kind == step_kind::Heartbeat) {
+        wire::Heartbeat message;
+        message.set_witness_incarnation(step.incarnation);
+        *message.add_leases() = lease;
+        return witness.onHeartbeat(sender, message, now).verdicts(0).code();
+    }
+    if (step.kind == step_kind::Claim) {
+        wire::Claim message;
+        message.set_witness_incarnation(step.incarnation);
+        *message.mutable_lease() = lease;
+        return witness.onClaim(sender, message, now).verdict().code();
+    }
+    wire::Release message;
+    message.set_witness_incarnation(step.incarnation);
+    *message.mutable_lease() = lease;
+    witness.onRelease(sender, message, now);
+    return wire::LeaseVerdict::UNSPECIFIED;
+}
+
+} // namespace
+
+// Guards against a witness that grants a lease before the earlier one ended, or that forgets which
+// record or term it has seen.
+TEST_CASE("witness rules", "[ownership]")
+{
+    using verdict = wire::LeaseVerdict;
+    constexpr auto beat = step_kind::Heartbeat;
+    constexpr auto claim = step_kind::Claim;
+    constexpr auto release = step_kind::Release;
+    const sequence sequences[] = {
+        {"W1: another incarnation is refused",
+         {{claim, 0, "a", 5, 1, verdict::STALE_INCARNATION, 8},
+          {beat, 1, "a", 5, 1, verdict::STALE_INCARNATION, 8},
+          {claim, 2, "a", 5, 1, verdict::GRANTED}}},
+        {"W2: a lower record version is refused",
+         {{claim, 0, "a", 5, 1, verdict::GRANTED}, {beat, 1, "a", 4, 1, verdict::STALE_RECORD}}},
+        {"W2: a higher version is adopted by a refused claim",
+         {{claim, 0, "a", 5, 1, verdict::GRANTED},
+          {claim, 1, "b", 6, 2, verdict::HELD},
+          {beat, 2, "a", 5, 1, verdict::STALE_RECORD},
+          {beat, 3, "a", 6, 1, verdict::GRANTED}}},
+        {"W2: a release under an outdated record has no effect",
+         {{claim, 0, "a", 5, 1, verdict::GRANTED},
+          {beat, 1, "a", 6, 1, verdict::GRANTED},
+          {release, 2, "a", 5, 1},
+          {claim, 3, "b", 6, 2, verdict::HELD}}},
+        {"W3: a heartbeat of the holder renews even an expired lease",
+         {{claim, 0, "a", 5, 1, verdict::GRANTED},
+          {beat, 3000, "a", 5, 1, verdict::GRANTED},
+          {claim, 4049, "b", 5, 2, verdict::HELD},
+          {claim, 4050, "b", 5, 2, verdict::GRANTED}}},
+        {"W3: a heartbeat of a superseded term is refused",
+         {{claim, 0, "a", 5, 1, verdict::GRANTED},
+          {claim, 1050, "b", 5, 2, verdict::GRANTED},
+          {beat, 1051, "a", 5, 1, verdict::STALE_TERM},
+          {beat, 3000, "a", 5, 2, verdict::STALE_TERM}}},
+        {"W3: a heartbeat with a higher term is a claim",
+         {{claim, 0, "a", 5, 1, verdict::GRANTED},
+          {beat, 500, "b", 5, 2, verdict::HELD},
+          {beat, 1050, "b", 5, 2, verdict::GRANTED}}},
+        {"W4: a term is granted once",
+         {{claim, 0, "a", 5, 1, verdict::GRANTED},
+          {claim, 1100, "b", 5, 1, verdict::STALE_TERM},
+          {claim, 1100, "a", 5, 1, verdict::STALE_TERM}}},
+        {"W4: a claimant supersedes its own lower term",
+         {{claim, 0, "a", 5, 1, verdict::GRANTED}, {claim, 1, "a", 5, 2, verdict::GRANTED}}},
+        {"W5: a release ends the lease and closes the term",
+         {{claim, 0, "a", 5, 1, verdict::GRANTED},
+          {release, 1, "a", 5, 1},
+          {beat, 2, "a", 5, 1, verdict::STALE_TERM},
+          {claim, 3, "b", 5, 2, verdict::GRANTED}}},
+        {"W5: only the holder of the term releases it",
+         {{claim, 0, "a", 5, 2, verdict::GRANTED},
+          {release, 1, "b", 5, 2},
+          {release, 1, "a", 5, 1},
+          {claim, 2, "b", 5, 3, verdict::HELD}}},
+    };
+    for (const auto &sequence : sequences) {
+        lease_witness witness(self);
+        for (const auto &step : sequence.steps) {
+            CAPTURE(sequence.name, step.at, step.sender, step.term);
+            CHECK(perform(witness, step) == step.expected);
+        }
+    }
+}
+
+// Guards against standbys that never hear of an expired lease, or that hear of a live one.
+TEST_CASE("expiry notices are repeated until a claim is granted", "[ownership]")
+{
+    lease_witness witness(self);
+    const auto noticesAt = [&](int ms) {
+        return witness.takeDueNotices(start + milliseconds(ms)).size();
+    };
+    SECTION("after expiry")
+    {
+        perform(witness, {step_kind::Claim, 0, "a", 5, 1});
+        CHECK(noticesAt(1049) == 0);
+        CHECK(noticesAt(1050) == 1);
+        CHECK(noticesAt(1051) == 0);
+        CHECK(noticesAt(1250) == 1);
+        perform(witness, {step_kind::Claim, 1300, "b", 5, 2});
+        CHECK(noticesAt(2000) == 0);
+    }
+    SECTION("after a release at once")
+    {
+        perform(witness, {step_kind::Claim, 0, "a", 5, 1});
+        perform(witness, {step_kind::Release, 10, "a", 5, 1});
+        CHECK(noticesAt(10) == 1);
+        witness.stopNotices("haulbook/0");
+        CHECK(noticesAt(5000) == 0);
+    }
+    SECTION("for a partition that is never claimed")
+    {
+        witness.watch("haulbook/0", start);
+        CHECK(noticesAt(1049) == 0);
+        CHECK(noticesAt(1050) == 1);
+    }
+}
--- /dev/null
+++ b/src/persimmonrail/ownership/tests/serving_table_test.cpp
@@ -0,0 +1,103 @@
+#include "persimmonrail/ownership/serving_table.h"
+#include "persimmonrail/ownership/write_pacer.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace persimmonrail;
+
+namespace {
+
+constexpr steady_time start{std::chrono::hours(1)};
+
+steady_time after(int ms)
+{
+    return start + milliseconds(ms);
+}
+
+} // namespace
+
+// Guards against a hand-over after the lease has ended, for example after a pause (H2).
+TEST_CASE("a lease is found only while it outlasts the guard", "[ownership]")
+{
+    serving_table table;
+    table.publish("ledger/0", {100, 200}, 3, after(1000));
+    struct
+    {
+        const char *service;
+        uint64_t hash;
+        int at;
+        bool found;
+    } const cases[] = {
+        {"ledger", 100, 0, true},     {"ledger", 200, 979, true}, {"ledger", 150, 980, false},
+        {"ledger", 150, 5000, false}, {"ledger", 99, 0, false},   {"ledger", 201, 0, false},
+        {"led", 150, 0, false},       {"ledgers", 150, 0, false},
+    };
+    for (const auto &test : cases) {
+        CAPTURE(test.service, test.hash, test.at);
+        const auto found = table.find(test.service, test.hash, after(test.at));
+        CHECK(found.has_value() == test.found);
+        CHECK((!found || (found->partition == "ledger/0" && found->term == 3)));
+    }
+    table.publish("ledger/0-single", {150, 150}, 9, after(500));
+    CHECK(table.find("ledger", 150, after(0))->term == 9);
+    // The enclosing range must not serve a key whose own lease has ended.
+    CHECK(!table.find("ledger", 150, after(600)));
+    table.stop("ledger/0");
+    CHECK(!table.find("ledger", 151, after(0)));
+    table.publish("ledger/0", {100, 200}, 3, after(1000));
+    CHECK(table.find("ledger", 151, after(0)));
+}
+
+// Guards against a drain that misses a request admitted at the same moment.
+TEST_CASE("after a stop every admitted request is counted", "[ownership]")
+{
+    serving_table table;
+    for (int round = 0; round < 200; ++round) {
+        table.publish("ledger/0", {0, 9}, 1, after(1000));
+        std::optional<serving_table::ticket> ticket;
+        std::thread traffic([&] { ticket = table.begin("ledger", 5, after(0)); });
+        table.stop("ledger/0");
+        const auto counted = table.inFlight("ledger/0");
+        traffic.join();
+        REQUIRE(counted == (ticket.has_value() ? 1 : 0));
+    }
+    table.publish("ledger/0", {0, 9}, 1, after(1000));
+    auto first = table.begin("ledger", 5, after(0));
+    auto second = std::move(first);
+    CHECK(table.inFlight("ledger/0") == 1);
+    second.reset();
+    CHECK(table.inFlight("ledger/0") == 0);
+}
+
+// Guards against a burst of writes when the platform returns.
+TEST_CASE("writes are paced and back off", "[ownership]")
+{
+    write_pacer pacer({}, 1);
+    int burst = 0;
+    while (pacer.isReady(start) && burst < 100) {
+        pacer.take(start);
+        ++burst;
+    }
+    CHECK(burst == 8);
+    CHECK(!pacer.isReady(after(900)));
+    CHECK(pacer.isReady(after(1000)));
+    milliseconds longest{0};
+    auto now = after(60000);
+    for (int i = 0; i < 12; ++i) {
+        pacer.onRefused(now);
+        auto waited = milliseconds(0);
+        while (pacer.isBackingOff(now + waited)) {
+            waited += milliseconds(1);
+        }
+        CHECK(waited >= milliseconds(125));
+        CHECK(waited <= milliseconds(10001));
+        longest = std::max(longest, waited);
+        now += waited;
+    }
+    CHECK(longest > milliseconds(5000));
+    pacer.onAnswered();
+    pacer.onRefused(now);
+    CHECK(!pacer.isBackingOff(now + milliseconds(251)));
+}
