Parse heads without decoding field values; stop servers gracefully

Poco's header parser decodes encoded words, so a field value such as =?us-ascii?Q?a=0D=0AX:_1?= became two fields when the request was passed on. Heads are now split here and kept as they came. A server that stops listening closes its socket, finishes the requests in progress and closes idle connections; a crowded one closes idle connections after 1 s.

--- a/src/persimmonrail/gateway/forwarder.cpp
+++ b/src/persimmonrail/gateway/forwarder.cpp
@@ -64,7 +64,8 @@
                                                    "upstream-down",
                                                    "draining",
                                                    "lease-ending",
-                                                   "stale-grant"};
+                                                   "stale-grant",
+                                                   "too-many-connections"};
     return std::find(std::begin(passing), std::end(passing), reason) != std::end(passing);
 }
 
--- a/src/persimmonrail/http/http_body.cpp
+++ b/src/persimmonrail/http/http_body.cpp
@@ -1,6 +1,5 @@
 #include "persimmonrail/http/http_stream.h"
 
-#include <Poco/Exception.h>
 #include <Poco/String.h>
 
 #include <absl/strings/ascii.h>
@@ -10,7 +9,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <sstream>
 #include <vector>
 
 namespace persimmonrail {
@@ -56,32 +54,51 @@
     return io_status::Ok;
 }
 
-// Poco accepts control characters and continuation lines that other servers read differently.
-bool hasValidLines(const std::string &head)
+bool hasControl(absl::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](char c) {
+        return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f;
+    });
+}
+
+// Splits a head into its first line and its fields. Poco's own parser is not used: it decodes
+// encoded words (RFC 2047) in field values, which lets a value smuggle in line endings and with
+// them further fields, and it accepts control characters that other servers read differently.
+bool splitHead(const std::string &head, std::string &firstLine, Poco::Net::HTTPMessage &message)
 {
     bool first = true;
     for (absl::string_view line : absl::StrSplit(head, '\n')) {
         if (!line.empty() && line.back() == '\r') {
             line.remove_suffix(1);
         }
-        const bool hasControl = std::any_of(line.begin(), line.end(), [](char c) {
-            return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f;
-        });
-        if (hasControl) {
+        if (hasControl(line)) {
             return false;
         }
-        if (!first && !line.empty()) {
-            const size_t colon = line.find(':');
-            if (colon == absl::string_view::npos || colon == 0
-                || line.substr(0, colon).find_first_of(" \t") != absl::string_view::npos) {
-                return false;
-            }
+        if (first) {
+            firstLine = std::string(line);
+            first = false;
+            continue;
+        }
+        if (line.empty()) {
+            break;
         }
-        first = false;
+        const size_t colon = line.find(':');
+        if (colon == absl::string_view::npos || colon == 0
+            || line.substr(0, colon).find_first_of(" \t") != absl::string_view::npos) {
+            return false;
+        }
+        message.add(std::string(line.substr(0, colon)),
+                    std::string(absl::StripAsciiWhitespace(line.substr(colon + 1))));
     }
     return true;
 }
 
+bool isPrintable(const std::string &text)
+{
+    return !text.empty()
+        && std::all_of(text.begin(), text.end(), [](char c) { return c > 0x20 && c < 0x7f; });
+}
+
 } // namespace
 
 body_reader::body_reader(http_stream &stream, body_framing framing)
@@ -185,42 +202,55 @@
 
 io_status parseRequest(const std::string &head, Poco::Net::HTTPRequest &request)
 {
-    if (!hasValidLines(head)) {
+    std::string line;
+    request.clear();
+    if (!splitHead(head, line, request)) {
+        return io_status::Malformed;
+    }
+    const std::vector<std::string> parts = absl::StrSplit(line, ' ');
+    if (parts.size() != 3 || !isPrintable(parts[0]) || !isPrintable(parts[1])
+        || parts[1].front() != '/') {
         return io_status::Malformed;
     }
-    try {
-        std::istringstream input(head);
-        request.read(input);
-    } catch (const Poco::Exception &) {
+    if (parts[2] != Poco::Net::HTTPMessage::HTTP_1_1
+        && parts[2] != Poco::Net::HTTPMessage::HTTP_1_0) {
         return io_status::Malformed;
     }
-    const std::string &uri = request.getURI();
-    const bool isKnownVersion = request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1
-        || request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
-    return isKnownVersion && !request.getMethod().empty() && !uri.empty() && uri.front() == '/'
-        ? io_status::Ok
-        : io_status::Malformed;
+    request.setMethod(parts[0]);
+    request.setURI(parts[1]);
+    request.setVersion(parts[2]);
+    return io_status::Ok;
 }
 
 io_status parseResponse(const std::string &head, Poco::Net::HTTPResponse &response)
 {
-    if (!hasValidLines(head)) {
+    std::string line;
+    response.clear();
+    if (!splitHead(head, line, response)) {
         return io_status::Malformed;
     }
-    try {
-        std::istringstream input(head);
-        response.read(input);
-    } catch (const Poco::Exception &) {
+    const std::vector<std::string> parts = absl::StrSplit(line, absl::MaxSplits(' ', 2));
+    int status = 0;
+    if (parts.size() < 2
+        || (parts[0] != Poco::Net::HTTPMessage::HTTP_1_1
+            && parts[0] != Poco::Net::HTTPMessage::HTTP_1_0)
+        || parts[1].size() != 3 || !absl::SimpleAtoi(parts[1], &status) || status < 100
+        || status > 599) {
         return io_status::Malformed;
     }
-    const int status = response.getStatus();
-    return status >= 100 && status <= 599 ? io_status::Ok : io_status::Malformed;
+    response.setVersion(parts[0]);
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response.setReason(parts.size() > 2 ? parts[2] : "");
+    return io_status::Ok;
 }
 
 io_status requestFraming(const Poco::Net::HTTPRequest &request, body_framing &framing)
 {
     framing = {};
-    return explicitFraming(request, framing);
+    const auto hosts = std::count_if(request.begin(), request.end(), [](const auto &field) {
+        return Poco::icompare(field.first, Poco::Net::HTTPRequest::HOST) == 0;
+    });
+    return hosts == 1 ? explicitFraming(request, framing) : io_status::Malformed;
 }
 
 io_status responseFraming(const Poco::Net::HTTPResponse &response, const std::string &method,
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -114,7 +114,9 @@
         Poco::Net::HTTPRequest message = m_request.message;
         removeConnectionFields(message);
         message.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-        message.setHost(m_request.address);
+        if (!message.has(Poco::Net::HTTPRequest::HOST)) {
+            message.setHost(m_request.address);
+        }
         m_framing = m_request.body != nullptr ? m_request.body->framing() : body_framing();
         setFraming(message, m_framing);
         std::ostringstream text;
--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -17,6 +17,7 @@
 constexpr int listenBacklog = 1024;
 constexpr int threadStackBytes = 512 * 1024;
 constexpr milliseconds lingerTime{500};
+constexpr milliseconds idleCheckInterval{250};
 constexpr char overloadAnswer[] = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
                                   "Persimmonrail-Outcome: not-run\r\n"
                                   "Persimmonrail-Reason: too-many-connections\r\n"
@@ -83,9 +84,30 @@
         }
     }
 
+    // Waits in steps, since the time that an idle connection is kept depends on the others.
+    bool waitForRequest(http_stream &stream) const
+    {
+        const steady_time start = std::chrono::steady_clock::now();
+        while (!closing) {
+            const io_status status = stream.waitReadable(after(idleCheckInterval));
+            if (status != io_status::TimedOut) {
+                return status == io_status::Ok;
+            }
+            const bool crowded = server->currentConnections() * 4 > options.maxConnections * 3;
+            const milliseconds kept = crowded ? options.crowdedIdleTimeout : options.idleTimeout;
+            if (std::chrono::steady_clock::now() - start >= kept) {
+                return false;
+            }
+        }
+        return false;
+    }
+
     // Serves one request; false if the connection is to be closed.
     bool serveOne(http_stream &stream) const
     {
+        if (!waitForRequest(stream)) {
+            return false;
+        }
         std::string head;
         io_status status = stream.readHead(head, after(options.idleTimeout));
         if (status == io_status::TooLarge) {
@@ -109,19 +131,18 @@
             refuse(stream, 505, "http-version-not-supported");
             return false;
         }
-        if (!request.has(Poco::Net::HTTPRequest::HOST)) {
-            refuse(stream, 400, "missing-host");
-            return false;
-        }
         server_exchange exchange(stream, request, framing, options.idleTimeout);
         handle(exchange);
-        return exchange.finish();
+        return exchange.finish() && !closing;
     }
 
     const http_server_options options;
     const handler handle;
     const error_handler onError;
     std::atomic<bool> stopping = false;
+    // Set once no new connections are accepted.
+    std::atomic<bool> closing = false;
+    Poco::Net::ServerSocket socket;
     std::atomic<uint64_t> refused = 0;
     std::string address;
     std::mutex mutex;
@@ -216,7 +237,7 @@
 {
     auto inner = std::make_unique<state>(options, std::move(handler), std::move(onError));
     try {
-        Poco::Net::ServerSocket socket;
+        Poco::Net::ServerSocket &socket = inner->socket;
         socket.bind(Poco::Net::SocketAddress(options.address), true, false);
         socket.listen(listenBacklog);
         inner->address = socket.address().toString();
@@ -257,7 +278,16 @@
 
 void http_server::stopListening()
 {
+    m_state->closing = true;
     m_state->server->stop();
+    // Without this, the kernel would go on taking connections that nobody serves.
+    m_state->socket.close();
+}
+
+bool http_server::waitClosed(steady_time until)
+{
+    std::unique_lock lock(m_state->mutex);
+    return m_state->changed.wait_until(lock, until, [this] { return m_state->streams.empty(); });
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/http/http_server.h
+++ b/src/persimmonrail/http/http_server.h
@@ -71,6 +71,9 @@
     int maxConnections = 1024;
     // A connection without a request, or without progress within one, is closed after this time.
     milliseconds idleTimeout{30000};
+    // The same while more than three quarters of the connections are in use, so that idle ones make
+    // room for new ones.
+    milliseconds crowdedIdleTimeout{1000};
 };
 
 // HTTP/1.1 server with one thread per connection, on Poco's TCPServer. Thread safe.
@@ -95,8 +98,11 @@
     const std::string &address() const;
     int connectionCount() const;
     uint64_t refusedConnections() const;
-    // Closes the listening socket; open connections continue.
+    // Closes the listening socket. Open connections are closed after the request in progress, and
+    // idle ones at once.
     void stopListening();
+    // Waits until no connection is open; false if `until` passes before.
+    bool waitClosed(steady_time until);
 
 private:
     class state;
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -121,10 +121,11 @@
 std::string frameChunk(std::string_view piece);
 inline constexpr std::string_view lastChunk = "0\r\n\r\n";
 
-// Parses heads with Poco's message classes. Errors: Malformed.
+// Parse heads into Poco's message classes. Errors: Malformed.
 io_status parseRequest(const std::string &head, Poco::Net::HTTPRequest &request);
 io_status parseResponse(const std::string &head, Poco::Net::HTTPResponse &response);
-// Determines the framing of a body. Errors: Malformed for contradictory or repeated fields.
+// Determine the framing of a body. Errors: Malformed for contradictory or repeated fields, and for
+// requests that do not name exactly one host.
 io_status requestFraming(const Poco::Net::HTTPRequest &request, body_framing &framing);
 io_status responseFraming(const Poco::Net::HTTPResponse &response, const std::string &method,
                           body_framing &framing);
--- a/src/persimmonrail/http/tests/http_test.cpp
+++ b/src/persimmonrail/http/tests/http_test.cpp
@@ -4,7 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <condition_variable>
 #include <random>
+#include <thread>
 
 using namespace persimmonrail;
 using namespace std::chrono_literals;
@@ -100,6 +102,7 @@
         {"folded field", "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n 2\r\n\r\n", "HTTP/1.1 400"},
         {"NUL in field", std::string("GET / HTTP/1.1\r\nHost: a\r\nX: \0\r\n\r\n", 33),
          "HTTP/1.1 400"},
+        {"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "HTTP/1.1 400"},
         {"no host", "GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 400"},
         {"authority form", "GET example:80 HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400"},
         {"unknown version", "GET / HTTP/3.7\r\nHost: a\r\n\r\n", "HTTP/1.1 400"},
@@ -284,6 +287,7 @@
 {
     http_server_options options;
     options.maxConnections = 2;
+    options.crowdedIdleTimeout = generous;
     const auto server = echoServer(options);
     const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     std::vector<Poco::Net::StreamSocket> held;
@@ -299,6 +303,84 @@
     CHECK(server->connectionCount() == options.maxConnections);
 }
 
+// Guards against field values that turn into further fields on the next hop: Poco decodes encoded
+// words, which may contain line endings.
+TEST_CASE("field values are passed on as they came", "[http]")
+{
+    std::string seen;
+    scripted_server upstream([&](Poco::Net::StreamSocket &socket, int) {
+        seen = readHeadText(socket);
+        sendText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    });
+    auto server = http_server::listen({}, [&](server_exchange &exchange) {
+        http_client client(std::make_shared<connection_pool>());
+        client_request request = requestTo(upstream.address());
+        request.message = exchange.request();
+        recording_sink sink;
+        client.exchange(request, sink);
+        exchange.answer(200, "", "text/plain");
+    });
+    REQUIRE(server.ok());
+    const std::string field = "X-Odd: =?us-ascii?Q?a=0D=0APersimmonrail-Term:_9?=\r\n";
+    exchangeBytes((*server)->address(),
+                  "GET / HTTP/1.1\r\nHost: a\r\n" + field + "Connection: close\r\n\r\n");
+    CHECK(seen.find(field) != std::string::npos);
+    CHECK(seen.find("\nPersimmonrail-Term") == std::string::npos);
+}
+
+// Guards P7: a planned stop ends no request in progress and takes no new connection.
+TEST_CASE("a server that stops listening finishes its requests", "[http]")
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    int step = 0;
+    auto server = http_server::listen({}, [&](server_exchange &exchange) {
+        std::unique_lock lock(mutex);
+        step = 1;
+        changed.notify_all();
+        changed.wait(lock, [&] { return step == 2; });
+        exchange.answer(200, "whole", "text/plain");
+    });
+    REQUIRE(server.ok());
+    const std::string address = (*server)->address();
+    std::string answer;
+    std::thread caller(
+        [&] { answer = exchangeBytes(address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); });
+    {
+        std::unique_lock lock(mutex);
+        changed.wait(lock, [&] { return step == 1; });
+    }
+    (*server)->stopListening();
+    CHECK_FALSE((*server)->waitClosed(after(0ms)));
+    http_client client(std::make_shared<connection_pool>());
+    recording_sink sink;
+    CHECK(client.exchange(requestTo(address), sink).state == exchange_state::NotSent);
+    {
+        const std::lock_guard lock(mutex);
+        step = 2;
+        changed.notify_all();
+    }
+    CHECK((*server)->waitClosed(after(generous)));
+    caller.join();
+    CHECK(answer.substr(answer.size() - 5) == "whole");
+}
+
+// Guards against idle connections that keep new ones out.
+TEST_CASE("idle connections make room when the server is crowded", "[http]")
+{
+    http_server_options options;
+    options.maxConnections = 2;
+    options.idleTimeout = generous;
+    options.crowdedIdleTimeout = 0ms;
+    const auto server = echoServer(options);
+    std::vector<Poco::Net::StreamSocket> idle;
+    for (int i = 0; i < options.maxConnections; ++i) {
+        idle.emplace_back(Poco::Net::SocketAddress(server->address()));
+    }
+    // Returns only once the server has closed the connection.
+    CHECK(readToEnd(idle.front()).empty());
+}
+
 // Guards against requests that get lost or mixed up on one connection.
 TEST_CASE("requests sent ahead on one connection are answered in order", "[http]")
 {
