Test the start of a tenure

Cause: publish() takes the present time since the tenure start is kept. Change: tests pass it; a test covers servingSince(). Measured: ownership_tests pass.

--- a/src/persimmonrail/ownership/tests/serving_table_test.cpp
+++ b/src/persimmonrail/ownership/tests/serving_table_test.cpp
@@ -22,7 +22,7 @@
 TEST_CASE("a lease is found only while it outlasts the guard", "[ownership]")
 {
     serving_table table;
-    table.publish("ledger/0", {100, 200}, 3, after(1000));
+    table.publish("ledger/0", {100, 200}, 3, after(1000), start);
     struct
     {
         const char *service;
@@ -40,22 +40,37 @@
         CHECK(found.has_value() == test.found);
         CHECK((!found || (found->partition == "ledger/0" && found->term == 3)));
     }
-    table.publish("ledger/0-single", {150, 150}, 9, after(500));
+    table.publish("ledger/0-single", {150, 150}, 9, after(500), start);
     CHECK(table.find("ledger", 150, after(0))->term == 9);
     // The enclosing range must not serve a key whose own lease has ended.
     CHECK(!table.find("ledger", 150, after(600)));
     table.stop("ledger/0");
     CHECK(!table.find("ledger", 151, after(0)));
-    table.publish("ledger/0", {100, 200}, 3, after(1000));
+    table.publish("ledger/0", {100, 200}, 3, after(1000), start);
     CHECK(table.find("ledger", 151, after(0)));
 }
 
+// Guards against a tenure that seems to have begun earlier than it did: an idempotency key that an
+// earlier owner may have seen would then be accepted.
+TEST_CASE("the start of a tenure is when its term was first served", "[ownership]")
+{
+    serving_table table;
+    CHECK(!table.servingSince("ledger/0", 3));
+    table.publish("ledger/0", {0, 9}, 3, after(1000), after(0));
+    table.publish("ledger/0", {0, 9}, 3, after(1200), after(200));
+    CHECK(table.servingSince("ledger/0", 3) == after(0));
+    CHECK(!table.servingSince("ledger/0", 2));
+    table.publish("ledger/0", {0, 9}, 5, after(5000), after(4000));
+    CHECK(table.servingSince("ledger/0", 5) == after(4000));
+    CHECK(!table.servingSince("ledger/0", 3));
+}
+
 // Guards against a drain that misses a request admitted at the same moment.
 TEST_CASE("after a stop every admitted request is counted", "[ownership]")
 {
     serving_table table;
     for (int round = 0; round < 200; ++round) {
-        table.publish("ledger/0", {0, 9}, 1, after(1000));
+        table.publish("ledger/0", {0, 9}, 1, after(1000), start);
         std::optional<serving_table::ticket> ticket;
         std::thread traffic([&] { ticket = table.begin("ledger", 5, after(0)); });
         table.stop("ledger/0");
@@ -63,7 +78,7 @@
         traffic.join();
         REQUIRE(counted == (ticket.has_value() ? 1 : 0));
     }
-    table.publish("ledger/0", {0, 9}, 1, after(1000));
+    table.publish("ledger/0", {0, 9}, 1, after(1000), start);
     auto first = table.begin("ledger", 5, after(0));
     auto second = std::move(first);
     CHECK(table.inFlight("ledger/0") == 1);
