--- a/src/persimmonrail/http/tests/http_test.cpp
+++ b/src/persimmonrail/http/tests/http_test.cpp
@@ -374,11 +374,7 @@
     options.crowdedIdleTimeout = 0ms;
     const auto server = echoServer(options);
     std::vector<Poco::Net::StreamSocket> idle;
-<<<<<<< HEAD
     idle.reserve(options.maxConnections);
-=======
-    idle.reserve(2);
->>>>>>> topic/gateway
     for (int i = 0; i < options.maxConnections; ++i) {
         idle.emplace_back(Poco::Net::SocketAddress(server->address()));
     }
