Give partitions only to members that have answered

Cause: a member that joined and failed at once was given partitions until its third missed ping. Change: the coordinator plans nothing while a member of its service has neither answered nor been silent for three ping intervals.

--- a/src/persimmonrail/balance/coordinator.cpp
+++ b/src/persimmonrail/balance/coordinator.cpp
@@ -153,6 +153,7 @@
     const auto entry = m_members.find(member);
     if (entry != m_members.end()) {
         entry->second.heardAt = now;
+        entry->second.answered = true;
         entry->second.helpersAsked = 0;
         entry->second.confirmedAt.reset();
     }
@@ -184,11 +185,25 @@
     checkMembers(now);
 }
 
+milliseconds coordinator::silenceAllowed() const
+{
+    return pingInterval(m_serviceMembers.size()) * silentAfterPings;
+}
+
+bool coordinator::knowsConditions(steady_time now) const
+{
+    return std::all_of(m_serviceMembers.begin(), m_serviceMembers.end(), [&](const auto &id) {
+        const auto entry = m_members.find(id);
+        return id == m_self
+            || (entry != m_members.end()
+                && (entry->second.answered || now - entry->second.heardAt > silenceAllowed()));
+    });
+}
+
 member_condition coordinator::conditionOf(const member_record &member, steady_time now) const
 {
     const auto entry = m_members.find(member.id);
-    const auto silence = pingInterval(m_serviceMembers.size()) * silentAfterPings;
-    if (entry != m_members.end() && now - entry->second.heardAt > silence) {
+    if (entry != m_members.end() && now - entry->second.heardAt > silenceAllowed()) {
         return member_condition::Silent;
     }
     return m_hooks.placement.condition ? m_hooks.placement.condition(member)
@@ -217,6 +232,10 @@
     if (!hasRecords && now - m_membersChangedAt < initialSettleTime) {
         return;
     }
+    // A member that joins may have failed since; nothing is moved to it before it has answered.
+    if (!knowsConditions(now)) {
+        return;
+    }
     auto placement = m_hooks.placement;
     placement.condition = [this, now](const member_record &member) {
         return conditionOf(member, now);
--- a/src/persimmonrail/balance/coordinator.h
+++ b/src/persimmonrail/balance/coordinator.h
@@ -85,6 +85,7 @@
         steady_time pingedAt{};
         // Last answer, or the time since when the member has been pinged.
         steady_time heardAt{};
+        bool answered = false;
         steady_time askedAt{};
         size_t helpersAsked = 0;
         // Set once a helper confirmed that the member doesn't answer.
@@ -101,6 +102,10 @@
     // Members whose liveness this daemon is responsible for at `now`.
     std::vector<const member_record *> watched(steady_time now) const;
     milliseconds pingInterval(size_t members) const;
+    // Time without an answer after which a member is given no partitions.
+    milliseconds silenceAllowed() const;
+    // Whether each member of the own service has either answered or been silent for long enough.
+    bool knowsConditions(steady_time now) const;
     member_condition conditionOf(const member_record &member, steady_time now) const;
     void place(steady_time now);
     placement_options placementOptions(steady_time now) const;
--- a/src/persimmonrail/balance/tests/coordinator_test.cpp
+++ b/src/persimmonrail/balance/tests/coordinator_test.cpp
@@ -194,17 +194,22 @@
 // Guards against partitions that are given to a member which doesn't answer.
 TEST_CASE("a silent member is given nothing")
 {
-    coordinator_fleet run(5, 20);
-    run.run(10s);
-    std::string victim;
+    const bool answersAtFirst = GENERATE(false, true);
+    coordinator_fleet run(5, 600);
+    run.run(20s);
+    REQUIRE(run.fleet().spread() == 0);
     run.fleet().join("i5");
-    victim = "i5";
-    run.dead.insert(victim);
+    if (!answersAtFirst) {
+        run.dead.insert("i5");
+    }
     run.publish();
+    run.run(2s);
+    run.dead.insert("i5");
+    // Two moves start every 250 ms until three pings are missed; its share would be 100.
     run.run(10s);
-    // Up to two moves may start before the silence shows.
-    CHECK(run.fleet().counts()[victim] <= 4);
-    const int given = run.fleet().counts()[victim];
+    const int given = run.fleet().counts()["i5"];
+    CHECK(given >= (answersAtFirst ? 1 : 0));
+    CHECK(given <= (answersAtFirst ? 50 : 0));
     run.run(40s);
-    CHECK(run.fleet().counts()[victim] == given);
+    CHECK(run.fleet().counts()["i5"] == given);
 }
