Continue a truncated pull at once

Cause: an answer is cut at 64 KB; the rest waited for the next interval and possibly another peer, so 14 MB of state took 220 intervals. Change: the rest is pulled from the same peer at once.

--- a/src/persimmonrail/daemon/sync_driver.cpp
+++ b/src/persimmonrail/daemon/sync_driver.cpp
@@ -86,24 +86,34 @@
         publish(now);
         return;
     }
+    pullFrom(target->controlAddress);
+}
+
+void sync_driver::pullFrom(const std::string &controlAddress)
+{
     wire::Request request;
     *request.mutable_pull() = m_store.nextPull();
     const uint64_t after = request.pull().after_revision();
-    m_messenger.send(target->controlAddress, std::move(request), pullTimeout,
-                     [this, after](const absl::StatusOr<wire::Reply> &reply, steady_time later) {
-                         onPullReply(after, reply, later);
-                     });
+    m_messenger.send(
+        controlAddress, std::move(request), pullTimeout,
+        [this, controlAddress, after](const absl::StatusOr<wire::Reply> &reply, steady_time later) {
+            if (reply.ok() && reply->has_pull()) {
+                onPullReply(controlAddress, after, *reply, later);
+            }
+        });
 }
 
-void sync_driver::onPullReply(uint64_t afterRevision, const absl::StatusOr<wire::Reply> &reply,
-                              steady_time now)
+void sync_driver::onPullReply(const std::string &controlAddress, uint64_t afterRevision,
+                              const wire::Reply &reply, steady_time now)
 {
-    if (!reply.ok() || !reply->has_pull()) {
-        return;
-    }
-    m_readiness.notePull(fromWire(reply->sender()), reply->pull());
-    m_store.applyPull(afterRevision, reply->pull(), now);
+    m_readiness.notePull(fromWire(reply.sender()), reply.pull());
+    const bool applied = m_store.applyPull(afterRevision, reply.pull(), now);
     publish(now);
+    // The rest of an answer that was cut follows at once, so that a daemon far behind catches up in
+    // one interval.
+    if (applied && reply.pull().complete_to() < reply.pull().revision()) {
+        pullFrom(controlAddress);
+    }
 }
 
 void sync_driver::runElection(steady_time now)
--- a/src/persimmonrail/daemon/sync_driver.h
+++ b/src/persimmonrail/daemon/sync_driver.h
@@ -55,8 +55,9 @@
     uint64_t revision() const { return m_publishedRevision; }
 
 private:
-    void onPullReply(uint64_t afterRevision, const absl::StatusOr<wire::Reply> &reply,
-                     steady_time now);
+    void pullFrom(const std::string &controlAddress);
+    void onPullReply(const std::string &controlAddress, uint64_t afterRevision,
+                     const wire::Reply &reply, steady_time now);
     relay_watch::hooks watchHooks();
     void publish(steady_time now);
     // Returns true once, when the daemon becomes ready.
