--- a/src/persimmonrail/ownership/engine_leases.cpp
+++ b/src/persimmonrail/ownership/engine_leases.cpp
@@ -53,6 +53,9 @@
     if (!lease.suspendedAt) {
         lease.suspendedAt = now;
         log(lease, "suspend", "lease expired");
+        if (m_hooks.leaseExpired) {
+            m_hooks.leaseExpired(lease.known.record.partition);
+        }
     }
     // Without a majority, or after a pause, the silence says nothing about a single witness.
     for (auto &[witness, since] : lease.silentSince) {
--- a/src/persimmonrail/ownership/ownership_engine.h
+++ b/src/persimmonrail/ownership/ownership_engine.h
@@ -56,6 +56,9 @@
     std::function<void(std::vector<lease_grant> grants, grant_completion done)> applyGrants;
     // Requests in flight at the upstream. Optional; defaults to the count of the serving table.
     std::function<size_t(const std::string &partition)> inFlight;
+    // Called when the lease of a partition has expired; requests in flight at an upstream that does
+    // not check grants must be cancelled (rule H4). Optional.
+    std::function<void(const std::string &partition)> leaseExpired;
     // Takes one line for each placement decision. Optional.
     std::function<void(const std::string &line)> log;
 };
@@ -90,7 +93,8 @@
     // Graceful shutdown: hands every partition to its first live standby, or releases it when the
     // platform is unavailable, after its requests in flight. Claims nothing from then on.
     void drainAll(steady_time now);
-    // Whether no lease is held or being released; true at some time after drainAll().
+    // Whether no lease is held or being released; true at some time after drainAll(). The messages
+    // that release the leases may still be on their way.
     bool isDrained() const;
 
 private:
--- a/src/persimmonrail/ownership/tests/recovery_test.cpp
+++ b/src/persimmonrail/ownership/tests/recovery_test.cpp
@@ -1,3 +1,4 @@
+#include "persimmonrail/ownership/lease_state.h"
 #include "persimmonrail/ownership/recovery.h"
 #include "persimmonrail/ownership/witness_choice.h"
 
@@ -166,3 +167,36 @@
         CHECK(isDead(1051));
     }
 }
+
+// Guards against a lease that outlasts the promise of the witnesses (H1).
+TEST_CASE("the lease ends one lease after the send time that completed the majority", "[ownership]")
+{
+    struct
+    {
+        bool isJoint;
+        // Send times in ms by witness; witness 3 is in both sets.
+        std::map<int, int> acks;
+        std::optional<int> end;
+    } const cases[] = {
+        {false, {{1, 50}}, std::nullopt},
+        {false, {{1, 50}, {2, 20}}, 1020},
+        {false, {{1, 50}, {2, 20}, {3, 40}}, 1040},
+        {false, {{1, 50}, {4, 20}, {5, 20}}, std::nullopt},
+        {true, {{1, 50}, {2, 20}, {4, 10}}, std::nullopt},
+        {true, {{1, 50}, {3, 20}, {4, 10}}, 1010},
+        {true, {{1, 50}, {2, 45}, {4, 40}, {5, 30}}, 1030},
+    };
+    for (const auto &test : cases) {
+        placement_record record;
+        record.witnesses = {member(1), member(2), member(3)};
+        if (test.isJoint) {
+            record.previousWitnesses = {member(4), member(5), member(3)};
+        }
+        ack_map acks;
+        for (const auto &[index, ms] : test.acks) {
+            acks[member(index)].sentAt = start + milliseconds(ms);
+        }
+        const auto end = leaseEndFromAcks(record, acks, milliseconds(1000));
+        CHECK(end == (test.end ? start + milliseconds(*test.end) : steady_time::min()));
+    }
+}
--- a/src/persimmonrail/ownership/tests/simulation.cpp
+++ b/src/persimmonrail/ownership/tests/simulation.cpp
@@ -93,6 +93,20 @@
     at(m_now + milliseconds(7500), [this] { m_platformUp = false; });
 }
 
+void simulation::shutDownGracefully(bool platformUp)
+{
+    m_faults = false;
+    onNode(0, m_now + milliseconds(3000), [this, platformUp](node &node) {
+        m_platformUp = platformUp;
+        node.engine->drainAll(localTime(node));
+    });
+    onNode(0, m_now + milliseconds(6000), [this](node &node) {
+        if (!node.engine->isDrained()) {
+            fail("not drained 3 s after the start of the shutdown");
+        }
+    });
+}
+
 void simulation::at(steady_time time, std::function<void()> action)
 {
     m_events.push({time, m_order++, std::move(action)});
@@ -287,6 +301,10 @@
     case 5:
         if (chance(0.5)) {
             restartNode(node);
+        } else if (chance(0.5)) {
+            onNode(node, m_now, [this](simulation::node &n) { n.engine->drainAll(localTime(n)); });
+            at(std::min(m_now + between(200, 2000), m_faultsEnd),
+               [this, node] { restartNode(node); });
         }
         break;
     case 6:
@@ -347,14 +365,6 @@
     m_cuts.clear();
     m_lossRate = 0;
     m_platformUp = platformUp;
-    if (m_keepLog) {
-        for (const auto &node : m_nodes) {
-            m_log.push_back(absl::StrCat("running ", toString(node.id)));
-        }
-        for (const auto &[key, object] : m_objects) {
-            m_log.push_back(absl::StrCat("record ", object.version, " ", object.value));
-        }
-    }
     for (size_t i = 0; i < nodeCount; ++i) {
         m_nodes[i].viewFrozenUntil = m_now;
         setUpstream(i, true);
@@ -387,6 +397,10 @@
     }
     history.term = term;
     history.node = index;
+    if (history.lastServed != steady_time::min()) {
+        const auto gap = std::chrono::floor<milliseconds>(m_now - history.lastServed);
+        m_result.longestGap = std::max(m_result.longestGap, gap);
+    }
     history.lastServed = m_now;
     ++m_result.served;
     // Shorter than the hand-over guard, so that requests end within the lease.
--- a/src/persimmonrail/ownership/tests/simulation.h
+++ b/src/persimmonrail/ownership/tests/simulation.h
@@ -31,6 +31,8 @@
 {
     std::string violation;
     size_t served = 0;
+    // Longest time for which a partition was not served after it was first served.
+    milliseconds longestGap{0};
 };
 
 // Runs several ownership engines under a virtual clock with a network, a platform and upstreams
@@ -46,6 +48,8 @@
     // contact with two witnesses one after the other and replaces the first, while those two and a
     // standby know only the first record.
     void replaceWitnessBehindStaleViews();
+    // Replaces the random faults by the graceful shutdown of one instance.
+    void shutDownGracefully(bool platformUp);
     // Records the decision log while running.
     void keepLog() { m_keepLog = true; }
     const std::vector<std::string> &logLines() const { return m_log; }
@@ -89,7 +93,7 @@
         uint64_t term = 0;
         size_t node = 0;
         std::deque<request_in_flight> inFlight;
-        steady_time lastServed;
+        steady_time lastServed = steady_time::min();
     };
 
     void at(steady_time time, std::function<void()> action);
--- a/src/persimmonrail/ownership/tests/simulation_environment.cpp
+++ b/src/persimmonrail/ownership/tests/simulation_environment.cpp
@@ -54,17 +54,15 @@
     auto changed = request;
     if (m_disabled.recordVersions) {
         constexpr uint64_t sameForAll = uint64_t{1} << 40;
-        for (auto &lease : *changed.mutable_heartbeat()->mutable_leases()) {
-            lease.set_record_version(sameForAll);
-        }
-        if (request.has_claim()) {
-            changed = request;
+        if (request.has_heartbeat()) {
+            for (auto &lease : *changed.mutable_heartbeat()->mutable_leases()) {
+                lease.set_record_version(sameForAll);
+            }
+        } else if (request.has_claim()) {
             changed.mutable_claim()->mutable_lease()->set_record_version(sameForAll);
         } else if (request.has_release()) {
-            changed = request;
             changed.mutable_release()->mutable_lease()->set_record_version(sameForAll);
         } else if (request.has_lapse_notice()) {
-            changed = request;
             changed.mutable_lapse_notice()->set_record_version(0);
         }
     }
--- a/src/persimmonrail/ownership/tests/simulation_test.cpp
+++ b/src/persimmonrail/ownership/tests/simulation_test.cpp
@@ -90,3 +90,16 @@
     CHECK(reportsTwoOwners(result) == disabled.recordVersions);
     CHECK(result.violation.empty() != disabled.recordVersions);
 }
+
+// Guards against a planned stop that leaves its partitions to the expiry of the lease (P7, R1). The
+// gap consists of the drain, the write of the record or the release, the claim and the grant.
+TEST_CASE("a graceful shutdown hands over within a fraction of a lease", "[ownership][simulation]")
+{
+    const bool platformUp = GENERATE(true, false);
+    simulation run(1, {});
+    run.shutDownGracefully(platformUp);
+    const auto result = run.run();
+    CAPTURE(platformUp, result.violation, result.longestGap.count());
+    CHECK(result.violation.empty());
+    CHECK(result.longestGap < milliseconds(250));
+}
