Add admission control by rank ahead of the upstream's slots

Cause: the daemon admitted requests without regard to their rank, so least urgent work could take every slot. The hook 'admit' takes an admission_request, and the ticket learns outcome and latency. The header Persimmonrail-Subsidiary names the caller's subsidiary.

--- a/src/persimmonrail/base/header_names.h
+++ b/src/persimmonrail/base/header_names.h
@@ -14,6 +14,9 @@
 inline constexpr char deadlineHeader[] = "Persimmonrail-Deadline-Ms";
 // Name of the rank that the ingress daemon chose for the request.
 inline constexpr char rankHeader[] = "Persimmonrail-Rank";
+// Subsidiary on whose behalf the caller asks. Optional; subsidiaries share each rank fairly.
+// Callers are trusted to name their own.
+inline constexpr char subsidiaryHeader[] = "Persimmonrail-Subsidiary";
 // Name of the instance that currently holds the partition, sent with "not owner" answers.
 inline constexpr char holderHeader[] = "Persimmonrail-Holder";
 // Reason why an upstream did not run a request: shed, draining or stale-grant.
--- a/src/persimmonrail/daemon/daemon_state.h
+++ b/src/persimmonrail/daemon/daemon_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "persimmonrail/admission/rank_admission.h"
 #include "persimmonrail/daemon/control_loop.h"
 #include "persimmonrail/daemon/control_messenger.h"
 #include "persimmonrail/daemon/coordinator_driver.h"
@@ -57,6 +58,7 @@
 
     absl::Status startTraffic();
     gateway_hooks makeGatewayHooks();
+    admission_source readAdmissionSource() const;
     at_most_once_decision beginAtMostOnce(std::string_view service, std::string_view idempotencyKey,
                                           const lease_ticket &ticket, steady_time now);
     void endAtMostOnce(std::string_view service, std::string_view idempotencyKey,
@@ -80,6 +82,7 @@
     instance_directory m_instances;
     retry_budget m_retries;
     at_most_once_table m_atMostOnce;
+    rank_admission m_admission;
     std::atomic<bool> m_stopping{false};
     // When the daemon stops accepting work for the local upstream, in steady clock ticks.
     std::atomic<steady_time::rep> m_noNewWorkAt;
--- a/src/persimmonrail/daemon/daemon_traffic.cpp
+++ b/src/persimmonrail/daemon/daemon_traffic.cpp
@@ -97,6 +97,9 @@
         m_retries.noteFirstAttempt(now);
         return true;
     };
+    hooks.admit = [this](const admission_request &request, steady_time now) {
+        return m_admission.admit(request, now);
+    };
     hooks.atMostOnceBegin = [this](std::string_view service, std::string_view idempotencyKey,
                                    const lease_ticket &ticket, steady_time now) {
         return beginAtMostOnce(service, idempotencyKey, ticket, now);
@@ -109,6 +112,21 @@
     return hooks;
 }
 
+admission_source daemon::state::readAdmissionSource() const
+{
+    const upstream_status status = m_guard.status(std::chrono::steady_clock::now());
+    admission_source source;
+    if (status.announcement) {
+        source.slots = status.announcement->slots;
+        source.bootId = status.announcement->bootId;
+    }
+    if (const auto view = m_sync ? m_sync->view() : nullptr) {
+        const auto document = view->documents.find(m_settings.service);
+        source.document = document == view->documents.end() ? nullptr : document->second;
+    }
+    return source;
+}
+
 at_most_once_decision daemon::state::beginAtMostOnce(std::string_view service,
                                                      std::string_view idempotencyKey,
                                                      const lease_ticket &ticket, steady_time now)
@@ -174,6 +192,8 @@
 {
     m_metrics.addGauge("persimmonrail_process_cpu_seconds", processCpuSeconds);
     m_metrics.addGauge("persimmonrail_ready", [this] { return notReadyReason().empty() ? 1 : 0; });
+    m_metrics.addGauge("persimmonrail_admission_limit", [this] { return m_admission.limit(); });
+    m_metrics.addGauge("persimmonrail_admission_running", [this] { return m_admission.running(); });
     m_metrics.addGauge("persimmonrail_relay", [this] { return m_sync->isRelay() ? 1 : 0; });
     m_metrics.addGauge("persimmonrail_state_revision", [this] { return m_sync->revision(); });
     m_metrics.addGauge("persimmonrail_control_sent_bytes",
--- a/src/persimmonrail/gateway/gateway_hooks.cpp
+++ b/src/persimmonrail/gateway/gateway_hooks.cpp
@@ -13,6 +13,10 @@
 
 } // namespace
 
+void admission_ticket::finish(request_outcome, std::string_view, std::chrono::nanoseconds,
+                              steady_time)
+{ }
+
 class slot_admission::state
 {
 public:
--- a/src/persimmonrail/gateway/gateway_hooks.h
+++ b/src/persimmonrail/gateway/gateway_hooks.h
@@ -28,11 +28,26 @@
     virtual steady_time leaseEnd() const = 0;
 };
 
+// A request that asks for a slot of the local upstream.
+struct admission_request
+{
+    std::string_view service;
+    // Position of its rank in the document, 0 for the most urgent.
+    size_t rank = 0;
+    // From the header Persimmonrail-Subsidiary; empty if the caller names none.
+    std::string_view subsidiary;
+    steady_time deadline;
+};
+
 // Permission to use one slot of the upstream, given back on destruction.
 class admission_ticket
 {
 public:
     virtual ~admission_ticket() = default;
+    // Reports how the request ended; call it at most once. `reason` is the word of the upstream
+    // guard, `latency` the time from hand-over to the end.
+    virtual void finish(request_outcome outcome, std::string_view reason,
+                        std::chrono::nanoseconds latency, steady_time now);
 };
 
 struct admission_refusal
@@ -97,9 +112,7 @@
     std::function<bool(bool isRetry, steady_time now)> retryBudget;
 
     // Waits for a slot of the local upstream. Default: slot_admission.
-    std::function<admission_result(std::string_view service, size_t rank, steady_time deadline,
-                                   steady_time now)>
-        admit;
+    std::function<admission_result(const admission_request &request, steady_time now)> admit;
 
     // `ticket` is the lease under which the request would run. Default: always Proceed.
     std::function<at_most_once_decision(std::string_view service, std::string_view idempotencyKey,
--- a/src/persimmonrail/gateway/request_call.cpp
+++ b/src/persimmonrail/gateway/request_call.cpp
@@ -16,6 +16,9 @@
 // Longest remaining time that a request may state; larger values are malformed.
 constexpr int64_t maxDeadlineMs = 24LL * 3600 * 1000;
 
+// Longer names are cut, so that admission control keeps bounded state.
+constexpr size_t maxSubsidiaryLength = 64;
+
 steady_time currentTime()
 {
     return std::chrono::steady_clock::now();
@@ -61,6 +64,9 @@
         m_path.m_hooks.retryBudget(false, m_start);
         m_message.set(requestIdHeader, m_requestId);
         m_message.set(rankHeader, m_rank);
+        if (!m_subsidiary.empty()) {
+            m_message.set(subsidiaryHeader, m_subsidiary);
+        }
         if (m_hash) {
             m_message.set(keyHashHeader, hashToString(*m_hash));
         }
@@ -74,6 +80,7 @@
 std::optional<call_result> request_call::findOperation()
 {
     const std::string statedDeadline = m_message.get(deadlineHeader, "");
+    takeSubsidiary();
     removeOwnFields(m_message);
     auto target = parseTarget(m_message.getURI());
     if (!target.ok()) {
@@ -109,6 +116,11 @@
     return std::nullopt;
 }
 
+void request_call::takeSubsidiary()
+{
+    m_subsidiary = m_message.get(subsidiaryHeader, "").substr(0, maxSubsidiaryLength);
+}
+
 std::optional<call_result> request_call::findKey()
 {
     if (!m_repeatable) {
@@ -328,8 +340,8 @@
 call_result request_call::admitAndHandOver(const lease_ticket *ticket,
                                            const caller_sink::keep_hook &keep)
 {
-    const admission_result admitted =
-        m_path.m_hooks.admit(m_target.service, m_rankIndex, m_deadline, currentTime());
+    const admission_result admitted = m_path.m_hooks.admit(
+        {m_target.service, m_rankIndex, m_subsidiary, m_deadline}, currentTime());
     if (const auto *const refusal = std::get_if<admission_refusal>(&admitted)) {
         call_result result = notRun(refusal->reason, 429);
         result.retryAfter = refusal->retryAfter;
@@ -351,7 +363,11 @@
     request.deadline = m_deadline;
     request.caller = &m_exchange.connection();
     caller_sink sink(m_exchange, m_requestId, keep);
-    const hand_over_result handed = m_path.m_guard.handOver(request, sink, currentTime());
+    const steady_time handedAt = currentTime();
+    const hand_over_result handed = m_path.m_guard.handOver(request, sink, handedAt);
+    const steady_time endedAt = currentTime();
+    std::get<std::unique_ptr<admission_ticket>>(admitted)->finish(handed.outcome, handed.reason,
+                                                                  endedAt - handedAt, endedAt);
     call_result result;
     result.outcome = handed.outcome;
     result.reason = handed.reason;
@@ -438,6 +454,7 @@
         || left > maxDeadlineMs || (!hash.empty() && !absl::SimpleHexAtoi(hash, &hashValue))) {
         return answerError(notRun("malformed-forwarded-request", 400));
     }
+    takeSubsidiary();
     removeOwnFields(m_message);
     m_target = *std::move(target);
     m_deadline = m_start + milliseconds(left);
--- a/src/persimmonrail/gateway/request_call.h
+++ b/src/persimmonrail/gateway/request_call.h
@@ -40,6 +40,7 @@
     std::optional<call_result> findOperation();
     std::optional<call_result> findKey();
     void setDeadline(milliseconds timeout);
+    void takeSubsidiary();
     call_result routeByHash();
     call_result tryCandidates();
     call_result routeToAny();
@@ -66,6 +67,7 @@
     request_target m_target;
     std::string m_rank;
     size_t m_rankIndex = 0;
+    std::string m_subsidiary;
     bool m_repeatable = false;
     std::string m_idempotencyKey;
     std::optional<uint64_t> m_hash;
--- a/src/persimmonrail/gateway/request_path.cpp
+++ b/src/persimmonrail/gateway/request_path.cpp
@@ -72,8 +72,8 @@
         m_hooks.retryBudget = [](bool isRetry, steady_time) { return !isRetry; };
     }
     if (!m_hooks.admit) {
-        m_hooks.admit = [this](std::string_view, size_t, steady_time deadline, steady_time now) {
-            return m_defaultAdmission->admit(deadline, now);
+        m_hooks.admit = [this](const admission_request &request, steady_time now) {
+            return m_defaultAdmission->admit(request.deadline, now);
         };
     }
     if (!m_hooks.atMostOnceBegin) {
--- a/src/persimmonrail/gateway/tests/gateway_test.cpp
+++ b/src/persimmonrail/gateway/tests/gateway_test.cpp
@@ -281,8 +281,8 @@
     auto &owner = fleet.add("owner", "standin", [](test_fleet::daemon &daemon) {
         daemon.hooks.admit = [admission =
                                   std::make_shared<slot_admission>([] { return 1; }, 0, 0ms)](
-                                 std::string_view, size_t, steady_time deadline, steady_time now) {
-            return admission->admit(deadline, now);
+                                 const admission_request &request, steady_time now) {
+            return admission->admit(request.deadline, now);
         };
     });
     auto &other = fleet.add("other", "");
