Return to the last calm limit when a raise is refused

Cause: with 20 slots and an upstream that sheds above 10, each failed attempt to raise the limit lowered it by a fifth, and the pause kept it there. Change: a refusal right after a raise takes back that raise only.

--- a/src/persimmonrail/admission/concurrency_limit.cpp
+++ b/src/persimmonrail/admission/concurrency_limit.cpp
@@ -99,6 +99,7 @@
         m_isTrial = false;
         learnUsual();
         if (ratio < calmRatio && now >= m_raiseAt) {
+            m_limitBeforeRaise = m_limit;
             m_limit = std::min<double>(m_limit + 1, m_slots);
             if (m_limit >= m_slots) {
                 m_raisePause = milliseconds(0);
@@ -159,7 +160,13 @@
         return;
     }
     m_ignoreOverloadUntil = now + overloadEcho;
-    m_limit = std::max(1.0, std::min(m_limit * overloadFactor, m_limit - 1));
+    if (m_limitBeforeRaise > 0) {
+        // Only the last raise was too much.
+        m_limit = m_limitBeforeRaise;
+        m_limitBeforeRaise = 0;
+    } else {
+        m_limit = std::max(1.0, std::min(m_limit * overloadFactor, m_limit - 1));
+    }
     // Each attempt to go above what the upstream takes costs a refused request, so the attempts
     // become rarer while they fail.
     m_raisePause = std::clamp(m_raisePause * 2, minRaisePause, maxRaisePause);
--- a/src/persimmonrail/admission/concurrency_limit.h
+++ b/src/persimmonrail/admission/concurrency_limit.h
@@ -56,6 +56,8 @@
     bool m_isTrial = false;
     double m_limitBeforeTrial = 0;
     double m_ratioBeforeTrial = 0;
+    // The limit at the last calm window if it was raised then, else 0.
+    double m_limitBeforeRaise = 0;
     steady_time m_ignoreOverloadUntil;
     steady_time m_raiseAt;
     milliseconds m_raisePause{0};
