Keep queues in the upstream from passing for slower work

Cause: at thousands of answers a second the usual latency rose to that of a queueing upstream within seconds, and the limit returned to all slots. The first window also set the usual latency of a rank from few answers. Change: upwards the usual latency adapts by time (30 s); the first 400 answers of a rank count equally.

--- a/src/persimmonrail/admission/concurrency_limit.cpp
+++ b/src/persimmonrail/admission/concurrency_limit.cpp
@@ -19,10 +19,13 @@
 constexpr double maxRatio = 10;
 // A lower limit has helped if it took the latency below this share of the earlier one.
 constexpr double helpedShare = 0.85;
-// Answers after which the usual latency has mostly adapted, by direction. Upwards is slower, so
-// that growing queues in the upstream do not pass for slower work.
-constexpr double answersToLearnUp = 4000;
+// The usual latency adapts downwards by answers and upwards by time. At thousands of answers a
+// second, a bound in answers made queues in the upstream pass for slower work within seconds.
 constexpr double answersToLearnDown = 1000;
+// Until then the usual latency of a rank is the mean of all its answers, since a rank may have
+// only a few answers in its first window.
+constexpr int answersToKnow = 400;
+constexpr double secondsToLearnUp = 30;
 constexpr double overloadFactor = 0.8;
 // Requests in flight when the limit was lowered may still be refused within this time.
 constexpr milliseconds overloadEcho{50};
@@ -97,7 +100,7 @@
         }
     } else {
         m_isTrial = false;
-        learnUsual();
+        learnUsual(now);
         if (ratio < calmRatio && now >= m_raiseAt) {
             m_limitBeforeRaise = m_limit;
             m_limit = std::min<double>(m_limit + 1, m_slots);
@@ -126,18 +129,21 @@
     m_limit = std::max(1.0, m_limit * std::max(0.5, 1 / ratio));
 }
 
-void concurrency_limit::learnUsual()
+void concurrency_limit::learnUsual(steady_time now)
 {
+    const double seconds = std::chrono::duration<double>(now - m_windowStart).count();
     for (rank_latency &rank : m_ranks) {
         if (rank.windowCount == 0) {
             continue;
         }
         const double mean = rank.windowSum / rank.windowCount;
-        if (rank.usual == 0) {
-            rank.usual = mean;
+        rank.answers += rank.windowCount;
+        if (rank.answers <= answersToKnow) {
+            rank.usual += (mean - rank.usual) * rank.windowCount / rank.answers;
         } else {
-            const double answers = mean > rank.usual ? answersToLearnUp : answersToLearnDown;
-            rank.usual += (mean - rank.usual) * std::min(1.0, rank.windowCount / answers);
+            const double weight = mean > rank.usual ? seconds / secondsToLearnUp
+                                                    : rank.windowCount / answersToLearnDown;
+            rank.usual += (mean - rank.usual) * std::min(1.0, weight);
         }
     }
 }
--- a/src/persimmonrail/admission/concurrency_limit.h
+++ b/src/persimmonrail/admission/concurrency_limit.h
@@ -32,15 +32,16 @@
 private:
     struct rank_latency
     {
-        // Seconds in calm times; 0 until the first window has ended.
+        // Seconds in calm times; 0 until the first calm window has ended.
         double usual = 0;
+        int answers = 0;
         double windowSum = 0;
         int windowCount = 0;
     };
 
     void endWindow(steady_time now);
     void lower(double ratio);
-    void learnUsual();
+    void learnUsual(steady_time now);
     void discardWindow(steady_time now);
 
     int m_slots;
