Lower the limit only after two congested windows in a row

Cause: one window in about 6000 exceeds the latency bound by chance and lowered the limit of a healthy upstream. Change: the second congested window in a row lowers the limit.

--- a/src/persimmonrail/admission/concurrency_limit.cpp
+++ b/src/persimmonrail/admission/concurrency_limit.cpp
@@ -94,11 +94,14 @@
     const double ratio = m_ratioCount > 0 ? m_ratioSum / m_ratioCount : 1;
     const bool isRamp = now < m_rampEnd && m_limit < m_slots;
     if (ratio > congestedRatio + congestedSpread / std::sqrt(std::max(m_ratioCount, 1))) {
-        // A cold upstream is slow whatever the limit is.
-        if (!isRamp) {
+        // One window may exceed the bound by chance, two in a row hardly do. A cold upstream is
+        // slow whatever the limit is.
+        if (m_wasCongested && !isRamp) {
             lower(ratio);
         }
+        m_wasCongested = true;
     } else {
+        m_wasCongested = false;
         m_isTrial = false;
         learnUsual(now);
         if (ratio < calmRatio && now >= m_raiseAt) {
--- a/src/persimmonrail/admission/concurrency_limit.h
+++ b/src/persimmonrail/admission/concurrency_limit.h
@@ -53,6 +53,7 @@
     steady_time m_windowStart;
     // Answers of requests that were sent under an earlier limit.
     int m_toIgnore = 0;
+    bool m_wasCongested = false;
     // Set while a limit lowered for latency has not yet shown an effect.
     bool m_isTrial = false;
     double m_limitBeforeTrial = 0;
