Wait for the closed connection in the reuse test

The test could send its second request before the close of the idle connection had reached the client, in which case no answer is the correct result; one of 18 runs on a busy machine failed so. The test now waits until the server side has closed, and the expected states are unchanged.

--- a/src/persimmonrail/http/tests/http_test.cpp
+++ b/src/persimmonrail/http/tests/http_test.cpp
@@ -204,6 +204,9 @@
         request.repeatable = row.repeatable;
         REQUIRE(client.exchange(request, sink).state == exchange_state::Whole);
         REQUIRE(pool->idleCount() == 1);
+        if (row.closeWhileIdle) {
+            server.waitClosed(1);
+        }
         CHECK(toString(client.exchange(request, sink).state) == toString(row.state));
         CHECK(server.connectionCount() == (row.state == exchange_state::Whole ? 2 : 1));
     }
--- a/tests/standins/scripted_server.cpp
+++ b/tests/standins/scripted_server.cpp
@@ -38,6 +38,12 @@
     }
 }
 
+void scripted_server::waitClosed(int count)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [&] { return m_closed >= count; });
+}
+
 void scripted_server::acceptConnections()
 {
     while (!m_stopping) {
@@ -55,6 +61,8 @@
             }
             const std::lock_guard closing(m_mutex);
             m_open.erase(connection);
+            ++m_closed;
+            m_changed.notify_all();
         });
     }
 }
--- a/tests/standins/scripted_server.h
+++ b/tests/standins/scripted_server.h
@@ -4,6 +4,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -28,6 +29,8 @@
 
     const std::string &address() const { return m_address; }
     int connectionCount() const { return m_connections; }
+    // Waits until this many connections have been closed by their scripts.
+    void waitClosed(int count);
 
 private:
     void acceptConnections();
@@ -38,6 +41,8 @@
     std::atomic<bool> m_stopping = false;
     std::atomic<int> m_connections = 0;
     std::mutex m_mutex;
+    std::condition_variable m_changed;
+    int m_closed = 0;
     std::list<Poco::Net::StreamSocket> m_open;
     std::list<std::thread> m_threads;
     std::thread m_acceptor;
