Bound idle connections in number and age

The pool kept up to 16 connections to every peer ever used, which in a fleet of 6,700 daemons would use up the descriptors. Idle connections are now bounded in all and closed after 10 s, and requests that may not be repeated use only connections idle for less than 500 ms, since a crowded server closes them after 1 s.

--- a/src/persimmonrail/gateway/forwarder.cpp
+++ b/src/persimmonrail/gateway/forwarder.cpp
@@ -70,7 +70,7 @@
 }
 
 forwarder::forwarder()
-    : m_pool(std::make_shared<connection_pool>(maxIdleConnections))
+    : m_pool(std::make_shared<connection_pool>(connection_pool_options{maxIdleConnections}))
     , m_client(m_pool)
 { }
 
--- a/src/persimmonrail/http/connection_pool.cpp
+++ b/src/persimmonrail/http/connection_pool.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace persimmonrail {
 namespace {
@@ -14,24 +15,35 @@
 
 } // namespace
 
-connection_pool::connection_pool(size_t maxIdlePerAddress)
-    : m_maxIdlePerAddress(maxIdlePerAddress)
+connection_pool::connection_pool(const connection_pool_options &options)
+    : m_options(options)
 { }
 
+// Returns null if no connection to the address became idle after `since`.
+std::unique_ptr<http_stream> connection_pool::takeIdle(const std::string &address,
+                                                       steady_time since)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto entry = m_byAddress.find(address);
+    if (entry == m_byAddress.end() || entry->second.back()->since <= since) {
+        return nullptr;
+    }
+    const idle_list::iterator newest = entry->second.back();
+    std::unique_ptr<http_stream> stream = std::move(newest->stream);
+    m_idle.erase(newest);
+    entry->second.pop_back();
+    if (entry->second.empty()) {
+        m_byAddress.erase(entry);
+    }
+    return stream;
+}
+
 absl::StatusOr<connection_pool::connection> connection_pool::take(const std::string &address,
+                                                                  bool repeatable, steady_time now,
                                                                   steady_time until)
 {
-    for (;;) {
-        std::unique_ptr<http_stream> stream;
-        {
-            const std::lock_guard lock(m_mutex);
-            auto &idle = m_idle[address];
-            if (idle.empty()) {
-                break;
-            }
-            stream = std::move(idle.back());
-            idle.pop_back();
-        }
+    const steady_time since = now - (repeatable ? m_options.idleTime : m_options.freshTime);
+    while (std::unique_ptr<http_stream> stream = takeIdle(address, since)) {
         // Bytes without a request belong to no exchange; such a connection is unusable.
         if (!stream->hasInput()) {
             return connection{address, std::move(stream), true};
@@ -58,30 +70,49 @@
     }
 }
 
-void connection_pool::giveBack(connection connection)
+void connection_pool::closeOldest()
+{
+    const auto entry = m_byAddress.find(m_idle.front().address);
+    entry->second.pop_front();
+    if (entry->second.empty()) {
+        m_byAddress.erase(entry);
+    }
+    m_idle.pop_front();
+}
+
+void connection_pool::giveBack(connection connection, steady_time now)
 {
     connection.stream->watch(nullptr);
     const std::lock_guard lock(m_mutex);
-    auto &idle = m_idle[connection.address];
-    if (idle.size() < m_maxIdlePerAddress) {
-        idle.push_back(std::move(connection.stream));
+    while (!m_idle.empty()
+           && (m_idle.size() >= m_options.maxIdle
+               || m_idle.front().since <= now - m_options.idleTime)) {
+        closeOldest();
+    }
+    auto &known = m_byAddress[connection.address];
+    if (known.size() < m_options.maxIdlePerAddress) {
+        m_idle.push_back({connection.address, std::move(connection.stream), now});
+        known.push_back(std::prev(m_idle.end()));
     }
 }
 
 void connection_pool::drop(const std::string &address)
 {
     const std::lock_guard lock(m_mutex);
-    m_idle.erase(address);
+    const auto entry = m_byAddress.find(address);
+    if (entry == m_byAddress.end()) {
+        return;
+    }
+    for (const idle_list::iterator idle : entry->second) {
+        m_idle.erase(idle);
+    }
+    m_byAddress.erase(entry);
 }
 
 size_t connection_pool::idleCount() const
 {
     const std::lock_guard lock(m_mutex);
-    size_t count = 0;
-    for (const auto &[address, idle] : m_idle) {
-        count += idle.size();
-    }
-    return count;
+    return m_idle.size();
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -331,7 +331,8 @@
     };
     for (;;) {
         auto connection = fresh ? m_pool->connect(request.address, request.deadline)
-                                : m_pool->take(request.address, request.deadline);
+                                : m_pool->take(request.address, request.repeatable,
+                                               std::chrono::steady_clock::now(), request.deadline);
         if (!connection.ok()) {
             exchange_result result;
             result.state = exchange_state::NotSent;
@@ -355,7 +356,7 @@
         const bool ended =
             result.state == exchange_state::Whole || result.state == exchange_state::Declined;
         if (ended && current.isReusable()) {
-            m_pool->giveBack(std::move(*connection));
+            m_pool->giveBack(std::move(*connection), std::chrono::steady_clock::now());
         }
         return judge(std::move(result));
     }
--- a/src/persimmonrail/http/http_client.h
+++ b/src/persimmonrail/http/http_client.h
@@ -4,7 +4,9 @@
 
 #include <absl/status/statusor.h>
 
+#include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -13,6 +15,20 @@
 
 namespace persimmonrail {
 
+struct connection_pool_options
+{
+    size_t maxIdlePerAddress = 32;
+    // Bounds the descriptors that idle connections take, whatever the number of peers; the
+    // connection that has been idle longest is closed first.
+    size_t maxIdle = 512;
+    // Well below the idle timeout of the servers (30 s), so that they rarely close first.
+    milliseconds idleTime{10000};
+    // A request that may not be repeated takes a connection only if it has been idle for less than
+    // this: a crowded server closes connections after 1 s, and a request sent at that moment would
+    // end with an unknown outcome.
+    milliseconds freshTime{500};
+};
+
 // Idle connections by address. Thread safe.
 class connection_pool
 {
@@ -24,22 +40,37 @@
         bool reused = false;
     };
 
-    explicit connection_pool(size_t maxIdlePerAddress = 32);
+    explicit connection_pool(const connection_pool_options &options = {});
 
-    // Returns an idle connection that its peer has not closed, or connects.
-    // Errors: Unavailable if the connection is refused or can't be made in time.
-    absl::StatusOr<connection> take(const std::string &address, steady_time until);
+    // Returns an idle connection that its peer has not closed, or connects. `repeatable` tells
+    // about the request to be sent. Errors: Unavailable if the connection is refused or can't be
+    // made in time.
+    absl::StatusOr<connection> take(const std::string &address, bool repeatable, steady_time now,
+                                    steady_time until);
     absl::StatusOr<connection> connect(const std::string &address, steady_time until);
     // Returns a connection on which an exchange ended regularly.
-    void giveBack(connection connection);
+    void giveBack(connection connection, steady_time now);
     // Closes the idle connections to an address.
     void drop(const std::string &address);
     size_t idleCount() const;
 
 private:
-    const size_t m_maxIdlePerAddress;
+    struct idle_connection
+    {
+        std::string address;
+        std::unique_ptr<http_stream> stream;
+        steady_time since;
+    };
+    using idle_list = std::list<idle_connection>;
+
+    std::unique_ptr<http_stream> takeIdle(const std::string &address, steady_time since);
+    void closeOldest();
+
+    const connection_pool_options m_options;
     mutable std::mutex m_mutex;
-    std::map<std::string, std::vector<std::unique_ptr<http_stream>>> m_idle;
+    // Both in the order in which the connections became idle.
+    idle_list m_idle;
+    std::map<std::string, std::deque<idle_list::iterator>> m_byAddress;
 };
 
 // Supplies the body of a request. Implementations need not be thread safe.
--- a/src/persimmonrail/http/tests/http_test.cpp
+++ b/src/persimmonrail/http/tests/http_test.cpp
@@ -197,7 +197,10 @@
                 readHeadText(socket);
             }
         });
-        const auto pool = std::make_shared<connection_pool>();
+        connection_pool_options options;
+        options.freshTime = generous;
+        options.idleTime = generous;
+        const auto pool = std::make_shared<connection_pool>(options);
         http_client client(pool);
         recording_sink sink;
         client_request request = requestTo(server.address());
@@ -242,7 +245,9 @@
         sendText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
         readHeadText(socket);
     });
-    http_client client(std::make_shared<connection_pool>());
+    connection_pool_options options;
+    options.idleTime = generous;
+    http_client client(std::make_shared<connection_pool>(options));
     recording_sink sink;
     client_request request = requestTo(body.server->address());
     request.repeatable = true;
@@ -273,6 +278,51 @@
     }
 }
 
+// Guards against idle connections that use up the descriptors, and against reusing one that its
+// server is about to close.
+TEST_CASE("idle connections are bounded in number and age", "[http]")
+{
+    scripted_server server([](Poco::Net::StreamSocket &socket, int) { readHeadText(socket); });
+    connection_pool_options options;
+    options.maxIdlePerAddress = 2;
+    options.maxIdle = 2;
+    connection_pool pool(options);
+    const steady_time start = std::chrono::steady_clock::now();
+    const auto giveBack = [&](int count, steady_time now) {
+        for (int i = 0; i < count; ++i) {
+            auto connection = pool.connect(server.address(), after(generous));
+            REQUIRE(connection.ok());
+            pool.giveBack(*std::move(connection), now);
+        }
+    };
+    struct
+    {
+        milliseconds age;
+        bool repeatable;
+        bool reused;
+    } const table[] = {
+        {499ms, false, true},
+        {500ms, false, false},
+        {500ms, true, true},
+        {10'000ms, true, false},
+    };
+    for (const auto &row : table) {
+        CAPTURE(row.age.count(), row.repeatable);
+        pool.drop(server.address());
+        giveBack(1, start);
+        const auto taken =
+            pool.take(server.address(), row.repeatable, start + row.age, after(generous));
+        REQUIRE(taken.ok());
+        CHECK(taken->reused == row.reused);
+        CHECK(pool.idleCount() == (row.reused ? 0 : 1));
+    }
+    pool.drop(server.address());
+    giveBack(3, start);
+    CHECK(pool.idleCount() == 2);
+    giveBack(1, start + 10s);
+    CHECK(pool.idleCount() == 1);
+}
+
 TEST_CASE("a refused connection means that nothing was sent", "[http]")
 {
     std::string address;
--- a/src/persimmonrail/upstream/upstream_guard.cpp
+++ b/src/persimmonrail/upstream/upstream_guard.cpp
@@ -110,7 +110,7 @@
 upstream_guard::upstream_guard(const upstream_guard_options &options, upstream_callbacks callbacks)
     : m_options(options)
     , m_callbacks(std::move(callbacks))
-    , m_client(std::make_shared<connection_pool>(maxIdleConnections))
+    , m_client(std::make_shared<connection_pool>(connection_pool_options{maxIdleConnections}))
 { }
 
 upstream_state upstream_guard::stateAt(steady_time now) const
