--- a/src/persimmonrail/daemon/daemon_state.cpp
+++ b/src/persimmonrail/daemon/daemon_state.cpp
@@ -1,5 +1,6 @@
 #include "persimmonrail/daemon/daemon_state.h"
 
+#include "persimmonrail/daemon/quarantine_gossip.h"
 #include "persimmonrail/platform/http_object_api.h"
 
 #include <Poco/JSON/Object.h>
@@ -46,9 +47,13 @@
     , m_api(makeHttpObjectApi(settings.platformAddress, platformTimeout))
     , m_guard({},
               {[this](upstream_state state, const upstream_announcement &announcement) {
+                   if (state == upstream_state::Down) {
+                       m_quarantine.noteCrash(std::chrono::steady_clock::now());
+                   }
                    onUpstreamState(state, announcement);
                },
                [this](const upstream_announcement &announcement) {
+                   m_quarantine.noteCrash(std::chrono::steady_clock::now());
                    // The new run holds no grants and has forgotten its requests.
                    onUpstreamState(upstream_state::Down, announcement);
                    onUpstreamState(upstream_state::Up, announcement);
@@ -122,7 +127,10 @@
     sync_driver::options options{{m_self.name, m_settings.availabilityZone, m_settings.region},
                                  m_settings.seeds,
                                  m_api,
-                                 makeRandom()};
+                                 makeRandom(),
+                                 [this](const wire::PullReply &reply, steady_time now) {
+                                     m_quarantine.merge(quarantineFromWire(reply), now);
+                                 }};
     m_sync.emplace(
         options, m_loop, *m_messenger, m_log,
         [this](const std::shared_ptr<const fleet_view> &view, steady_time now) {
@@ -201,6 +209,7 @@
     switch (request.body_case()) {
     case wire::Request::kPull:
         *reply.mutable_pull() = m_sync->answerPull(request.pull(), fromWire(request.sender()));
+        addQuarantine(m_quarantine, now, *reply.mutable_pull());
         break;
     case wire::Request::kPing: {
         const auto uptime = std::chrono::duration_cast<milliseconds>(now - m_started);
--- a/src/persimmonrail/daemon/daemon_state.h
+++ b/src/persimmonrail/daemon/daemon_state.h
@@ -12,6 +12,7 @@
 #include "persimmonrail/gateway/servers.h"
 #include "persimmonrail/ownership/ownership_engine.h"
 #include "persimmonrail/requests/at_most_once_table.h"
+#include "persimmonrail/requests/crash_quarantine.h"
 #include "persimmonrail/routing/retry_budget.h"
 #include "persimmonrail/telemetry/decision_log.h"
 #include "persimmonrail/telemetry/metrics.h"
@@ -76,6 +77,7 @@
     object_api m_api;
     control_loop m_loop;
     serving_table m_serving;
+    crash_quarantine m_quarantine;
     upstream_guard m_guard;
     instance_directory m_instances;
     retry_budget m_retries;
--- a/src/persimmonrail/daemon/daemon_traffic.cpp
+++ b/src/persimmonrail/daemon/daemon_traffic.cpp
@@ -106,6 +106,7 @@
                                  const std::shared_ptr<const stored_answer> &answer) {
         endAtMostOnce(service, idempotencyKey, outcome, answer);
     };
+    hooks.quarantine = &m_quarantine;
     return hooks;
 }
 
@@ -184,6 +185,7 @@
                        [this] { return m_messenger->traffic().messagesSent.load(); });
     m_metrics.addGauge("persimmonrail_control_received_messages",
                        [this] { return m_messenger->traffic().messagesReceived.load(); });
+    m_metrics.addGauge("persimmonrail_quarantine_entries", [this] { return m_quarantine.size(); });
     m_metrics.addGauge("persimmonrail_platform_reads", [this] { return m_platform->reads(); });
     m_metrics.addGauge("persimmonrail_platform_writes", [this] { return m_platform->writes(); });
 }
--- /dev/null
+++ b/src/persimmonrail/daemon/quarantine_gossip.cpp
@@ -0,0 +1,35 @@
+#include "persimmonrail/daemon/quarantine_gossip.h"
+
+#include <algorithm>
+
+namespace persimmonrail {
+namespace {
+
+// Larger ages are clamped, so that they fit the signed type of durations.
+constexpr uint64_t maxAgeMs = 24ULL * 3600 * 1000;
+
+} // namespace
+
+void addQuarantine(const crash_quarantine &quarantine, steady_time now, wire::PullReply &reply)
+{
+    for (const auto &entry : quarantine.entries(maxGossipedEntries, now)) {
+        auto &added = *reply.add_quarantine();
+        added.set_fingerprint(entry.fingerprint);
+        added.set_strikes(entry.strikes);
+        added.set_age_ms(static_cast<uint64_t>(entry.age.count()));
+    }
+}
+
+std::vector<crash_quarantine::entry> quarantineFromWire(const wire::PullReply &reply)
+{
+    std::vector<crash_quarantine::entry> entries;
+    const int count = std::min(reply.quarantine_size(), maxGossipedEntries);
+    for (int i = 0; i < count; ++i) {
+        const auto &received = reply.quarantine(i);
+        entries.push_back({received.fingerprint(), received.strikes(),
+                           milliseconds(std::min(received.age_ms(), maxAgeMs))});
+    }
+    return entries;
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/daemon/sync_driver.cpp
+++ b/src/persimmonrail/daemon/sync_driver.cpp
@@ -33,6 +33,7 @@
     , m_messenger(messenger)
     , m_log(log)
     , m_onView(std::move(onView))
+    , m_takePullReply(options.onPullReply)
     , m_store({parseAccepted,
                [this](const stored_object &object, const absl::Status &status) {
                    m_log.write(log_level::Error,
@@ -101,6 +102,9 @@
     if (!reply.ok() || !reply->has_pull()) {
         return;
     }
+    if (m_takePullReply) {
+        m_takePullReply(reply->pull(), now);
+    }
     m_readiness.notePull(fromWire(reply->sender()), reply->pull());
     m_store.applyPull(afterRevision, reply->pull(), now);
     publish(now);
--- a/src/persimmonrail/daemon/sync_driver.h
+++ b/src/persimmonrail/daemon/sync_driver.h
@@ -31,6 +31,8 @@
         std::vector<std::string> seeds;
         object_api platform;
         random_source random;
+        // Takes what an answer carries besides the fleet's state. Optional.
+        std::function<void(const wire::PullReply &reply, steady_time now)> onPullReply;
     };
     using view_listener =
         std::function<void(const std::shared_ptr<const fleet_view> &view, steady_time now)>;
@@ -66,6 +68,7 @@
     control_messenger &m_messenger;
     decision_log &m_log;
     view_listener m_onView;
+    std::function<void(const wire::PullReply &reply, steady_time now)> m_takePullReply;
     object_store m_store;
     pull_schedule m_schedule;
     readiness m_readiness;
--- /dev/null
+++ b/src/persimmonrail/gateway/crash_watch.cpp
@@ -0,0 +1,96 @@
+#include "persimmonrail/gateway/crash_watch.h"
+
+namespace persimmonrail {
+
+crash_watch::crash_watch(crash_quarantine *quarantine, server_exchange &exchange,
+                         std::string service, uint64_t keyHash)
+    : m_quarantine(quarantine)
+    , m_exchange(exchange)
+    , m_service(std::move(service))
+    , m_keyHash(keyHash)
+    , m_builder(startFingerprint())
+{ }
+
+crash_watch::~crash_watch()
+{
+    if (m_run) {
+        m_quarantine->end(*m_run, std::nullopt, crash_quarantine::run_end::Regular, {});
+    }
+}
+
+fingerprint_builder crash_watch::startFingerprint() const
+{
+    const auto &request = m_exchange.request();
+    return {m_service, request.getMethod(), request.getURI(), m_keyHash};
+}
+
+std::optional<admission_refusal> crash_watch::refusal(steady_time deadline, steady_time now)
+{
+    if (m_quarantine == nullptr || !m_quarantine->refusesAny(now)) {
+        return std::nullopt;
+    }
+    fingerprint_builder builder = startFingerprint();
+    if (framing().type != body_framing::kind::None) {
+        std::string_view first;
+        const io_status status = m_exchange.peek(fingerprintBodyBytes, first, deadline);
+        if (status != io_status::Ok) {
+            return admission_refusal{status == io_status::Malformed ? "malformed-request-body"
+                                                                    : "incomplete-request-body"};
+        }
+        builder.addBody(first);
+    }
+    const auto left = m_quarantine->refusedFor(builder.value(), now);
+    return left ? std::optional(admission_refusal{std::string(refusalReason), *left})
+                : std::nullopt;
+}
+
+void crash_watch::begin()
+{
+    if (m_quarantine != nullptr) {
+        m_run = m_quarantine->begin();
+    }
+}
+
+void crash_watch::end(const hand_over_result &result, steady_time now)
+{
+    if (m_run) {
+        const bool lost = result.outcome == request_outcome::Unknown
+            && (result.reason == toString(exchange_state::NoAnswer)
+                || result.reason == toString(exchange_state::Truncated));
+        m_quarantine->end(*m_run, fingerprint(),
+                          lost ? crash_quarantine::run_end::ConnectionLost
+                               : crash_quarantine::run_end::Regular,
+                          now);
+        m_run.reset();
+    }
+}
+
+io_status crash_watch::read(std::string &piece, steady_time until)
+{
+    const io_status status = m_exchange.read(piece, until);
+    if (status == io_status::Ok && m_quarantine != nullptr) {
+        m_bodyEnded = m_bodyEnded || piece.empty();
+        m_bodyBytes += piece.size();
+        if (!m_builder.isFull()) {
+            m_builder.addBody(piece);
+        }
+    }
+    return status;
+}
+
+bool crash_watch::rewind()
+{
+    m_builder = startFingerprint();
+    m_bodyBytes = 0;
+    m_bodyEnded = false;
+    return m_exchange.rewind();
+}
+
+std::optional<uint64_t> crash_watch::fingerprint() const
+{
+    const bool whole = framing().type == body_framing::kind::None || m_bodyEnded
+        || (framing().type == body_framing::kind::Length && m_bodyBytes == framing().length);
+    return whole || m_builder.isFull() ? std::optional(m_builder.value()) : std::nullopt;
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/gateway/gateway_hooks.h
+++ b/src/persimmonrail/gateway/gateway_hooks.h
@@ -3,6 +3,7 @@
 #include "persimmonrail/base/clock.h"
 #include "persimmonrail/base/request_outcome.h"
 #include "persimmonrail/requests/at_most_once_table.h"
+#include "persimmonrail/requests/crash_quarantine.h"
 #include "persimmonrail/sync/fleet_view.h"
 
 #include <functional>
@@ -109,6 +110,10 @@
     std::function<void(std::string_view service, std::string_view idempotencyKey,
                        request_outcome outcome, std::shared_ptr<const stored_answer> answer)>
         atMostOnceEnd;
+
+    // Consulted before each hand-over to the local upstream. Must outlive the request path.
+    // Optional.
+    crash_quarantine *quarantine = nullptr;
 };
 
 // Admits up to the upstream's slots, lets a few requests wait, and refuses the others. Knows no
--- a/src/persimmonrail/gateway/request_call.cpp
+++ b/src/persimmonrail/gateway/request_call.cpp
@@ -1,6 +1,7 @@
 #include "persimmonrail/gateway/request_call.h"
 
 #include "persimmonrail/base/header_names.h"
+#include "persimmonrail/gateway/crash_watch.h"
 
 #include <Poco/JSON/Object.h>
 
@@ -235,8 +236,10 @@
             m_path.m_hooks.attemptEnded(m_target.service, *member, result.outcome, result.reason,
                                         ended - started, ended);
         }
-        // Any instance may run the request, so another one may have room for it.
-        result.tryNext = result.outcome == request_outcome::NotRun;
+        // Any instance may run the request, so another one may have room for it. One that crashed
+        // an upstream must not reach the next.
+        result.tryNext = result.outcome == request_outcome::NotRun
+            && result.reason != crash_watch::refusalReason;
         if (!mayContinue(result)) {
             return result;
         }
@@ -328,6 +331,12 @@
 call_result request_call::admitAndHandOver(const lease_ticket *ticket,
                                            const caller_sink::keep_hook &keep)
 {
+    crash_watch watch(m_path.m_hooks.quarantine, m_exchange, m_target.service, m_hash.value_or(0));
+    if (const auto refusal = watch.refusal(m_deadline, currentTime())) {
+        call_result result = notRun(refusal->reason);
+        result.retryAfter = refusal->retryAfter;
+        return result;
+    }
     const admission_result admitted =
         m_path.m_hooks.admit(m_target.service, m_rankIndex, m_deadline, currentTime());
     if (const auto *const refusal = std::get_if<admission_refusal>(&admitted)) {
@@ -338,7 +347,7 @@
     hand_over request;
     request.message = m_message;
     if (m_exchange.framing().type != body_framing::kind::None) {
-        request.body = &m_exchange;
+        request.body = &watch;
     }
     request.requestId = m_requestId;
     if (ticket != nullptr) {
@@ -351,7 +360,9 @@
     request.deadline = m_deadline;
     request.caller = &m_exchange.connection();
     caller_sink sink(m_exchange, m_requestId, keep);
+    watch.begin();
     const hand_over_result handed = m_path.m_guard.handOver(request, sink, currentTime());
+    watch.end(handed, currentTime());
     call_result result;
     result.outcome = handed.outcome;
     result.reason = handed.reason;
--- a/src/persimmonrail/http/http_server.h
+++ b/src/persimmonrail/http/http_server.h
@@ -27,6 +27,10 @@
     body_framing framing() const override { return m_reader.framing(); }
     io_status read(std::string &piece, steady_time until) override;
     bool rewind() override;
+    // Reads ahead until `bytes` bytes of the body, or all of it, have arrived; read() returns them
+    // again. To be called before the first read() or after rewind(). `first` is valid until the
+    // next call, and holds at most bodyPieceBytes more than asked for.
+    io_status peek(size_t bytes, std::string_view &first, steady_time until);
     // Reads the whole body. Errors: TooLarge if it exceeds `maxBytes`.
     io_status readAll(std::string &body, size_t maxBytes, steady_time until);
 
@@ -47,6 +51,7 @@
 
 private:
     bool send(std::string_view bytes);
+    io_status readNext(std::string &piece, steady_time until);
 
     http_stream &m_stream;
     Poco::Net::HTTPRequest m_request;
--- a/src/persimmonrail/http/server_exchange.cpp
+++ b/src/persimmonrail/http/server_exchange.cpp
@@ -19,19 +19,15 @@
     if (m_replayKept) {
         m_replayKept = false;
         piece = m_kept;
+        if (m_kept.size() > bodyPieceBytes) {
+            m_keptAll = false;
+            std::string().swap(m_kept);
+        }
         if (!piece.empty()) {
             return io_status::Ok;
         }
     }
-    if (!m_continueSent && !m_reader.isComplete()) {
-        m_continueSent = true;
-        if (m_request.getExpectContinue() && !m_stream.hasInput()
-            && !send("HTTP/1.1 100 Continue\r\n\r\n")) {
-            return io_status::Closed;
-        }
-    }
-    const io_status status =
-        m_reader.read(piece, std::min(until, std::chrono::steady_clock::now() + m_idleTimeout));
+    const io_status status = readNext(piece, until);
     if (status == io_status::Ok && m_keptAll) {
         if (m_kept.size() + piece.size() <= bodyPieceBytes) {
             m_kept += piece;
@@ -43,6 +39,33 @@
     return status;
 }
 
+io_status server_exchange::peek(size_t bytes, std::string_view &first, steady_time until)
+{
+    std::string piece;
+    io_status status = io_status::Ok;
+    while (status == io_status::Ok && m_kept.size() < bytes && !m_reader.isComplete()) {
+        status = readNext(piece, until);
+        if (status == io_status::Ok) {
+            m_kept += piece;
+        }
+    }
+    m_replayKept = true;
+    first = m_kept;
+    return status;
+}
+
+io_status server_exchange::readNext(std::string &piece, steady_time until)
+{
+    if (!m_continueSent && !m_reader.isComplete()) {
+        m_continueSent = true;
+        if (m_request.getExpectContinue() && !m_stream.hasInput()
+            && !send("HTTP/1.1 100 Continue\r\n\r\n")) {
+            return io_status::Closed;
+        }
+    }
+    return m_reader.read(piece, std::min(until, std::chrono::steady_clock::now() + m_idleTimeout));
+}
+
 bool server_exchange::rewind()
 {
     m_replayKept = m_keptAll;
