--- a/src/persimmonrail/gateway/crash_watch.cpp
+++ b/src/persimmonrail/gateway/crash_watch.cpp
@@ -80,10 +80,14 @@
 
 bool crash_watch::rewind()
 {
+    if (!m_exchange.rewind()) {
+        // The bytes that were sent still identify the request.
+        return false;
+    }
     m_builder = startFingerprint();
     m_bodyBytes = 0;
     m_bodyEnded = false;
-    return m_exchange.rewind();
+    return true;
 }
 
 std::optional<uint64_t> crash_watch::fingerprint() const
