Give refused connections a request id and a JSON body

The answer to a connection beyond the limit lacked the request id and the error body that all other answers carry.

http_tests: 118 assertions in 12 test cases, upstream_tests: 162 in 11, gateway_tests: 303 in 14, telemetry_tests: 17 in 4, all passed; tools/lint printed nothing.

--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -1,5 +1,8 @@
 #include "persimmonrail/http/http_server.h"
 
+#include "persimmonrail/base/header_names.h"
+#include "persimmonrail/base/instance_id.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
@@ -8,6 +11,8 @@
 #include <Poco/Net/TCPServerParams.h>
 #include <Poco/ThreadPool.h>
 
+#include <absl/strings/str_cat.h>
+
 #include <condition_variable>
 #include <set>
 
@@ -18,10 +23,20 @@
 constexpr int threadStackBytes = 512 * 1024;
 constexpr milliseconds lingerTime{500};
 constexpr milliseconds idleCheckInterval{250};
-constexpr char overloadAnswer[] = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
-                                  "Persimmonrail-Outcome: not-run\r\n"
-                                  "Persimmonrail-Reason: too-many-connections\r\n"
-                                  "Retry-After: 1\r\nContent-Length: 0\r\n\r\n";
+// Answer to a connection beyond the limit, of which no request is read.
+std::string overloadAnswer()
+{
+    const std::string id = absl::StrCat(absl::Hex(drawIncarnation(), absl::kZeroPad16),
+                                        absl::Hex(drawIncarnation(), absl::kZeroPad16));
+    const std::string body = absl::StrCat(
+        R"({"outcome":"not-run","reason":"too-many-connections","request_id":")", id, R"("})");
+    return absl::StrCat("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n", outcomeHeader,
+                        ": not-run\r\n", reasonHeader, ": too-many-connections\r\n",
+                        requestIdHeader, ": ", id,
+                        "\r\nRetry-After: 1\r\nContent-Type: application/json\r\n"
+                        "Content-Length: ",
+                        body.size(), "\r\n\r\n", body);
+}
 
 steady_time after(milliseconds time)
 {
@@ -218,7 +233,8 @@
         try {
             Poco::Net::StreamSocket copy(socket);
             copy.setBlocking(false);
-            copy.sendBytes(overloadAnswer, sizeof(overloadAnswer) - 1);
+            const std::string answer = overloadAnswer();
+            copy.sendBytes(answer.data(), static_cast<int>(answer.size()));
             copy.shutdownSend();
         } catch (const Poco::Exception &) {
             // The requester is gone already.
--- a/src/persimmonrail/http/tests/http_test.cpp
+++ b/src/persimmonrail/http/tests/http_test.cpp
@@ -351,7 +351,11 @@
     }
     const std::string refused = exchangeBytes(server->address(), "");
     CHECK(refused.substr(0, 12) == "HTTP/1.1 503");
-    CHECK(refused.find("Persimmonrail-Outcome: not-run") != std::string::npos);
+    for (const char *field : {"Persimmonrail-Outcome: not-run", "Persimmonrail-Request-Id: ",
+                              "Persimmonrail-Reason: too-many-connections", "{\"outcome\":"}) {
+        CAPTURE(field, refused);
+        CHECK(refused.find(field) != std::string::npos);
+    }
     CHECK(server->refusedConnections() == 1);
     CHECK(server->connectionCount() == options.maxConnections);
 }
