--- a/src/persimmonrail/admission/tests/admission_queue_test.cpp
+++ b/src/persimmonrail/admission/tests/admission_queue_test.cpp
@@ -196,7 +196,7 @@
     const admission_options options;
     for (const int slots : {1, 5}) {
         auto queue = makeQueue({0.2, 0.2}, slots);
-        const auto bound = static_cast<size_t>(slots * options.queuePerSlot);
+        const auto bound = static_cast<size_t>(slots) * options.queuePerSlot;
         for (int i = 0; i < 100; ++i) {
             submit(queue, 1);
         }
