--- a/src/persimmonrail/ownership/engine_leases.cpp
+++ b/src/persimmonrail/ownership/engine_leases.cpp
@@ -417,9 +417,11 @@
     std::vector<lease_grant> grants;
     std::vector<sent_lease> leases;
     for (auto &[partition, lease] : m_leases) {
+        if (!isServing(lease, now)) {
+            continue;
+        }
         const auto validity = std::chrono::floor<milliseconds>(lease.leaseEnd - now);
-        if (lease.phase == lease_phase::Holding && lease.leaseEnd > now
-            && validity > milliseconds(0)) {
+        if (validity > milliseconds(0)) {
             grants.push_back({partition, lease.known.record.range, lease.term, validity});
             leases.push_back({partition, lease.attempt, lease.known.version});
         }
--- a/src/persimmonrail/ownership/engine_records.cpp
+++ b/src/persimmonrail/ownership/engine_records.cpp
@@ -116,8 +116,12 @@
         if (record.nextOwner == m_self) {
             record.nextOwner = {};
         }
-        record.standbys =
-            chooseStandbys(*m_view, serviceOfPartition(record.partition), m_self, record.partition);
+        if (isLive(m_self)) {
+            record.standbys = chooseStandbys(*m_view, serviceOfPartition(record.partition), m_self,
+                                             record.partition);
+        } else {
+            std::erase(record.standbys, m_self);
+        }
         return record_change{write_kind::Tenure, std::move(record), "tenure won"};
     }
     if (lease.draining) {
@@ -364,7 +368,7 @@
         findAbandonedPartitions();
         for (const auto &[partition, lease] : m_leases) {
             if (!isServing(lease, now) && recoveryDelay(lease.known.record)) {
-                pingMissingWitnesses(lease.known.record);
+                pingMissingWitnesses(lease.known.record, now);
             }
         }
     }
@@ -437,10 +441,16 @@
     return std::nullopt;
 }
 
-void ownership_engine::state::pingMissingWitnesses(const placement_record &record)
+void ownership_engine::state::pingMissingWitnesses(const placement_record &record, steady_time now)
 {
     for (const auto &witness : allWitnesses(record)) {
-        if (isLive(witness) || witness.name == m_self.name) {
+        if (isLive(witness) || witness == m_self) {
+            continue;
+        }
+        if (witness.name == m_self.name) {
+            // An earlier run of this instance; it ended before this one started.
+            m_evidence.onPing(witness, m_self,
+                              std::chrono::floor<milliseconds>(now - *m_startedAt));
             continue;
         }
         wire::Request request;
--- a/src/persimmonrail/ownership/engine_state.h
+++ b/src/persimmonrail/ownership/engine_state.h
@@ -107,7 +107,7 @@
     void considerRecovery(steady_time now);
     void findAbandonedPartitions();
     std::optional<milliseconds> recoveryDelay(const placement_record &record) const;
-    void pingMissingWitnesses(const placement_record &record);
+    void pingMissingWitnesses(const placement_record &record, steady_time now);
     bool isLive(const instance_id &id) const;
     bool isAbandoned(const placement_record &record) const;
     const instance_id &fallbackOwner(const placement_record &record) const;
@@ -133,6 +133,8 @@
     std::shared_ptr<const fleet_view> m_view = std::make_shared<fleet_view>();
     std::map<std::string, lease_state> m_leases;
     std::vector<local_delivery> m_localDeliveries;
+    // Time of the first tick.
+    std::optional<steady_time> m_startedAt;
     bool m_upstreamUp = false;
     bool m_shuttingDown = false;
     // Source of lease_state::attempt. Never reused, even when a lease state is dropped and created
--- a/src/persimmonrail/ownership/ownership_engine.cpp
+++ b/src/persimmonrail/ownership/ownership_engine.cpp
@@ -25,6 +25,7 @@
 
 void ownership_engine::state::tick(steady_time now)
 {
+    m_startedAt = m_startedAt.value_or(now);
     updateLeases(now);
     sendHeartbeats(now);
     sendNotices(now);
