Cancel requests whose lease ends while they run (H4)

Cause: a request in flight on an upstream that does not check grants went on after the lease had expired. The ticket of a request held the lease end as of its start, so a request that waited for admission was refused although the lease had been renewed meanwhile. While a partition drained, renewals did not reach the serving table at all. Change: the exchange reads the lease end anew while it runs and gives up with 'lease-ended' (unknown, connection closed, cancel call) when it comes; serving_table::renew and leaseEnd also work while a partition drains.

--- a/src/persimmonrail/daemon/daemon_traffic.cpp
+++ b/src/persimmonrail/daemon/daemon_traffic.cpp
@@ -1,6 +1,7 @@
 // The request path of the daemon: hooks from the gateway to the control state.
 #include "persimmonrail/daemon/daemon_state.h"
 
+#include "persimmonrail/daemon/serving_lease_ticket.h"
 #include "persimmonrail/routing/route_candidates.h"
 
 #include <ctime>
@@ -8,22 +9,6 @@
 namespace persimmonrail {
 namespace {
 
-// A ticket of the serving table in the form in which the gateway takes it.
-class serving_lease_ticket : public lease_ticket
-{
-public:
-    explicit serving_lease_ticket(serving_table::ticket ticket)
-        : m_ticket(std::move(ticket))
-    { }
-
-    const std::string &partition() const override { return m_ticket.lease().partition; }
-    uint64_t term() const override { return m_ticket.lease().term; }
-    steady_time leaseEnd() const override { return m_ticket.lease().leaseEnd; }
-
-private:
-    serving_table::ticket m_ticket;
-};
-
 double processCpuSeconds()
 {
     timespec used{};
@@ -72,7 +57,7 @@
         if (!ticket) {
             return nullptr;
         }
-        return std::make_unique<serving_lease_ticket>(*std::move(ticket));
+        return std::make_unique<serving_lease_ticket>(m_serving, *std::move(ticket));
     };
     hooks.candidates = [](const fleet_view &view, std::string_view service, uint64_t hash,
                           std::string_view hintedHolder) {
--- /dev/null
+++ b/src/persimmonrail/daemon/tests/serving_lease_ticket_test.cpp
@@ -0,0 +1,26 @@
+#include "persimmonrail/daemon/serving_lease_ticket.h"
+
+#include <catch2/catch.hpp>
+
+using namespace persimmonrail;
+using std::chrono::seconds;
+
+// Guards against refusing a request that waited for admission under a lease renewed meanwhile,
+// against cancelling one while its partition drains, and against going on under a lost lease.
+TEST_CASE("a ticket tells the present lease end", "[daemon]")
+{
+    const steady_time now{std::chrono::hours(1)};
+    serving_table table;
+    table.publish("a/0", {0, 10}, 3, now + seconds(1), now);
+    const serving_lease_ticket ticket(table, *table.begin("a", 5, now));
+    table.publish("a/0", {0, 10}, 3, now + seconds(2), now + seconds(1));
+    CHECK(ticket.leaseEnd() == now + seconds(2));
+    table.stop("a/0");
+    table.renew("a/0", 3, now + seconds(3));
+    CHECK(ticket.leaseEnd() == now + seconds(3));
+    CHECK_FALSE(table.begin("a", 5, now + seconds(2)));
+    table.renew("a/0", 2, now + seconds(9));
+    CHECK(ticket.leaseEnd() == now + seconds(3));
+    table.publish("a/0", {0, 10}, 5, now + seconds(9), now + seconds(4));
+    CHECK(ticket.leaseEnd() < now);
+}
--- a/src/persimmonrail/gateway/gateway_hooks.h
+++ b/src/persimmonrail/gateway/gateway_hooks.h
@@ -25,7 +25,7 @@
     virtual ~lease_ticket() = default;
     virtual const std::string &partition() const = 0;
     virtual uint64_t term() const = 0;
-    // Current end of the lease; renewals move it.
+    // Current end of the lease; renewals move it. In the past once the lease is lost.
     virtual steady_time leaseEnd() const = 0;
 };
 
--- a/src/persimmonrail/gateway/request_call.cpp
+++ b/src/persimmonrail/gateway/request_call.cpp
@@ -353,7 +353,7 @@
     if (ticket != nullptr) {
         request.partition = ticket->partition();
         request.term = ticket->term();
-        request.leaseEnd = ticket->leaseEnd();
+        request.leaseEnd = [ticket] { return ticket->leaseEnd(); };
     }
     request.keyHash = m_hash;
     request.repeatable = m_repeatable;
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -14,6 +14,8 @@
 // milliseconds.
 constexpr milliseconds maxConnectTime{1000};
 constexpr int maxInterimAnswers = 8;
+// Detail of an exchange that `sendBefore` prevented.
+constexpr char leaseEnding[] = "lease-ending";
 
 // One attempt on one connection.
 class attempt
@@ -53,14 +55,14 @@
     // Waits in steps of the progress timeout, asking the probe at the end of each.
     template <typename operation> io_status withProgress(operation run)
     {
+        const bool limited = m_request.progressTimeout.count() > 0 && m_request.probe;
+        steady_time silentAt = limited
+            ? std::chrono::steady_clock::now() + m_request.progressTimeout
+            : steady_time::max();
         for (;;) {
-            const steady_time now = std::chrono::steady_clock::now();
-            const bool limited = m_request.progressTimeout.count() > 0 && m_request.probe;
-            const steady_time until = limited
-                ? std::min(m_request.deadline, now + m_request.progressTimeout)
-                : m_request.deadline;
-            const io_status status = run(until);
-            if (status != io_status::TimedOut || until >= m_request.deadline) {
+            const steady_time until = std::min(m_request.deadline, silentAt);
+            const io_status status = untilAbandoned(until, run);
+            if (status != io_status::TimedOut || m_abandoned || until >= m_request.deadline) {
                 return status;
             }
             // An answer that arrived while the probe ran ends the silence.
@@ -68,6 +70,27 @@
                 m_silent = true;
                 return status;
             }
+            silentAt = std::chrono::steady_clock::now() + m_request.progressTimeout;
+        }
+    }
+
+    // Runs an operation until `until`, in steps that end when the exchange may have to be given up.
+    template <typename operation> io_status untilAbandoned(steady_time until, operation run)
+    {
+        if (!m_request.abandonAt) {
+            return run(until);
+        }
+        for (;;) {
+            const steady_time abandonAt = m_request.abandonAt();
+            if (std::chrono::steady_clock::now() >= abandonAt) {
+                m_abandoned = true;
+                return io_status::TimedOut;
+            }
+            const io_status status = run(std::min(until, abandonAt));
+            if (status != io_status::TimedOut || until <= abandonAt
+                || std::chrono::steady_clock::now() < abandonAt) {
+                return status;
+            }
         }
     }
 
@@ -75,6 +98,11 @@
     {
         switch (status) {
         case io_status::TimedOut:
+            if (m_abandoned) {
+                return fail(closedState == exchange_state::NotSent ? closedState
+                                                                   : exchange_state::Abandoned,
+                            leaseEnding);
+            }
             return m_silent ? fail(exchange_state::Silent, "connection without progress")
                             : fail(exchange_state::TimedOut, "deadline passed");
         case io_status::Cancelled:
@@ -119,8 +147,8 @@
         setFraming(message, m_framing);
         std::ostringstream text;
         message.write(text);
-        if (std::chrono::steady_clock::now() >= m_request.sendBefore) {
-            return fail(exchange_state::NotSent, "lease-ending");
+        if (m_request.sendBefore && std::chrono::steady_clock::now() >= m_request.sendBefore()) {
+            return fail(exchange_state::NotSent, leaseEnding);
         }
         return send(text.str());
     }
@@ -133,9 +161,14 @@
         const bool chunked = m_framing.type == body_framing::kind::Chunked;
         std::string piece;
         while (!m_earlyAnswer) {
-            const io_status status = m_request.body->read(piece, m_request.deadline);
+            const io_status status = untilAbandoned(m_request.deadline, [&](steady_time until) {
+                return m_request.body->read(piece, until);
+            });
             if (status != io_status::Ok) {
                 m_reusable = false;
+                if (m_abandoned) {
+                    return fail(exchange_state::Abandoned, leaseEnding);
+                }
                 return status == io_status::TimedOut
                     ? fail(exchange_state::TimedOut, "request body incomplete at the deadline")
                     : fail(status == io_status::Malformed ? exchange_state::BadRequestBody
@@ -256,6 +289,7 @@
     bool m_earlyAnswer = false;
     bool m_declined = false;
     bool m_silent = false;
+    bool m_abandoned = false;
     bool m_reusable = true;
 };
 
@@ -278,6 +312,8 @@
         return "deadline-exceeded";
     case exchange_state::Silent:
         return "silent-connection";
+    case exchange_state::Abandoned:
+        return "lease-ended";
     case exchange_state::CallerGone:
         return "caller-disconnected";
     case exchange_state::BadRequestBody:
@@ -387,8 +423,8 @@
             && (result.state == exchange_state::NotSent
                 || result.state == exchange_state::NoAnswer);
         const bool mayResend = !current.anySent() || request.repeatable;
-        const bool leaseEnding = result.detail == "lease-ending";
-        if (connection->reused && closedEarly && mayResend && !leaseEnding
+        const bool isLeaseEnding = result.detail == leaseEnding;
+        if (connection->reused && closedEarly && mayResend && !isLeaseEnding
             && (request.body == nullptr || request.body->rewind())) {
             m_pool->drop(request.address);
             fresh = true;
--- a/src/persimmonrail/http/http_client.h
+++ b/src/persimmonrail/http/http_client.h
@@ -83,6 +83,8 @@
     TimedOut,
     // No progress, while a new connection to the same address answered.
     Silent,
+    // The time of abandonAt has come.
+    Abandoned,
     // The caller's connection closed, or its request body broke off.
     CallerGone,
     // The request body was not valid HTTP.
@@ -101,8 +103,11 @@
     // Whether the request may be sent again after bytes of it were sent.
     bool repeatable = false;
     steady_time deadline;
-    // The first byte is not sent at or after this time; used for the end of a lease.
-    steady_time sendBefore = steady_time::max();
+    // Returns the time at and after which the first byte is not sent; no limit if empty.
+    std::function<steady_time()> sendBefore;
+    // Returns the time at which an exchange under way is given up; no limit if empty. Both are read
+    // anew whenever they matter, since a lease is renewed while the exchange runs.
+    std::function<steady_time()> abandonAt;
     // Watched while waiting; null if there is none.
     http_stream *caller = nullptr;
     // After this time without progress, `probe` is asked; zero waits until the deadline.
--- a/src/persimmonrail/ownership/engine_leases.cpp
+++ b/src/persimmonrail/ownership/engine_leases.cpp
@@ -392,10 +392,15 @@
 
 void ownership_engine::state::publish(lease_state &lease, steady_time now)
 {
-    if (lease.phase != lease_phase::Holding || now >= lease.leaseEnd || lease.draining) {
+    if (lease.phase != lease_phase::Holding || now >= lease.leaseEnd) {
         return;
     }
     const auto &record = lease.known.record;
+    // Requests in flight run on under the renewed lease while the partition drains.
+    m_table.renew(record.partition, lease.term, lease.leaseEnd);
+    if (lease.draining) {
+        return;
+    }
     if (lease.granted) {
         m_table.publish(record.partition, record.range, lease.term, lease.leaseEnd, now);
         if (std::exchange(lease.suspendedAt, std::nullopt)) {
--- a/src/persimmonrail/ownership/serving_table.cpp
+++ b/src/persimmonrail/ownership/serving_table.cpp
@@ -76,6 +76,23 @@
     entry.stopped = false;
 }
 
+void serving_table::renew(std::string_view partition, uint64_t term, steady_time leaseEnd)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(partition);
+    if (it != m_entries.end() && it->second.term == term) {
+        it->second.leaseEnd = leaseEnd;
+    }
+}
+
+std::optional<steady_time> serving_table::leaseEnd(std::string_view partition, uint64_t term) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(partition);
+    return it == m_entries.end() || it->second.term != term ? std::nullopt
+                                                            : std::optional(it->second.leaseEnd);
+}
+
 std::optional<steady_time> serving_table::servingSince(std::string_view partition,
                                                        uint64_t term) const
 {
--- a/src/persimmonrail/ownership/serving_table.h
+++ b/src/persimmonrail/ownership/serving_table.h
@@ -66,6 +66,11 @@
     // Starts or extends serving a partition under `term`, also after stop().
     void publish(const std::string &partition, hash_range range, uint64_t term,
                  steady_time leaseEnd, steady_time now);
+    // Moves the lease end for the requests in flight; unlike publish(), it does not admit requests
+    // again after stop(). Does nothing if the partition is not served under `term`.
+    void renew(std::string_view partition, uint64_t term, steady_time leaseEnd);
+    // Present lease end, also after stop(); nothing if the partition is not served under `term`.
+    std::optional<steady_time> leaseEnd(std::string_view partition, uint64_t term) const;
     // When serving the partition under `term` began; nothing if it is not served under this term.
     std::optional<steady_time> servingSince(std::string_view partition, uint64_t term) const;
     // Admits no further requests for the partition.
--- a/src/persimmonrail/upstream/tests/upstream_guard_test.cpp
+++ b/src/persimmonrail/upstream/tests/upstream_guard_test.cpp
@@ -66,6 +66,31 @@
     size_t m_position = 0;
 };
 
+// A body of one byte that comes at a given time.
+class stalling_body : public body_source
+{
+public:
+    explicit stalling_body(steady_time comesAt)
+        : m_comesAt(comesAt)
+    { }
+    body_framing framing() const override { return {body_framing::kind::Length, 1}; }
+    io_status read(std::string &piece, steady_time until) override
+    {
+        std::this_thread::sleep_until(std::min(until, m_comesAt));
+        if (currentTime() < m_comesAt) {
+            return io_status::TimedOut;
+        }
+        piece = m_isRead ? "" : "b";
+        m_isRead = true;
+        return io_status::Ok;
+    }
+    bool rewind() override { return false; }
+
+private:
+    const steady_time m_comesAt;
+    bool m_isRead = false;
+};
+
 hand_over requestFor(const std::string &method, const std::string &uri, const std::string &id)
 {
     hand_over request;
@@ -215,7 +240,7 @@
     fixture.standin->setFaults({});
 
     hand_over late = requestFor("POST", "/standin/x", "r");
-    late.leaseEnd = currentTime();
+    late.leaseEnd = currentTime;
     CHECK(fixture.run(late).reason == "lease-ending");
     CHECK(fixture.standin->history().empty());
 
@@ -226,6 +251,50 @@
     CHECK(fixture.guard.status(currentTime()).refusingConnections);
 }
 
+// Guards H4: an upstream that does not check grants must not go on under an expired lease, and a
+// lease that is renewed in time must not end a request.
+TEST_CASE("the end of the lease cancels a request unless the upstream checks grants", "[upstream]")
+{
+    for (const bool checksGrants : {false, true}) {
+        for (const bool isRenewed : {false, true}) {
+            for (const bool bodyStalls : {false, true}) {
+                CAPTURE(checksGrants, isRenewed, bodyStalls);
+                guarded_standin fixture;
+                fixture.grant(3);
+                auto announcement = fixture.standin->announcement();
+                announcement.checksGrants = checksGrants;
+                REQUIRE(fixture.guard.announce(announcement, currentTime()).ok());
+                const bool ends = !checksGrants && !isRenewed;
+                hand_over request = requestFor("PUT", "/standin/x", "r");
+                request.message.set("X-Service-Ms", ends && !bodyStalls ? "60000" : "50");
+                stalling_body body(ends && bodyStalls ? steady_time::max() : currentTime() + 50ms);
+                if (bodyStalls) {
+                    request.body = &body;
+                }
+                int reads = 0;
+                request.leaseEnd = [&] {
+                    // The end comes after the hand-over and a few renewals.
+                    const bool isOver = !isRenewed && ++reads > 3;
+                    return isOver ? steady_time() : currentTime() + 30ms;
+                };
+                const hand_over_result result = fixture.run(request);
+                if (!ends) {
+                    CHECK(result.outcome == request_outcome::Run);
+                    continue;
+                }
+                CHECK(result.outcome == request_outcome::Unknown);
+                CHECK(result.reason == "lease-ended");
+                CHECK(fixture.standin->waitFor(
+                    [](const auto &runs) {
+                        return runs.size() == 1 && runs[0].state != "running"
+                            && runs[0].state != "done";
+                    },
+                    generous));
+            }
+        }
+    }
+}
+
 // Guards P6: a draining upstream gets nothing beyond the grace period.
 TEST_CASE("a draining upstream gets only requests of its partitions, and not for long",
           "[upstream]")
--- a/src/persimmonrail/upstream/upstream_guard.cpp
+++ b/src/persimmonrail/upstream/upstream_guard.cpp
@@ -206,11 +206,16 @@
     return stateAt(now) == upstream_state::Up;
 }
 
-std::optional<std::string> upstream_guard::validAddress(steady_time now) const
+std::optional<upstream_announcement> upstream_guard::validAnnouncement(steady_time now) const
 {
     const std::lock_guard lock(m_mutex);
-    return stateAt(now) == upstream_state::Down ? std::nullopt
-                                                : std::optional(m_announcement->address);
+    return stateAt(now) == upstream_state::Down ? std::nullopt : m_announcement;
+}
+
+std::optional<std::string> upstream_guard::validAddress(steady_time now) const
+{
+    const auto announcement = validAnnouncement(now);
+    return announcement ? std::optional(announcement->address) : std::nullopt;
 }
 
 bool upstream_guard::refusesWhileDraining(const hand_over &request, steady_time now) const
@@ -274,8 +279,8 @@
                                           steady_time now)
 {
     hand_over_result result;
-    const auto address = validAddress(now);
-    if (!address) {
+    const auto announcement = validAnnouncement(now);
+    if (!announcement) {
         result.reason = "upstream-down";
         return result;
     }
@@ -284,7 +289,7 @@
         return result;
     }
     client_request exchange;
-    exchange.address = *address;
+    exchange.address = announcement->address;
     exchange.message = request.message;
     exchange.message.set(requestIdHeader, request.requestId);
     const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - now);
@@ -302,15 +307,22 @@
     exchange.body = request.body;
     exchange.repeatable = request.repeatable;
     exchange.deadline = request.deadline;
-    if (request.leaseEnd != steady_time::max()) {
-        exchange.sendBefore = request.leaseEnd - m_options.handOverGuard;
+    if (request.leaseEnd) {
+        exchange.sendBefore = [this, &request] {
+            return request.leaseEnd() - m_options.handOverGuard;
+        };
+        if (!announcement->checksGrants) {
+            exchange.abandonAt = request.leaseEnd;
+        }
     }
     exchange.caller = request.caller;
     if (request.repeatable) {
         exchange.progressTimeout = std::chrono::duration_cast<milliseconds>(
             std::chrono::duration<double>(left) * m_options.silentShare);
     }
-    exchange.probe = [this, &address] { return answersOnNewConnection(*address); };
+    exchange.probe = [this, &announcement] {
+        return answersOnNewConnection(announcement->address);
+    };
     exchange.wanted = [](const Poco::Net::HTTPResponse &head) { return !isRefusal(head); };
 
     progress_sink progress(*this, sink, now);
--- a/src/persimmonrail/upstream/upstream_guard.h
+++ b/src/persimmonrail/upstream/upstream_guard.h
@@ -50,8 +50,10 @@
     std::optional<uint64_t> keyHash;
     bool repeatable = false;
     steady_time deadline;
-    // Nothing is handed over within the hand-over guard (20 ms) before this time.
-    steady_time leaseEnd = steady_time::max();
+    // Returns the present end of the lease; empty without a lease. Nothing is handed over within
+    // the hand-over guard (20 ms) before it. An upstream that does not check grants loses its
+    // connection, and is asked to cancel the request, when it comes (rule H4).
+    std::function<steady_time()> leaseEnd;
     // Connection of the requester, watched so that a disconnect cancels the request.
     http_stream *caller = nullptr;
 };
@@ -138,6 +140,7 @@
 
     upstream_state stateAt(steady_time now) const;
     void publish(steady_time now);
+    std::optional<upstream_announcement> validAnnouncement(steady_time now) const;
     std::optional<std::string> validAddress(steady_time now) const;
     bool refusesWhileDraining(const hand_over &request, steady_time now) const;
     hand_over_result evaluate(const exchange_result &exchange, const hand_over &request);
