Refuse new work 3 s after a stop began (P6)

Cause: the daemon computed when it stops taking new work, but nothing used it, so a stopping daemon handed requests to its upstream until it ended. Change: the request path asks before and after the admission of a request and answers not-run 'draining', which other daemons take as a reason to try the next instance; the same holds 3 s after the upstream announced that it drains.

--- a/src/persimmonrail/daemon/daemon.cpp
+++ b/src/persimmonrail/daemon/daemon.cpp
@@ -29,6 +29,11 @@
     return m_state->callers().address();
 }
 
+const std::string &daemon::peerAddress() const
+{
+    return m_state->peers().address();
+}
+
 const std::string &daemon::adminAddress() const
 {
     return m_state->admin().address();
--- a/src/persimmonrail/daemon/daemon.h
+++ b/src/persimmonrail/daemon/daemon.h
@@ -27,6 +27,7 @@
     bool stop();
 
     const std::string &callerAddress() const;
+    const std::string &peerAddress() const;
     const std::string &adminAddress() const;
 
 private:
--- a/src/persimmonrail/daemon/daemon_state.cpp
+++ b/src/persimmonrail/daemon/daemon_state.cpp
@@ -19,7 +19,8 @@
 constexpr milliseconds announcerTick{100};
 constexpr milliseconds coordinatorPingTick{250};
 constexpr milliseconds coordinatorTick{1000};
-// A stopping daemon takes no new work for its upstream after this time, handed over or not.
+// A stopping daemon, or one whose upstream drains, hands nothing to its upstream after this time,
+// whether its partitions have moved or not (P6).
 constexpr milliseconds newWorkAfterStop{3000};
 // Peers learn within this time that the instance has no slots; until then they may still choose it.
 constexpr milliseconds stopAnnouncementTime{1000};
@@ -301,7 +302,11 @@
 
 bool daemon::state::refusesNewWork(steady_time now) const
 {
-    return now.time_since_epoch().count() >= m_noNewWorkAt;
+    if (now.time_since_epoch().count() >= m_noNewWorkAt) {
+        return true;
+    }
+    const auto upstream = m_guard.status(now);
+    return upstream.state == upstream_state::Draining && upstream.drainingFor >= newWorkAfterStop;
 }
 
 std::string daemon::state::notReadyReason() const
--- a/src/persimmonrail/daemon/daemon_state.h
+++ b/src/persimmonrail/daemon/daemon_state.h
@@ -40,6 +40,7 @@
     bool stop();
 
     const caller_server &callers() const { return *m_callers; }
+    const peer_server &peers() const { return *m_peers; }
     const admin_server &admin() const { return *m_admin; }
 
 private:
--- a/src/persimmonrail/daemon/daemon_traffic.cpp
+++ b/src/persimmonrail/daemon/daemon_traffic.cpp
@@ -92,6 +92,7 @@
         endAtMostOnce(service, idempotencyKey, outcome, answer);
     };
     hooks.quarantine = &m_quarantine;
+    hooks.refusesNewWork = [this](steady_time now) { return refusesNewWork(now); };
     return hooks;
 }
 
--- a/src/persimmonrail/daemon/tests/single_daemon.cpp
+++ b/src/persimmonrail/daemon/tests/single_daemon.cpp
@@ -1,5 +1,6 @@
 #include "single_daemon.h"
 
+#include "persimmonrail/base/header_names.h"
 #include "persimmonrail/platform/http_object_api.h"
 
 #include <Poco/Net/HTTPClientSession.h>
@@ -108,6 +109,12 @@
     return answer;
 }
 
+simple_answer single_daemon::forward(const std::string &method, const std::string &uri)
+{
+    return send(running->peerAddress(), method, uri, "",
+                {{requestIdHeader, "forwarded"}, {deadlineHeader, "30000"}});
+}
+
 simple_answer single_daemon::admin(const std::string &method, const std::string &uri,
                                    const std::string &body)
 {
--- a/src/persimmonrail/daemon/tests/single_daemon.h
+++ b/src/persimmonrail/daemon/tests/single_daemon.h
@@ -25,6 +25,8 @@
     simple_answer call(const std::string &method, const std::string &uri, const std::string &body,
                        const std::string &bootId,
                        const std::vector<std::pair<std::string, std::string>> &fields = {});
+    // Sends a request as another daemon does.
+    simple_answer forward(const std::string &method, const std::string &uri);
     simple_answer admin(const std::string &method, const std::string &uri,
                         const std::string &body = {});
 
--- a/src/persimmonrail/gateway/gateway_hooks.h
+++ b/src/persimmonrail/gateway/gateway_hooks.h
@@ -97,6 +97,10 @@
     // `isRetry` false for each first attempt. Default: no retries.
     std::function<bool(bool isRetry, steady_time now)> retryBudget;
 
+    // Whether the local upstream gets no further requests, because it or the daemon is stopping.
+    // Default: never.
+    std::function<bool(steady_time now)> refusesNewWork;
+
     // Waits for a slot of the local upstream. Default: slot_admission.
     std::function<admission_result(std::string_view service, size_t rank, steady_time deadline,
                                    steady_time now)>
--- a/src/persimmonrail/gateway/request_call.cpp
+++ b/src/persimmonrail/gateway/request_call.cpp
@@ -331,6 +331,9 @@
 call_result request_call::admitAndHandOver(const lease_ticket *ticket,
                                            const caller_sink::keep_hook &keep)
 {
+    if (m_path.m_hooks.refusesNewWork(currentTime())) {
+        return notRun("draining");
+    }
     crash_watch watch(m_path.m_hooks.quarantine, m_exchange, m_target.service, m_hash.value_or(0));
     if (const auto refusal = watch.refusal(m_deadline, currentTime())) {
         call_result result = notRun(refusal->reason);
@@ -344,6 +347,10 @@
         result.retryAfter = refusal->retryAfter;
         return result;
     }
+    // The wait for a slot may have passed the time from which no new work is taken.
+    if (m_path.m_hooks.refusesNewWork(currentTime())) {
+        return notRun("draining");
+    }
     hand_over request;
     request.message = m_message;
     if (m_exchange.framing().type != body_framing::kind::None) {
--- a/src/persimmonrail/gateway/request_path.cpp
+++ b/src/persimmonrail/gateway/request_path.cpp
@@ -71,6 +71,9 @@
     if (!m_hooks.retryBudget) {
         m_hooks.retryBudget = [](bool isRetry, steady_time) { return !isRetry; };
     }
+    if (!m_hooks.refusesNewWork) {
+        m_hooks.refusesNewWork = [](steady_time) { return false; };
+    }
     if (!m_hooks.admit) {
         m_hooks.admit = [this](std::string_view, size_t, steady_time deadline, steady_time now) {
             return m_defaultAdmission->admit(deadline, now);
