--- a/src/persimmonrail/gateway/gateway_hooks.h
+++ b/src/persimmonrail/gateway/gateway_hooks.h
@@ -25,7 +25,7 @@
     virtual ~lease_ticket() = default;
     virtual const std::string &partition() const = 0;
     virtual uint64_t term() const = 0;
-    // Current end of the lease; renewals move it.
+    // Current end of the lease; renewals move it. In the past once the lease is lost.
     virtual steady_time leaseEnd() const = 0;
 };
 
@@ -112,6 +112,10 @@
     // `isRetry` false for each first attempt. Default: no retries.
     std::function<bool(bool isRetry, steady_time now)> retryBudget;
 
+    // Whether the local upstream gets no further requests, because it or the daemon is stopping.
+    // Default: never.
+    std::function<bool(steady_time now)> refusesNewWork;
+
     // Waits for a slot of the local upstream. Default: slot_admission.
     std::function<admission_result(const admission_request &request, steady_time now)> admit;
 
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int maxInterimAnswers = 8;
+// Detail of an exchange that `sendBefore` prevented.
+constexpr char leaseEnding[] = "lease ending";
 
 // One attempt on one connection.
 class attempt
@@ -44,14 +46,14 @@
     // Waits in steps of the progress timeout, asking the probe at the end of each.
     template <typename operation> io_status withProgress(operation run)
     {
+        const bool limited = m_request.progressTimeout.count() > 0 && m_request.probe;
+        steady_time silentAt = limited
+            ? std::chrono::steady_clock::now() + m_request.progressTimeout
+            : steady_time::max();
         for (;;) {
-            const steady_time now = std::chrono::steady_clock::now();
-            const bool limited = m_request.progressTimeout.count() > 0 && m_request.probe;
-            const steady_time until = limited
-                ? std::min(m_request.deadline, now + m_request.progressTimeout)
-                : m_request.deadline;
-            const io_status status = run(until);
-            if (status != io_status::TimedOut || until >= m_request.deadline) {
+            const steady_time until = std::min(m_request.deadline, silentAt);
+            const io_status status = untilAbandoned(until, run);
+            if (status != io_status::TimedOut || m_abandoned || until >= m_request.deadline) {
                 return status;
             }
             // An answer that arrived while the probe ran ends the silence.
@@ -59,6 +61,27 @@
                 m_silent = true;
                 return status;
             }
+            silentAt = std::chrono::steady_clock::now() + m_request.progressTimeout;
+        }
+    }
+
+    // Runs an operation until `until`, in steps that end when the exchange may have to be given up.
+    template <typename operation> io_status untilAbandoned(steady_time until, operation run)
+    {
+        if (!m_request.abandonAt) {
+            return run(until);
+        }
+        for (;;) {
+            const steady_time abandonAt = m_request.abandonAt();
+            if (std::chrono::steady_clock::now() >= abandonAt) {
+                m_abandoned = true;
+                return io_status::TimedOut;
+            }
+            const io_status status = run(std::min(until, abandonAt));
+            if (status != io_status::TimedOut || until <= abandonAt
+                || std::chrono::steady_clock::now() < abandonAt) {
+                return status;
+            }
         }
     }
 
@@ -66,6 +89,12 @@
     {
         switch (status) {
         case io_status::TimedOut:
+            if (m_abandoned) {
+                m_result.leaseEnding = true;
+                return fail(closedState == exchange_state::NotSent ? closedState
+                                                                   : exchange_state::Abandoned,
+                            leaseEnding);
+            }
             m_result.deadlinePassed = !m_silent;
             return m_silent ? fail(exchange_state::Silent, "connection without progress")
                             : fail(exchange_state::TimedOut, "deadline passed");
@@ -121,9 +150,9 @@
             m_result.deadlinePassed = true;
             return fail(exchange_state::NotSent, "deadline passed");
         }
-        if (now >= m_request.sendBefore) {
+        if (m_request.sendBefore && now >= m_request.sendBefore()) {
             m_result.leaseEnding = true;
-            return fail(exchange_state::NotSent, "lease ending");
+            return fail(exchange_state::NotSent, leaseEnding);
         }
         return send(text.str());
     }
@@ -154,9 +183,14 @@
         const bool chunked = m_framing.type == body_framing::kind::Chunked;
         std::string piece;
         while (!m_earlyAnswer) {
-            const io_status status = m_request.body->read(piece, m_request.deadline);
+            const io_status status = untilAbandoned(m_request.deadline, [&](steady_time until) {
+                return m_request.body->read(piece, until);
+            });
             if (status != io_status::Ok) {
                 m_reusable = false;
+                if (m_abandoned) {
+                    return fail(exchange_state::Abandoned, leaseEnding);
+                }
                 return status == io_status::TimedOut
                     ? fail(exchange_state::TimedOut, "request body incomplete at the deadline")
                     : fail(status == io_status::Malformed ? exchange_state::BadRequestBody
@@ -282,6 +316,7 @@
     bool m_hasFinalHead = false;
     bool m_declined = false;
     bool m_silent = false;
+    bool m_abandoned = false;
     bool m_reusable = true;
 };
 
@@ -304,6 +339,8 @@
         return "deadline-exceeded";
     case exchange_state::Silent:
         return "silent-connection";
+    case exchange_state::Abandoned:
+        return "lease-ended";
     case exchange_state::CallerGone:
         return "caller-disconnected";
     case exchange_state::BadRequestBody:
