--- a/src/persimmonrail/daemon/daemon_state.cpp
+++ b/src/persimmonrail/daemon/daemon_state.cpp
@@ -55,6 +55,7 @@
                }})
     , m_instances(settings.availabilityZone, makeRandom)
     , m_retries(m_started)
+    , m_atMostOnce({.clockSkew = settings.clockSkewAllowance})
     , m_noNewWorkAt(steady_time::max().time_since_epoch().count())
 { }
 
