Close the listener at a graceful stop without dropping connections

Cause: stopListening() called TCPServer::stop(), which drops the connections that are queued and leaves the socket listening, so connections piled up in the backlog and were reset at exit. Change: the accepting thread closes the socket when it meets a connection that stopListening() made, after it has passed on all earlier ones; the daemon then waits up to 500 ms for requests on connections accepted before. A connection completed between the last accept and the close is still reset.

--- a/src/persimmonrail/daemon/daemon_state.cpp
+++ b/src/persimmonrail/daemon/daemon_state.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds newWorkAfterStop{3000};
 // Peers learn within this time that the instance has no slots; until then they may still choose it.
 constexpr milliseconds stopAnnouncementTime{1000};
+// Requests on connections that were accepted before the listener closed arrive within this time.
+constexpr milliseconds acceptedRequestTime{500};
 constexpr milliseconds withdrawTime{2000};
 constexpr milliseconds stopPollInterval{10};
 
@@ -280,6 +282,10 @@
     bool complete = waitUntil(deadline, [this] { return m_engineDrained.load(); });
     waitUntil(std::min(deadline, begun + stopAnnouncementTime), [] { return false; });
     m_callers->server().stopListening();
+    // A connection whose request has not been read yet is not in flight.
+    const auto acceptedDeadline = std::chrono::steady_clock::now() + acceptedRequestTime;
+    waitUntil(std::min(deadline, acceptedDeadline),
+              [this] { return m_callers->server().connectionCount() == 0; });
     complete &= waitUntil(deadline, [this] { return m_path->inFlight() == 0; });
     m_loop.post([this](steady_time) { m_announcer->withdraw(); });
     const auto withdrawDeadline = std::chrono::steady_clock::now() + withdrawTime;
--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -17,6 +17,7 @@
 constexpr int listenBacklog = 1024;
 constexpr int threadStackBytes = 512 * 1024;
 constexpr milliseconds lingerTime{500};
+constexpr milliseconds closeTimeout{1000};
 constexpr char overloadAnswer[] = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
                                   "Persimmonrail-Outcome: not-run\r\n"
                                   "Persimmonrail-Reason: too-many-connections\r\n"
@@ -83,6 +84,38 @@
         }
     }
 
+    // Connects to the listener. Connections that were made earlier are accepted before this one,
+    // and the thread that accepts it closes the listener: TCPServer::stop() would leave the socket
+    // open and drop the connections that are queued.
+    void requestClose()
+    {
+        try {
+            Poco::Net::StreamSocket closer;
+            closing = true;
+            // Held while connecting, so that the accepting thread learns the address in time.
+            std::unique_lock lock(mutex);
+            closer.connect(Poco::Net::SocketAddress(address));
+            closerEnd = closer.address();
+            changed.wait_for(lock, closeTimeout, [this] { return closed; });
+        } catch (const Poco::Exception &) {
+            // The destructor closes the listener.
+        }
+    }
+
+    Poco::Net::SocketAddress closerAddress()
+    {
+        const std::lock_guard lock(mutex);
+        return closerEnd;
+    }
+
+    void closeListener()
+    {
+        const std::lock_guard lock(mutex);
+        listener.close();
+        closed = true;
+        changed.notify_all();
+    }
+
     // Serves one request; false if the connection is to be closed.
     bool serveOne(http_stream &stream) const
     {
@@ -122,6 +155,13 @@
     const handler handle;
     const error_handler onError;
     std::atomic<bool> stopping = false;
+    std::atomic<bool> closing = false;
+    // Whether the listener is closed.
+    bool closed = false;
+    // Own address of the connection that asks for the close.
+    Poco::Net::SocketAddress closerEnd;
+    // Used by the accepting thread only, once it runs.
+    Poco::Net::ServerSocket listener;
     std::atomic<uint64_t> refused = 0;
     std::string address;
     std::mutex mutex;
@@ -186,8 +226,13 @@
     explicit connection_limit(server_state &state)
         : m_state(state)
     { }
+    // Runs on the thread that accepts connections.
     bool accept(const Poco::Net::StreamSocket &socket) override
     {
+        if (m_state.closing && socket.peerAddress() == m_state.closerAddress()) {
+            m_state.closeListener();
+            return false;
+        }
         const auto &server = *m_state.server;
         if (server.currentConnections() + server.queuedConnections()
             < m_state.options.maxConnections) {
@@ -220,6 +265,7 @@
         socket.bind(Poco::Net::SocketAddress(options.address), true, false);
         socket.listen(listenBacklog);
         inner->address = socket.address().toString();
+        inner->listener = socket;
         Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
         params->setMaxThreads(options.maxConnections);
         params->setMaxQueued(options.maxConnections);
@@ -257,7 +303,7 @@
 
 void http_server::stopListening()
 {
-    m_state->server->stop();
+    m_state->requestClose();
 }
 
 } // namespace persimmonrail
