Let the new owner of a planned move claim before the standbys

Cause: after the release of a planned move the earlier owner is the first standby of the new record. Its claim needed no delay, so it won the partition back before the new owner had read the record, recorded itself as owner, and the coordinator planned the same move again every 2 s. The writes used up the pacer's tokens, so that a failover's record was written 13 s late. Change: a standby waits 500 ms longer while nobody has held the recorded term.

--- a/src/persimmonrail/ownership/engine_leases.cpp
+++ b/src/persimmonrail/ownership/engine_leases.cpp
@@ -83,8 +83,13 @@
         return;
     }
     if (!lease.claimAt) {
-        const auto delay = isOwner(lease) ? 0 : static_cast<int>(*position);
-        lease.claimAt = now + m_timing.standbyDelay * delay;
+        lease.claimAt = now;
+        if (!isOwner(lease)) {
+            lease.claimAt = now + m_timing.standbyDelay * static_cast<int>(*position);
+            if (lease.highestTerm < lease.known.record.term) {
+                *lease.claimAt += m_timing.recordedOwnerHeadStart;
+            }
+        }
     }
     if (now >= *lease.claimAt) {
         startClaim(lease, now);
--- a/src/persimmonrail/ownership/lease_timing.h
+++ b/src/persimmonrail/ownership/lease_timing.h
@@ -14,6 +14,10 @@
     milliseconds driftMargin{50};
     // Multiplied by the position in the standby list, so that standbys rarely compete.
     milliseconds standbyDelay{150};
+    // Added to the standby delay while nobody has held the recorded term. After the release of a
+    // planned move the new owner may learn of its record only by the notice; without this time the
+    // earlier owner, a standby by then, claims first and undoes the move.
+    milliseconds recordedOwnerHeadStart{500};
     // No request is handed to the upstream when less than this remains of the lease.
     milliseconds handOverGuard{20};
     // A witness that acknowledged nothing for this long is replaced.
