Plan no moves to a member whose answer to a ping is late

Cause: a member counted as silent only after 3 missed pings. A failover takes a little over 1 s, so the coordinator evened out the numbers by moves back to the frozen member, and requests for these partitions waited for it. Change: a member is silent 500 ms after its ping is due. Measured with a daemon frozen past its lease: all keys served after 10.1 s before and 5.1 s after; the rest is one request that waits for its deadline at the frozen daemon. balance_tests pass.

--- a/src/persimmonrail/balance/coordinator.cpp
+++ b/src/persimmonrail/balance/coordinator.cpp
@@ -187,7 +187,7 @@
 member_condition coordinator::conditionOf(const member_record &member, steady_time now) const
 {
     const auto entry = m_members.find(member.id);
-    const auto silence = pingInterval(m_serviceMembers.size()) * silentAfterPings;
+    const auto silence = pingInterval(m_serviceMembers.size()) + lateAnswer;
     if (entry != m_members.end() && now - entry->second.heardAt > silence) {
         return member_condition::Silent;
     }
--- a/src/persimmonrail/balance/coordinator.h
+++ b/src/persimmonrail/balance/coordinator.h
@@ -21,8 +21,10 @@
 inline constexpr milliseconds memberPingPerMember{10};
 inline constexpr milliseconds memberPingMinimum{1000};
 inline constexpr milliseconds memberPingMaximum{10000};
-// A member that missed this many pings is given no partitions.
-inline constexpr int silentAfterPings = 3;
+// A member whose answer to a ping is late by this time is given no partitions. A failover takes a
+// little over 1 s, and the imbalance it leaves must not be evened out by moves back to a member
+// that is paused; a wrong belief only delays a placement.
+inline constexpr milliseconds lateAnswer{500};
 // A service without records is placed once its members have not changed for this time, so that
 // instances that start together share the first placement without moves.
 inline constexpr std::chrono::seconds initialSettleTime{2};
