--- a/src/persimmonrail/http/tests/http_test.cpp
+++ b/src/persimmonrail/http/tests/http_test.cpp
@@ -2,6 +2,8 @@
 #include "persimmonrail/http/http_server.h"
 #include "standins/scripted_server.h"
 
+#include <Poco/Net/NetException.h>
+
 #include <catch2/catch.hpp>
 
 #include <random>
@@ -314,3 +316,26 @@
     CHECK(two != std::string::npos);
     CHECK(answer.find("\r\n\r\nthree", two) != std::string::npos);
 }
+
+// Guards against requests that are cut by a graceful stop: connections that wait in a queue when
+// the listener closes, and callers that connect to a listener that nobody serves.
+TEST_CASE("stopListening serves earlier connections and refuses later ones", "[http]")
+{
+    const auto server = echoServer();
+    const Poco::Net::SocketAddress address(server->address());
+    std::vector<Poco::Net::StreamSocket> earlier;
+    earlier.reserve(50);
+    for (int i = 0; i < 50; ++i) {
+        earlier.emplace_back(address);
+    }
+    server->stopListening();
+    for (auto &socket : earlier) {
+        sendText(socket,
+                 "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+                 "Connection: close\r\n\r\nbody");
+        const std::string answer = readToEnd(socket);
+        CHECK(answer.starts_with("HTTP/1.1 200"));
+        CHECK(answer.ends_with("body"));
+    }
+    CHECK_THROWS_AS(Poco::Net::StreamSocket(address), Poco::Net::ConnectionRefusedException);
+}
