--- a/src/persimmonrail/balance/coordinator.cpp
+++ b/src/persimmonrail/balance/coordinator.cpp
@@ -187,7 +187,7 @@
 
 milliseconds coordinator::silenceAllowed() const
 {
-    return pingInterval(m_serviceMembers.size()) * silentAfterPings;
+    return pingInterval(m_serviceMembers.size()) + lateAnswer;
 }
 
 bool coordinator::knowsConditions(steady_time now) const
--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -22,6 +22,7 @@
 constexpr int listenBacklog = 1024;
 constexpr int threadStackBytes = 512 * 1024;
 constexpr milliseconds lingerTime{500};
+constexpr milliseconds closeTimeout{1000};
 constexpr milliseconds idleCheckInterval{250};
 // Answer to a connection beyond the limit, of which no request is read.
 std::string overloadAnswer()
@@ -99,11 +100,12 @@
         }
     }
 
-    // Waits in steps, since the time that an idle connection is kept depends on the others.
+    // Waits in steps, since the time that an idle connection is kept depends on the others. Waits
+    // one step even while closing: the connection may have been queued before.
     bool waitForRequest(http_stream &stream) const
     {
         const steady_time start = std::chrono::steady_clock::now();
-        while (!closing) {
+        do {
             const io_status status = stream.waitReadable(after(idleCheckInterval));
             if (status != io_status::TimedOut) {
                 return status == io_status::Ok;
@@ -113,10 +115,42 @@
             if (std::chrono::steady_clock::now() - start >= kept) {
                 return false;
             }
-        }
+        } while (!closing);
         return false;
     }
 
+    // Connects to the listener. Connections that were made earlier are accepted before this one,
+    // and the thread that accepts it closes the listener: TCPServer::stop() would leave the socket
+    // open and drop the connections that are queued.
+    void requestClose()
+    {
+        try {
+            Poco::Net::StreamSocket closer;
+            closing = true;
+            // Held while connecting, so that the accepting thread learns the address in time.
+            std::unique_lock lock(mutex);
+            closer.connect(Poco::Net::SocketAddress(address));
+            closerEnd = closer.address();
+            changed.wait_for(lock, closeTimeout, [this] { return closed; });
+        } catch (const Poco::Exception &) {
+            // The destructor closes the listener.
+        }
+    }
+
+    Poco::Net::SocketAddress closerAddress()
+    {
+        const std::lock_guard lock(mutex);
+        return closerEnd;
+    }
+
+    void closeListener()
+    {
+        const std::lock_guard lock(mutex);
+        listener.close();
+        closed = true;
+        changed.notify_all();
+    }
+
     // Serves one request; false if the connection is to be closed.
     bool serveOne(http_stream &stream) const
     {
@@ -157,7 +191,12 @@
     std::atomic<bool> stopping = false;
     // Set once no new connections are accepted.
     std::atomic<bool> closing = false;
-    Poco::Net::ServerSocket socket;
+    // Whether the listener is closed.
+    bool closed = false;
+    // Own address of the connection that asks for the close.
+    Poco::Net::SocketAddress closerEnd;
+    // Used by the accepting thread only, once it runs.
+    Poco::Net::ServerSocket listener;
     std::atomic<uint64_t> refused = 0;
     std::string address;
     std::mutex mutex;
@@ -222,8 +261,13 @@
     explicit connection_limit(server_state &state)
         : m_state(state)
     { }
+    // Runs on the thread that accepts connections.
     bool accept(const Poco::Net::StreamSocket &socket) override
     {
+        if (m_state.closing && socket.peerAddress() == m_state.closerAddress()) {
+            m_state.closeListener();
+            return false;
+        }
         const auto &server = *m_state.server;
         if (server.currentConnections() + server.queuedConnections()
             < m_state.options.maxConnections) {
@@ -253,7 +297,7 @@
 {
     auto inner = std::make_unique<state>(options, std::move(handler), std::move(onError));
     try {
-        Poco::Net::ServerSocket &socket = inner->socket;
+        Poco::Net::ServerSocket &socket = inner->listener;
         socket.bind(Poco::Net::SocketAddress(options.address), true, false);
         socket.listen(listenBacklog);
         inner->address = socket.address().toString();
@@ -294,10 +338,7 @@
 
 void http_server::stopListening()
 {
-    m_state->closing = true;
-    m_state->server->stop();
-    // Without this, the kernel would go on taking connections that nobody serves.
-    m_state->socket.close();
+    m_state->requestClose();
 }
 
 bool http_server::waitClosed(steady_time until)
