Let an idle rank measure slow answers again

Cause: answers slower than a rank's deadlines raised its usual service time, and from then on each of its requests was refused on arrival, so the service time was never measured again. One very slow request also took the rank's floor for longer than the memory of a second. Change: a rank with nothing running or waiting always gets one request through; charges for ended requests are bounded as those at the start. A gateway test covers the ticket's report and the subsidiary across a hop.

--- a/src/persimmonrail/admission/admission_queue.cpp
+++ b/src/persimmonrail/admission/admission_queue.cpp
@@ -61,6 +61,12 @@
             to.requests.insert(to.requests.end(), from.requests.begin(), from.requests.end());
         }
     }
+    for (auto &[id, request] : m_running) {
+        if (request.rank >= count) {
+            request.rank = count - 1;
+            ++m_ranks[count - 1].running;
+        }
+    }
     m_ranks.resize(count);
     for (size_t i = 0; i < count; ++i) {
         m_ranks[i].floor = i < floors.size() ? floors[i] : 0;
@@ -140,7 +146,10 @@
     advance(now);
     rank = std::min(rank, m_ranks.size() - 1);
     rank_state &state = m_ranks[rank];
-    if (expectedWait(rank) + state.service > toSeconds(deadline - now)) {
+    // An idle rank always gets one request through, so that a service time that was once too long
+    // for its deadlines is measured again.
+    const bool isIdle = state.running == 0 && state.waiting == 0 && deadline > now;
+    if (!isIdle && expectedWait(rank) + state.service > toSeconds(deadline - now)) {
         return makeRefusal("deadline-unreachable", rank);
     }
     if (state.waiting >= maxWaiting() && !evictFor(state, subsidiary)) {
@@ -232,7 +241,8 @@
         const waiting_request request = queue.requests.front();
         queue.requests.pop_front();
         --rank.waiting;
-        if (toSeconds(request.deadline - now) < minServiceLeft * rank.service) {
+        const double needed = rank.running > 0 ? minServiceLeft * rank.service : 0;
+        if (toSeconds(request.deadline - now) < needed) {
             decisions.push_back({request.id, makeRefusal("deadline-unreachable", *index)});
         } else {
             start(*index, queue, request.id);
@@ -246,15 +256,23 @@
 {
     rank_state &state = m_ranks[rank];
     const double cost = state.service;
-    // Use beyond the floor counts against it for the memory only, so that a rank keeps its floor
-    // soon after it had more.
-    state.credit = std::max(state.credit - cost, -state.floor * m_limit.current() * memorySeconds);
-    state.recentUse += cost;
+    charge(state, cost);
+    ++state.running;
     state.virtualTime = std::max(state.virtualTime, from.received);
     from.received += cost;
     m_running[id] = {rank, cost};
 }
 
+// Counts slot time in seconds; negative values take back what was counted too much.
+void admission_queue::charge(rank_state &rank, double seconds) const
+{
+    const double available = m_limit.current() * memorySeconds;
+    // Use beyond the floor counts against it for the memory only, so that a rank keeps its floor
+    // soon after it had more.
+    rank.credit = std::max(rank.credit - seconds, -rank.floor * available);
+    rank.recentUse = std::clamp(rank.recentUse + seconds, 0.0, available);
+}
+
 void admission_queue::cancel(uint64_t id)
 {
     for (rank_state &rank : m_ranks) {
@@ -276,15 +294,14 @@
     }
     const running_request request = found->second;
     m_running.erase(found);
-    const size_t index = std::min(request.rank, m_ranks.size() - 1);
-    rank_state &rank = m_ranks[index];
+    rank_state &rank = m_ranks[request.rank];
     const double seconds = toSeconds(latency);
     // The start was charged with the usual service time.
-    rank.credit -= seconds - request.charged;
-    rank.recentUse = std::max(0.0, rank.recentUse + seconds - request.charged);
+    charge(rank, seconds - request.charged);
+    --rank.running;
     if (outcome == request_outcome::Run) {
         rank.service += (seconds - rank.service) * smoothing;
-        m_limit.noteAnswer(index, latency, now);
+        m_limit.noteAnswer(request.rank, latency, now);
     } else if (isOverload(outcome, reason, seconds, rank.service)) {
         m_limit.noteOverload(now);
     }
--- a/src/persimmonrail/admission/admission_queue.h
+++ b/src/persimmonrail/admission/admission_queue.h
@@ -102,6 +102,7 @@
         double recentUse = 0;
         double virtualTime = 0;
         size_t waiting = 0;
+        size_t running = 0;
         std::map<std::string, subsidiary_queue, std::less<>> subsidiaries;
     };
     struct running_request
@@ -120,6 +121,7 @@
     std::optional<size_t> chooseRank() const;
     subsidiary_iterator chooseSubsidiary(rank_state &rank) const;
     void start(size_t rank, subsidiary_queue &from, uint64_t id);
+    void charge(rank_state &rank, double seconds) const;
     void forgetIdle(rank_state &rank);
 
     const admission_options m_options;
--- a/src/persimmonrail/admission/tests/admission_queue_test.cpp
+++ b/src/persimmonrail/admission/tests/admission_queue_test.cpp
@@ -178,11 +178,13 @@
 // Guards against a slot spent on a request whose time has run out while it waited.
 TEST_CASE("a request that has become late is refused at its turn", "[admission]")
 {
-    auto queue = makeQueue({0}, 1);
-    const busy_slot slot(queue);
+    auto queue = makeQueue({0}, 2);
+    const uint64_t first = submit(queue, 0);
+    submit(queue, 0);
+    REQUIRE(started(queue.poll(start)).size() == 2);
     const uint64_t late = submit(queue, 0, "", 50ms);
     const uint64_t inTime = submit(queue, 0, "", 500ms);
-    queue.finish(slot.id, request_outcome::Run, "answered", 49ms, start + 49ms);
+    queue.finish(first, request_outcome::Run, "answered", 49ms, start + 49ms);
     const auto decisions = queue.poll(start + 49ms);
     REQUIRE(decisions.size() == 2);
     CHECK(decisions[0].id == late);
@@ -190,6 +192,28 @@
     CHECK(started(decisions) == std::vector{inTime});
 }
 
+// Guards against a rank that is refused for good after answers slower than its deadlines, whether
+// other ranks are idle or not.
+TEST_CASE("a rank recovers from slow answers", "[admission]")
+{
+    auto queue = makeQueue({0, 0}, 2);
+    submit(queue, 0);
+    queue.poll(start);
+    const uint64_t slow = submit(queue, 1);
+    queue.poll(start);
+    steady_time now = start + 1h;
+    queue.finish(slow, request_outcome::Run, "answered", 1h, now);
+    for (int i = 0; i < 300; ++i) {
+        const uint64_t id = submit(queue, 1, "", 1s, now);
+        REQUIRE(id != 0);
+        REQUIRE(started(queue.poll(now)) == std::vector{id});
+        now += 5ms;
+        queue.finish(id, request_outcome::Run, "answered", 5ms, now);
+    }
+    CHECK(submit(queue, 1, "", 1s, now) != 0);
+    CHECK(submit(queue, 1, "", 1s, now) != 0);
+}
+
 // Guards against queues that grow without bound, and against one rank filling the queue of another.
 TEST_CASE("each rank has a bounded queue", "[admission]")
 {
--- a/src/persimmonrail/gateway/tests/gateway_test.cpp
+++ b/src/persimmonrail/gateway/tests/gateway_test.cpp
@@ -3,8 +3,11 @@
 #include "persimmonrail/base/header_names.h"
 #include "standins/scripted_server.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <future>
+
 using namespace persimmonrail;
 using namespace std::chrono_literals;
 
@@ -307,6 +310,58 @@
     CHECK(runs(owner) == 1);
 }
 
+// Guards against admission control that decides without the rank or subsidiary of a request, or
+// never learns how requests end.
+TEST_CASE("admission control sees requests and their ends, also across a hop", "[gateway]")
+{
+    struct recording_ticket : admission_ticket
+    {
+        recording_ticket(std::string request, std::promise<std::string> &record)
+            : request(std::move(request))
+            , record(record)
+        { }
+        void finish(request_outcome outcome, std::string_view reason,
+                    std::chrono::nanoseconds latency, steady_time) override
+        {
+            record.set_value(absl::StrCat(request, std::string(toString(outcome)), " ",
+                                          std::string(reason),
+                                          latency.count() > 0 ? "" : ", no latency"));
+        }
+        std::string request;
+        std::promise<std::string> &record;
+    };
+    std::promise<std::string> record;
+    test_fleet fleet;
+    auto &owner = fleet.add("owner", "standin", [&record](test_fleet::daemon &daemon) {
+        daemon.hooks.admit = [&record](const admission_request &request,
+                                       steady_time) -> admission_result {
+            return std::make_unique<recording_ticket>(
+                absl::StrCat(std::string(request.service), " ", request.rank, " ",
+                             std::string(request.subsidiary), " "),
+                record);
+        };
+    });
+    auto &other = fleet.add("other", "");
+    owner.holdsLease = true;
+    fleet.place("owner");
+    for (const auto *ingress : {&owner, &other}) {
+        for (const bool shedding : {false, true}) {
+            record = {};
+            upstream_standin_faults faults;
+            faults.shedding = shedding;
+            owner.standin->setFaults(faults);
+            call(ingress->callers->address(), "PUT", "/standin/records/k", "body",
+                 {"Persimmonrail-Subsidiary: muenchen"});
+            // The caller may have its answer before the end is reported.
+            auto reported = record.get_future();
+            REQUIRE(reported.wait_for(generous) == std::future_status::ready);
+            CHECK(reported.get()
+                  == (shedding ? "standin 0 muenchen not-run shed"
+                               : "standin 0 muenchen run answered"));
+        }
+    }
+}
+
 // Guards P5: the decision of the at-most-once table is what the caller gets.
 TEST_CASE("at-most-once decisions are carried out", "[gateway]")
 {
