--- a/src/persimmonrail/peer/control_channel.cpp
+++ b/src/persimmonrail/peer/control_channel.cpp
@@ -3,6 +3,8 @@
 #include "persimmonrail/peer/reply_server.h"
 #include "persimmonrail/peer/request_client.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 namespace persimmonrail {
 
 class control_channel::state
@@ -16,6 +18,9 @@
 absl::StatusOr<std::unique_ptr<control_channel>> control_channel::listen(const std::string &address,
                                                                          request_handler handler)
 {
+    // Malformed messages are counted and answered; protobuf would print a line for each, without
+    // bound, to the standard error stream.
+    google::protobuf::SetLogHandler(nullptr);
     auto created = std::make_unique<state>();
     auto server = reply_server::listen(address, std::move(handler), created->traffic);
     if (!server.ok()) {
