--- a/src/persimmonrail/daemon/daemon_traffic.cpp
+++ b/src/persimmonrail/daemon/daemon_traffic.cpp
@@ -9,6 +9,11 @@
 namespace persimmonrail {
 namespace {
 
+// More than the daemons of a fleet, each of which may keep a connection open.
+constexpr int maxPeerConnections = 10'000;
+// The upstream, operators and collectors of metrics need a few.
+constexpr int maxAdminConnections = 256;
+
 double processCpuSeconds()
 {
     timespec used{};
@@ -26,19 +31,21 @@
 
     http_server_options server;
     server.address = m_settings.peerAddress;
-    server.maxConnections = m_settings.maxCallerConnections;
+    server.maxConnections = maxPeerConnections;
     auto peers = peer_server::listen(server, *m_path);
     if (!peers.ok()) {
         return peers.status();
     }
     m_peers = *std::move(peers);
     server.address = m_settings.callerAddress;
+    server.maxConnections = m_settings.maxCallerConnections;
     auto callers = caller_server::listen(server, *m_path);
     if (!callers.ok()) {
         return callers.status();
     }
     m_callers = *std::move(callers);
     server.address = m_settings.adminAddress;
+    server.maxConnections = maxAdminConnections;
     auto admin = admin_server::listen(server, makeAdminHooks());
     if (!admin.ok()) {
         return admin.status();
