Measure the unavailable time under a frozen daemon

Change: tools/measure-ownership takes the scenarios to run as arguments and has one more, a daemon stopped by SIGSTOP.

--- a/tests/measure/ownership_measure_main.cpp
+++ b/tests/measure/ownership_measure_main.cpp
@@ -243,11 +243,38 @@
         milliseconds(60'000));
 }
 
-// `daemonOnly` leaves the upstream alive.
-void measureLosses(site &all, const std::string &name, bool daemonOnly)
+enum class loss_kind { Instance, Daemon, FrozenDaemon };
+
+void begin(loss_kind kind, site_instance &owner)
+{
+    switch (kind) {
+    case loss_kind::Instance:
+        site::lose(owner);
+        break;
+    case loss_kind::Daemon:
+        owner.daemon->killAndReap();
+        break;
+    case loss_kind::FrozenDaemon:
+        owner.daemon->signal(SIGSTOP);
+        break;
+    }
+}
+
+void end(loss_kind kind, const site &all, site_instance &owner)
+{
+    if (kind == loss_kind::FrozenDaemon) {
+        owner.daemon->signal(SIGCONT);
+        return;
+    }
+    all.startDaemon(owner);
+    if (kind == loss_kind::Instance) {
+        all.startUpstream(owner);
+    }
+}
+
+void measureLosses(site &all, const std::string &name, loss_kind kind)
 {
     std::vector<double> times;
-    std::vector<double> lossMaxima;
     int unserved = 0;
     const auto &through = all.instance("ledger-1");
     double failoverSeconds = 0;
@@ -262,31 +289,21 @@
         });
         const auto before = platformCalls(all);
         const auto lost = std::chrono::steady_clock::now();
-        if (daemonOnly) {
-            owner.daemon->killAndReap();
-        } else {
-            site::lose(owner);
-        }
-        double longest = 0;
+        begin(kind, owner);
         for (const double time : unavailableTimes(through, keys, lost)) {
             if (std::isnan(time)) {
                 ++unserved;
             } else {
                 times.push_back(time);
-                longest = std::max(longest, time);
             }
         }
-        lossMaxima.push_back(longest);
         std::this_thread::sleep_until(lost + std::chrono::seconds(3));
         const auto after = platformCalls(all);
         reads += after->getValue<double>("reads") - before->getValue<double>("reads");
         writes += after->getValue<double>("writes") - before->getValue<double>("writes");
         failoverSeconds += msSince(lost) / 1000;
         callsAfter = after;
-        all.startDaemon(owner);
-        if (!daemonOnly) {
-            all.startUpstream(owner);
-        }
+        end(kind, all, owner);
         if (!awaitRestored(all)) {
             std::cerr << "the site is not as before after loss " << i + 1 << "\n";
         }
@@ -309,6 +326,15 @@
     print(name + "-platform-calls", calls);
 }
 
+void measureImbalance(site &all)
+{
+    for (const char *service : {"haulbook", "ledger"}) {
+        Object line;
+        setImbalance(line, settledOwners(all, service), std::string(service) == "haulbook" ? 4 : 3);
+        print(absl::StrCat("imbalance-", service), line);
+    }
+}
+
 // Partitions that move when an instance stops gracefully and joins again. The minimum is the share
 // of the instance: all of it when it leaves, partitions/instances when it joins.
 void measureChurn(site &all)
@@ -378,21 +404,35 @@
 
 } // namespace
 
-int main()
+// Arguments name the scenarios to run; without any all run.
+int main(int argc, char **argv)
 {
+    const std::vector<std::string> chosen(argv + 1, argv + argc);
+    const auto runs = [&](const char *scenario) {
+        return chosen.empty() || std::find(chosen.begin(), chosen.end(), scenario) != chosen.end();
+    };
+    const std::vector<std::pair<const char *, std::function<void(site &)>>> scenarios = {
+        {"imbalance", measureImbalance},
+        {"idle", measureIdle},
+        {"configuration", measureConfiguration},
+        {"churn", measureChurn},
+        {"owner-lost",
+         [](site &all) { measureLosses(all, "unavailable-owner-lost", loss_kind::Instance); }},
+        {"daemon-lost",
+         [](site &all) { measureLosses(all, "unavailable-daemon-lost", loss_kind::Daemon); }},
+        {"daemon-frozen",
+         [](site &all) {
+             measureLosses(all, "unavailable-daemon-frozen", loss_kind::FrozenDaemon);
+         }},
+    };
     try {
         site all;
-        for (const char *service : {"haulbook", "ledger"}) {
-            Object line;
-            setImbalance(line, settledOwners(all, service),
-                         std::string(service) == "haulbook" ? 4 : 3);
-            print(absl::StrCat("imbalance-", service), line);
+        settledOwners(all, "haulbook");
+        for (const auto &[name, measure] : scenarios) {
+            if (runs(name)) {
+                measure(all);
+            }
         }
-        measureIdle(all);
-        measureConfiguration(all);
-        measureChurn(all);
-        measureLosses(all, "unavailable-owner-lost", false);
-        measureLosses(all, "unavailable-daemon-lost", true);
     } catch (const std::exception &error) {
         std::cerr << "ownership_measure: " << error.what() << "\n";
         return 1;
