Keep platform writes in reserve for tenures

Cause: witness, standby and move writes used up the pacer's burst, so the writes that record a failover waited for tokens at one a second. Callers were sent to the recorded, frozen owner until then. Change: writes that can wait leave four tokens of the burst of eight.

--- a/src/persimmonrail/ownership/engine_records.cpp
+++ b/src/persimmonrail/ownership/engine_records.cpp
@@ -82,7 +82,10 @@
     for (auto &[lease, change] : changes) {
         // The token of a move was taken when the drain began.
         const bool isMove = change.kind == write_kind::Move;
-        if (isMove ? m_pacer.isBackingOff(now) : !m_pacer.isReady(now)) {
+        const bool isUrgent = change.kind == write_kind::Tenure;
+        if (isMove         ? m_pacer.isBackingOff(now)
+                : isUrgent ? !m_pacer.isReady(now)
+                           : !m_pacer.isReadyForDeferrable(now)) {
             continue;
         }
         if (!isMove) {
@@ -228,7 +231,7 @@
             return;
         }
         target = *it;
-    } else if (!m_pacer.isReady(now) || lease.writePending || lease.readWanted) {
+    } else if (!m_pacer.isReadyForDeferrable(now) || lease.writePending || lease.readWanted) {
         return;
     }
     if (isRecorded && !target.isNull() && target != m_self && isLive(target)) {
--- a/src/persimmonrail/ownership/write_pacer.cpp
+++ b/src/persimmonrail/ownership/write_pacer.cpp
@@ -16,6 +16,11 @@
     return m_tokens >= 1 && now >= m_blockedUntil;
 }
 
+bool write_pacer::isReadyForDeferrable(steady_time now)
+{
+    return isReady(now) && m_tokens >= std::min(m_limits.reserve + 1, m_limits.burst);
+}
+
 void write_pacer::take(steady_time now)
 {
     refill(now);
--- a/src/persimmonrail/ownership/write_pacer.h
+++ b/src/persimmonrail/ownership/write_pacer.h
@@ -16,6 +16,9 @@
     {
         double perSecond = 1;
         double burst = 8;
+        // Tokens that only urgent calls may take, enough for the tenures of one failover. While
+        // they wait, callers are still sent to the lost owner.
+        double reserve = 4;
         milliseconds firstBackoff{250};
         milliseconds maxBackoff{10000};
     };
@@ -24,6 +27,8 @@
 
     // Whether a call is admitted at `now`.
     bool isReady(steady_time now);
+    // Like isReady(), but leaves the reserve to others.
+    bool isReadyForDeferrable(steady_time now);
     // Whether the platform refused the last call and the backoff has not ended.
     bool isBackingOff(steady_time now) const { return now < m_blockedUntil; }
     // Takes a token; call only if isReady().
