Fix an overflow and a leak found by the sanitizers

Cause: the grants of a lease that was never held were computed from steady_time::min(), a signed overflow that stopped ownership_tests. A reply whose sending was cancelled was not freed. Change: such leases are skipped before the subtraction; the message is freed on every failed send.

--- a/src/persimmonrail/ownership/engine_leases.cpp
+++ b/src/persimmonrail/ownership/engine_leases.cpp
@@ -419,9 +419,12 @@
     std::vector<lease_grant> grants;
     std::vector<sent_lease> leases;
     for (auto &[partition, lease] : m_leases) {
+        // The difference to the end of a lease that was never held would overflow.
+        if (lease.phase != lease_phase::Holding || lease.leaseEnd <= now) {
+            continue;
+        }
         const auto validity = std::chrono::floor<milliseconds>(lease.leaseEnd - now);
-        if (lease.phase == lease_phase::Holding && lease.leaseEnd > now
-            && validity > milliseconds(0)) {
+        if (validity > milliseconds(0)) {
             grants.push_back({partition, lease.known.record.range, lease.term, validity});
             leases.push_back({partition, lease.attempt, lease.known.version});
         }
--- a/src/persimmonrail/peer/reply_server.cpp
+++ b/src/persimmonrail/peer/reply_server.cpp
@@ -68,13 +68,15 @@
     void complete()
     {
         const int error = nng_aio_result(m_aio);
+        if (m_phase == phase::Sending && error != 0) {
+            // nng leaves a message that was not sent to its sender.
+            nng_msg_free(nng_aio_get_msg(m_aio));
+            nng_aio_set_msg(m_aio, nullptr);
+        }
         if (error == NNG_ECLOSED || error == NNG_ECANCELED) {
             return;
         }
         if (m_phase == phase::Sending) {
-            if (error != 0) {
-                nng_msg_free(nng_aio_get_msg(m_aio));
-            }
             receive();
             return;
         }
