Leave a frozen daemon for its standby

Cause: a frozen daemon's kernel still accepts connections, so the probe after 1 s without progress neither failed nor said that the request was gone, and requests waited there until their deadline. Change: a probe without an answer marks the peer as silent for 2 s; repeatable requests give up on it and go to the next candidate, others skip it. The progress timeout is 500 ms and the probe's 400 ms, less than the time in which a standby takes over.

--- a/src/persimmonrail/gateway/forwarder.cpp
+++ b/src/persimmonrail/gateway/forwarder.cpp
@@ -14,17 +14,29 @@
 
 // After this time without progress, the peer is asked whether it still has the request. Most
 // requests are answered within 14 ms.
-constexpr milliseconds progressTimeout{1000};
-constexpr milliseconds probeTimeout{500};
+constexpr milliseconds progressTimeout{500};
+// Together with the progress timeout less than the time in which a standby takes over (1.2 s), so
+// that a request to a frozen daemon reaches the standby within the 2 s target.
+constexpr milliseconds probeTimeout{400};
 
-// Whether the peer answers on a new connection that it does not have the request: its answer, or
-// the request, was lost on the connection used.
-bool isLost(const std::string &address, const std::string &requestId)
+// What a peer says of a request, asked on a new connection.
+enum class probe_result {
+    InFlight,
+    // Its answer, or the request, was lost on the connection used.
+    Lost,
+    // No answer: the peer is frozen, cut off or overloaded.
+    Silent,
+};
+
+probe_result probePeer(const std::string &address, const std::string &requestId)
 {
     http_client fresh(std::make_shared<connection_pool>());
     const auto answer = simpleRequest(fresh, address, "GET", inFlightPath + requestId, "",
                                       std::chrono::steady_clock::now() + probeTimeout);
-    return answer.ok() && answer->status == 404;
+    if (!answer.ok()) {
+        return probe_result::Silent;
+    }
+    return answer->status == 404 ? probe_result::Lost : probe_result::InFlight;
 }
 
 bool hasRun(const Poco::Net::HTTPResponse &head)
@@ -85,8 +97,14 @@
             framing.type == body_framing::kind::Chunked || framing.length > bodyPieceBytes;
     }
     request.progressTimeout = progressTimeout;
-    request.probe = [address = request.address, id = request.message.get(requestIdHeader, "")] {
-        return isLost(address, id);
+    request.probe = [this, address = request.address, repeatable = request.repeatable,
+                     id = request.message.get(requestIdHeader, "")] {
+        const probe_result probed = probePeer(address, id);
+        if (probed == probe_result::Silent) {
+            m_silentPeers.mark(address, std::chrono::steady_clock::now());
+        }
+        // A request that must not run twice waits for a silent peer until its deadline.
+        return probed == probe_result::Lost || (probed == probe_result::Silent && repeatable);
     };
     const exchange_result exchange = m_client.exchange(request, sink);
     forward_result result;
--- a/src/persimmonrail/gateway/forwarder.h
+++ b/src/persimmonrail/gateway/forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "persimmonrail/base/request_outcome.h"
+#include "persimmonrail/gateway/silent_peers.h"
 #include "persimmonrail/http/http_client.h"
 
 #include <string>
@@ -40,10 +41,16 @@
     // `request.wanted` and the probe are set by the forwarder. Answers that did not run on the peer
     // are not passed to the sink.
     forward_result forward(client_request request, answer_sink &sink);
+    // Whether a request is better sent to another peer for now.
+    bool isSilent(std::string_view address, steady_time now) const
+    {
+        return m_silentPeers.contains(address, now);
+    }
 
 private:
     std::shared_ptr<connection_pool> m_pool;
     http_client m_client;
+    silent_peers m_silentPeers;
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/gateway/request_call.cpp
+++ b/src/persimmonrail/gateway/request_call.cpp
@@ -213,7 +213,8 @@
             m_path.m_hooks.candidates(*m_view, m_target.service, *m_hash, m_holderHint);
         const auto isNew = [&](const member_record &member) {
             return member.id.name != m_path.m_options.instance
-                && std::find(tried.begin(), tried.end(), member.id) == tried.end();
+                && std::find(tried.begin(), tried.end(), member.id) == tried.end()
+                && !m_path.m_forwarder.isSilent(member.peerAddress, currentTime());
         };
         auto next = std::find_if(candidates.begin(), candidates.end(), [&](const auto &member) {
             return member.id.name == m_holderHint && isNew(member);
--- a/src/persimmonrail/gateway/tests/gateway_test.cpp
+++ b/src/persimmonrail/gateway/tests/gateway_test.cpp
@@ -157,6 +157,29 @@
     }
 }
 
+// Guards against requests that wait until their deadline for a frozen daemon, whose kernel still
+// takes connections, while a standby holds the partition.
+TEST_CASE("a repeatable request leaves a frozen daemon", "[gateway]")
+{
+    test_fleet fleet;
+    fleet.add("frozen");
+    auto &standby = fleet.add("standby");
+    auto &ingress = fleet.add("ingress", "", [](test_fleet::daemon &daemon) {
+        daemon.hooks.retryBudget = [](bool, steady_time) { return true; };
+    });
+    standby.holdsLease = true;
+    fleet.place("frozen", {"standby"});
+    const Poco::Net::ServerSocket silent(Poco::Net::SocketAddress("127.0.0.1", 0));
+    fleet.setPeerAddress("frozen", silent.address().toString());
+    const caller_answer put =
+        call(ingress.callers->address(), "PUT", "/standin/records/k", "record");
+    CHECK(put.outcome == "run");
+    // The silent peer is remembered, so the next request does not connect to it.
+    const caller_answer get = call(ingress.callers->address(), "GET", "/standin/records/k");
+    CHECK(get.outcome == "run");
+    CHECK(get.body == "record");
+}
+
 // Guards against giving up during a failover, and against trying beyond the deadline.
 TEST_CASE("rounds continue until an owner appears or the deadline passes", "[gateway]")
 {
