Renew a lease until the requests in flight have ended

Change: the partition stops serving, and its lease is renewed until its requests have ended; then it is released.

--- a/src/persimmonrail/ownership/engine_records.cpp
+++ b/src/persimmonrail/ownership/engine_records.cpp
@@ -128,7 +128,7 @@
         return record_change{write_kind::Tenure, std::move(record), "tenure won"};
     }
     if (lease.draining) {
-        if (inFlight(lease) > 0) {
+        if (inFlight(lease) > 0 || lease.moveTarget.isNull()) {
             return std::nullopt;
         }
         return record_change{write_kind::Move, moveRecord(lease, lease.moveTarget), "planned move"};
@@ -231,7 +231,7 @@
         const auto it = std::find_if(record.standbys.begin(), record.standbys.end(),
                                      [&](const instance_id &id) { return isLive(id); });
         if (!isRecorded || it == record.standbys.end() || !m_pacer.isReady(now)) {
-            stepDown(lease, "shutdown without a hand-over", now);
+            drainForRelease(lease, "shutdown without a hand-over", now);
             return;
         }
         target = *it;
@@ -308,10 +308,24 @@
     }
 }
 
+// Stops serving and releases the lease once the requests in flight have ended. The lease is renewed
+// until then: an upstream that does not check grants has its requests cancelled when the lease ends
+// (H4), which a graceful shutdown must not cause (P7).
+void ownership_engine::state::drainForRelease(lease_state &lease, std::string_view reason,
+                                              steady_time now)
+{
+    m_table.stop(lease.known.record.partition);
+    lease.draining = true;
+    lease.moveTarget = {};
+    if (inFlight(lease) == 0 || !isServing(lease, now)) {
+        stepDown(lease, reason, now);
+    }
+}
+
 void ownership_engine::state::suspendDrain(lease_state &lease, steady_time now)
 {
     if (m_shuttingDown) {
-        stepDown(lease, "shutdown while the platform is unavailable", now);
+        drainForRelease(lease, "shutdown while the platform is unavailable", now);
         return;
     }
     // The move is tried again when the platform answers; until then the partition is served. If the
--- a/src/persimmonrail/ownership/engine_state.h
+++ b/src/persimmonrail/ownership/engine_state.h
@@ -94,6 +94,7 @@
                                                       steady_time now) const;
     std::optional<record_change> proposeStandbys(const lease_state &lease) const;
     void considerDrain(lease_state &lease, steady_time now);
+    void drainForRelease(lease_state &lease, std::string_view reason, steady_time now);
     placement_record moveRecord(const lease_state &lease, const instance_id &target) const;
     void writeRecord(lease_state &lease, record_change change, steady_time now);
     void onWritten(const std::string &partition, const record_change &change,
