Remove duplicated types and JSON decoding, unify names

Cause: the gateway and the at-most-once table had a type each for the same verdict; members and records decoded JSON alike; the protocol buffer said lapse where the design says expiry. Change: one at_most_once_verdict; base/json_text.h; ExpiryNotice. Field numbers are unchanged. Measured: ownership, sync and gateway tests pass, lint clean.

--- a/src/persimmonrail/daemon/daemon_state.h
+++ b/src/persimmonrail/daemon/daemon_state.h
@@ -61,10 +61,10 @@
     absl::Status startTraffic();
     gateway_hooks makeGatewayHooks();
     admission_source readAdmissionSource() const;
-    at_most_once_decision beginAtMostOnce(std::string_view service, std::string_view idempotencyKey,
-                                          const lease_ticket &ticket, steady_time now);
+    at_most_once_verdict beginAtMostOnce(std::string_view service, std::string_view idempotencyKey,
+                                         const lease_ticket &ticket, steady_time now);
     void endAtMostOnce(std::string_view service, std::string_view idempotencyKey,
-                       request_outcome outcome, const std::shared_ptr<const stored_answer> &answer);
+                       request_outcome outcome, const std::shared_ptr<const kept_answer> &answer);
     admin_hooks makeAdminHooks();
     void addGauges();
     std::string notReadyReason() const;
--- a/src/persimmonrail/daemon/daemon_traffic.cpp
+++ b/src/persimmonrail/daemon/daemon_traffic.cpp
@@ -98,7 +98,7 @@
     };
     hooks.atMostOnceEnd = [this](std::string_view service, std::string_view idempotencyKey,
                                  request_outcome outcome,
-                                 const std::shared_ptr<const stored_answer> &answer) {
+                                 const std::shared_ptr<const kept_answer> &answer) {
         endAtMostOnce(service, idempotencyKey, outcome, answer);
     };
     hooks.quarantine = &m_quarantine;
@@ -121,42 +121,27 @@
     return source;
 }
 
-at_most_once_decision daemon::state::beginAtMostOnce(std::string_view service,
-                                                     std::string_view idempotencyKey,
-                                                     const lease_ticket &ticket, steady_time now)
+at_most_once_verdict daemon::state::beginAtMostOnce(std::string_view service,
+                                                    std::string_view idempotencyKey,
+                                                    const lease_ticket &ticket, steady_time now)
 {
-    at_most_once_decision decision;
     const auto key = parseIdempotencyKey(idempotencyKey);
     const auto since = m_serving.servingSince(ticket.partition(), ticket.term());
     if (!key.ok() || !since) {
-        decision.what = at_most_once_decision::action::Refuse;
-        decision.outcome = request_outcome::NotRun;
-        decision.reason = key.ok() ? "not-owner" : "invalid-idempotency-key";
-        return decision;
+        at_most_once_verdict refusal;
+        refusal.what = at_most_once_verdict::action::Refuse;
+        refusal.outcome = request_outcome::NotRun;
+        refusal.reason = key.ok() ? "not-owner" : "invalid-idempotency-key";
+        return refusal;
     }
     const wall_time wallNow = std::chrono::system_clock::now();
     const auto tenure = std::chrono::duration_cast<wall_time::duration>(now - *since);
-    const auto verdict = m_atMostOnce.begin(service, *key, wallNow - tenure, wallNow);
-    decision.outcome = verdict.outcome;
-    decision.reason = verdict.reason;
-    decision.answer = verdict.answer;
-    switch (verdict.what) {
-    case at_most_once_verdict::action::Proceed:
-        decision.what = at_most_once_decision::action::Proceed;
-        break;
-    case at_most_once_verdict::action::Replay:
-        decision.what = at_most_once_decision::action::Replay;
-        break;
-    case at_most_once_verdict::action::Refuse:
-        decision.what = at_most_once_decision::action::Refuse;
-        break;
-    }
-    return decision;
+    return m_atMostOnce.begin(service, *key, wallNow - tenure, wallNow);
 }
 
 void daemon::state::endAtMostOnce(std::string_view service, std::string_view idempotencyKey,
                                   request_outcome outcome,
-                                  const std::shared_ptr<const stored_answer> &answer)
+                                  const std::shared_ptr<const kept_answer> &answer)
 {
     if (const auto key = parseIdempotencyKey(idempotencyKey); key.ok()) {
         m_atMostOnce.end(service, *key, outcome, answer);
--- a/src/persimmonrail/gateway/caller_sink.cpp
+++ b/src/persimmonrail/gateway/caller_sink.cpp
@@ -48,7 +48,7 @@
     removeOwnFields(answer);
     removeConnectionFields(answer);
     if (whole && m_keep && first.size() <= bodyPieceBytes) {
-        auto kept = std::make_shared<stored_answer>();
+        auto kept = std::make_shared<kept_answer>();
         kept->status = answer.getStatus();
         kept->body = first;
         for (const auto &[name, value] : answer) {
@@ -72,8 +72,7 @@
     return m_exchange.endAnswer();
 }
 
-bool sendStored(server_exchange &exchange, const stored_answer &answer,
-                const std::string &requestId)
+bool sendStored(server_exchange &exchange, const kept_answer &answer, const std::string &requestId)
 {
     Poco::Net::HTTPResponse head(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
     for (const auto &[name, value] : answer.fields) {
--- a/src/persimmonrail/gateway/caller_sink.h
+++ b/src/persimmonrail/gateway/caller_sink.h
@@ -18,7 +18,7 @@
 public:
     // Receives a whole answer before the requester does, so that a resend which follows at once
     // finds it.
-    using keep_hook = std::function<void(std::shared_ptr<const stored_answer> answer)>;
+    using keep_hook = std::function<void(std::shared_ptr<const kept_answer> answer)>;
 
     // `keep` gets whole answers of at most bodyPieceBytes; empty keeps none.
     caller_sink(server_exchange &exchange, std::string requestId, keep_hook keep = {});
@@ -35,7 +35,6 @@
 };
 
 // Sends a kept answer.
-bool sendStored(server_exchange &exchange, const stored_answer &answer,
-                const std::string &requestId);
+bool sendStored(server_exchange &exchange, const kept_answer &answer, const std::string &requestId);
 
 } // namespace persimmonrail
--- a/src/persimmonrail/gateway/gateway_hooks.h
+++ b/src/persimmonrail/gateway/gateway_hooks.h
@@ -59,25 +59,6 @@
 
 using admission_result = std::variant<std::unique_ptr<admission_ticket>, admission_refusal>;
 
-using stored_answer = kept_answer;
-
-// Decision on an at-most-once request before it is handed over.
-struct at_most_once_decision
-{
-    enum class action {
-        // Not seen before: hand it over, then call atMostOnceEnd.
-        Proceed,
-        // Answer with `answer`.
-        Replay,
-        // Answer with `outcome` and `reason`; nothing is handed over.
-        Refuse,
-    };
-    action what = action::Proceed;
-    std::shared_ptr<const stored_answer> answer;
-    request_outcome outcome = request_outcome::Unknown;
-    std::string reason;
-};
-
 // Decisions that the request path takes from other slices. All hooks run on traffic threads and
 // must be thread safe; only `admit` may block.
 struct gateway_hooks
@@ -120,12 +101,12 @@
     std::function<admission_result(const admission_request &request, steady_time now)> admit;
 
     // `ticket` is the lease under which the request would run. Default: always Proceed.
-    std::function<at_most_once_decision(std::string_view service, std::string_view idempotencyKey,
-                                        const lease_ticket &ticket, steady_time now)>
+    std::function<at_most_once_verdict(std::string_view service, std::string_view idempotencyKey,
+                                       const lease_ticket &ticket, steady_time now)>
         atMostOnceBegin;
     // `answer` is null if the answer was too large to keep or not whole.
     std::function<void(std::string_view service, std::string_view idempotencyKey,
-                       request_outcome outcome, std::shared_ptr<const stored_answer> answer)>
+                       request_outcome outcome, std::shared_ptr<const kept_answer> answer)>
         atMostOnceEnd;
 
     // Consulted before each hand-over to the local upstream. Must outlive the request path.
--- a/src/persimmonrail/gateway/request_call.cpp
+++ b/src/persimmonrail/gateway/request_call.cpp
@@ -317,15 +317,15 @@
 call_result request_call::runAtMostOnce(const lease_ticket &ticket, steady_time now)
 {
     const auto &hooks = m_path.m_hooks;
-    const at_most_once_decision decision =
+    const at_most_once_verdict decision =
         hooks.atMostOnceBegin(m_target.service, m_idempotencyKey, ticket, now);
     call_result result;
-    if (decision.what == at_most_once_decision::action::Refuse) {
+    if (decision.what == at_most_once_verdict::action::Refuse) {
         result.outcome = decision.outcome;
         result.reason = decision.reason;
         return result;
     }
-    if (decision.what == at_most_once_decision::action::Replay) {
+    if (decision.what == at_most_once_verdict::action::Replay) {
         result.outcome = request_outcome::Run;
         result.reason = "answered-from-record";
         result.answerStarted = true;
@@ -333,7 +333,7 @@
         return result;
     }
     bool ended = false;
-    result = admitAndHandOver(&ticket, [&](std::shared_ptr<const stored_answer> answer) {
+    result = admitAndHandOver(&ticket, [&](std::shared_ptr<const kept_answer> answer) {
         ended = true;
         hooks.atMostOnceEnd(m_target.service, m_idempotencyKey, request_outcome::Run,
                             std::move(answer));
--- a/src/persimmonrail/gateway/request_path.cpp
+++ b/src/persimmonrail/gateway/request_path.cpp
@@ -81,11 +81,11 @@
     }
     if (!m_hooks.atMostOnceBegin) {
         m_hooks.atMostOnceBegin = [](std::string_view, std::string_view, const lease_ticket &,
-                                     steady_time) { return at_most_once_decision(); };
+                                     steady_time) { return at_most_once_verdict(); };
     }
     if (!m_hooks.atMostOnceEnd) {
         m_hooks.atMostOnceEnd = [](std::string_view, std::string_view, request_outcome,
-                                   const std::shared_ptr<const stored_answer> &) {};
+                                   const std::shared_ptr<const kept_answer> &) {};
     }
 }
 
--- a/src/persimmonrail/gateway/tests/crash_quarantine_test.cpp
+++ b/src/persimmonrail/gateway/tests/crash_quarantine_test.cpp
@@ -32,14 +32,14 @@
         fleet.place("first");
     }
 
-    at_most_once_decision begin(const idempotency_key &key)
+    at_most_once_verdict begin(const idempotency_key &key)
     {
         using std::chrono::hours;
         const auto verdict = table.begin("standin", key, key.issuedAt() - hours(1), key.issuedAt());
         if (verdict.what == at_most_once_verdict::action::Proceed) {
             return {};
         }
-        return {at_most_once_decision::action::Refuse, nullptr, verdict.outcome,
+        return {at_most_once_verdict::action::Refuse, nullptr, verdict.outcome,
                 std::string(verdict.reason)};
     }
 
--- a/src/persimmonrail/gateway/tests/gateway_test.cpp
+++ b/src/persimmonrail/gateway/tests/gateway_test.cpp
@@ -389,14 +389,14 @@
 TEST_CASE("at-most-once decisions are carried out", "[gateway]")
 {
     test_fleet fleet;
-    at_most_once_decision next;
+    at_most_once_verdict next;
     std::vector<std::pair<request_outcome, bool>> ended;
     auto &owner = fleet.add("owner", "standin", [&](test_fleet::daemon &daemon) {
         daemon.hooks.atMostOnceBegin = [&](auto, auto, const auto &, auto) { return next; };
         daemon.hooks.atMostOnceEnd = [&](auto, auto, request_outcome outcome,
-                                         const std::shared_ptr<const stored_answer> &answer) {
+                                         const std::shared_ptr<const kept_answer> &answer) {
             ended.emplace_back(outcome, answer != nullptr);
-            next = {at_most_once_decision::action::Replay, answer, {}, ""};
+            next = {at_most_once_verdict::action::Replay, answer, {}, ""};
         };
     });
     owner.holdsLease = true;
@@ -413,7 +413,7 @@
         CHECK(answer.head.get("X-Checksum") == standinChecksum("1"));
     }
     CHECK(runs(owner) == 1);
-    next = {at_most_once_decision::action::Refuse, nullptr, request_outcome::Unknown,
+    next = {at_most_once_verdict::action::Refuse, nullptr, request_outcome::Unknown,
             "older-tenure"};
     CHECK(post().status == 502);
     CHECK(post().reason == "older-tenure");
--- a/src/persimmonrail/ownership/engine_leases.cpp
+++ b/src/persimmonrail/ownership/engine_leases.cpp
@@ -362,7 +362,7 @@
         recipients.push_back(record.owner);
         for (const auto &recipient : recipients) {
             wire::Request request;
-            auto *notice = request.mutable_lapse_notice();
+            auto *notice = request.mutable_expiry_notice();
             notice->set_partition(due.partition);
             notice->set_record_version(due.recordVersion);
             notice->set_term(due.term);
@@ -372,7 +372,7 @@
     }
 }
 
-void ownership_engine::state::onNotice(const instance_id &witness, const wire::LapseNotice &notice,
+void ownership_engine::state::onNotice(const instance_id &witness, const wire::ExpiryNotice &notice,
                                        steady_time now)
 {
     auto *lease = findLease(notice.partition());
--- a/src/persimmonrail/ownership/engine_state.h
+++ b/src/persimmonrail/ownership/engine_state.h
@@ -79,7 +79,7 @@
     void finishRelease(lease_state &lease, steady_time now);
     void sendRelease(const lease_state &lease, const instance_id &witness, uint64_t term);
     void sendNotices(steady_time now);
-    void onNotice(const instance_id &witness, const wire::LapseNotice &notice, steady_time now);
+    void onNotice(const instance_id &witness, const wire::ExpiryNotice &notice, steady_time now);
     bool hasNoticeMajority(const lease_state &lease, steady_time now) const;
     void publish(lease_state &lease, steady_time now);
     void sendGrants(steady_time now);
--- a/src/persimmonrail/ownership/ownership_engine.cpp
+++ b/src/persimmonrail/ownership/ownership_engine.cpp
@@ -98,9 +98,9 @@
     case wire::Request::kRelease:
         *reply.mutable_release() = m_witness.onRelease(sender, request.release(), now);
         break;
-    case wire::Request::kLapseNotice:
-        onNotice(sender, request.lapse_notice(), now);
-        reply.mutable_lapse_notice();
+    case wire::Request::kExpiryNotice:
+        onNotice(sender, request.expiry_notice(), now);
+        reply.mutable_expiry_notice();
         break;
     default:
         reply.mutable_error()->set_message("not an ownership message");
--- a/src/persimmonrail/ownership/ownership_engine.h
+++ b/src/persimmonrail/ownership/ownership_engine.h
@@ -77,7 +77,7 @@
     ownership_engine &operator=(ownership_engine &&other) noexcept;
     ~ownership_engine();
 
-    // Does everything that is due. Call at least every 20 ms; with longer gaps leases lapse early
+    // Does everything that is due. Call at least every 20 ms; with longer gaps leases expire early
     // and failover is slower, but no rule is broken.
     void tick(steady_time now);
     // Takes a newer view of the fleet. Records older than those already known are ignored.
--- a/src/persimmonrail/ownership/placement_record.cpp
+++ b/src/persimmonrail/ownership/placement_record.cpp
@@ -1,33 +1,19 @@
 #include "persimmonrail/ownership/placement_record.h"
 
+#include "persimmonrail/base/json_text.h"
 #include "persimmonrail/base/text.h"
 
 #include <Poco/JSON/Array.h>
-#include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
-#include <sstream>
-
 namespace persimmonrail {
 namespace {
 
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
-// JSON numbers lose precision above 2^53, so 64-bit values are stored as hexadecimal text.
-absl::StatusOr<uint64_t> parseHex(const std::string &text)
-{
-    uint64_t value = 0;
-    if (text.size() != 16 || !absl::SimpleHexAtoi(text, &value)) {
-        return absl::InvalidArgumentError(absl::StrCat("not a 64-bit hexadecimal value: ", text));
-    }
-    return value;
-}
-
 absl::StatusOr<instance_id> parseInstance(const std::string &text)
 {
     if (text.empty()) {
@@ -37,7 +23,7 @@
     if (parts.size() != 2 || parts[0].empty()) {
         return absl::InvalidArgumentError(absl::StrCat("not an instance: ", text));
     }
-    const auto incarnation = parseHex(parts[1]);
+    const auto incarnation = parseHex64(parts[1]);
     if (!incarnation.ok()) {
         return incarnation.status();
     }
@@ -96,9 +82,9 @@
 {
     placement_record record;
     record.partition = object.getValue<std::string>("partition");
-    const auto first = parseHex(object.getValue<std::string>("first"));
-    const auto last = parseHex(object.getValue<std::string>("last"));
-    const auto term = parseHex(object.getValue<std::string>("term"));
+    const auto first = parseHex64(object.getValue<std::string>("first"));
+    const auto last = parseHex64(object.getValue<std::string>("last"));
+    const auto term = parseHex64(object.getValue<std::string>("term"));
     auto owner = parseInstance(object.getValue<std::string>("owner"));
     auto nextOwner = parseInstance(object.optValue<std::string>("next_owner", ""));
     auto witnesses = parseInstances(object, "witnesses");
@@ -148,21 +134,12 @@
     object.set("previous_witnesses", encodeInstances(record.previousWitnesses));
     object.set("standbys", encodeInstances(record.standbys));
     object.set("next_owner", encodeInstance(record.nextOwner));
-    std::ostringstream out;
-    object.stringify(out);
-    return out.str();
+    return renderJson(object);
 }
 
 absl::StatusOr<placement_record> decodeRecord(std::string_view text)
 {
-    try {
-        Poco::JSON::Parser parser;
-        const auto object = parser.parse(std::string(text)).extract<Object::Ptr>();
-        return decodeObject(*object);
-    } catch (const Poco::Exception &error) {
-        return absl::InvalidArgumentError(
-            absl::StrCat("invalid placement record: ", error.displayText()));
-    }
+    return decodeJson(text, "placement record", decodeObject);
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/ownership/placement_record.h
+++ b/src/persimmonrail/ownership/placement_record.h
@@ -26,7 +26,7 @@
     std::vector<instance_id> witnesses;
     // Set while the witnesses change; a lease then needs a majority of both sets.
     std::vector<instance_id> previousWitnesses;
-    // Instances that may claim the partition when the lease lapses, in this order.
+    // Instances that may claim the partition when the lease expires, in this order.
     std::vector<instance_id> standbys;
     // Target of a planned move; null if none is under way.
     instance_id nextOwner;
--- a/src/persimmonrail/ownership/tests/simulation_environment.cpp
+++ b/src/persimmonrail/ownership/tests/simulation_environment.cpp
@@ -64,8 +64,8 @@
             hide(*changed.mutable_claim()->mutable_lease());
         } else if (request.has_release()) {
             hide(*changed.mutable_release()->mutable_lease());
-        } else if (request.has_lapse_notice()) {
-            changed.mutable_lapse_notice()->set_record_version(0);
+        } else if (request.has_expiry_notice()) {
+            changed.mutable_expiry_notice()->set_record_version(0);
         }
     }
     return receiver.engine->onRequest(changed, localTime(receiver));
--- a/src/persimmonrail/requests/at_most_once_table.h
+++ b/src/persimmonrail/requests/at_most_once_table.h
@@ -48,7 +48,7 @@
     action what = action::Proceed;
     std::shared_ptr<const kept_answer> answer;
     request_outcome outcome = request_outcome::Unknown;
-    std::string_view reason;
+    std::string reason;
 };
 
 // Remembers the idempotency keys that this daemon has handed to its upstream, so that a request
--- a/src/persimmonrail/sync/fleet_view.cpp
+++ b/src/persimmonrail/sync/fleet_view.cpp
@@ -1,15 +1,11 @@
 #include "persimmonrail/sync/fleet_view.h"
 
+#include "persimmonrail/base/json_text.h"
 #include "persimmonrail/base/text.h"
 
-#include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
-
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <sstream>
 
 namespace persimmonrail {
 namespace {
@@ -20,17 +16,17 @@
 {
     member_record member;
     member.id.name = object.getValue<std::string>("name");
-    const auto incarnation = object.getValue<std::string>("incarnation");
+    const auto incarnation = parseHex64(object.getValue<std::string>("incarnation"));
     member.region = object.getValue<std::string>("region");
     member.availabilityZone = object.getValue<std::string>("availability_zone");
     member.service = object.optValue<std::string>("service", "");
     member.peerAddress = object.getValue<std::string>("peer_address");
     member.controlAddress = object.getValue<std::string>("control_address");
     member.slots = object.optValue<int>("slots", 0);
-    if (incarnation.size() != 16 || !absl::SimpleHexAtoi(incarnation, &member.id.incarnation)) {
-        return absl::InvalidArgumentError(
-            absl::StrCat("not a 64-bit hexadecimal value: ", incarnation));
+    if (!incarnation.ok()) {
+        return incarnation.status();
     }
+    member.id.incarnation = *incarnation;
     if (member.id.name.empty() || member.id.incarnation == 0) {
         return absl::InvalidArgumentError("member without name or incarnation");
     }
@@ -72,21 +68,12 @@
     object.set("peer_address", member.peerAddress);
     object.set("control_address", member.controlAddress);
     object.set("slots", member.slots);
-    std::ostringstream out;
-    object.stringify(out);
-    return out.str();
+    return renderJson(object);
 }
 
 absl::StatusOr<member_record> decodeMember(std::string_view text)
 {
-    try {
-        Poco::JSON::Parser parser;
-        const auto object = parser.parse(std::string(text)).extract<Object::Ptr>();
-        return decodeObject(*object);
-    } catch (const Poco::Exception &error) {
-        return absl::InvalidArgumentError(
-            absl::StrCat("invalid member record: ", error.displayText()));
-    }
+    return decodeJson(text, "member record", decodeObject);
 }
 
 const versioned_record *fleet_view::findRecord(std::string_view service, uint64_t hash) const
