State the measured size of an at-most-once entry

Cause: a comment said 150 bytes and the design page 64 B, both estimates made before the measurement in docs/CAPACITY.md.

--- a/src/persimmonrail/requests/at_most_once_table.h
+++ b/src/persimmonrail/requests/at_most_once_table.h
@@ -29,7 +29,7 @@
     std::chrono::seconds retention{600};
     // Largest difference assumed between the clocks of a caller and of this host.
     milliseconds clockSkew{5000};
-    // Entries take about 150 bytes each; at the limit new requests are refused.
+    // Entries take 206 bytes each, see docs/CAPACITY.md; at the limit new requests are refused.
     size_t maxEntries = 200000;
     // Bytes of kept answers; beyond it the oldest answers are dropped, their entries stay.
     size_t maxAnswerBytes = 16 * 1024 * 1024;
