--- a/src/persimmonrail/balance/coordinator.h
+++ b/src/persimmonrail/balance/coordinator.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "persimmonrail/balance/placement_plan.h"
-#include "persimmonrail/platform/object_api.h"
+#include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/sync/rank_election.h"
 
 #include <functional>
--- a/src/persimmonrail/cli/apply_command.cpp
+++ b/src/persimmonrail/cli/apply_command.cpp
@@ -1,7 +1,7 @@
 #include "persimmonrail/cli/apply_command.h"
 
 #include "persimmonrail/document/document_acceptance.h"
-#include "persimmonrail/platform/http_object_api.h"
+#include "persimmonrail/objects/http_object_api.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/persimmonrail/cli/system_hooks.cpp
+++ b/src/persimmonrail/cli/system_hooks.cpp
@@ -1,8 +1,8 @@
 #include "persimmonrail/base/socket_address.h"
 #include "persimmonrail/cli/command_line.h"
 #include "persimmonrail/document/document_parser.h"
-#include "persimmonrail/platform/http_connection_pool.h"
-#include "persimmonrail/platform/http_object_api.h"
+#include "persimmonrail/objects/http_connection_pool.h"
+#include "persimmonrail/objects/http_object_api.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/persimmonrail/cli/tests/command_line_test.cpp
+++ b/src/persimmonrail/cli/tests/command_line_test.cpp
@@ -1,6 +1,6 @@
 #include "persimmonrail/cli/command_line.h"
 #include "persimmonrail/document/document_acceptance.h"
-#include "persimmonrail/platform/http_object_api.h"
+#include "persimmonrail/objects/http_object_api.h"
 #include "standins/json_server.h"
 #include "standins/platform_standin.h"
 
--- a/src/persimmonrail/daemon/daemon_state.cpp
+++ b/src/persimmonrail/daemon/daemon_state.cpp
@@ -1,7 +1,7 @@
 #include "persimmonrail/daemon/daemon_state.h"
 
 #include "persimmonrail/daemon/quarantine_gossip.h"
-#include "persimmonrail/platform/http_object_api.h"
+#include "persimmonrail/objects/http_object_api.h"
 
 #include <Poco/JSON/Object.h>
 
--- a/src/persimmonrail/daemon/platform_worker.h
+++ b/src/persimmonrail/daemon/platform_worker.h
@@ -2,7 +2,7 @@
 
 #include "persimmonrail/daemon/background_worker.h"
 #include "persimmonrail/daemon/control_loop.h"
-#include "persimmonrail/platform/object_api.h"
+#include "persimmonrail/objects/object_api.h"
 
 #include <atomic>
 #include <functional>
--- a/src/persimmonrail/daemon/sync_driver.h
+++ b/src/persimmonrail/daemon/sync_driver.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "persimmonrail/daemon/control_messenger.h"
-#include "persimmonrail/platform/object_api.h"
+#include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/sync/object_store.h"
 #include "persimmonrail/sync/pull_schedule.h"
 #include "persimmonrail/sync/readiness.h"
--- a/src/persimmonrail/daemon/tests/single_daemon.cpp
+++ b/src/persimmonrail/daemon/tests/single_daemon.cpp
@@ -1,7 +1,7 @@
 #include "single_daemon.h"
 
 #include "persimmonrail/base/header_names.h"
-#include "persimmonrail/platform/http_object_api.h"
+#include "persimmonrail/objects/http_object_api.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/StreamCopier.h>
--- a/src/persimmonrail/document/document_acceptance.h
+++ b/src/persimmonrail/document/document_acceptance.h
@@ -2,7 +2,7 @@
 
 #include "persimmonrail/base/clock.h"
 #include "persimmonrail/document/document_parser.h"
-#include "persimmonrail/platform/object_api.h"
+#include "persimmonrail/objects/object_api.h"
 
 #include <absl/status/statusor.h>
 
--- /dev/null
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "persimmonrail/fleet/upstream_member.h"
+#include "persimmonrail/keyspace/key_placement.h"
+#include "persimmonrail/objects/object_api.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace persimmonrail {
+
+// Store keys of the fleet's objects. All share one prefix, so that one watch covers them.
+inline constexpr char fleetPrefix[] = "fleet/";
+std::string memberKey(const std::string &upstream);
+std::string placementKey(const std::string &service);
+
+// Immutable view of the members and key placements at one revision of the store.
+class fleet_directory
+{
+public:
+    struct placed
+    {
+        key_placement placement;
+        uint64_t version = 0;
+    };
+    struct known_member
+    {
+        upstream_member member;
+        uint64_t version = 0;
+    };
+
+    uint64_t revision() const { return m_revision; }
+    // All members of a service that are not gone.
+    std::vector<const upstream_member *> membersOf(std::string_view service) const;
+    const known_member *findMember(std::string_view upstream) const;
+    const placed *findPlacement(std::string_view service) const;
+    const std::map<std::string, known_member, std::less<>> &members() const { return m_members; }
+
+private:
+    friend class fleet_directory_builder;
+    uint64_t m_revision = 0;
+    std::map<std::string, known_member, std::less<>> m_members;
+    std::map<std::string, placed, std::less<>> m_placements;
+};
+
+// Builds directories from objects of the store. Objects that can't be read are reported and name
+// nothing. Not thread safe.
+class fleet_directory_builder
+{
+public:
+    using fault_hook = std::function<void(const std::string &key, std::string_view reason)>;
+    explicit fleet_directory_builder(fault_hook onFault);
+
+    // Replaces everything.
+    void reset(const object_list &list);
+    // Applies changes in order.
+    void apply(const object_list &changes);
+    // Takes one object, if it is newer than the known one.
+    void applyOne(const stored_object &object);
+    std::shared_ptr<const fleet_directory> build() const;
+
+private:
+    void put(const stored_object &object);
+    void erase(const std::string &key, uint64_t version);
+
+    const fault_hook m_onFault;
+    fleet_directory m_current;
+};
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/fleet/upstream_member.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "persimmonrail/base/clock.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace persimmonrail {
+
+// One life of an upstream. A restart under the same name has a later start time.
+struct upstream_id
+{
+    std::string name;
+    // Milliseconds since the Unix epoch, by the upstream's clock.
+    int64_t startedAt = 0;
+
+    auto operator<=>(const upstream_id &) const = default;
+    bool isEmpty() const { return name.empty(); }
+};
+
+std::string toString(const upstream_id &id);
+
+// What an upstream says of itself to the daemon beside it.
+struct upstream_report
+{
+    upstream_id id;
+    std::string service;
+    // "ip:port" for requests; reachable from the same host only.
+    std::string address;
+    std::string availabilityZone;
+    int slots = 0;
+    bool isDraining = false;
+    // How much longer it stays slow after its start.
+    milliseconds coldFor{0};
+    // Increases with each report of one life.
+    int64_t sequence = 0;
+};
+
+// What the daemon beside an upstream publishes for the fleet.
+struct upstream_member
+{
+    upstream_id id;
+    std::string service;
+    std::string availabilityZone;
+    // Peer port of the daemon beside it, "ip:port".
+    std::string peerAddress;
+    int slots = 0;
+    // Takes no new work, since the upstream leaves or its daemon stops.
+    bool isLeaving = false;
+    // The upstream is gone; nothing of it runs any more and it holds no key.
+    bool isGone = false;
+
+    bool operator==(const upstream_member &) const = default;
+};
+
+std::string encodeMember(const upstream_member &member);
+// Errors: InvalidArgument.
+absl::StatusOr<upstream_member> parseMember(std::string_view json);
+
+} // namespace persimmonrail
--- a/src/persimmonrail/http/connection_pool.cpp
+++ b/src/persimmonrail/http/connection_pool.cpp
@@ -1,17 +1,31 @@
 #include "persimmonrail/http/http_client.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <iterator>
 
 namespace persimmonrail {
 namespace {
 
-// A connection that takes longer counts as refused; within one region a connect takes a few
-// milliseconds.
-constexpr milliseconds maxConnectTime{1000};
+// A silent connection is given up after about 3 s.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+constexpr int unacknowledgedMs = 3000;
+
+void enableKeepAlive(Poco::Net::StreamSocket &socket)
+{
+    socket.setKeepAlive(true);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMs);
+}
 
 } // namespace
 
@@ -57,14 +71,19 @@
 {
     const auto left =
         std::chrono::duration_cast<std::chrono::microseconds>(std::min<std::chrono::nanoseconds>(
-            until - std::chrono::steady_clock::now(), maxConnectTime));
+            until - std::chrono::steady_clock::now(), m_options.connectTime));
     if (left.count() <= 0) {
         return absl::UnavailableError("deadline passed before connecting");
     }
     try {
         Poco::Net::StreamSocket socket;
         socket.connect(Poco::Net::SocketAddress(address), Poco::Timespan(left.count()));
+        if (m_options.keepAlive) {
+            enableKeepAlive(socket);
+        }
         return connection{address, std::make_unique<http_stream>(socket), false};
+    } catch (const Poco::Net::ConnectionRefusedException &error) {
+        return absl::FailedPreconditionError(error.displayText());
     } catch (const Poco::Exception &error) {
         return absl::UnavailableError(error.displayText());
     }
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -216,13 +216,39 @@
             if (!m_hasFinalHead && !readOneHead()) {
                 return false;
             }
-            if (m_result.head.getStatus() >= 200) {
+            if (m_result.head.getStatus() < 200) {
+                continue;
+            }
+            if (!m_request.belongs || m_request.belongs(m_result.head)) {
                 return acceptHead();
             }
+            if (!skipForeignAnswer()) {
+                return false;
+            }
         }
         return fail(exchange_state::Truncated, "too many interim answers");
     }
 
+    // Reads past an answer to an earlier request. The one to this request may follow.
+    bool skipForeignAnswer()
+    {
+        m_reusable = false;
+        m_hasFinalHead = false;
+        if (m_answerFraming.type == body_framing::kind::UntilClose) {
+            return fail(exchange_state::Truncated, "answer to another request");
+        }
+        body_reader reader(m_stream, m_answerFraming);
+        std::string piece;
+        while (!reader.isComplete()) {
+            const io_status status =
+                withProgress([&](steady_time until) { return reader.read(piece, until); });
+            if (status != io_status::Ok) {
+                return failIo(status, exchange_state::NoAnswer);
+            }
+        }
+        return true;
+    }
+
     bool readOneHead()
     {
         std::string text;
@@ -374,6 +400,7 @@
             exchange_result result;
             result.state = exchange_state::NotSent;
             result.deadlinePassed = std::chrono::steady_clock::now() >= request.deadline;
+            result.connectionRefused = absl::IsFailedPrecondition(connection.status());
             result.detail = std::string(connection.status().message());
             return judge(std::move(result));
         }
--- a/src/persimmonrail/http/http_client.h
+++ b/src/persimmonrail/http/http_client.h
@@ -27,6 +27,11 @@
     // this: a crowded server closes connections after 1 s, and a request sent at that moment would
     // end with an unknown outcome.
     milliseconds freshTime{500};
+    // A connection that takes longer to be made counts as unreachable; within one region a connect
+    // takes a few milliseconds.
+    milliseconds connectTime{1000};
+    // Finds connections that went silent while nothing is sent on them, as a waiting watch is.
+    bool keepAlive = false;
 };
 
 // Idle connections by address. Thread safe.
@@ -43,8 +48,8 @@
     explicit connection_pool(const connection_pool_options &options = {});
 
     // Returns an idle connection that its peer has not closed, or connects. `repeatable` tells
-    // about the request to be sent. Errors: Unavailable if the connection is refused or can't be
-    // made in time.
+    // about the request to be sent. Errors: FailedPrecondition if the connection is refused,
+    // Unavailable if it can't be made in time.
     absl::StatusOr<connection> take(const std::string &address, bool repeatable, steady_time now,
                                     steady_time until);
     absl::StatusOr<connection> connect(const std::string &address, steady_time until);
@@ -149,6 +154,10 @@
     // Asked over a new connection: whether the peer answers there and this connection is therefore
     // to be given up.
     std::function<bool()> probe;
+    // Returns whether an answer belongs to this request. One that does not is an extra answer to an
+    // earlier request on the connection: it is skipped, and the connection not used again. All
+    // belong if it is empty.
+    std::function<bool(const Poco::Net::HTTPResponse &head)> belongs;
     // Returns whether the answer is to be passed to the sink; all are if it is empty.
     std::function<bool(const Poco::Net::HTTPResponse &head)> wanted;
 };
@@ -161,6 +170,8 @@
     // Whether `sendBefore` or the deadline is the reason that nothing was sent.
     bool leaseEnding = false;
     bool deadlinePassed = false;
+    // Whether the last connection was refused, so that no process listens at the address.
+    bool connectionRefused = false;
     // Whether the sink has been called.
     bool answerStarted = false;
     // Whether the sink reported that its receiver is gone.
--- /dev/null
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -0,0 +1,253 @@
+#include "persimmonrail/keyspace/range_plan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace persimmonrail {
+namespace {
+
+// Deals an interval out in contiguous parts whose sizes follow the slots.
+template <typename Assign>
+void deal(key_interval keys, const std::vector<range_candidate> &candidates, const Assign &assign)
+{
+    int64_t slots = 0;
+    for (const range_candidate &candidate : candidates) {
+        slots += std::max(candidate.slots, 1);
+    }
+    int64_t before = 0;
+    const int64_t count = keys.count();
+    for (const range_candidate &candidate : candidates) {
+        const int64_t first = before * count / slots;
+        before += std::max(candidate.slots, 1);
+        const int64_t end = before * count / slots;
+        if (end > first) {
+            assign(key_interval{keys.first + static_cast<shard_key>(first),
+                                keys.first + static_cast<shard_key>(end - 1)},
+                   candidate.id);
+        }
+    }
+}
+
+// Lists the intervals of ranges for which `wanted` holds, neighbours joined.
+template <typename Predicate>
+std::vector<key_interval> intervalsOf(const key_placement &placement, const Predicate &wanted)
+{
+    std::vector<key_interval> intervals;
+    for (const owned_range &range : placement.ranges) {
+        if (!wanted(range)) {
+            continue;
+        }
+        if (!intervals.empty() && intervals.back().last + 1 == range.keys.first) {
+            intervals.back().last = range.keys.last;
+        } else {
+            intervals.push_back(range.keys);
+        }
+    }
+    return intervals;
+}
+
+void setOwner(owned_range &range, const upstream_id &owner, uint64_t fence)
+{
+    range.owner = owner;
+    range.fence = fence;
+    range.handover.clear();
+    range.takeOverAfter = milliseconds(0);
+    range.previousOwner = {};
+}
+
+} // namespace
+
+key_placement assignUnowned(key_placement placement, std::vector<range_candidate> candidates)
+{
+    std::sort(candidates.begin(), candidates.end(),
+              [](const auto &a, const auto &b) { return a.id < b.id; });
+    const auto unowned = intervalsOf(
+        placement, [](const owned_range &range) { return range.owner.isEmpty(); });
+    for (const key_interval &interval : unowned) {
+        deal(interval, candidates, [&](key_interval part, const upstream_id &owner) {
+            setOwner(placement.carve(part), owner, ++placement.highestFence);
+        });
+    }
+    placement.join();
+    return placement;
+}
+
+key_placement reassignLost(key_placement placement,
+                           const std::function<bool(const upstream_id &)> &isLost,
+                           const std::vector<range_candidate> &candidates,
+                           milliseconds takeOverAfter)
+{
+    std::vector<owned_range> lost;
+    for (const owned_range &range : placement.ranges) {
+        if (!range.owner.isEmpty() && isLost(range.owner)) {
+            lost.push_back(range);
+        }
+    }
+    size_t turn = 0;
+    for (const owned_range &range : lost) {
+        // Small ranges are not cut into pieces; they go to the candidates in turn.
+        const bool whole = range.keys.count() < 16 * candidates.size();
+        const std::vector<range_candidate> takers = whole
+            ? std::vector<range_candidate>{candidates[turn++ % candidates.size()]}
+            : candidates;
+        // Keys under a takeover that is not cleared may still be held by the owner before that.
+        const bool pending = range.takeOverAfter.count() > 0;
+        deal(range.keys, takers, [&](key_interval part, const upstream_id &owner) {
+            owned_range &taken = placement.carve(part);
+            setOwner(taken, owner, ++placement.highestFence);
+            taken.takeOverAfter = std::max(takeOverAfter, range.takeOverAfter);
+            if (taken.takeOverAfter.count() > 0) {
+                taken.previousOwner = pending ? range.previousOwner : range.owner;
+            }
+        });
+    }
+    placement.join();
+    return placement;
+}
+
+key_placement giveRange(key_placement placement, key_interval keys, const upstream_id &target,
+                        const std::string &handover)
+{
+    owned_range &given = placement.carve(keys);
+    setOwner(given, target, ++placement.highestFence);
+    given.handover = handover;
+    placement.join();
+    return placement;
+}
+
+key_placement activateTakeover(key_placement placement, const upstream_id &owner)
+{
+    for (owned_range &range : placement.ranges) {
+        if (range.owner == owner) {
+            range.takeOverAfter = milliseconds(0);
+            range.previousOwner = {};
+        }
+    }
+    placement.join();
+    return placement;
+}
+
+key_placement reclaimRanges(key_placement placement, const upstream_id &previous)
+{
+    uint64_t fence = 0;
+    for (owned_range &range : placement.ranges) {
+        if (range.takeOverAfter.count() > 0 && range.previousOwner == previous) {
+            fence = fence == 0 ? ++placement.highestFence : fence;
+            setOwner(range, previous, fence);
+        }
+    }
+    placement.join();
+    return placement;
+}
+
+uint32_t ownedKeys(const key_placement &placement, const upstream_id &owner)
+{
+    uint32_t keys = 0;
+    for (const owned_range &range : placement.ranges) {
+        keys += range.owner == owner ? range.keys.count() : 0;
+    }
+    return keys;
+}
+
+namespace {
+
+struct rated_window
+{
+    key_interval keys;
+    double rate = 0;
+};
+
+// Returns the shortest window within `interval` that carries at least `wanted`.
+std::optional<rated_window> shortestWindow(key_interval interval,
+                                           const std::function<double(shard_key)> &rate,
+                                           double wanted)
+{
+    std::optional<rated_window> best;
+    shard_key first = interval.first;
+    double sum = 0;
+    for (shard_key key = interval.first; key <= interval.last; ++key) {
+        sum += rate(key);
+        while (first < key && sum - rate(first) >= wanted) {
+            sum -= rate(first++);
+        }
+        const key_interval window{first, key};
+        if (sum >= wanted && (!best || window.count() < best->keys.count())) {
+            best = rated_window{window, sum};
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+std::optional<planned_move> chooseMove(const std::vector<key_interval> &own,
+                                       const std::function<double(shard_key)> &rate,
+                                       const owner_load &self,
+                                       const std::vector<owner_load> &others,
+                                       const move_options &options)
+{
+    const auto target = std::min_element(
+        others.begin(), others.end(),
+        [](const owner_load &a, const owner_load &b) { return a.utilization < b.utilization; });
+    if (target == others.end() || self.utilization < options.leastUtilization
+        || self.utilization - target->utilization < options.leastDifference) {
+        return std::nullopt;
+    }
+    double total = 0;
+    for (const key_interval &interval : own) {
+        for (shard_key key = interval.first; key <= interval.last; ++key) {
+            total += rate(key);
+        }
+    }
+    const double share = (self.utilization - target->utilization) / (2 * self.utilization);
+    if (total <= 0) {
+        return std::nullopt;
+    }
+    std::optional<rated_window> best;
+    for (const key_interval &interval : own) {
+        const auto window = shortestWindow(interval, rate, total * share);
+        if (window && (!best || window->keys.count() < best->keys.count())) {
+            best = window;
+        }
+    }
+    // A window that carries far more than wanted is one very busy key; moving it only moves the
+    // overload.
+    if (!best || best->rate > total * std::min(1.0, 1.6 * share)
+        || best->keys.count() > options.mostKeys * (lastKey + 1)) {
+        return std::nullopt;
+    }
+    return planned_move{best->keys, target->id};
+}
+
+std::optional<planned_move> chooseShareForNewcomer(const key_placement &placement,
+                                                   const upstream_id &self,
+                                                   const std::vector<range_candidate> &candidates)
+{
+    const range_candidate *newcomer = nullptr;
+    const range_candidate *largest = nullptr;
+    uint32_t mostKeys = 0;
+    for (const range_candidate &candidate : candidates) {
+        const uint32_t keys = ownedKeys(placement, candidate.id);
+        if (keys == 0 && (newcomer == nullptr || candidate.id < newcomer->id)) {
+            newcomer = &candidate;
+        }
+        if (keys > mostKeys) {
+            mostKeys = keys;
+            largest = &candidate;
+        }
+    }
+    if (newcomer == nullptr || largest == nullptr || largest->id != self || mostKeys < 2) {
+        return std::nullopt;
+    }
+    const owned_range *longest = nullptr;
+    for (const owned_range &range : placement.ranges) {
+        if (range.owner == self
+            && (longest == nullptr || range.keys.count() > longest->keys.count())) {
+            longest = &range;
+        }
+    }
+    const shard_key middle = longest->keys.first + longest->keys.count() / 2;
+    return planned_move{{middle, longest->keys.last}, newcomer->id};
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/platform/http_connection_pool.cpp
+++ b/src/persimmonrail/objects/http_connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "persimmonrail/platform/http_connection_pool.h"
+#include "persimmonrail/objects/http_connection_pool.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
--- a/src/persimmonrail/platform/http_object_api.cpp
+++ b/src/persimmonrail/objects/http_object_api.cpp
@@ -1,7 +1,7 @@
-#include "persimmonrail/platform/http_object_api.h"
+#include "persimmonrail/objects/http_object_api.h"
 
 #include "persimmonrail/base/socket_address.h"
-#include "persimmonrail/platform/http_connection_pool.h"
+#include "persimmonrail/objects/http_connection_pool.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
--- a/src/persimmonrail/platform/http_object_api.h
+++ b/src/persimmonrail/objects/http_object_api.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "persimmonrail/platform/object_api.h"
+#include "persimmonrail/objects/object_api.h"
 
 #include <string>
 
--- a/src/persimmonrail/platform/tests/http_object_api_test.cpp
+++ b/src/persimmonrail/objects/tests/http_object_api_test.cpp
@@ -1,4 +1,4 @@
-#include "persimmonrail/platform/http_object_api.h"
+#include "persimmonrail/objects/http_object_api.h"
 #include "standins/platform_standin.h"
 
 #include <Poco/Net/HTTPClientSession.h>
--- a/src/persimmonrail/ownership/ownership_engine.h
+++ b/src/persimmonrail/ownership/ownership_engine.h
@@ -6,7 +6,7 @@
 #include "persimmonrail/ownership/lease_timing.h"
 #include "persimmonrail/ownership/serving_table.h"
 #include "persimmonrail/ownership/write_pacer.h"
-#include "persimmonrail/platform/object_api.h"
+#include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/sync/fleet_view.h"
 
 #include <control.pb.h>
--- /dev/null
+++ b/src/persimmonrail/relay/peer_link.cpp
@@ -0,0 +1,246 @@
+#include "persimmonrail/relay/peer_link.h"
+
+#include "persimmonrail/base/text.h"
+#include "persimmonrail/gateway/caller_sink.h"
+#include "persimmonrail/relay/peer_fields.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace persimmonrail {
+namespace {
+
+// Connections between daemons cost little; each carries one request at a time.
+constexpr size_t maxIdlePerPeer = 32;
+constexpr size_t maxIdleInAll = 256;
+constexpr milliseconds peerIdleTime{10000};
+// Between hosts a connection may go silent at any moment, and only a probe shows it. A daemon
+// closes idle connections of its peers late enough for this.
+constexpr milliseconds peerFreshTime{3000};
+// A crossing of availability zones takes a few milliseconds; a lost opening packet is sent again
+// after a second, so waiting longer than this helps only once.
+constexpr milliseconds peerConnectTime{300};
+// After this time without progress, the peer is asked on a new connection whether it still has the
+// request.
+constexpr milliseconds progressTimeout{700};
+constexpr milliseconds probeTimeout{400};
+
+enum class probe_result { InFlight, Lost, Silent };
+
+probe_result probePeer(const std::string &address, const std::string &requestId)
+{
+    connection_pool_options options;
+    options.connectTime = probeTimeout;
+    http_client fresh(std::make_shared<connection_pool>(options));
+    const auto answer =
+        simpleRequest(fresh, address, "GET", relayInFlightPath + requestId, "",
+                      std::chrono::steady_clock::now() + probeTimeout);
+    if (!answer.ok()) {
+        return probe_result::Silent;
+    }
+    return answer->status == 404 ? probe_result::Lost : probe_result::InFlight;
+}
+
+std::string milliText(std::chrono::nanoseconds time)
+{
+    return absl::StrCat(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
+void writeFields(Poco::Net::HTTPRequest &message, const relay_request &request, steady_time now)
+{
+    removeOwnFields(message);
+    message.set(requestIdHeader, request.requestId);
+    message.set(serviceHeader, request.service);
+    message.set(upstreamHeader, request.upstream.name);
+    message.set(upstreamStartHeader, absl::StrCat(request.upstream.startedAt));
+    message.set(callerServiceHeader, request.callerService);
+    message.set(rankHeader, absl::StrCat(request.rank));
+    message.set(repeatableHeader, request.repeatable ? "1" : "0");
+    message.set(deadlineHeader, milliText(request.deadline - now));
+    message.set(targetLeftHeader, milliText(request.target - now));
+    if (request.key) {
+        message.set(shardKeyHeader, absl::StrCat(*request.key));
+    }
+}
+
+template <typename Number>
+bool readNumber(const Poco::Net::HTTPMessage &message, const char *name, Number &value)
+{
+    return absl::SimpleAtoi(message.get(name, ""), &value);
+}
+
+// Reads what a peer says of a request that no upstream answered.
+void readRefusal(const Poco::Net::HTTPResponse &head, relay_result &result)
+{
+    const std::string outcome = head.get(outcomeHeader, "");
+    result.reason =
+        parseRelayReason(head.get(reasonHeader, "")).value_or(relay_reason::BrokenAnswer);
+    int64_t retryAfter = 0;
+    if (readNumber(head, retryAfterHeader, retryAfter)) {
+        result.retryAfter = milliseconds(std::clamp<int64_t>(retryAfter, 0, 60'000));
+    }
+    result.outcome = outcome == toString(request_outcome::NotRun) ? request_outcome::NotRun
+                                                                  : request_outcome::Unknown;
+    result.hasArrived = result.outcome == request_outcome::Unknown
+        || result.reason == relay_reason::UpstreamRefused
+        || result.reason == relay_reason::KeyNotHeld;
+}
+
+} // namespace
+
+peer_link::peer_link()
+    : m_pool(std::make_shared<connection_pool>(connection_pool_options{
+          maxIdlePerPeer, maxIdleInAll, peerIdleTime, peerFreshTime, peerConnectTime}))
+    , m_client(m_pool)
+{ }
+
+relay_result peer_link::forward(const relay_request &request, const std::string &peerAddress,
+                                server_exchange &exchange, answer_sink &sink)
+{
+    client_request call;
+    call.address = peerAddress;
+    call.message = request.message;
+    writeFields(call.message, request, std::chrono::steady_clock::now());
+    call.body = exchange.framing().type == body_framing::kind::None ? nullptr : &exchange;
+    if (call.body != nullptr) {
+        const body_framing framing = call.body->framing();
+        call.expectContinue =
+            framing.type == body_framing::kind::Chunked || framing.length > bodyPieceBytes;
+    }
+    call.repeatable = request.repeatable;
+    call.deadline = request.deadline;
+    call.caller = &exchange.connection();
+    call.wanted = [](const Poco::Net::HTTPResponse &head) {
+        return head.get(outcomeHeader, "") == toString(request_outcome::Run);
+    };
+    call.progressTimeout = progressTimeout;
+    call.probe = [&] {
+        const probe_result probed = probePeer(peerAddress, request.requestId);
+        if (probed == probe_result::Silent) {
+            m_silentPeers.mark(peerAddress, std::chrono::steady_clock::now());
+        }
+        // A request that must not run twice waits for a silent peer until its deadline.
+        return probed == probe_result::Lost
+            || (probed == probe_result::Silent && request.repeatable);
+    };
+    const exchange_result exchanged = m_client.exchange(call, sink);
+    relay_result result;
+    result.answerStarted = exchanged.answerStarted;
+    result.callerGone = exchanged.sinkGone || exchanged.state == exchange_state::CallerGone;
+    result.outcome = exchanged.anySent ? request_outcome::Unknown : request_outcome::NotRun;
+    result.hasArrived = exchanged.anySent;
+    result.queue = parseQueueReport(exchanged.head.get(queueHeader, ""));
+    switch (exchanged.state) {
+    case exchange_state::Whole:
+        result.outcome = request_outcome::Run;
+        result.status = exchanged.head.getStatus();
+        break;
+    case exchange_state::Declined:
+        readRefusal(exchanged.head, result);
+        break;
+    case exchange_state::NotSent:
+        result.reason = exchanged.deadlinePassed ? relay_reason::DeadlineBeforeSend
+                                                 : relay_reason::PeerUnreachable;
+        break;
+    case exchange_state::TimedOut:
+        result.reason = relay_reason::DeadlineExceeded;
+        break;
+    case exchange_state::Silent:
+        result.reason = relay_reason::SilentConnection;
+        break;
+    case exchange_state::Truncated:
+        result.reason = relay_reason::BrokenAnswer;
+        break;
+    case exchange_state::CallerGone:
+    case exchange_state::BadRequestBody:
+        result.reason = relay_reason::CallerGone;
+        break;
+    default:
+        result.reason = relay_reason::NoAnswer;
+        break;
+    }
+    return result;
+}
+
+absl::StatusOr<relay_request> readPeerRequest(const Poco::Net::HTTPRequest &message,
+                                              steady_time now)
+{
+    relay_request request;
+    request.message = message;
+    request.requestId = message.get(requestIdHeader, "");
+    request.service = message.get(serviceHeader, "");
+    request.upstream.name = message.get(upstreamHeader, "");
+    request.callerService = message.get(callerServiceHeader, "");
+    request.repeatable = message.get(repeatableHeader, "") == "1";
+    int64_t deadlineLeft = 0;
+    int64_t targetLeft = 0;
+    if (request.requestId.empty() || request.service.empty() || request.upstream.isEmpty()
+        || !readNumber(message, upstreamStartHeader, request.upstream.startedAt)
+        || !readNumber(message, rankHeader, request.rank) || request.rank < 0
+        || !readNumber(message, deadlineHeader, deadlineLeft)
+        || !readNumber(message, targetLeftHeader, targetLeft)) {
+        return absl::InvalidArgumentError("a field is missing or malformed");
+    }
+    request.deadline = now + milliseconds(deadlineLeft);
+    request.target = now + milliseconds(targetLeft);
+    if (message.has(shardKeyHeader)) {
+        shard_key key = 0;
+        if (!readNumber(message, shardKeyHeader, key) || key > lastKey) {
+            return absl::InvalidArgumentError("malformed key");
+        }
+        request.key = key;
+    }
+    removeOwnFields(request.message);
+    removeConnectionFields(request.message);
+    return request;
+}
+
+void answerPeer(server_exchange &exchange, const relay_result &result)
+{
+    Poco::Net::HTTPResponse head(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(
+        statusFor(result.reason, result.outcome)));
+    head.set(outcomeHeader, std::string(toString(result.outcome)));
+    head.set(reasonHeader, std::string(toString(result.reason)));
+    if (result.retryAfter.count() > 0) {
+        head.set(retryAfterHeader, absl::StrCat(result.retryAfter.count()));
+    }
+    if (result.queue) {
+        head.set(queueHeader, encodeQueueReport(*result.queue));
+    }
+    exchange.answer(head, "");
+}
+
+relay_sink::relay_sink(server_exchange &exchange,
+                       std::function<void(Poco::Net::HTTPResponse &head)> decorate)
+    : m_exchange(exchange)
+    , m_decorate(std::move(decorate))
+{ }
+
+bool relay_sink::begin(const Poco::Net::HTTPResponse &head, const body_framing &framing,
+                       std::string_view first, bool whole)
+{
+    Poco::Net::HTTPResponse answer(head);
+    removeOwnFields(answer);
+    removeConnectionFields(answer);
+    if (m_decorate) {
+        m_decorate(answer);
+    }
+    const body_framing sent =
+        whole ? body_framing{body_framing::kind::Length, first.size()} : framing;
+    return m_exchange.beginAnswer(answer, sent) && m_exchange.writeAnswer(first)
+        && (!whole || m_exchange.endAnswer());
+}
+
+bool relay_sink::write(std::string_view piece)
+{
+    return m_exchange.writeAnswer(piece);
+}
+
+bool relay_sink::finish()
+{
+    return m_exchange.endAnswer();
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/relay/relay_path.cpp
@@ -0,0 +1,395 @@
+#include "persimmonrail/relay/relay_path.h"
+
+#include "persimmonrail/gateway/caller_sink.h"
+#include "persimmonrail/base/text.h"
+#include "persimmonrail/relay/peer_fields.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace persimmonrail {
+namespace {
+
+// With less time left, another attempt has hardly a chance.
+constexpr milliseconds minTimeForAttempt{15};
+// A request that says nothing of its caller's patience.
+constexpr milliseconds defaultPatience{30000};
+constexpr milliseconds leastRetryAfter{50};
+
+steady_time clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+class in_flight_guard
+{
+public:
+    explicit in_flight_guard(std::atomic<int> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    in_flight_guard(const in_flight_guard &) = delete;
+    in_flight_guard &operator=(const in_flight_guard &) = delete;
+    ~in_flight_guard() { --m_count; }
+
+private:
+    std::atomic<int> &m_count;
+};
+
+} // namespace
+
+// One request of a caller on its way through this daemon. Used by the thread of its connection.
+class relay_call
+{
+public:
+    relay_call(relay_path &path, server_exchange &exchange)
+        : m_path(path)
+        , m_exchange(exchange)
+        , m_start(clockNow())
+    { }
+
+    void serve()
+    {
+        relay_result result = prepare();
+        if (result.reason == relay_reason::None) {
+            result = attemptUntilDone();
+        }
+        finish(result);
+    }
+
+private:
+    // Reads the request and finds its route. A reason other than None ends the request.
+    relay_result prepare()
+    {
+        const caller_call call = m_path.m_codec.readCall(m_exchange.request());
+        m_request.requestId = call.requestId;
+        m_request.callerService = m_path.m_options.callerService;
+        m_request.message = m_exchange.request();
+        removeConnectionFields(m_request.message);
+        removeOwnFields(m_request.message);
+        m_table = m_path.m_hooks.routes();
+        if (m_table == nullptr) {
+            return notRun(relay_reason::NoDesiredState, milliseconds(500));
+        }
+        const auto &head = m_exchange.request();
+        m_route = m_table->find(head.getHost(), head.getURI());
+        if (m_route == nullptr) {
+            return notRun(relay_reason::NoRoute);
+        }
+        if (call.isMalformed || call.requestId.empty()) {
+            return notRun(relay_reason::MalformedRequest);
+        }
+        m_request.service = choosePart(*m_route, m_path.draw()).service;
+        const service_rule *rule = m_table->findService(m_request.service);
+        if (rule != nullptr && rule->isKeyed) {
+            if (!call.key) {
+                return notRun(relay_reason::MissingKey);
+            }
+            m_request.key = call.key;
+        }
+        m_request.rank = m_route->rank;
+        m_request.repeatable = m_route->repeatable;
+        const milliseconds patience = call.patience.value_or(defaultPatience);
+        m_request.deadline = m_start + std::min(patience, m_route->timeout);
+        m_request.target = m_start + m_route->target;
+        return {};
+    }
+
+    relay_result attemptUntilDone()
+    {
+        auto &service = m_path.stateOf(m_request.service, m_start);
+        service.retries.noteFirstAttempt(m_start);
+        const steady_time ownerDeadline = m_start + m_path.m_options.ownerPatience;
+        relay_result result = notRun(relay_reason::NoUpstream);
+        int arrivals = 0;
+        for (;;) {
+            const steady_time now = clockNow();
+            if (arrivals > 0 && !service.retries.tryRetry(now)) {
+                m_budgetSpent = true;
+                return result;
+            }
+            const relay_result attempted = attempt(service, now);
+            if (attempted.reason != relay_reason::NoUpstream || arrivals == 0) {
+                // An earlier attempt that may have run decides what the caller is told.
+                const bool mayHaveRun = m_mayHaveRun;
+                result = attempted;
+                if (mayHaveRun && result.outcome == request_outcome::NotRun) {
+                    result.outcome = request_outcome::Unknown;
+                }
+            }
+            m_mayHaveRun = m_mayHaveRun || attempted.outcome == request_outcome::Unknown;
+            arrivals += attempted.hasArrived ? 1 : 0;
+            if (!mayContinue(attempted, arrivals)) {
+                return result;
+            }
+            if (m_request.key) {
+                if (clockNow() + m_path.m_options.ownerPause >= ownerDeadline
+                    || m_exchange.connection().waitClosed(clockNow()
+                                                          + m_path.m_options.ownerPause)) {
+                    return result;
+                }
+            } else if (attempted.reason == relay_reason::NoUpstream) {
+                return result;
+            }
+        }
+    }
+
+    bool mayContinue(const relay_result &result, int arrivals)
+    {
+        if (result.outcome == request_outcome::Run || result.answerStarted || result.callerGone
+            || clockNow() + minTimeForAttempt >= m_request.deadline) {
+            return false;
+        }
+        if (result.outcome == request_outcome::Unknown
+            && (!m_request.repeatable || result.reason == relay_reason::DeadlineExceeded)) {
+            return false;
+        }
+        if (result.outcome == request_outcome::NotRun && !isPassing(result.reason)) {
+            return false;
+        }
+        // The queue of a key's owner is the only one; waiting there again brings nothing.
+        if (m_request.key
+            && (result.reason == relay_reason::Overload
+                || result.reason == relay_reason::DeadlineUnreachable)) {
+            return false;
+        }
+        return arrivals < m_route->maxAttempts
+            && (m_exchange.framing().type == body_framing::kind::None || m_exchange.rewind());
+    }
+
+    // Chooses an upstream and tries the request there.
+    relay_result attempt(relay_path::service_state &service, steady_time now)
+    {
+        const auto directory = m_path.m_hooks.directory();
+        const upstream_member *member =
+            m_request.key ? ownerOf(*directory, service) : anyOf(*directory, service, now);
+        if (member == nullptr) {
+            return notRun(relay_reason::NoUpstream);
+        }
+        m_request.upstream = member->id;
+        const steady_time sentAt = clockNow();
+        relay_result result;
+        if (member->id == m_path.m_runner.local().id) {
+            relay_sink sink(m_exchange, {});
+            result = m_path.m_runner.run(m_request, m_exchange, sink);
+            result.queue = m_path.m_runner.queue();
+        } else if (m_path.m_peers.isSilent(member->peerAddress, now)) {
+            result = notRun(relay_reason::PeerSilent);
+        } else {
+            relay_sink sink(m_exchange, {});
+            result = m_path.m_peers.forward(m_request, member->peerAddress, m_exchange, sink);
+        }
+        const bool failed = result.reason == relay_reason::PeerUnreachable
+            || result.reason == relay_reason::PeerSilent
+            || result.reason == relay_reason::SilentConnection
+            || result.reason == relay_reason::NoAnswer
+            || result.reason == relay_reason::OtherUpstream
+            || result.reason == relay_reason::UpstreamUnreachable;
+        service.picker.finish(member->id,
+                              failed                  ? upstream_picker::result::Failed
+                                  : result.callerGone ? upstream_picker::result::Neutral
+                                                      : upstream_picker::result::Reached,
+                              result.queue, clockNow());
+        m_tried.push_back(member->id);
+        logAttempt(result, clockNow() - sentAt, directory->revision());
+        return result;
+    }
+
+    const upstream_member *ownerOf(const fleet_directory &directory,
+                                   relay_path::service_state &service) const
+    {
+        const fleet_directory::placed *placed = directory.findPlacement(m_request.service);
+        if (placed == nullptr) {
+            return nullptr;
+        }
+        const owned_range &range = placed->placement.rangeOf(*m_request.key);
+        const auto *known = directory.findMember(range.owner.name);
+        if (known == nullptr || known->member.id != range.owner
+            || range.takeOverAfter.count() > 0) {
+            return nullptr;
+        }
+        service.picker.begin(range.owner);
+        return &known->member;
+    }
+
+    const upstream_member *anyOf(const fleet_directory &directory,
+                                 relay_path::service_state &service, steady_time now) const
+    {
+        std::vector<const upstream_member *> members = directory.membersOf(m_request.service);
+        std::erase_if(members, [](const upstream_member *member) { return member->isLeaving; });
+        return service.picker.pick(members, m_tried, now);
+    }
+
+    void logAttempt(const relay_result &result, std::chrono::nanoseconds took, uint64_t revision)
+    {
+        if (!m_path.m_log.isEnabled(log_level::Info)) {
+            return;
+        }
+        decision entry;
+        entry.kind = "attempt";
+        entry.requestId = m_request.requestId;
+        entry.service = m_request.service;
+        entry.instance = m_request.upstream.name;
+        entry.term = revision;
+        entry.outcome = toString(result.outcome);
+        const std::string reason = absl::StrCat(
+            toAbsl(toString(result.reason)), ",status:", result.status, ",took_us:",
+            std::chrono::duration_cast<std::chrono::microseconds>(took).count());
+        entry.reason = reason;
+        m_path.m_log.write(entry);
+    }
+
+    void finish(const relay_result &result)
+    {
+        const steady_time now = clockNow();
+        const std::string rank = std::to_string(m_request.rank);
+        m_path.m_metrics.recordLatency(m_request.service, rank, result.outcome, now - m_start);
+        if (result.outcome == request_outcome::Run || result.answerStarted || result.callerGone) {
+            return;
+        }
+        m_path.m_metrics.count("persimmonrail_refused_total",
+                               absl::StrCat("reason=\"", toAbsl(toString(result.reason)), "\""));
+        answerFailure(result);
+        logFailure(result, now);
+    }
+
+    void answerFailure(const relay_result &result)
+    {
+        Poco::Net::HTTPResponse head(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(
+            statusFor(result.reason, result.outcome)));
+        head.setContentType("text/plain");
+        head.set(reasonHeader, std::string(toString(result.reason)));
+        if (result.outcome == request_outcome::NotRun && head.getStatus() == 503) {
+            const milliseconds pause = std::max(
+                leastRetryAfter,
+                result.retryAfter.count() > 0 ? result.retryAfter
+                                              : m_path.m_options.defaultRetryAfter);
+            head.set("Retry-After",
+                     absl::StrFormat("%.3f", std::chrono::duration<double>(pause).count()));
+        }
+        m_exchange.answer(head, absl::StrCat(toAbsl(toString(result.reason)), "\n"));
+    }
+
+    void logFailure(const relay_result &result, steady_time now)
+    {
+        decision entry;
+        entry.kind = "refuse";
+        entry.requestId = m_request.requestId;
+        entry.service = m_request.service;
+        entry.instance = m_request.upstream.name;
+        entry.term = m_table ? m_table->version() : 0;
+        entry.outcome = toString(result.outcome);
+        const std::string reason = absl::StrCat(
+            toAbsl(toString(result.reason)), m_budgetSpent ? ",retry-budget-spent" : "",
+            ",attempts:", m_tried.size(), ",took_us:",
+            std::chrono::duration_cast<std::chrono::microseconds>(now - m_start).count(),
+            ",route:", m_route ? m_route->name : std::string("none"));
+        entry.reason = reason;
+        m_path.m_log.write(entry);
+    }
+
+    relay_path &m_path;
+    server_exchange &m_exchange;
+    const steady_time m_start;
+    std::shared_ptr<const route_table> m_table;
+    const route *m_route = nullptr;
+    relay_request m_request;
+    std::vector<upstream_id> m_tried;
+    bool m_mayHaveRun = false;
+    bool m_budgetSpent = false;
+};
+
+relay_path::service_state::service_state(const relay_path_options &options, random_source random,
+                                         steady_time now)
+    : picker(options.availabilityZone, std::move(random))
+    , retries(now, options.retries)
+{ }
+
+relay_path::relay_path(relay_path_options options, relay_path_hooks hooks, exchange_codec codec,
+                       upstream_runner &runner, decision_log &log, metrics &values)
+    : m_options(std::move(options))
+    , m_hooks(std::move(hooks))
+    , m_codec(std::move(codec))
+    , m_runner(runner)
+    , m_log(log)
+    , m_metrics(values)
+    , m_random(m_hooks.makeRandom())
+{ }
+
+uint64_t relay_path::draw()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_random();
+}
+
+relay_path::service_state &relay_path::stateOf(const std::string &service, steady_time now)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &state = m_services[service];
+    if (state == nullptr) {
+        state = std::make_unique<service_state>(m_options, m_hooks.makeRandom(), now);
+    }
+    return *state;
+}
+
+void relay_path::serveCaller(server_exchange &exchange)
+{
+    const in_flight_guard guard(m_inFlight);
+    if (m_hooks.isStopping()) {
+        exchange.closeAfterAnswer();
+    }
+    relay_call(*this, exchange).serve();
+}
+
+void relay_path::servePeer(server_exchange &exchange)
+{
+    const std::string &uri = exchange.request().getURI();
+    if (uri.starts_with(relayInFlightPath)) {
+        const std::lock_guard lock(m_mutex);
+        const bool known = m_peerRequests.contains(uri.substr(sizeof(relayInFlightPath) - 1));
+        exchange.answer(known ? 200 : 404, "", "text/plain");
+        return;
+    }
+    const in_flight_guard guard(m_inFlight);
+    const auto request = readPeerRequest(exchange.request(), clockNow());
+    if (!request.ok()) {
+        m_log.write(log_level::Warn,
+                    absl::StrCat("peer request ignored: ", request.status().message()));
+        answerPeer(exchange, notRun(relay_reason::MalformedRequest));
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_peerRequests.insert(request->requestId);
+    }
+    relay_sink sink(exchange, [this](Poco::Net::HTTPResponse &head) {
+        head.set(outcomeHeader, std::string(toString(request_outcome::Run)));
+        head.set(queueHeader, encodeQueueReport(m_runner.queue()));
+    });
+    relay_result result = m_runner.run(*request, exchange, sink);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_peerRequests.erase(m_peerRequests.find(request->requestId));
+    }
+    if (result.outcome != request_outcome::Run && !result.answerStarted && !result.callerGone) {
+        result.queue = m_runner.queue();
+        answerPeer(exchange, result);
+    }
+    if (result.outcome != request_outcome::Run && m_log.isEnabled(log_level::Info)) {
+        decision entry;
+        entry.kind = "hand-over";
+        entry.requestId = request->requestId;
+        entry.service = request->service;
+        entry.instance = request->upstream.name;
+        entry.outcome = toString(result.outcome);
+        entry.reason = toString(result.reason);
+        m_log.write(entry);
+    }
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/relay/relay_path.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "persimmonrail/base/random_source.h"
+#include "persimmonrail/fleet/fleet_directory.h"
+#include "persimmonrail/gateway/silent_peers.h"
+#include "persimmonrail/http/http_server.h"
+#include "persimmonrail/relay/peer_link.h"
+#include "persimmonrail/relay/upstream_picker.h"
+#include "persimmonrail/relay/upstream_runner.h"
+#include "persimmonrail/routes/route_table.h"
+#include "persimmonrail/routing/retry_budget.h"
+#include "persimmonrail/telemetry/decision_log.h"
+#include "persimmonrail/telemetry/metrics.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace persimmonrail {
+
+struct relay_path_options
+{
+    // Service of the upstream on this host, on whose behalf callers here ask.
+    std::string callerService;
+    std::string availabilityZone;
+    // Pause before a key is looked up again whose owner does not serve it yet.
+    milliseconds ownerPause{30};
+    // Longest wait for the owner of a key to begin serving it. A planned move takes less; longer
+    // losses are refused, so that the caller learns when to come back.
+    milliseconds ownerPatience{400};
+    // For refusals of which nothing tells how long their cause lasts.
+    milliseconds defaultRetryAfter{250};
+    retry_budget_options retries;
+};
+
+struct relay_path_hooks
+{
+    // Null while no desired state is known.
+    std::function<std::shared_ptr<const route_table>()> routes;
+    std::function<std::shared_ptr<const fleet_directory>()> directory;
+    // Whether the daemon stops: answers then close their connections.
+    std::function<bool()> isStopping;
+    std::function<random_source()> makeRandom;
+};
+
+// Takes requests of callers to the upstreams that may run them, through the daemons beside those.
+// Thread safe; each request runs on the thread of its connection.
+class relay_path
+{
+public:
+    // `runner`, `log` and `values` must outlive the object.
+    relay_path(relay_path_options options, relay_path_hooks hooks, exchange_codec codec,
+               upstream_runner &runner, decision_log &log, metrics &values);
+
+    // Request of a caller on this host.
+    void serveCaller(server_exchange &exchange);
+    // Request passed on by another daemon for the upstream on this host.
+    void servePeer(server_exchange &exchange);
+    // Requests that are being served.
+    int inFlight() const { return m_inFlight; }
+
+private:
+    friend class relay_call;
+
+    struct service_state
+    {
+        explicit service_state(const relay_path_options &options, random_source random,
+                               steady_time now);
+        upstream_picker picker;
+        retry_budget retries;
+    };
+    service_state &stateOf(const std::string &service, steady_time now);
+    uint64_t draw();
+
+    const relay_path_options m_options;
+    const relay_path_hooks m_hooks;
+    const exchange_codec m_codec;
+    upstream_runner &m_runner;
+    decision_log &m_log;
+    metrics &m_metrics;
+    peer_link m_peers;
+    std::atomic<int> m_inFlight{0};
+    // Guards the members below.
+    std::mutex m_mutex;
+    random_source m_random;
+    std::map<std::string, std::unique_ptr<service_state>> m_services;
+    // Ids of requests that run here on behalf of other daemons.
+    std::multiset<std::string, std::less<>> m_peerRequests;
+};
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/relay/relay_reason.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "persimmonrail/base/request_outcome.h"
+
+#include <optional>
+#include <string_view>
+
+namespace persimmonrail {
+
+// Why the system itself ends a request, or one attempt at it.
+enum class relay_reason {
+    None,
+    // The request did not run and will not.
+    NoDesiredState,
+    NoRoute,
+    MalformedRequest,
+    MissingKey,
+    NoUpstream,
+    NotOwner,
+    OtherUpstream,
+    Draining,
+    Stopping,
+    Overload,
+    DeadlineUnreachable,
+    PeerUnreachable,
+    PeerSilent,
+    UpstreamUnreachable,
+    UpstreamRefused,
+    KeyNotHeld,
+    Quarantined,
+    DeadlineBeforeSend,
+    // The request may have run.
+    NoAnswer,
+    BrokenAnswer,
+    ForeignAnswer,
+    DeadlineExceeded,
+    CallerGone,
+    SilentConnection,
+};
+
+// The word used in logs, metrics and the header between daemons.
+std::string_view toString(relay_reason reason);
+std::optional<relay_reason> parseRelayReason(std::string_view word);
+
+// Status of the answer that the system gives for a reason.
+int statusFor(relay_reason reason, request_outcome outcome);
+// Whether the same request may succeed at another daemon, or here a little later.
+bool isPassing(relay_reason reason);
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/relay/relay_types.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "persimmonrail/base/clock.h"
+#include "persimmonrail/base/request_outcome.h"
+#include "persimmonrail/fleet/upstream_member.h"
+#include "persimmonrail/keyspace/key_placement.h"
+#include "persimmonrail/relay/relay_reason.h"
+#include "persimmonrail/relay/upstream_picker.h"
+
+#include <Poco/Net/HTTPRequest.h>
+
+#include <optional>
+#include <string>
+
+namespace persimmonrail {
+
+// What the daemon beside the upstream needs to know of a request.
+struct relay_request
+{
+    // Method, target and fields for the upstream, without fields of one connection.
+    Poco::Net::HTTPRequest message{Poco::Net::HTTPMessage::HTTP_1_1};
+    std::string requestId;
+    std::string service;
+    // The upstream that is to run it.
+    upstream_id upstream;
+    // Service on whose host the request began.
+    std::string callerService;
+    std::optional<shard_key> key;
+    int rank = 0;
+    bool repeatable = false;
+    // After this moment nobody waits for the answer.
+    steady_time deadline;
+    // Until this moment the answer has its full worth.
+    steady_time target;
+};
+
+// What one attempt at a request came to.
+struct relay_result
+{
+    request_outcome outcome = request_outcome::NotRun;
+    relay_reason reason = relay_reason::None;
+    // Status of the upstream's answer, if there was one.
+    int status = 0;
+    // Time after which a refused request is worth another try; 0 if unknown.
+    milliseconds retryAfter{0};
+    // Bytes of an answer went to the requester, so no other answer can follow.
+    bool answerStarted = false;
+    bool callerGone = false;
+    // The request reached the upstream, whether that ran it or refused it.
+    bool hasArrived = false;
+    std::optional<queue_report> queue;
+};
+
+inline relay_result notRun(relay_reason reason, milliseconds retryAfter = milliseconds(0))
+{
+    relay_result result;
+    result.reason = reason;
+    result.retryAfter = retryAfter;
+    return result;
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/relay/upstream_runner.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "persimmonrail/gateway/gateway_hooks.h"
+#include "persimmonrail/http/http_server.h"
+#include "persimmonrail/relay/exchange_codec.h"
+#include "persimmonrail/relay/relay_types.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace persimmonrail {
+
+// The upstream beside this daemon as a request sees it.
+struct local_target
+{
+    upstream_id id;
+    std::string service;
+    // "ip:port".
+    std::string address;
+    // Why it takes no work; None if it does.
+    relay_reason closed = relay_reason::None;
+};
+
+// Hooks into the state of the daemon; all are thread safe, only `admit` may block.
+struct upstream_runner_hooks
+{
+    std::function<local_target()> local;
+    // Whether the upstream holds the key at this moment.
+    std::function<bool(shard_key key)> mayServe;
+    // Counts a request for the key, for the balance of ranges.
+    std::function<void(shard_key key)> countKey;
+    // Waits for a slot of the upstream.
+    std::function<admission_result(const admission_request &request, steady_time now)> admit;
+    std::function<queue_report()> queue;
+    // A connection was refused: no process listens at the address.
+    std::function<void(const upstream_id &id)> onRefusedConnection;
+    std::function<void(const upstream_id &id)> onAnswer;
+};
+
+// Hands requests to the upstream beside this daemon. Thread safe; each request runs on the thread
+// of its connection.
+class upstream_runner
+{
+public:
+    upstream_runner(exchange_codec codec, upstream_runner_hooks hooks);
+
+    // `exchange` supplies the body and is watched for the requester's departure; the answer goes to
+    // `sink`.
+    relay_result run(const relay_request &request, server_exchange &exchange, answer_sink &sink);
+    queue_report queue() const { return m_hooks.queue(); }
+    // The upstream that takes requests now.
+    local_target local() const { return m_hooks.local(); }
+    // Closes idle connections to an address, since another process may listen there.
+    void dropConnections(const std::string &address) { m_pool->drop(address); }
+
+private:
+    // Why the request can't be handed over now; None if it can.
+    relay_reason refusal(const relay_request &request, const local_target &target) const;
+    relay_result handOver(const relay_request &request, const local_target &target,
+                          server_exchange &exchange, answer_sink &sink);
+
+    const exchange_codec m_codec;
+    const upstream_runner_hooks m_hooks;
+    std::shared_ptr<connection_pool> m_pool;
+    http_client m_client;
+};
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/router/range_keeper.cpp
@@ -0,0 +1,510 @@
+#include "persimmonrail/router/range_keeper.h"
+
+#include "persimmonrail/base/text.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <ctime>
+
+#include <algorithm>
+
+namespace persimmonrail {
+namespace {
+
+// Members must not change for this long before the keys are dealt out for the first time, since
+// all upstreams of a site start together.
+constexpr milliseconds settleTime{700};
+// Between two confirmations by reads. Several fit into the confirmation life, so that one lost
+// answer matters little.
+constexpr milliseconds confirmInterval{2000};
+constexpr milliseconds writeRetry{300};
+// Between two moves, so that the loads reported after the first one count for the second.
+constexpr milliseconds moveInterval{1000};
+
+} // namespace
+
+boot_time bootNow()
+{
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+range_keeper::range_keeper(std::string service, range_lease_timing timing, object_api store,
+                           grant_api grants, control_loop &loop, decision_log &log, hooks hooks)
+    : m_service(std::move(service))
+    , m_timing(timing)
+    , m_store(std::move(store))
+    , m_grants(std::move(grants))
+    , m_loop(loop)
+    , m_log(log)
+    , m_hooks(std::move(hooks))
+    , m_holder(timing)
+    , m_grantWorker(std::make_unique<background_worker>())
+    , m_releaseWorker(std::make_unique<background_worker>())
+    , m_storeWorker(std::make_unique<background_worker>())
+{ }
+
+range_keeper::~range_keeper() = default;
+
+void range_keeper::logRange(std::string_view kind, key_interval keys, uint64_t fence,
+                            std::string_view outcome, std::string_view reason) const
+{
+    decision entry;
+    entry.kind = kind;
+    entry.service = m_service;
+    const std::string partition = absl::StrCat(keys.first, "-", keys.last);
+    entry.partition = partition;
+    entry.term = fence;
+    const std::string instance = m_upstream ? toString(*m_upstream) : std::string();
+    entry.instance = instance;
+    entry.outcome = outcome;
+    entry.reason = reason;
+    m_log.write(entry);
+}
+
+void range_keeper::onDirectory(const std::shared_ptr<const fleet_directory> &directory,
+                               boot_time confirmedAt)
+{
+    const bool changed = directory != m_directory;
+    m_directory = directory;
+    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+    const auto *placed = m_directory->findPlacement(m_service);
+    if (placed != nullptr) {
+        const std::lock_guard lock(m_mutex);
+        m_holder.onPlacement(placed->placement, confirmedAt, bootNow());
+    }
+    if (changed) {
+        renewGrants();
+        releaseSurplus();
+    }
+}
+
+void range_keeper::setUpstream(const std::optional<upstream_id> &upstream,
+                               const std::string &address, bool isLeaving)
+{
+    m_upstream = upstream;
+    m_address = address;
+    m_isLeaving = isLeaving;
+    const std::lock_guard lock(m_mutex);
+    m_holder.setUpstream(upstream);
+}
+
+void range_keeper::setPeers(peers peers)
+{
+    m_peers = std::move(peers);
+}
+
+bool range_keeper::mayServe(shard_key key) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_holder.mayServe(key, bootNow());
+}
+
+bool range_keeper::isGone(const upstream_id &id) const
+{
+    const auto *known = m_directory->findMember(id.name);
+    return known != nullptr
+        && (known->member.isGone || known->member.id.startedAt > id.startedAt);
+}
+
+bool range_keeper::ownsNothing() const
+{
+    const auto *placed = m_directory->findPlacement(m_service);
+    return !m_upstream || placed == nullptr || ownedKeys(placed->placement, *m_upstream) == 0;
+}
+
+bool range_keeper::holdsAll() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_holder.dueGrants(bootNow()).empty();
+}
+
+std::vector<key_interval> range_keeper::ownIntervals() const
+{
+    std::vector<key_interval> own;
+    const auto *placed = m_directory->findPlacement(m_service);
+    if (placed != nullptr && m_upstream) {
+        for (const owned_range &range : placed->placement.ranges) {
+            if (range.owner == *m_upstream && range.takeOverAfter.count() == 0) {
+                own.push_back(range.keys);
+            }
+        }
+    }
+    return own;
+}
+
+void range_keeper::tick(steady_time now)
+{
+    if (!m_upstream) {
+        // Another daemon, or the next life of the upstream, acts for keys that it had.
+        considerRecord();
+        return;
+    }
+    renewGrants();
+    releaseSurplus();
+    confirm();
+    considerRecord();
+    considerGiving(now);
+}
+
+void range_keeper::renewGrants()
+{
+    if (m_grantsPending || !m_upstream) {
+        return;
+    }
+    std::vector<range_grant> due;
+    {
+        const std::lock_guard lock(m_mutex);
+        due = m_holder.dueGrants(bootNow());
+    }
+    for (const range_grant &grant : due) {
+        sendGrant(grant, m_timing.holdTime);
+    }
+    if (!due.empty()) {
+        m_grantsPending = true;
+        m_grantWorker->enqueue(
+            [this] { m_loop.post([this](steady_time) { m_grantsPending = false; }); });
+    }
+}
+
+void range_keeper::sendGrant(const range_grant &grant, milliseconds holdTime)
+{
+    m_grantWorker->enqueue([this, grant, holdTime, address = m_address, id = *m_upstream] {
+        const boot_time sentAt = bootNow();
+        {
+            // The lease may have ended while the call waited for its turn.
+            const std::lock_guard lock(m_mutex);
+            if (!m_holder.hasLease(sentAt)) {
+                return;
+            }
+        }
+        const absl::Status status = m_grants.grant(address, grant, holdTime);
+        {
+            const std::lock_guard lock(m_mutex);
+            if (status.ok()) {
+                m_holder.onGranted(grant, sentAt);
+            } else if (absl::IsAborted(status)) {
+                m_holder.onGrantRefused(grant);
+            }
+        }
+        if (!status.ok()) {
+            m_loop.post([this, grant, status](steady_time) {
+                logRange("grant", grant.keys, grant.fence, "failed", status.ToString());
+            });
+        } else if (m_log.isEnabled(log_level::Debug)) {
+            m_loop.post([this, grant](steady_time) {
+                logRange("grant", grant.keys, grant.fence, "granted", "");
+            });
+        }
+    });
+}
+
+void range_keeper::extendHolds(milliseconds mostHold)
+{
+    std::vector<range_grant> held;
+    milliseconds holdTime{0};
+    {
+        const std::lock_guard lock(m_mutex);
+        held = m_holder.heldWithin({});
+        holdTime = std::min(mostHold, m_holder.longestSafeHold(bootNow()));
+    }
+    if (holdTime < m_timing.holdTime) {
+        return;
+    }
+    for (const range_grant &grant : held) {
+        sendGrant(grant, holdTime);
+    }
+}
+
+void range_keeper::releaseSurplus()
+{
+    if (m_giving || !m_upstream) {
+        return;
+    }
+    std::vector<range_grant> due;
+    {
+        const std::lock_guard lock(m_mutex);
+        due = m_holder.dueReleases();
+        for (const range_grant &grant : due) {
+            // Released or not, it is no longer served from here.
+            m_holder.onReleased(grant.keys, grant.fence);
+        }
+    }
+    for (const range_grant &grant : due) {
+        logRange("release", grant.keys, grant.fence, "sent", "recorded for another owner");
+        m_releaseWorker->enqueue([this, grant, address = m_address] {
+            const auto handover = m_grants.release(address, grant.keys, grant.fence);
+            if (!handover.ok()) {
+                m_log.write(log_level::Warn,
+                            absl::StrCat("release failed: ", handover.status().ToString()));
+            }
+        });
+    }
+}
+
+void range_keeper::confirm()
+{
+    const boot_time now = bootNow();
+    if (m_confirmPending || now - m_confirmedAt < confirmInterval
+        || now - m_confirmSentAt < confirmInterval / 4 || ownsNothing()) {
+        return;
+    }
+    m_confirmPending = true;
+    m_confirmSentAt = now;
+    m_storeWorker->enqueue([this] {
+        const boot_time sentAt = bootNow();
+        auto object = m_store.get(placementKey(m_service));
+        m_loop.post([this, sentAt, object = std::move(object)](steady_time) {
+            m_confirmPending = false;
+            if (!object.ok()) {
+                return;
+            }
+            m_hooks.onObject(*object);
+            const auto *placed = m_directory->findPlacement(m_service);
+            if (placed != nullptr && placed->version == object->version) {
+                m_confirmedAt = std::max(m_confirmedAt, sentAt);
+                const std::lock_guard lock(m_mutex);
+                m_holder.onConfirmed(sentAt);
+            }
+        });
+    });
+}
+
+void range_keeper::write(placement_write change, std::function<void(bool written)> done)
+{
+    m_writePending = true;
+    m_storeWorker->enqueue([this, change = std::move(change), done = std::move(done)] {
+        const std::string key = placementKey(m_service);
+        const std::string value = encodePlacement(change.placement);
+        const boot_time sentAt = bootNow();
+        const auto version = m_store.put(key, change.expectedVersion, value);
+        bool written = version.ok();
+        std::optional<stored_object> object;
+        if (version.ok()) {
+            object = stored_object{key, *version, false, value};
+        } else {
+            // Read back what the store holds: another writer's change, or this one after all.
+            const auto read = m_store.get(key);
+            if (read.ok()) {
+                object = *read;
+                const auto placement = parsePlacement(read->value);
+                written = placement.ok() && *placement == change.placement;
+            }
+        }
+        const std::string status = version.status().ToString();
+        m_loop.post([this, written, object, sentAt, status, reason = std::string(change.reason),
+                     fence = change.placement.highestFence, done](steady_time now) {
+            m_writePending = false;
+            logRange("place", {}, fence, written ? "written" : "not-written",
+                     absl::StrCat(reason, ",", status));
+            if (!written) {
+                m_nextWriteAt = now + writeRetry;
+            }
+            if (object) {
+                m_hooks.onObject(*object);
+                const std::lock_guard lock(m_mutex);
+                m_holder.onConfirmed(sentAt);
+            }
+            done(written);
+        });
+    });
+}
+
+void range_keeper::considerRecord()
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    if (m_writePending || m_giving || now < m_nextWriteAt) {
+        return;
+    }
+    const auto *placed = m_directory->findPlacement(m_service);
+    const uint64_t version = placed != nullptr ? placed->version : 0;
+    const key_placement current =
+        placed != nullptr ? placed->placement : emptyPlacement(m_service);
+    const auto propose = [&](key_placement next, std::string_view reason) {
+        write({std::move(next), version, reason}, [](bool) {});
+    };
+    if (m_upstream) {
+        const key_placement reclaimed = reclaimRanges(current, *m_upstream);
+        if (reclaimed != current && !m_isLeaving) {
+            propose(reclaimed, "reclaim");
+            return;
+        }
+        bool takeoverDue = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            takeoverDue = m_holder.isTakeoverDue(bootNow());
+        }
+        if (takeoverDue) {
+            propose(activateTakeover(current, *m_upstream), "activate-takeover");
+            return;
+        }
+    }
+    if (m_peers.live.size() != m_membersSeen) {
+        m_membersSeen = m_peers.live.size();
+        m_membersStableSince = now;
+    }
+    if (!m_peers.isCoordinator || m_peers.live.empty()
+        || !m_membersStableSince) {
+        return;
+    }
+    const bool hasUnowned =
+        std::any_of(current.ranges.begin(), current.ranges.end(),
+                    [](const owned_range &range) { return range.owner.isEmpty(); });
+    if (hasUnowned) {
+        if (now - *m_membersStableSince >= settleTime) {
+            propose(assignUnowned(current, m_peers.live), "assign");
+        }
+        return;
+    }
+    const key_placement withoutGone = reassignLost(
+        current, [this](const upstream_id &id) { return isGone(id); }, m_peers.live,
+        milliseconds(0));
+    if (withoutGone != current) {
+        propose(withoutGone, "owner-gone");
+        return;
+    }
+    const key_placement withoutLost = reassignLost(
+        current,
+        [this](const upstream_id &id) {
+            return std::find(m_peers.unreachable.begin(), m_peers.unreachable.end(), id)
+                != m_peers.unreachable.end();
+        },
+        m_peers.live, m_timing.takeOverAfter());
+    if (withoutLost != current) {
+        propose(withoutLost, "owner-unreachable");
+    }
+}
+
+void range_keeper::considerGiving(steady_time now)
+{
+    if (m_giving || m_writePending || now < m_nextMoveAt || m_peers.live.empty()) {
+        return;
+    }
+    const auto *placed = m_directory->findPlacement(m_service);
+    if (placed == nullptr) {
+        return;
+    }
+    std::vector<range_candidate> others;
+    for (const range_candidate &candidate : m_peers.live) {
+        if (candidate.id != *m_upstream) {
+            others.push_back(candidate);
+        }
+    }
+    if (others.empty()) {
+        return;
+    }
+    if (m_isLeaving) {
+        std::vector<planned_move> moves;
+        size_t turn = 0;
+        for (const key_interval &keys : ownIntervals()) {
+            moves.push_back({keys, others[turn++ % others.size()].id});
+        }
+        if (moves.size() == 1 && others.size() > 1 && moves[0].keys.count() > 1) {
+            const shard_key middle = moves[0].keys.first + moves[0].keys.count() / 2;
+            moves.push_back({{middle, moves[0].keys.last}, others[1].id});
+            moves[0].keys.last = middle - 1;
+        }
+        if (!moves.empty()) {
+            startGiving(std::move(moves), "leaving");
+        }
+        return;
+    }
+    const auto share = chooseShareForNewcomer(placed->placement, *m_upstream, m_peers.live);
+    if (share) {
+        startGiving({*share}, "newcomer");
+        return;
+    }
+    m_rates.advance(now);
+    owner_load self{*m_upstream, 1, m_utilization};
+    const auto move = chooseMove(
+        ownIntervals(), [this](shard_key key) { return m_rates.rate(key); }, self, m_peers.loads);
+    if (move) {
+        startGiving({*move}, "load");
+    }
+}
+
+void range_keeper::startGiving(std::vector<planned_move> moves, std::string_view reason)
+{
+    m_giving = true;
+    std::vector<key_interval> intervals;
+    for (const planned_move &move : moves) {
+        intervals.push_back(move.keys);
+        logRange("give", move.keys, 0, "begun", absl::StrCat(toAbsl(reason), ",to:", move.target.name));
+    }
+    std::vector<std::vector<range_grant>> held;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_holder.setGiving(intervals);
+        for (const key_interval &keys : intervals) {
+            held.push_back(m_holder.heldWithin(keys));
+        }
+    }
+    m_releaseWorker->enqueue([this, moves = std::move(moves), held = std::move(held),
+                              address = m_address] {
+        std::vector<std::pair<planned_move, std::string>> given;
+        std::vector<range_grant> released;
+        for (size_t i = 0; i < moves.size(); ++i) {
+            for (const range_grant &grant : held[i]) {
+                const auto handover = m_grants.release(address, grant.keys, grant.fence);
+                // A process that is gone holds nothing.
+                if (handover.ok() || absl::IsFailedPrecondition(handover.status())) {
+                    released.push_back(grant);
+                    planned_move part{grant.keys, moves[i].target};
+                    given.emplace_back(part, handover.ok() ? *handover : std::string());
+                } else {
+                    m_log.write(log_level::Warn,
+                                absl::StrCat("release failed: ", handover.status().ToString()));
+                }
+            }
+        }
+        m_loop.post([this, given = std::move(given), released = std::move(released)](steady_time) {
+            {
+                const std::lock_guard lock(m_mutex);
+                for (const range_grant &grant : released) {
+                    m_holder.onReleased(grant.keys, grant.fence);
+                }
+            }
+            finishGiving(given);
+        });
+    });
+}
+
+void range_keeper::finishGiving(std::vector<std::pair<planned_move, std::string>> given)
+{
+    const auto end = [this](bool) {
+        m_giving = false;
+        m_nextMoveAt = std::chrono::steady_clock::now() + moveInterval;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_holder.setGiving({});
+        }
+        renewGrants();
+    };
+    const auto *placed = m_directory->findPlacement(m_service);
+    if (placed == nullptr || given.empty()) {
+        end(false);
+        return;
+    }
+    key_placement next = placed->placement;
+    for (const auto &[move, handover] : given) {
+        const owned_range range = next.rangeOf(move.keys.first);
+        // The record may have changed while the release ran.
+        if (m_upstream && range.owner == *m_upstream && range.keys.contains(move.keys.last)) {
+            next = giveRange(std::move(next), move.keys, move.target, handover);
+        }
+    }
+    if (next == placed->placement) {
+        end(false);
+        return;
+    }
+    write({std::move(next), placed->version, "give"}, end);
+}
+
+void range_keeper::onUpstreamGone(const upstream_id &)
+{
+    const std::lock_guard lock(m_mutex);
+    m_holder.setUpstream(std::nullopt);
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/router/router_settings.cpp
@@ -0,0 +1,188 @@
+#include "persimmonrail/router/router_settings.h"
+
+#include "persimmonrail/base/socket_address.h"
+#include "persimmonrail/base/text.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <functional>
+
+namespace persimmonrail {
+namespace {
+
+using setter = std::function<bool(router_settings &settings, const std::string &value)>;
+
+struct setting
+{
+    const char *name;
+    const char *help;
+    bool isRequired;
+    setter set;
+};
+
+setter text(std::string router_settings::*member)
+{
+    return [member](router_settings &settings, const std::string &value) {
+        settings.*member = value;
+        return !value.empty();
+    };
+}
+
+setter address(std::string router_settings::*member)
+{
+    return [member](router_settings &settings, const std::string &value) {
+        settings.*member = value;
+        return parseSocketAddress(value).ok();
+    };
+}
+
+setter duration(milliseconds router_settings::*member)
+{
+    return [member](router_settings &settings, const std::string &value) {
+        double number = 0;
+        std::string digits = value;
+        double factor = 1;
+        if (absl::EndsWith(value, "ms")) {
+            digits.resize(digits.size() - 2);
+        } else if (absl::EndsWith(value, "s")) {
+            digits.resize(digits.size() - 1);
+            factor = 1000;
+        } else {
+            return false;
+        }
+        if (!absl::SimpleAtod(digits, &number) || number < 0 || number * factor > 1e9) {
+            return false;
+        }
+        settings.*member = milliseconds(static_cast<int64_t>(number * factor));
+        return true;
+    };
+}
+
+setter count(int router_settings::*member)
+{
+    return [member](router_settings &settings, const std::string &value) {
+        double number = 0;
+        if (!absl::SimpleAtod(value, &number) || number < 0 || number > 1e9) {
+            return false;
+        }
+        settings.*member = static_cast<int>(number);
+        return true;
+    };
+}
+
+bool setRatio(router_settings &settings, const std::string &value)
+{
+    return absl::SimpleAtod(value, &settings.retryRatio) && settings.retryRatio >= 0
+        && settings.retryRatio <= 1;
+}
+
+bool setLevel(router_settings &settings, const std::string &value)
+{
+    static const std::map<std::string, log_level> levels = {{"debug", log_level::Debug},
+                                                            {"info", log_level::Info},
+                                                            {"warn", log_level::Warn},
+                                                            {"error", log_level::Error},
+                                                            {"off", log_level::Off}};
+    const auto level = levels.find(value);
+    if (level != levels.end()) {
+        settings.level = level->second;
+    }
+    return level != levels.end();
+}
+
+const std::vector<setting> &allSettings()
+{
+    using s = router_settings;
+    static const std::vector<setting> settings = {
+        {"host-name", "name of this host", true, text(&s::hostName)},
+        {"availability-zone", "availability zone of this host", true, text(&s::availabilityZone)},
+        {"service", "service of the upstream on this host", true, text(&s::service)},
+        {"caller-address", "ip:port for requests of callers on this host", true,
+         address(&s::callerAddress)},
+        {"peer-address", "ip:port for other daemons", true, address(&s::peerAddress)},
+        {"ready-address", "ip:port that tells whether the daemon takes requests", true,
+         address(&s::readyAddress)},
+        {"report-address", "ip:port for reports of the upstream", true,
+         address(&s::reportAddress)},
+        {"metrics-address", "ip:port for metrics; none if absent", false,
+         address(&s::metricsAddress)},
+        {"store-address", "ip:port of the object store", true, address(&s::storeAddress)},
+        {"upstream-address", "ip:port of the upstream on this host", true,
+         address(&s::upstreamAddress)},
+        {"report-interval", "time between two reports of the upstream, such as 870ms", false,
+         duration(&s::reportInterval)},
+        {"max-hold", "longest hold time that upstreams accept", false, duration(&s::maxHold)},
+        {"grace-period", "time between the stop signal and the forced end", false,
+         duration(&s::gracePeriod)},
+        {"retry-ratio", "share of requests that may be repeated, all daemons together", false,
+         setRatio},
+        {"retry-slack", "repeats allowed within the window besides that share", false,
+         count(&s::retrySlack)},
+        {"retry-window", "window of both", false, duration(&s::retryWindow)},
+        {"max-caller-connections", "connections of callers", false,
+         count(&s::maxCallerConnections)},
+        {"max-peer-connections", "connections of other daemons", false,
+         count(&s::maxPeerConnections)},
+        {"log-level", "debug, info, warn, error or off", false, setLevel},
+    };
+    return settings;
+}
+
+} // namespace
+
+absl::StatusOr<router_settings> parseRouterSettings(std::string_view text)
+{
+    std::map<std::string, std::string> values;
+    std::string faults;
+    const auto fault = [&faults](absl::string_view name, absl::string_view what) {
+        absl::StrAppend(&faults, faults.empty() ? "" : "; ", name, ": ", what);
+    };
+    for (absl::string_view line : absl::StrSplit(toAbsl(text), '\n')) {
+        line = absl::StripAsciiWhitespace(line);
+        if (line.empty() || line.front() == '#') {
+            continue;
+        }
+        const std::pair<absl::string_view, absl::string_view> parts =
+            absl::StrSplit(line, absl::MaxSplits('=', 1));
+        const std::string name(absl::StripAsciiWhitespace(parts.first));
+        if (!values.emplace(name, std::string(absl::StripAsciiWhitespace(parts.second))).second) {
+            fault(name, "given twice");
+        }
+    }
+    router_settings settings;
+    for (const setting &known : allSettings()) {
+        const auto value = values.find(known.name);
+        if (value == values.end() || value->second.empty()) {
+            if (known.isRequired) {
+                fault(known.name, "missing");
+            }
+        } else if (!known.set(settings, value->second)) {
+            fault(known.name, absl::StrCat("invalid value '", value->second, "'"));
+        }
+        if (value != values.end()) {
+            values.erase(value);
+        }
+    }
+    for (const auto &[name, value] : values) {
+        fault(name, "unknown setting");
+    }
+    if (!faults.empty()) {
+        return absl::InvalidArgumentError(faults);
+    }
+    return settings;
+}
+
+std::string routerHelp()
+{
+    std::string help;
+    for (const setting &known : allSettings()) {
+        absl::StrAppend(&help, "  ", known.name, " = ...  ", known.help,
+                        known.isRequired ? " (required)" : "", "\n");
+    }
+    return help;
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/router/router_state.cpp
@@ -0,0 +1,515 @@
+#include "persimmonrail/router/router_state.h"
+
+#include "persimmonrail/base/text.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <random>
+#include <thread>
+
+namespace persimmonrail {
+namespace {
+
+constexpr milliseconds rangeInterval{100};
+constexpr milliseconds upstreamCheckInterval{250};
+// Callers notice within two checks of readiness, a second apart, that a daemon stops.
+constexpr milliseconds callersLeaveTime{2200};
+// Left of the grace period for the end of the process itself.
+constexpr milliseconds exitReserve{700};
+constexpr milliseconds stopPoll{20};
+// Part of the slot time that each rank but the most urgent keeps.
+constexpr double rankFloor = 0.1;
+constexpr int maxRanks = 8;
+constexpr double loadSmoothing = 0.3;
+// A caller's connection outlives the idle time of the desired state, so that the caller closes it.
+constexpr milliseconds callerIdleTime{60000};
+constexpr size_t maxReportBytes = 64 * 1024;
+constexpr milliseconds reportTimeout{2000};
+
+random_source makeRandomSource()
+{
+    return [engine = std::mt19937_64(std::random_device()())]() mutable { return engine(); };
+}
+
+range_lease_timing leaseTiming(const router_settings &settings)
+{
+    range_lease_timing timing;
+    timing.holdTime = std::min(timing.holdTime, settings.maxHold);
+    return timing;
+}
+
+} // namespace
+
+router::state::state(const router_settings &settings, router_platform platform)
+    : m_settings(settings)
+    , m_platform(std::move(platform))
+    , m_log({settings.level, ""})
+    , m_builder([this](const std::string &key, std::string_view reason) {
+        m_log.write(log_level::Warn,
+                    absl::StrCat("object ignored key=", key, " reason=", toAbsl(reason)));
+    })
+    , m_upstream({settings.reportInterval, 3})
+    , m_directory(std::make_shared<fleet_directory>())
+{
+    m_admission = std::make_unique<rank_admission>(admission_options{},
+                                                   [this] { return admissionSource(); });
+    const auto onObject = [this](const stored_object &object) {
+        m_builder.applyOne(object);
+        publishDirectory({});
+    };
+    m_ranges = std::make_unique<range_keeper>(m_settings.service, leaseTiming(m_settings),
+                                              m_platform.store, m_platform.grants, m_loop, m_log,
+                                              range_keeper::hooks{onObject});
+    m_publisher = std::make_unique<member_publisher>(m_platform.store, m_loop, m_log, onObject);
+    m_peers = std::make_unique<peer_monitor>(m_loop);
+    m_runner = std::make_unique<upstream_runner>(m_platform.codec, makeRunnerHooks());
+    relay_path_options options;
+    options.callerService = m_settings.service;
+    options.availabilityZone = m_settings.availabilityZone;
+    // The budget is shared by daemons that do not know each other's use of it, so each takes a
+    // share of its own requests only, and a little for itself.
+    options.retries = {m_settings.retryRatio * 0.6, 0.2, 2.0};
+    m_path = std::make_unique<relay_path>(options, makePathHooks(), m_platform.codec, *m_runner,
+                                          m_log, m_metrics);
+}
+
+router::state::~state()
+{
+    m_metricsServer.reset();
+    m_reportServer.reset();
+    m_readyServer.reset();
+    m_callerServer.reset();
+    m_peerServer.reset();
+    m_fleetWatcher.reset();
+    m_desiredStateWatcher.reset();
+    m_loop.stop();
+}
+
+absl::Status router::state::start()
+{
+    logEvent("start", absl::StrCat("host=", m_settings.hostName, " service=", m_settings.service,
+                                   " availability_zone=", m_settings.availabilityZone,
+                                   " version=" PERSIMMONRAIL_VERSION));
+    schedulePeriodicTasks();
+    m_loop.start();
+    startWatchers();
+    return listen();
+}
+
+absl::Status router::state::listen()
+{
+    const auto open = [this](std::unique_ptr<http_server> &server, const std::string &address,
+                             int connections, http_server::handler handler) -> absl::Status {
+        http_server_options options;
+        options.address = address;
+        options.maxConnections = connections;
+        options.idleTimeout = callerIdleTime;
+        auto opened = http_server::listen(options, std::move(handler));
+        if (opened.ok()) {
+            server = std::move(*opened);
+        }
+        return opened.status();
+    };
+    constexpr int fewConnections = 32;
+    absl::Status status =
+        open(m_peerServer, m_settings.peerAddress, m_settings.maxPeerConnections,
+             [this](server_exchange &exchange) { servePeer(exchange); });
+    status.Update(open(m_reportServer, m_settings.reportAddress, fewConnections,
+                       [this](server_exchange &exchange) { serveReport(exchange); }));
+    status.Update(open(m_callerServer, m_settings.callerAddress, m_settings.maxCallerConnections,
+                       [this](server_exchange &exchange) { m_path->serveCaller(exchange); }));
+    status.Update(open(m_readyServer, m_settings.readyAddress, fewConnections,
+                       [this](server_exchange &exchange) { serveReady(exchange); }));
+    if (!m_settings.metricsAddress.empty()) {
+        status.Update(open(m_metricsServer, m_settings.metricsAddress, fewConnections,
+                           [this](server_exchange &exchange) {
+                               exchange.answer(200, m_metrics.renderText(), "text/plain");
+                           }));
+    }
+    return status;
+}
+
+void router::state::startWatchers()
+{
+    object_watcher::hooks desired;
+    desired.onList = desired.onChanges = [this](const object_list &objects, steady_time) {
+        onDesiredState(objects);
+    };
+    desired.onReachable = [this](bool isReachable, const absl::Status &status) {
+        onReachable("desired-state", isReachable, status);
+    };
+    m_desiredStateWatcher = std::make_unique<object_watcher>(
+        m_platform.store, m_platform.desiredStatePrefix, desired);
+    object_watcher::hooks fleet;
+    fleet.onList = [this](const object_list &objects, steady_time readAt) {
+        m_loop.post([this, objects, readAt](steady_time) { onFleetObjects(objects, true, readAt); });
+    };
+    fleet.onChanges = [this](const object_list &objects, steady_time readAt) {
+        m_loop.post(
+            [this, objects, readAt](steady_time) { onFleetObjects(objects, false, readAt); });
+    };
+    fleet.onReachable = [this](bool isReachable, const absl::Status &status) {
+        onReachable("fleet", isReachable, status);
+    };
+    m_fleetWatcher = std::make_unique<object_watcher>(m_platform.store, fleetPrefix, fleet);
+    m_desiredStateWatcher->start();
+    m_fleetWatcher->start();
+}
+
+void router::state::schedulePeriodicTasks()
+{
+    m_loop.every(rangeInterval, [this](steady_time now) {
+        const double load = peer_health::utilization(queueReport());
+        m_utilization += (load - m_utilization) * loadSmoothing;
+        m_ranges->setOwnLoad(m_utilization);
+        std::shared_ptr<const route_table> routes;
+        std::shared_ptr<const fleet_directory> directory;
+        bool listed = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            routes = m_routes;
+            directory = m_directory;
+            listed = m_directoryListed;
+        }
+        if (!listed) {
+            return;
+        }
+        m_publisher->tick(*directory, now);
+        const service_rule *rule =
+            routes != nullptr ? routes->findService(m_settings.service) : nullptr;
+        if (rule != nullptr && rule->isKeyed) {
+            m_ranges->tick(now);
+        }
+    });
+    m_loop.every(upstreamCheckInterval, [this](steady_time now) { checkUpstream(now); });
+    m_loop.every(peer_monitor_options().pollInterval,
+                 [this](steady_time now) { pollPeers(now); });
+}
+
+void router::state::onDesiredState(const object_list &objects)
+{
+    for (const stored_object &object : objects.objects) {
+        if (object.key != m_platform.desiredStateKey || object.deleted) {
+            continue;
+        }
+        const auto table = m_platform.parseDesiredState(object.value);
+        if (!table.ok()) {
+            m_log.write(log_level::Error, absl::StrCat("desired-state ignored reason=",
+                                                       table.status().ToString()));
+            m_metrics.count("persimmonrail_desired_state_total", "outcome=\"invalid\"");
+            continue;
+        }
+        int ranks = 1;
+        for (const route &route : (*table)->routes()) {
+            ranks = std::max(ranks, std::min(route.rank + 1, maxRanks));
+        }
+        const std::lock_guard lock(m_mutex);
+        // What was in force never goes back within one run of the process.
+        if (m_routes != nullptr && (*table)->version() < m_routes->version()) {
+            m_log.write(log_level::Warn, absl::StrCat("desired-state ignored reason=older version=",
+                                                      (*table)->version()));
+            continue;
+        }
+        m_routes = *table;
+        m_floors.assign(static_cast<size_t>(ranks), rankFloor);
+        m_floors.front() = 0;
+        m_log.write(log_level::Info,
+                    absl::StrCat("desired-state in force version=", m_routes->version(),
+                                 " store_version=", object.version,
+                                 " routes=", m_routes->routes().size()));
+        m_metrics.count("persimmonrail_desired_state_total", "outcome=\"in-force\"");
+    }
+}
+
+void router::state::onFleetObjects(const object_list &objects, bool isWhole, steady_time readAt)
+{
+    if (isWhole) {
+        m_builder.reset(objects);
+    } else {
+        m_builder.apply(objects);
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_directoryListed = true;
+    }
+    const auto age = std::chrono::steady_clock::now() - readAt;
+    publishDirectory(isWhole ? bootNow() - age : boot_time{});
+}
+
+void router::state::publishDirectory(boot_time confirmedAt)
+{
+    const auto directory = m_builder.build();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_directory = directory;
+    }
+    m_ranges->onDirectory(directory, confirmedAt);
+}
+
+void router::state::onReachable(std::string_view what, bool isReachable,
+                                const absl::Status &status)
+{
+    logEvent(isReachable ? "store-regained" : "store-lost",
+             absl::StrCat("watch=", toAbsl(what), isReachable ? "" : " reason=",
+                          isReachable ? "" : status.ToString()));
+    m_metrics.count("persimmonrail_store_changes_total",
+                    isReachable ? "state=\"regained\"" : "state=\"lost\"");
+}
+
+void router::state::serveReport(server_exchange &exchange)
+{
+    std::string body;
+    const io_status status = exchange.readAll(
+        body, maxReportBytes, std::chrono::steady_clock::now() + reportTimeout);
+    if (status != io_status::Ok) {
+        exchange.closeAfterAnswer();
+        exchange.answer(400, "", "text/plain");
+        return;
+    }
+    const auto message = m_platform.parseReport(exchange.request().getURI(), body);
+    if (!message.ok()) {
+        m_log.write(log_level::Warn,
+                    absl::StrCat("report ignored reason=", message.status().ToString()));
+        exchange.answer(400, "{}", "application/json");
+        return;
+    }
+    // The acknowledgement binds, so the daemon acts before it answers.
+    m_loop.postAndWait(
+        [this, &message](steady_time now) { onUpstreamMessage(*message, now); });
+    exchange.answer(200, "{}", "application/json");
+}
+
+void router::state::onUpstreamMessage(const upstream_message &message, steady_time now)
+{
+    const std::optional<upstream_report> before = m_upstream.report();
+    const local_upstream::verdict verdict = message.isDeparture
+        ? m_upstream.onDeparture(message.report.id, now)
+        : m_upstream.onReport(message.report, now);
+    if (verdict == local_upstream::verdict::Stale) {
+        m_log.write(log_level::Info, absl::StrCat("report stale upstream=",
+                                                  toString(message.report.id),
+                                                  " sequence=", message.report.sequence));
+        return;
+    }
+    if (before && m_upstream.report() && before->id != m_upstream.report()->id) {
+        // The process of the earlier life has ended, or its address would not be free.
+        m_runner->dropConnections(before->address);
+        if (before->id.name != m_upstream.report()->id.name) {
+            upstream_member gone = ownMember();
+            gone.id = before->id;
+            gone.isLeaving = gone.isGone = true;
+            m_publisher->want(gone);
+        }
+    }
+    if (verdict == local_upstream::verdict::Changed) {
+        onUpstreamChanged(message.isDeparture ? "departure" : "report", now);
+    }
+}
+
+upstream_member router::state::ownMember() const
+{
+    const upstream_report &report = *m_upstream.report();
+    upstream_member member;
+    member.id = report.id;
+    member.service = m_settings.service;
+    member.availabilityZone = m_settings.availabilityZone;
+    member.peerAddress = m_settings.peerAddress;
+    member.slots = std::max(report.slots, 1);
+    member.isGone = m_upstream.phase() == upstream_phase::Absent;
+    member.isLeaving = !m_upstream.takesWork() || m_stopping;
+    return member;
+}
+
+void router::state::onUpstreamChanged(std::string_view cause, steady_time)
+{
+    const upstream_report &report = *m_upstream.report();
+    logEvent("upstream", absl::StrCat("id=", toString(report.id), " phase=",
+                                      toAbsl(toString(m_upstream.phase())), " slots=", report.slots,
+                                      " sequence=", report.sequence, " cause=", toAbsl(cause)));
+    {
+        const std::lock_guard lock(m_mutex);
+        m_target.id = report.id;
+        m_target.service = m_settings.service;
+        m_target.address = m_settings.upstreamAddress;
+        m_target.closed = m_upstream.takesWork() ? relay_reason::None
+            : m_upstream.phase() == upstream_phase::Draining
+            ? relay_reason::Draining
+            : relay_reason::UpstreamUnreachable;
+        m_slots = std::max(report.slots, 1);
+    }
+    m_publisher->want(ownMember());
+    const bool isThere = m_upstream.phase() != upstream_phase::Absent;
+    m_ranges->setUpstream(isThere ? std::optional(report.id) : std::nullopt,
+                          m_settings.upstreamAddress, !m_upstream.takesWork());
+}
+
+void router::state::checkUpstream(steady_time now)
+{
+    if (m_upstream.expire(now)) {
+        onUpstreamChanged("reports-overdue", now);
+    }
+}
+
+void router::state::pollPeers(steady_time now)
+{
+    std::shared_ptr<const fleet_directory> directory;
+    {
+        const std::lock_guard lock(m_mutex);
+        directory = m_directory;
+    }
+    std::vector<const upstream_member *> peers = directory->membersOf(m_settings.service);
+    std::erase_if(peers, [this](const upstream_member *member) {
+        return member->peerAddress == m_settings.peerAddress;
+    });
+    m_peers->poll(peers, now);
+    const bool isThere = m_upstream.report() && m_upstream.phase() != upstream_phase::Absent;
+    const upstream_member own = isThere ? ownMember() : upstream_member();
+    m_ranges->setPeers(m_peers->health().view(isThere ? &own : nullptr, now));
+}
+
+local_target router::state::localTarget() const
+{
+    const std::lock_guard lock(m_mutex);
+    local_target target = m_target;
+    if (m_closed && target.closed == relay_reason::None) {
+        target.closed = relay_reason::Stopping;
+    }
+    return target;
+}
+
+admission_source router::state::admissionSource() const
+{
+    const std::lock_guard lock(m_mutex);
+    admission_source source;
+    source.slots = m_slots;
+    source.bootId = toString(m_target.id);
+    source.floors = m_floors;
+    return source;
+}
+
+queue_report router::state::queueReport() const
+{
+    queue_report report;
+    report.running = m_admission->running();
+    report.waiting = m_admission->waiting();
+    report.limit = std::max(m_admission->limit(), 1);
+    report.service = m_admission->meanService();
+    return report;
+}
+
+upstream_runner_hooks router::state::makeRunnerHooks()
+{
+    upstream_runner_hooks hooks;
+    hooks.local = [this] { return localTarget(); };
+    hooks.mayServe = [this](shard_key key) { return m_ranges->mayServe(key); };
+    hooks.countKey = [this](shard_key key) { m_ranges->countKey(key); };
+    hooks.admit = [this](const admission_request &request, steady_time now) {
+        return m_admission->admit(request, now);
+    };
+    hooks.queue = [this] { return queueReport(); };
+    hooks.onRefusedConnection = [this](const upstream_id &id) {
+        m_loop.post([this, id](steady_time now) {
+            if (m_upstream.report() && m_upstream.report()->id == id
+                && m_upstream.onRefusedConnection(now) == local_upstream::verdict::Changed) {
+                onUpstreamChanged("connection-refused", now);
+            }
+        });
+    };
+    hooks.onAnswer = [this](const upstream_id &id) {
+        m_loop.post([this, id](steady_time now) {
+            if (!m_upstream.report() || m_upstream.report()->id != id) {
+                return;
+            }
+            const upstream_phase before = m_upstream.phase();
+            m_upstream.onAnswer(now);
+            if (m_upstream.phase() != before) {
+                onUpstreamChanged("answer", now);
+            }
+        });
+    };
+    return hooks;
+}
+
+relay_path_hooks router::state::makePathHooks()
+{
+    relay_path_hooks hooks;
+    hooks.routes = [this] {
+        const std::lock_guard lock(m_mutex);
+        return m_routes;
+    };
+    hooks.directory = [this] {
+        const std::lock_guard lock(m_mutex);
+        return m_directory;
+    };
+    hooks.isStopping = [this] { return m_stopping.load(); };
+    hooks.makeRandom = makeRandomSource;
+    return hooks;
+}
+
+void router::state::servePeer(server_exchange &exchange)
+{
+    if (exchange.request().getURI() == peerStatusPath) {
+        exchange.answer(200, encodeQueueReport(queueReport()), "text/plain");
+        return;
+    }
+    m_path->servePeer(exchange);
+}
+
+bool router::state::isReady() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_routes != nullptr && m_directoryListed && !m_stopping;
+}
+
+void router::state::serveReady(server_exchange &exchange)
+{
+    const bool ready = isReady();
+    exchange.answer(ready ? 200 : 503, ready ? "ready\n" : "not ready\n", "text/plain");
+}
+
+void router::state::logEvent(std::string_view event, std::string_view detail)
+{
+    m_log.write(log_level::Info, absl::StrCat(toAbsl(event), " ", toAbsl(detail)));
+}
+
+void router::state::reload(const router_settings &settings)
+{
+    const bool needsRestart = settings.callerAddress != m_settings.callerAddress
+        || settings.peerAddress != m_settings.peerAddress
+        || settings.readyAddress != m_settings.readyAddress
+        || settings.reportAddress != m_settings.reportAddress
+        || settings.service != m_settings.service;
+    logEvent("reload", needsRestart ? "outcome=needs-restart" : "outcome=taken");
+}
+
+void router::state::stop()
+{
+    const steady_time begun = std::chrono::steady_clock::now();
+    const steady_time end = begun + m_settings.gracePeriod - exitReserve;
+    m_stopping = true;
+    logEvent("stop", absl::StrCat("in_flight=", m_path->inFlight()));
+    m_loop.post([this](steady_time now) {
+        if (m_upstream.report()) {
+            m_publisher->want(ownMember());
+            std::shared_ptr<const fleet_directory> directory;
+            {
+                const std::lock_guard lock(m_mutex);
+                directory = m_directory;
+            }
+            m_publisher->tick(*directory, now);
+        }
+    });
+    const auto waitUntil = [&](steady_time until, const std::function<bool()> &condition) {
+        while (!condition() && std::chrono::steady_clock::now() < until) {
+            std::this_thread::sleep_for(stopPoll);
+        }
+    };
+    waitUntil(std::min(begun + callersLeaveTime, end), [] { return false; });
+    m_loop.postAndWait([this](steady_time) { m_ranges->extendHolds(m_settings.maxHold); });
+    m_closed = true;
+    waitUntil(end, [this] { return m_path->inFlight() == 0; });
+    logEvent("stopped", absl::StrCat("in_flight=", m_path->inFlight()));
+}
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/router/router_state.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "persimmonrail/admission/rank_admission.h"
+#include "persimmonrail/fleet/local_upstream.h"
+#include "persimmonrail/relay/relay_path.h"
+#include "persimmonrail/router/member_publisher.h"
+#include "persimmonrail/router/object_watcher.h"
+#include "persimmonrail/router/peer_monitor.h"
+#include "persimmonrail/router/range_keeper.h"
+#include "persimmonrail/router/router.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace persimmonrail {
+
+// The parts of one router daemon and the hooks between them. Control state belongs to the control
+// thread; what traffic threads read is published under m_mutex.
+class router::state
+{
+public:
+    state(const router_settings &settings, router_platform platform);
+    state(const state &) = delete;
+    state &operator=(const state &) = delete;
+    ~state();
+
+    absl::Status start();
+    void reload(const router_settings &settings);
+    void stop();
+
+private:
+    absl::Status listen();
+    void startWatchers();
+    void schedulePeriodicTasks();
+
+    // Store.
+    void onDesiredState(const object_list &objects);
+    void onFleetObjects(const object_list &objects, bool isWhole, steady_time readAt);
+    void publishDirectory(boot_time confirmedAt);
+    void onReachable(std::string_view what, bool isReachable, const absl::Status &status);
+
+    // Upstream.
+    void serveReport(server_exchange &exchange);
+    void onUpstreamMessage(const upstream_message &message, steady_time now);
+    void onUpstreamChanged(std::string_view cause, steady_time now);
+    void checkUpstream(steady_time now);
+    upstream_member ownMember() const;
+    local_target localTarget() const;
+    admission_source admissionSource() const;
+    queue_report queueReport() const;
+    void pollPeers(steady_time now);
+
+    // Ports.
+    void serveReady(server_exchange &exchange);
+    void servePeer(server_exchange &exchange);
+    bool isReady() const;
+    relay_path_hooks makePathHooks();
+    upstream_runner_hooks makeRunnerHooks();
+    void logEvent(std::string_view event, std::string_view detail);
+
+    const router_settings m_settings;
+    const router_platform m_platform;
+    decision_log m_log;
+    metrics m_metrics;
+    control_loop m_loop;
+    std::atomic<bool> m_stopping{false};
+    // Set once the daemon hands nothing more to its upstream.
+    std::atomic<bool> m_closed{false};
+
+    // Control state.
+    fleet_directory_builder m_builder;
+    local_upstream m_upstream;
+    bool m_isGoneKnown = false;
+    double m_utilization = 0;
+
+    // Published for traffic threads.
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const route_table> m_routes;
+    std::shared_ptr<const fleet_directory> m_directory;
+    bool m_directoryListed = false;
+    local_target m_target;
+    int m_slots = 0;
+    std::vector<double> m_floors;
+
+    std::unique_ptr<rank_admission> m_admission;
+    std::unique_ptr<range_keeper> m_ranges;
+    std::unique_ptr<member_publisher> m_publisher;
+    std::unique_ptr<peer_monitor> m_peers;
+    std::unique_ptr<upstream_runner> m_runner;
+    std::unique_ptr<relay_path> m_path;
+    std::unique_ptr<object_watcher> m_desiredStateWatcher;
+    std::unique_ptr<object_watcher> m_fleetWatcher;
+    std::unique_ptr<http_server> m_callerServer;
+    std::unique_ptr<http_server> m_peerServer;
+    std::unique_ptr<http_server> m_readyServer;
+    std::unique_ptr<http_server> m_reportServer;
+    std::unique_ptr<http_server> m_metricsServer;
+};
+
+} // namespace persimmonrail
--- /dev/null
+++ b/src/persimmonrail/routes/route_table.cpp
@@ -0,0 +1,78 @@
+#include "persimmonrail/routes/route_table.h"
+
+#include <algorithm>
+
+namespace persimmonrail {
+namespace {
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) {
+        return static_cast<char>(c >= 'A' && c <= 'Z' ? c + ('a' - 'A') : c);
+    });
+    return lower;
+}
+
+} // namespace
+
+route_table::route_table(uint64_t version, std::vector<route> routes,
+                         std::vector<service_rule> services, milliseconds idleTimeout)
+    : m_version(version)
+    , m_routes(std::move(routes))
+    , m_services(std::move(services))
+    , m_idleTimeout(idleTimeout)
+{
+    for (size_t i = 0; i < m_routes.size(); ++i) {
+        m_byHost[lowerCase(m_routes[i].host)].push_back(i);
+    }
+    for (auto &[host, positions] : m_byHost) {
+        std::stable_sort(positions.begin(), positions.end(), [this](size_t a, size_t b) {
+            return m_routes[a].pathPrefix.size() > m_routes[b].pathPrefix.size();
+        });
+    }
+}
+
+const route *route_table::find(std::string_view host, std::string_view path) const
+{
+    const auto entry = m_byHost.find(lowerCase(host.substr(0, host.find(':'))));
+    if (entry == m_byHost.end()) {
+        return nullptr;
+    }
+    const std::string_view withoutQuery = path.substr(0, path.find('?'));
+    for (const size_t position : entry->second) {
+        if (withoutQuery.starts_with(m_routes[position].pathPrefix)) {
+            return &m_routes[position];
+        }
+    }
+    return nullptr;
+}
+
+const service_rule *route_table::findService(std::string_view name) const
+{
+    const auto found = std::find_if(m_services.begin(), m_services.end(),
+                                    [name](const service_rule &rule) { return rule.name == name; });
+    return found == m_services.end() ? nullptr : &*found;
+}
+
+const route_part &choosePart(const route &route, uint64_t draw)
+{
+    uint64_t total = 0;
+    for (const route_part &part : route.parts) {
+        total += static_cast<uint64_t>(std::max(part.weight, 0));
+    }
+    if (total == 0) {
+        return route.parts.front();
+    }
+    uint64_t position = draw % total;
+    for (const route_part &part : route.parts) {
+        const auto weight = static_cast<uint64_t>(std::max(part.weight, 0));
+        if (position < weight) {
+            return part;
+        }
+        position -= weight;
+    }
+    return route.parts.back();
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/sync/object_store.h
+++ b/src/persimmonrail/sync/object_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "persimmonrail/base/clock.h"
-#include "persimmonrail/platform/object_api.h"
+#include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/sync/fleet_view.h"
 
 #include <control.pb.h>
--- a/src/persimmonrail/sync/relay_watch.h
+++ b/src/persimmonrail/sync/relay_watch.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "persimmonrail/base/random_source.h"
-#include "persimmonrail/platform/object_api.h"
+#include "persimmonrail/objects/object_api.h"
 
 #include <condition_variable>
 #include <functional>
--- a/src/persimmonrail/upstream/tests/answer_input_test.cpp
+++ b/src/persimmonrail/upstream/tests/answer_input_test.cpp
@@ -1,4 +1,4 @@
-#include "persimmonrail/platform/http_object_api.h"
+#include "persimmonrail/objects/http_object_api.h"
 #include "persimmonrail/upstream/upstream_guard.h"
 #include "standins/input_mutator.h"
 #include "standins/scripted_server.h"
