--- a/src/persimmonrail/fleet/local_upstream.cpp
+++ b/src/persimmonrail/fleet/local_upstream.cpp
@@ -38,8 +38,8 @@
         return verdict::Stale;
     }
     // A life that has ended or said that it leaves does not come back.
-    const bool hasLeft = isSameLife
-        && (m_phase == upstream_phase::Draining || m_phase == upstream_phase::Absent);
+    const bool hasLeft =
+        isSameLife && (m_phase == upstream_phase::Draining || m_phase == upstream_phase::Absent);
     const upstream_phase before = m_phase;
     const bool sameFigures = isSameLife && report.slots == m_report->slots
         && report.address == m_report->address && report.service == m_report->service;
--- /dev/null
+++ b/src/persimmonrail/fleet/tests/fleet_test.cpp
@@ -0,0 +1,130 @@
+#include "persimmonrail/fleet/fleet_directory.h"
+#include "persimmonrail/fleet/local_upstream.h"
+
+#include <catch2/catch.hpp>
+
+using namespace persimmonrail;
+using namespace std::chrono_literals;
+
+namespace {
+
+using verdict = local_upstream::verdict;
+const steady_time start = steady_time(1000s);
+
+upstream_report report(const std::string &name, int64_t startedAt, int64_t sequence,
+                       bool isDraining = false)
+{
+    upstream_report made;
+    made.id = {name, startedAt};
+    made.service = "ledger";
+    made.address = "127.0.0.1:8000";
+    made.slots = 9;
+    made.sequence = sequence;
+    made.isDraining = isDraining;
+    return made;
+}
+
+upstream_member member(const std::string &name)
+{
+    return {{name, 5}, "ledger", "nord", "127.0.0.1:9000", 9, false, false};
+}
+
+} // namespace
+
+// Guards against late or repeated reports that bring back a life or a state that has ended.
+TEST_CASE("reports out of order change nothing", "[fleet]")
+{
+    local_upstream upstream({1000ms, 3});
+    CHECK(upstream.onReport(report("a", 10, 2), start) == verdict::Changed);
+    CHECK(upstream.onReport(report("a", 10, 2), start) == verdict::Stale);
+    CHECK(upstream.onReport(report("a", 10, 1, true), start) == verdict::Stale);
+    CHECK(upstream.onReport(report("old", 9, 50), start) == verdict::Stale);
+    CHECK(upstream.takesWork());
+    SECTION("a restart under the same name counts from the beginning")
+    {
+        CHECK(upstream.onReport(report("a", 20, 1), start) == verdict::Changed);
+        CHECK(upstream.report()->id.startedAt == 20);
+        CHECK(upstream.onReport(report("a", 10, 99), start) == verdict::Stale);
+    }
+    SECTION("a life that leaves does not return")
+    {
+        CHECK(upstream.onReport(report("a", 10, 3, true), start) == verdict::Changed);
+        CHECK(upstream.onReport(report("a", 10, 4), start) == verdict::Unchanged);
+        CHECK(upstream.phase() == upstream_phase::Draining);
+    }
+    SECTION("a departure speaks for its own life only")
+    {
+        CHECK(upstream.onDeparture({"b", 0}, start) == verdict::Stale);
+        CHECK(upstream.onDeparture({"a", 9}, start) == verdict::Stale);
+        CHECK(upstream.onDeparture({"a", 0}, start) == verdict::Changed);
+        CHECK_FALSE(upstream.takesWork());
+    }
+    SECTION("a refused connection ends the life")
+    {
+        CHECK(upstream.onRefusedConnection(start) == verdict::Changed);
+        CHECK(upstream.onReport(report("a", 10, 3), start) == verdict::Unchanged);
+        CHECK(upstream.phase() == upstream_phase::Absent);
+        CHECK(upstream.onReport(report("b", 11, 1), start) == verdict::Changed);
+        CHECK(upstream.takesWork());
+    }
+}
+
+// Guards against work for an upstream that has fallen silent, and against giving up one that
+// answers while only its reports are held up.
+TEST_CASE("an upstream is silent when neither reports nor answers come", "[fleet]")
+{
+    local_upstream upstream({1000ms, 3});
+    upstream.onReport(report("a", 10, 1), start);
+    CHECK_FALSE(upstream.expire(start + 2900ms));
+    upstream.onAnswer(start + 2s);
+    CHECK_FALSE(upstream.expire(start + 4900ms));
+    CHECK(upstream.expire(start + 5s));
+    CHECK_FALSE(upstream.takesWork());
+    CHECK(upstream.onReport(report("a", 10, 2), start + 6s) == verdict::Changed);
+    CHECK(upstream.takesWork());
+}
+
+TEST_CASE("members keep their values in the store", "[fleet]")
+{
+    const upstream_member original = member("i-1");
+    const auto parsed = parseMember(encodeMember(original));
+    REQUIRE(parsed.ok());
+    CHECK(*parsed == original);
+}
+
+// Guards against entries of other writers that end the process or are taken for members.
+TEST_CASE("entries that can't be read name nothing", "[fleet]")
+{
+    const std::string text =
+        GENERATE("", "null", "[]", "{", R"({"upstream":1})", R"({"upstream":"i-1"})",
+                 R"({"upstream":"i-1","started_at_ms":"x","service":"s","availability_zone":"z",)"
+                 R"("peer_address":"127.0.0.1:1","slots":1,"leaving":false,"gone":false})",
+                 R"({"upstream":"i-1","started_at_ms":1,"service":"s","availability_zone":"z",)"
+                 R"("peer_address":"host:1","slots":1,"leaving":false,"gone":false})",
+                 R"({"upstream":"i-1","started_at_ms":1,"service":"s","availability_zone":"z",)"
+                 R"("peer_address":"127.0.0.1:1","slots":0,"leaving":false,"gone":false})");
+    int faults = 0;
+    fleet_directory_builder builder([&faults](const std::string &, std::string_view) { ++faults; });
+    builder.reset({3,
+                   {{memberKey("i-1"), 2, false, text},
+                    {memberKey("i-2"), 3, false, encodeMember(member("i-2"))}}});
+    const auto directory = builder.build();
+    CHECK(faults == 1);
+    CHECK(directory->findMember("i-1") == nullptr);
+    CHECK(directory->membersOf("ledger").size() == 1);
+}
+
+// Guards against an older state of an object that replaces a newer one.
+TEST_CASE("objects move forward only", "[fleet]")
+{
+    fleet_directory_builder builder([](const std::string &, std::string_view) {});
+    upstream_member newer = member("i-1");
+    newer.isLeaving = true;
+    builder.applyOne({memberKey("i-1"), 9, false, encodeMember(newer)});
+    builder.applyOne({memberKey("i-1"), 8, false, encodeMember(member("i-1"))});
+    CHECK(builder.build()->findMember("i-1")->member.isLeaving);
+    builder.applyOne({memberKey("i-1"), 7, true, ""});
+    CHECK(builder.build()->findMember("i-1") != nullptr);
+    builder.applyOne({memberKey("i-1"), 10, true, ""});
+    CHECK(builder.build()->findMember("i-1") == nullptr);
+}
--- a/src/persimmonrail/fleet/upstream_member.cpp
+++ b/src/persimmonrail/fleet/upstream_member.cpp
@@ -27,8 +27,7 @@
 absl::StatusOr<upstream_member> parseMember(std::string_view json)
 {
     return decodeJson(
-        json, "member",
-        [](const Poco::JSON::Object &object) -> absl::StatusOr<upstream_member> {
+        json, "member", [](const Poco::JSON::Object &object) -> absl::StatusOr<upstream_member> {
             upstream_member member;
             member.id.name = object.getValue<std::string>("upstream");
             member.id.startedAt = object.getValue<int64_t>("started_at_ms");
--- a/src/persimmonrail/keyspace/range_holder.cpp
+++ b/src/persimmonrail/keyspace/range_holder.cpp
@@ -35,8 +35,9 @@
         if (range.takeOverAfter.count() == 0 || !isOwn(range)) {
             continue;
         }
-        const auto known = std::find_if(m_takeoversSeen.begin(), m_takeoversSeen.end(),
-                                        [&](const auto &entry) { return entry.first == range.fence; });
+        const auto known =
+            std::find_if(m_takeoversSeen.begin(), m_takeoversSeen.end(),
+                         [&](const auto &entry) { return entry.first == range.fence; });
         seen.emplace_back(range.fence, known == m_takeoversSeen.end() ? now : known->second);
     }
     m_takeoversSeen = std::move(seen);
@@ -165,12 +166,12 @@
 {
     std::vector<range_grant> due;
     for (const held_grant &held : m_held) {
-        const bool recorded = std::any_of(
-            m_placement.ranges.begin(), m_placement.ranges.end(), [&](const owned_range &range) {
-                return isOwn(range) && range.fence >= held.grant.fence
-                    && range.keys.first <= held.grant.keys.last
-                    && held.grant.keys.first <= range.keys.last;
-            });
+        const bool recorded = std::any_of(m_placement.ranges.begin(), m_placement.ranges.end(),
+                                          [&](const owned_range &range) {
+                                              return isOwn(range) && range.fence >= held.grant.fence
+                                                  && range.keys.first <= held.grant.keys.last
+                                                  && held.grant.keys.first <= range.keys.last;
+                                          });
         if (!recorded) {
             due.push_back(held.grant);
         }
--- a/src/persimmonrail/keyspace/range_plan.cpp
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -61,8 +61,8 @@
 {
     std::sort(candidates.begin(), candidates.end(),
               [](const auto &a, const auto &b) { return a.id < b.id; });
-    const auto unowned = intervalsOf(
-        placement, [](const owned_range &range) { return range.owner.isEmpty(); });
+    const auto unowned =
+        intervalsOf(placement, [](const owned_range &range) { return range.owner.isEmpty(); });
     for (const key_interval &interval : unowned) {
         deal(interval, candidates, [&](key_interval part, const upstream_id &owner) {
             setOwner(placement.carve(part), owner, ++placement.highestFence);
@@ -158,9 +158,8 @@
 };
 
 // Returns the shortest window within `interval` that carries at least `wanted`.
-std::optional<rated_window> shortestWindow(key_interval interval,
-                                           const std::function<double(shard_key)> &rate,
-                                           double wanted)
+std::optional<rated_window>
+shortestWindow(key_interval interval, const std::function<double(shard_key)> &rate, double wanted)
 {
     std::optional<rated_window> best;
     shard_key first = interval.first;
--- /dev/null
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -0,0 +1,273 @@
+#include "persimmonrail/keyspace/range_holder.h"
+#include "persimmonrail/keyspace/range_plan.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <set>
+
+using namespace persimmonrail;
+using namespace std::chrono_literals;
+
+namespace {
+
+const upstream_id a{"a", 1};
+const upstream_id b{"b", 1};
+const upstream_id c{"c", 1};
+const boot_time start = 1000s;
+
+key_placement twoOwners()
+{
+    return assignUnowned(emptyPlacement("haulbook"), {{a, 9}, {b, 9}});
+}
+
+// Fences of all owners by key, for the check that each change raises them.
+uint64_t fenceOf(const key_placement &placement, shard_key key)
+{
+    return placement.rangeOf(key).fence;
+}
+
+} // namespace
+
+TEST_CASE("the first assignment follows the slots", "[keyspace]")
+{
+    const key_placement placement =
+        assignUnowned(emptyPlacement("haulbook"), {{b, 9}, {a, 18}, {c, 9}});
+    CHECK(isWhole(placement));
+    CHECK(ownedKeys(placement, a) == 32768);
+    CHECK(ownedKeys(placement, b) == 16384);
+    CHECK(ownedKeys(placement, c) == 16384);
+}
+
+TEST_CASE("a placement keeps its values in the store", "[keyspace]")
+{
+    key_placement placement = giveRange(twoOwners(), {100, 200}, b, "token");
+    placement = reassignLost(
+        placement, [](const upstream_id &id) { return id == a; }, {{b, 9}, {c, 9}}, 10s);
+    const auto parsed = parsePlacement(encodePlacement(placement));
+    REQUIRE(parsed.ok());
+    CHECK(*parsed == placement);
+}
+
+// Guards against records of other writers whose gaps or overlaps would give a key two owners.
+TEST_CASE("a placement that does not cover the keys in order is refused", "[keyspace]")
+{
+    const std::string ranges = GENERATE(
+        R"([])", R"([{"first":0,"last":65534,"owner":"a","owner_started_at_ms":1,"fence":1}])",
+        R"([{"first":1,"last":65535,"owner":"a","owner_started_at_ms":1,"fence":1}])",
+        R"([{"first":0,"last":65535,"owner":"a","owner_started_at_ms":1,"fence":3}])",
+        R"([{"first":0,"last":9,"owner":"a","owner_started_at_ms":1,"fence":1},)"
+        R"({"first":9,"last":65535,"owner":"b","owner_started_at_ms":1,"fence":2}])",
+        R"([1])", R"("x")");
+    CHECK_FALSE(
+        parsePlacement(R"({"service":"s","highest_fence":2,"ranges":)" + ranges + "}").ok());
+}
+
+// Guards against changes that break the order of ranges or reuse a fence.
+TEST_CASE("random changes keep placements whole and fences rising", "[keyspace]")
+{
+    std::mt19937 random(GENERATE(range(1U, 20U)));
+    key_placement placement = twoOwners();
+    const std::vector<upstream_id> ids{a, b, c};
+    for (int step = 0; step < 60; ++step) {
+        const auto first = static_cast<shard_key>(random() % (lastKey + 1));
+        const owned_range range = placement.rangeOf(first);
+        const shard_key last = first + random() % (range.keys.last - first + 1);
+        const key_placement before = placement;
+        if (random() % 5 == 0) {
+            const upstream_id lost = ids[random() % 3];
+            const upstream_id taker = ids[(random() % 3)];
+            placement = reassignLost(
+                placement, [&](const upstream_id &id) { return id == lost && id != taker; },
+                {{taker, 9}}, milliseconds(random() % 2 * 1000));
+        } else {
+            placement = giveRange(placement, {first, last}, ids[random() % 3], "t");
+        }
+        REQUIRE(isWhole(placement));
+        for (const owned_range &changed : placement.ranges) {
+            const owned_range &earlier = before.rangeOf(changed.keys.first);
+            if (changed.owner != earlier.owner) {
+                REQUIRE(changed.fence > before.highestFence);
+            }
+        }
+    }
+}
+
+// Guards against a daemon that renews grants which the store has given to another owner meanwhile.
+TEST_CASE("grants end with the lease from the store", "[keyspace]")
+{
+    range_lease_timing timing;
+    range_holder holder(timing);
+    holder.setUpstream(a);
+    holder.onPlacement(twoOwners(), start, start);
+    const auto due = holder.dueGrants(start);
+    REQUIRE(due.size() == 1);
+    CHECK(due[0].keys == key_interval{0, 32767});
+    CHECK_FALSE(holder.mayServe(5, start));
+    holder.onGranted(due[0], start);
+    CHECK(holder.mayServe(5, start));
+    CHECK_FALSE(holder.mayServe(40000, start));
+    CHECK(holder.dueGrants(start + timing.renewInterval - 1ms).empty());
+    CHECK(holder.dueGrants(start + timing.renewInterval).size() == 1);
+    CHECK(holder.dueGrants(start + timing.confirmationLife).empty());
+    CHECK_FALSE(holder.mayServe(5, start + timing.holdTime));
+    holder.onConfirmed(start + 5s);
+    CHECK(holder.dueGrants(start + timing.confirmationLife).size() == 1);
+}
+
+// Guards against two holders of one key: by any clock the last grant of a lost owner has ended
+// when the new owner may take the keys.
+TEST_CASE("a takeover waits for the longest hold of the earlier owner", "[keyspace]")
+{
+    const range_lease_timing timing;
+    range_holder earlier(timing);
+    earlier.setUpstream(a);
+    const key_placement before = twoOwners();
+    earlier.onPlacement(before, start, start);
+    // The record changes right after the last confirmation of the earlier owner.
+    const boot_time changedAt = start;
+    key_placement after = reassignLost(
+        before, [](const upstream_id &id) { return id == a; }, {{b, 9}}, timing.takeOverAfter());
+    range_holder later(timing);
+    later.setUpstream(b);
+    later.onPlacement(after, changedAt, changedAt);
+    CHECK(fenceOf(after, 5) > fenceOf(before, 5));
+
+    boot_time lastEnd{};
+    for (boot_time now = start; now < start + 30s; now += 50ms) {
+        for (const range_grant &grant : earlier.dueGrants(now)) {
+            earlier.onGranted(grant, now);
+            lastEnd = now + timing.longestHold();
+        }
+        const bool held = now < lastEnd;
+        const bool mayTake = later.isTakeoverDue(now);
+        CAPTURE((now - start).count());
+        REQUIRE_FALSE((held && mayTake));
+        if (now < start + timing.takeOverAfter()) {
+            for (const range_grant &grant : later.dueGrants(now)) {
+                REQUIRE(grant.keys.first >= 32768);
+            }
+        }
+    }
+    CHECK(later.isTakeoverDue(start + timing.takeOverAfter()));
+    after = activateTakeover(after, b);
+    later.onPlacement(after, start + 20s, start + 20s);
+    CHECK(later.dueGrants(start + 20s).size() == 2);
+}
+
+// Guards against a hold, extended before a stop, that outlasts the takeover.
+TEST_CASE("an extended hold ends before a takeover", "[keyspace]")
+{
+    const range_lease_timing timing;
+    range_holder holder(timing);
+    holder.setUpstream(a);
+    holder.onPlacement(twoOwners(), start, start);
+    for (const boot_time now : {start, start + 2s, start + 6s}) {
+        const milliseconds hold = holder.longestSafeHold(now);
+        CHECK(now + hold + hold * timing.driftPercent / 100 <= start + timing.takeOverAfter());
+    }
+    CHECK(holder.longestSafeHold(start + 11s) <= 0ms);
+}
+
+TEST_CASE("the earlier owner takes its keys back while the takeover waits", "[keyspace]")
+{
+    key_placement placement = reassignLost(
+        twoOwners(), [](const upstream_id &id) { return id == a; }, {{b, 9}, {c, 9}}, 10s);
+    CHECK(ownedKeys(placement, a) == 0);
+    const key_placement back = reclaimRanges(placement, a);
+    CHECK(ownedKeys(back, a) == 32768);
+    CHECK(fenceOf(back, 0) > placement.highestFence);
+    // A second loss in between keeps the first owner as the one that may still hold the keys.
+    placement = reassignLost(
+        placement, [](const upstream_id &id) { return id == b; }, {{c, 9}}, 10s);
+    CHECK(ownedKeys(reclaimRanges(placement, a), a) == 32768);
+    CHECK(reclaimRanges(activateTakeover(placement, c), a) == activateTakeover(placement, c));
+}
+
+// Guards against requests for keys that are being released, and against a gap in the others.
+TEST_CASE("only the given interval stops being served and renewed", "[keyspace]")
+{
+    range_holder holder;
+    holder.setUpstream(a);
+    holder.onPlacement(twoOwners(), start, start);
+    holder.onGranted(holder.dueGrants(start).front(), start);
+    holder.setGiving({{100, 199}});
+    CHECK(holder.mayServe(99, start));
+    CHECK_FALSE(holder.mayServe(100, start));
+    CHECK(holder.mayServe(200, start));
+    std::vector<key_interval> renewed;
+    for (const range_grant &grant : holder.dueGrants(start + 1s)) {
+        renewed.push_back(grant.keys);
+        holder.onGranted(grant, start + 1s);
+    }
+    CHECK(renewed == std::vector<key_interval>{{0, 99}, {200, 32767}});
+    holder.onReleased({100, 199}, 1);
+    holder.setGiving({});
+    CHECK_FALSE(holder.mayServe(150, start + 1s));
+    holder.onPlacement(giveRange(twoOwners(), {100, 199}, b, "t"), start + 1s, start + 1s);
+    CHECK(holder.mayServe(99, start + 1s));
+    CHECK(holder.mayServe(200, start + 1s));
+    CHECK(holder.dueReleases().empty());
+}
+
+TEST_CASE("grants that are recorded for another owner are released", "[keyspace]")
+{
+    range_holder holder;
+    holder.setUpstream(a);
+    holder.onPlacement(twoOwners(), start, start);
+    holder.onGranted(holder.dueGrants(start).front(), start);
+    holder.onPlacement(giveRange(twoOwners(), {0, 32767}, b, ""), start, start);
+    CHECK_FALSE(holder.mayServe(5, start));
+    REQUIRE(holder.dueReleases().size() == 1);
+    CHECK(holder.dueReleases()[0].keys == key_interval{0, 32767});
+}
+
+TEST_CASE("another life of the upstream holds nothing", "[keyspace]")
+{
+    range_holder holder;
+    holder.setUpstream(a);
+    holder.onPlacement(twoOwners(), start, start);
+    holder.onGranted(holder.dueGrants(start).front(), start);
+    holder.setUpstream(upstream_id{"a", 2});
+    CHECK_FALSE(holder.mayServe(5, start));
+    CHECK(holder.dueGrants(start).empty());
+}
+
+// Load pattern: a few neighbouring keys get much of the traffic of one owner.
+TEST_CASE("a busy area is cut, and few keys move", "[keyspace]")
+{
+    const auto rate = [](shard_key key) { return key >= 1000 && key < 1200 ? 1.0 : 0.002; };
+    const owner_load self{a, 9, 1.2};
+    const auto move = chooseMove({{0, 16383}}, rate, self, {{b, 9, 0.4}, {c, 9, 0.5}});
+    REQUIRE(move.has_value());
+    CHECK(move->target == b);
+    CHECK(move->keys.count() < 200);
+    double moved = 0;
+    for (shard_key key = move->keys.first; key <= move->keys.last; ++key) {
+        moved += rate(key);
+    }
+    // A third of the load makes both equal.
+    CHECK(moved == Approx(77).margin(8));
+}
+
+TEST_CASE("keys stay where moving them helps nobody", "[keyspace]")
+{
+    const auto even = [](shard_key) { return 0.01; };
+    const auto single = [](shard_key key) { return key == 77 ? 50.0 : 0.0001; };
+    CHECK_FALSE(chooseMove({{0, 999}}, even, {a, 9, 0.5}, {{b, 9, 0.0}}));
+    CHECK_FALSE(chooseMove({{0, 999}}, even, {a, 9, 0.9}, {{b, 9, 0.8}}));
+    CHECK_FALSE(chooseMove({{0, 999}}, single, {a, 9, 1.5}, {{b, 9, 0.2}}));
+    CHECK_FALSE(chooseMove({{0, 999}}, even, {a, 9, 1.5}, {}));
+}
+
+TEST_CASE("a newcomer gets half of the keys of the largest owner", "[keyspace]")
+{
+    const std::vector<range_candidate> members{{a, 9}, {b, 9}, {c, 9}};
+    const key_placement placement = twoOwners();
+    const auto byA = chooseShareForNewcomer(placement, a, members);
+    const auto byB = chooseShareForNewcomer(placement, b, members);
+    CHECK(byA.has_value() != byB.has_value());
+    CHECK((byA ? *byA : *byB).target == c);
+    CHECK((byA ? *byA : *byB).keys.count() == 16384);
+    CHECK_FALSE(chooseShareForNewcomer(placement, a, {{a, 9}, {b, 9}}));
+}
--- a/src/persimmonrail/relay/peer_link.cpp
+++ b/src/persimmonrail/relay/peer_link.cpp
@@ -34,9 +34,8 @@
     connection_pool_options options;
     options.connectTime = probeTimeout;
     http_client fresh(std::make_shared<connection_pool>(options));
-    const auto answer =
-        simpleRequest(fresh, address, "GET", relayInFlightPath + requestId, "",
-                      std::chrono::steady_clock::now() + probeTimeout);
+    const auto answer = simpleRequest(fresh, address, "GET", relayInFlightPath + requestId, "",
+                                      std::chrono::steady_clock::now() + probeTimeout);
     if (!answer.ok()) {
         return probe_result::Silent;
     }
@@ -92,7 +91,7 @@
 
 peer_link::peer_link()
     : m_pool(std::make_shared<connection_pool>(connection_pool_options{
-          maxIdlePerPeer, maxIdleInAll, peerIdleTime, peerFreshTime, peerConnectTime}))
+        maxIdlePerPeer, maxIdleInAll, peerIdleTime, peerFreshTime, peerConnectTime}))
     , m_client(m_pool)
 { }
 
@@ -199,8 +198,8 @@
 
 void answerPeer(server_exchange &exchange, const relay_result &result)
 {
-    Poco::Net::HTTPResponse head(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(
-        statusFor(result.reason, result.outcome)));
+    Poco::Net::HTTPResponse head(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(statusFor(result.reason, result.outcome)));
     head.set(outcomeHeader, std::string(toString(result.outcome)));
     head.set(reasonHeader, std::string(toString(result.reason)));
     if (result.retryAfter.count() > 0) {
--- a/src/persimmonrail/relay/relay_path.cpp
+++ b/src/persimmonrail/relay/relay_path.cpp
@@ -1,7 +1,7 @@
 #include "persimmonrail/relay/relay_path.h"
 
-#include "persimmonrail/gateway/caller_sink.h"
 #include "persimmonrail/base/text.h"
+#include "persimmonrail/gateway/caller_sink.h"
 #include "persimmonrail/relay/peer_fields.h"
 
 #include <absl/strings/numbers.h>
@@ -238,8 +238,8 @@
         entry.term = revision;
         entry.outcome = toString(result.outcome);
         const std::string reason = absl::StrCat(
-            toAbsl(toString(result.reason)), ",status:", result.status, ",took_us:",
-            std::chrono::duration_cast<std::chrono::microseconds>(took).count());
+            toAbsl(toString(result.reason)), ",status:", result.status,
+            ",took_us:", std::chrono::duration_cast<std::chrono::microseconds>(took).count());
         entry.reason = reason;
         m_path.m_log.write(entry);
     }
@@ -265,10 +265,10 @@
         head.setContentType("text/plain");
         head.set(reasonHeader, std::string(toString(result.reason)));
         if (result.outcome == request_outcome::NotRun && head.getStatus() == 503) {
-            const milliseconds pause = std::max(
-                leastRetryAfter,
-                result.retryAfter.count() > 0 ? result.retryAfter
-                                              : m_path.m_options.defaultRetryAfter);
+            const milliseconds pause =
+                std::max(leastRetryAfter,
+                         result.retryAfter.count() > 0 ? result.retryAfter
+                                                       : m_path.m_options.defaultRetryAfter);
             head.set("Retry-After",
                      absl::StrFormat("%.3f", std::chrono::duration<double>(pause).count()));
         }
--- a/src/persimmonrail/relay/relay_reason.cpp
+++ b/src/persimmonrail/relay/relay_reason.cpp
@@ -62,9 +62,9 @@
 
 std::optional<relay_reason> parseRelayReason(std::string_view word)
 {
-    const auto *const found = std::find_if(
-        std::begin(reasons), std::end(reasons),
-        [word](const reason_entry &entry) { return entry.word == word; });
+    const auto *const found =
+        std::find_if(std::begin(reasons), std::end(reasons),
+                     [word](const reason_entry &entry) { return entry.word == word; });
     return found == std::end(reasons) ? std::nullopt : std::optional(found->reason);
 }
 
--- a/src/persimmonrail/relay/upstream_runner.cpp
+++ b/src/persimmonrail/relay/upstream_runner.cpp
@@ -89,10 +89,9 @@
         m_hooks.countKey(*request.key);
     }
     const steady_time arrived = std::chrono::steady_clock::now();
-    admission_result admitted =
-        m_hooks.admit({request.service, static_cast<size_t>(std::max(request.rank, 0)), "",
-                       request.deadline},
-                      arrived);
+    admission_result admitted = m_hooks.admit(
+        {request.service, static_cast<size_t>(std::max(request.rank, 0)), "", request.deadline},
+        arrived);
     if (const auto *refused = std::get_if<admission_refusal>(&admitted)) {
         return notRun(reasonOfRefusal(refused->reason), refused->retryAfter);
     }
@@ -141,8 +140,7 @@
     relay_result result;
     result.hasArrived = exchanged.anySent;
     result.answerStarted = exchanged.answerStarted;
-    result.callerGone =
-        exchanged.sinkGone || exchanged.state == exchange_state::CallerGone;
+    result.callerGone = exchanged.sinkGone || exchanged.state == exchange_state::CallerGone;
     result.outcome = exchanged.anySent ? request_outcome::Unknown : request_outcome::NotRun;
     switch (exchanged.state) {
     case exchange_state::Whole:
--- a/src/persimmonrail/router/peer_monitor.cpp
+++ b/src/persimmonrail/router/peer_monitor.cpp
@@ -100,9 +100,8 @@
     : m_loop(loop)
     , m_options(options)
     , m_health(options)
-    , m_pool(std::make_shared<connection_pool>(
-          connection_pool_options{1, 64, milliseconds(5000), milliseconds(5000),
-                                  options.pollTimeout, false}))
+    , m_pool(std::make_shared<connection_pool>(connection_pool_options{
+          1, 64, milliseconds(5000), milliseconds(5000), options.pollTimeout, false}))
     , m_client(m_pool)
 { }
 
--- a/src/persimmonrail/router/range_keeper.cpp
+++ b/src/persimmonrail/router/range_keeper.cpp
@@ -104,8 +104,7 @@
 bool range_keeper::isGone(const upstream_id &id) const
 {
     const auto *known = m_directory->findMember(id.name);
-    return known != nullptr
-        && (known->member.isGone || known->member.id.startedAt > id.startedAt);
+    return known != nullptr && (known->member.isGone || known->member.id.startedAt > id.startedAt);
 }
 
 bool range_keeper::ownsNothing() const
@@ -319,8 +318,7 @@
     }
     const auto *placed = m_directory->findPlacement(m_service);
     const uint64_t version = placed != nullptr ? placed->version : 0;
-    const key_placement current =
-        placed != nullptr ? placed->placement : emptyPlacement(m_service);
+    const key_placement current = placed != nullptr ? placed->placement : emptyPlacement(m_service);
     const auto propose = [&](key_placement next, std::string_view reason) {
         write({std::move(next), version, reason}, [](bool) {});
     };
@@ -344,8 +342,7 @@
         m_membersSeen = m_peers.live.size();
         m_membersStableSince = now;
     }
-    if (!m_peers.isCoordinator || m_peers.live.empty()
-        || !m_membersStableSince) {
+    if (!m_peers.isCoordinator || m_peers.live.empty() || !m_membersStableSince) {
         return;
     }
     const bool hasUnowned =
@@ -430,7 +427,8 @@
     std::vector<key_interval> intervals;
     for (const planned_move &move : moves) {
         intervals.push_back(move.keys);
-        logRange("give", move.keys, 0, "begun", absl::StrCat(toAbsl(reason), ",to:", move.target.name));
+        logRange("give", move.keys, 0, "begun",
+                 absl::StrCat(toAbsl(reason), ",to:", move.target.name));
     }
     std::vector<std::vector<range_grant>> held;
     {
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -52,8 +52,8 @@
     , m_upstream({settings.reportInterval, 3})
     , m_directory(std::make_shared<fleet_directory>())
 {
-    m_admission = std::make_unique<rank_admission>(admission_options{},
-                                                   [this] { return admissionSource(); });
+    m_admission =
+        std::make_unique<rank_admission>(admission_options{}, [this] { return admissionSource(); });
     const auto onObject = [this](const stored_object &object) {
         m_builder.applyOne(object);
         publishDirectory({});
@@ -88,9 +88,10 @@
 
 absl::Status router::state::start()
 {
-    logEvent("start", absl::StrCat("host=", m_settings.hostName, " service=", m_settings.service,
-                                   " availability_zone=", m_settings.availabilityZone,
-                                   " version=" PERSIMMONRAIL_VERSION));
+    logEvent("start",
+             absl::StrCat("host=", m_settings.hostName, " service=", m_settings.service,
+                          " availability_zone=", m_settings.availabilityZone,
+                          " version=" PERSIMMONRAIL_VERSION));
     schedulePeriodicTasks();
     m_loop.start();
     startWatchers();
@@ -112,9 +113,8 @@
         return opened.status();
     };
     constexpr int fewConnections = 32;
-    absl::Status status =
-        open(m_peerServer, m_settings.peerAddress, m_settings.maxPeerConnections,
-             [this](server_exchange &exchange) { servePeer(exchange); });
+    absl::Status status = open(m_peerServer, m_settings.peerAddress, m_settings.maxPeerConnections,
+                               [this](server_exchange &exchange) { servePeer(exchange); });
     status.Update(open(m_reportServer, m_settings.reportAddress, fewConnections,
                        [this](server_exchange &exchange) { serveReport(exchange); }));
     status.Update(open(m_callerServer, m_settings.callerAddress, m_settings.maxCallerConnections,
@@ -139,11 +139,12 @@
     desired.onReachable = [this](bool isReachable, const absl::Status &status) {
         onReachable("desired-state", isReachable, status);
     };
-    m_desiredStateWatcher = std::make_unique<object_watcher>(
-        m_platform.store, m_platform.desiredStatePrefix, desired);
+    m_desiredStateWatcher =
+        std::make_unique<object_watcher>(m_platform.store, m_platform.desiredStatePrefix, desired);
     object_watcher::hooks fleet;
     fleet.onList = [this](const object_list &objects, steady_time readAt) {
-        m_loop.post([this, objects, readAt](steady_time) { onFleetObjects(objects, true, readAt); });
+        m_loop.post(
+            [this, objects, readAt](steady_time) { onFleetObjects(objects, true, readAt); });
     };
     fleet.onChanges = [this](const object_list &objects, steady_time readAt) {
         m_loop.post(
@@ -183,8 +184,7 @@
         }
     });
     m_loop.every(upstreamCheckInterval, [this](steady_time now) { checkUpstream(now); });
-    m_loop.every(peer_monitor_options().pollInterval,
-                 [this](steady_time now) { pollPeers(now); });
+    m_loop.every(peer_monitor_options().pollInterval, [this](steady_time now) { pollPeers(now); });
 }
 
 void router::state::onDesiredState(const object_list &objects)
@@ -195,8 +195,8 @@
         }
         const auto table = m_platform.parseDesiredState(object.value);
         if (!table.ok()) {
-            m_log.write(log_level::Error, absl::StrCat("desired-state ignored reason=",
-                                                       table.status().ToString()));
+            m_log.write(log_level::Error,
+                        absl::StrCat("desired-state ignored reason=", table.status().ToString()));
             m_metrics.count("persimmonrail_desired_state_total", "outcome=\"invalid\"");
             continue;
         }
@@ -207,8 +207,9 @@
         const std::lock_guard lock(m_mutex);
         // What was in force never goes back within one run of the process.
         if (m_routes != nullptr && (*table)->version() < m_routes->version()) {
-            m_log.write(log_level::Warn, absl::StrCat("desired-state ignored reason=older version=",
-                                                      (*table)->version()));
+            m_log.write(
+                log_level::Warn,
+                absl::StrCat("desired-state ignored reason=older version=", (*table)->version()));
             continue;
         }
         m_routes = *table;
@@ -247,12 +248,11 @@
     m_ranges->onDirectory(directory, confirmedAt);
 }
 
-void router::state::onReachable(std::string_view what, bool isReachable,
-                                const absl::Status &status)
+void router::state::onReachable(std::string_view what, bool isReachable, const absl::Status &status)
 {
     logEvent(isReachable ? "store-regained" : "store-lost",
-             absl::StrCat("watch=", toAbsl(what), isReachable ? "" : " reason=",
-                          isReachable ? "" : status.ToString()));
+             absl::StrCat("watch=", toAbsl(what),
+                          isReachable ? "" : " reason=", isReachable ? "" : status.ToString()));
     m_metrics.count("persimmonrail_store_changes_total",
                     isReachable ? "state=\"regained\"" : "state=\"lost\"");
 }
@@ -260,8 +260,8 @@
 void router::state::serveReport(server_exchange &exchange)
 {
     std::string body;
-    const io_status status = exchange.readAll(
-        body, maxReportBytes, std::chrono::steady_clock::now() + reportTimeout);
+    const io_status status =
+        exchange.readAll(body, maxReportBytes, std::chrono::steady_clock::now() + reportTimeout);
     if (status != io_status::Ok) {
         exchange.closeAfterAnswer();
         exchange.answer(400, "", "text/plain");
@@ -275,8 +275,7 @@
         return;
     }
     // The acknowledgement binds, so the daemon acts before it answers.
-    m_loop.postAndWait(
-        [this, &message](steady_time now) { onUpstreamMessage(*message, now); });
+    m_loop.postAndWait([this, &message](steady_time now) { onUpstreamMessage(*message, now); });
     exchange.answer(200, "{}", "application/json");
 }
 
@@ -287,9 +286,9 @@
         ? m_upstream.onDeparture(message.report.id, now)
         : m_upstream.onReport(message.report, now);
     if (verdict == local_upstream::verdict::Stale) {
-        m_log.write(log_level::Info, absl::StrCat("report stale upstream=",
-                                                  toString(message.report.id),
-                                                  " sequence=", message.report.sequence));
+        m_log.write(log_level::Info,
+                    absl::StrCat("report stale upstream=", toString(message.report.id),
+                                 " sequence=", message.report.sequence));
         return;
     }
     if (before && m_upstream.report() && before->id != m_upstream.report()->id) {
@@ -324,18 +323,18 @@
 void router::state::onUpstreamChanged(std::string_view cause, steady_time)
 {
     const upstream_report &report = *m_upstream.report();
-    logEvent("upstream", absl::StrCat("id=", toString(report.id), " phase=",
-                                      toAbsl(toString(m_upstream.phase())), " slots=", report.slots,
-                                      " sequence=", report.sequence, " cause=", toAbsl(cause)));
+    logEvent("upstream",
+             absl::StrCat("id=", toString(report.id),
+                          " phase=", toAbsl(toString(m_upstream.phase())), " slots=", report.slots,
+                          " sequence=", report.sequence, " cause=", toAbsl(cause)));
     {
         const std::lock_guard lock(m_mutex);
         m_target.id = report.id;
         m_target.service = m_settings.service;
         m_target.address = m_settings.upstreamAddress;
-        m_target.closed = m_upstream.takesWork() ? relay_reason::None
-            : m_upstream.phase() == upstream_phase::Draining
-            ? relay_reason::Draining
-            : relay_reason::UpstreamUnreachable;
+        m_target.closed = m_upstream.takesWork()             ? relay_reason::None
+            : m_upstream.phase() == upstream_phase::Draining ? relay_reason::Draining
+                                                             : relay_reason::UpstreamUnreachable;
         m_slots = std::max(report.slots, 1);
     }
     m_publisher->want(ownMember());
--- /dev/null
+++ b/src/persimmonrail/router/tests/object_watcher_test.cpp
@@ -0,0 +1,99 @@
+#include "persimmonrail/router/object_watcher.h"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <deque>
+
+using namespace persimmonrail;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A store that gives scripted answers and then none until the end.
+struct scripted_store
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<absl::StatusOr<object_list>> lists;
+    std::deque<absl::StatusOr<object_list>> watches;
+    std::vector<uint64_t> watchedFrom;
+    std::vector<std::string> events;
+    bool ended = false;
+
+    absl::StatusOr<object_list> take(std::deque<absl::StatusOr<object_list>> &answers)
+    {
+        std::unique_lock lock(mutex);
+        changed.wait_for(lock, 10s, [&] { return ended || !answers.empty(); });
+        if (answers.empty()) {
+            return absl::UnavailableError("no answer");
+        }
+        auto answer = answers.front();
+        answers.pop_front();
+        return answer;
+    }
+    object_api api()
+    {
+        object_api made;
+        made.list = [this](const std::string &) { return take(lists); };
+        made.watch = [this](const std::string &, uint64_t revision, milliseconds) {
+            {
+                const std::lock_guard lock(mutex);
+                watchedFrom.push_back(revision);
+            }
+            return take(watches);
+        };
+        return made;
+    }
+    void note(const std::string &event)
+    {
+        const std::lock_guard lock(mutex);
+        events.push_back(event);
+        changed.notify_all();
+    }
+    bool waitFor(size_t count)
+    {
+        std::unique_lock lock(mutex);
+        return changed.wait_for(lock, 10s, [&] { return events.size() >= count; });
+    }
+    void end()
+    {
+        const std::lock_guard lock(mutex);
+        ended = true;
+        changed.notify_all();
+    }
+};
+
+} // namespace
+
+// Guards against a view that misses changes after the store lost its history or an answer.
+TEST_CASE("a watch that can't go on lists anew", "[router]")
+{
+    scripted_store store;
+    store.lists = {object_list{5, {}}, object_list{9, {}}, object_list{12, {}}};
+    store.watches = {object_list{7, {}}, absl::OutOfRangeError("gone"),
+                     absl::UnavailableError("cut")};
+    {
+        object_watcher::hooks hooks;
+        hooks.onList = [&](const object_list &list, steady_time) {
+            store.note("list " + std::to_string(list.revision));
+        };
+        hooks.onChanges = [&](const object_list &changes, steady_time) {
+            store.note("changes " + std::to_string(changes.revision));
+        };
+        hooks.onReachable = [&](bool isReachable, const absl::Status &) {
+            store.note(isReachable ? "regained" : "lost");
+        };
+        object_watcher watcher(store.api(), "fleet/", hooks, {10ms, 1ms, 2ms});
+        watcher.start();
+        REQUIRE(store.waitFor(7));
+        store.end();
+    }
+    const std::vector<std::string> first(store.events.begin(), store.events.begin() + 7);
+    CHECK(first
+          == std::vector<std::string>{"list 5", "regained", "changes 7", "list 9", "lost",
+                                      "list 12", "regained"});
+    CHECK(store.watchedFrom[0] == 5);
+    CHECK(store.watchedFrom[1] == 7);
+    CHECK(store.watchedFrom[2] == 9);
+}
--- /dev/null
+++ b/src/persimmonrail/router/tests/peer_health_test.cpp
@@ -0,0 +1,125 @@
+#include "persimmonrail/router/key_rates.h"
+#include "persimmonrail/router/peer_monitor.h"
+#include "persimmonrail/router/router_settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace persimmonrail;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time start = steady_time(1000s);
+
+upstream_member member(const std::string &name)
+{
+    return {{name, 1}, "haulbook", "nord", "127.0.0.1:9000", 9, false, false};
+}
+
+struct fleet
+{
+    std::vector<upstream_member> members{member("b"), member("c"), member("d")};
+    upstream_member self = member("a");
+    peer_health health;
+
+    std::vector<const upstream_member *> peers() const
+    {
+        std::vector<const upstream_member *> list;
+        for (const upstream_member &peer : members) {
+            list.push_back(&peer);
+        }
+        return list;
+    }
+    void answer(const std::string &name, steady_time now)
+    {
+        health.onAnswer({name, 1}, {3, 0, 9, 10ms}, now);
+    }
+};
+
+} // namespace
+
+TEST_CASE("the lowest reachable upstream acts for lost owners", "[router]")
+{
+    fleet site;
+    site.health.setPeers(site.peers(), start);
+    for (const char *name : {"b", "c", "d"}) {
+        site.answer(name, start);
+    }
+    CHECK(site.health.view(&site.self, start).isCoordinator);
+    CHECK(site.health.view(&site.self, start).live.size() == 4);
+    const upstream_member last = member("z");
+    CHECK_FALSE(site.health.view(&last, start).isCoordinator);
+    CHECK_FALSE(site.health.view(nullptr, start).isCoordinator);
+}
+
+// Guards against a daemon that is cut off and takes the keys of all others.
+TEST_CASE("a daemon that reaches few peers does not take them for lost", "[router]")
+{
+    fleet site;
+    site.health.setPeers(site.peers(), start);
+    for (const char *name : {"b", "c", "d"}) {
+        site.answer(name, start);
+    }
+    site.health.onSilence({"b", 1}, start + 2s);
+    CHECK(site.health.view(&site.self, start + 2s).unreachable
+          == std::vector<upstream_id>{{"b", 1}});
+    site.health.onSilence({"c", 1}, start + 2s);
+    CHECK(site.health.view(&site.self, start + 2s).unreachable.empty());
+    CHECK(site.health.view(&site.self, start + 9s).unreachable.size() == 2);
+    site.answer("b", start + 9s);
+    CHECK(site.health.view(&site.self, start + 9s).unreachable
+          == std::vector<upstream_id>{{"c", 1}});
+}
+
+TEST_CASE("members that leave are given no keys", "[router]")
+{
+    fleet site;
+    site.members[0].isLeaving = true;
+    site.self.isLeaving = true;
+    site.health.setPeers(site.peers(), start);
+    for (const char *name : {"b", "c", "d"}) {
+        site.answer(name, start);
+    }
+    CHECK(site.health.view(&site.self, start).live.size() == 2);
+}
+
+TEST_CASE("rates follow the requests of about a second", "[router]")
+{
+    key_rates rates;
+    rates.advance(start);
+    for (int i = 0; i < 50; ++i) {
+        rates.count(7);
+    }
+    rates.advance(start + 500ms);
+    CHECK(rates.rate(7) == Approx(50));
+    rates.advance(start + 1500ms);
+    CHECK(rates.rate(7) == Approx(50 * 0.368).epsilon(0.01));
+    rates.advance(start + 30s);
+    CHECK(rates.rate(7) == 0);
+    CHECK(rates.rate(8) == 0);
+}
+
+TEST_CASE("settings are checked as a whole", "[router]")
+{
+    const std::string valid = "host-name = h\navailability-zone = z\nservice = s\n"
+                              "caller-address = 127.0.0.1:1\npeer-address = 127.0.0.1:2\n"
+                              "ready-address = 127.0.0.1:3\nreport-address = 127.0.0.1:4\n"
+                              "store-address = 127.0.0.1:5\nupstream-address = 127.0.0.1:6\n"
+                              "# comment\n\nreport-interval = 0.87s\nretry-slack = 60.0\n";
+    const auto settings = parseRouterSettings(valid);
+    REQUIRE(settings.ok());
+    CHECK(settings->reportInterval == 870ms);
+    CHECK(settings->retrySlack == 60);
+    const auto [line, word] = GENERATE(table<std::string, std::string>({
+        {"service = t\n", "given twice"},
+        {"colour = red\n", "unknown setting"},
+        {"max-hold = 10\n", "max-hold: invalid"},
+        {"retry-ratio = 2\n", "retry-ratio: invalid"},
+        {"metrics-address = host:1\n", "metrics-address: invalid"},
+        {"log-level = loud\n", "log-level: invalid"},
+    }));
+    const auto refused = parseRouterSettings(valid + line);
+    CHECK(std::string(refused.status().message()).find(word) != std::string::npos);
+    CHECK(std::string(parseRouterSettings("").status().message()).find("service: missing")
+          != std::string::npos);
+}
