Pass on answers that end with their connection; give lost keys to others only

An instance's answer may have no length and end with its connection; it was dropped as truncated, and non-repeatable requests ended with 502.

--- a/src/persimmonrail/http/http_body.cpp
+++ b/src/persimmonrail/http/http_body.cpp
@@ -129,7 +129,7 @@
     size_t count = 0;
     const io_status status = m_stream.readSome(piece.data(), capacity, count, until);
     piece.resize(count);
-    if (status == io_status::Closed && !isBounded) {
+    if (status == io_status::Closed && !isBounded && m_stream.endedInOrder()) {
         m_complete = true;
         return io_status::Ok;
     }
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -267,7 +267,10 @@
     bool acceptHead()
     {
         if (m_answerFraming.type == body_framing::kind::UntilClose) {
-            return fail(exchange_state::Truncated, "answer without framing");
+            if (!m_request.acceptsUnframed) {
+                return fail(exchange_state::Truncated, "answer without framing");
+            }
+            m_reusable = false;
         }
         m_reusable = m_reusable && m_result.head.getKeepAlive();
         m_declined = m_request.wanted && !m_request.wanted(m_result.head);
@@ -305,7 +308,7 @@
             first += piece;
             if (first.size() >= bodyPieceBytes && !reader.isComplete()) {
                 begun = m_result.answerStarted = true;
-                if (!m_sink.begin(m_result.head, m_answerFraming, first, false)) {
+                if (!m_sink.begin(m_result.head, framingToPass(), first, false)) {
                     return failSink();
                 }
                 first.clear();
@@ -317,12 +320,20 @@
         }
         m_result.answerStarted = true;
         const bool taken =
-            begun ? m_sink.finish() : m_sink.begin(m_result.head, m_answerFraming, first, true);
+            begun ? m_sink.finish() : m_sink.begin(m_result.head, framingToPass(), first, true);
         // The answer is whole even if its receiver is gone by now.
         m_result.sinkGone = !taken;
         m_result.state = exchange_state::Whole;
     }
 
+    // An answer without a length is passed on in chunks, whose end can't be mistaken.
+    body_framing framingToPass() const
+    {
+        return m_answerFraming.type == body_framing::kind::UntilClose
+            ? body_framing{body_framing::kind::Chunked, 0}
+            : m_answerFraming;
+    }
+
     void failSink()
     {
         m_reusable = false;
--- a/src/persimmonrail/http/http_client.h
+++ b/src/persimmonrail/http/http_client.h
@@ -154,6 +154,10 @@
     // Asked over a new connection: whether the peer answers there and this connection is therefore
     // to be given up.
     std::function<bool()> probe;
+    // Whether an answer may end with its connection instead of stating its length. Only for
+    // upstreams known to answer so: a truncated answer whose connection is closed in order can't be
+    // told from a whole one.
+    bool acceptsUnframed = false;
     // Returns whether an answer belongs to this request. One that does not is an extra answer to an
     // earlier request on the connection: it is skipped, and the connection not used again. All
     // belong if it is empty.
--- a/src/persimmonrail/http/http_stream.cpp
+++ b/src/persimmonrail/http/http_stream.cpp
@@ -108,6 +108,7 @@
             m_buffer.resize(before + static_cast<size_t>(n));
             return io_status::Ok;
         }
+        m_endedInOrder = n == 0;
         io_status status = io_status::Closed;
         if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
             status = wait(POLLIN, until);
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -70,6 +70,8 @@
     // Waits until `until` or until the peer closes the connection; true in the latter case.
     bool waitClosed(steady_time until);
 
+    // Whether the peer ended its side of the connection in order, not by a reset.
+    bool endedInOrder() const { return m_endedInOrder; }
     // Whether bytes can be read, or the connection has been closed by its peer.
     bool hasInput();
     // Whether the peer has closed the connection and left no bytes to read.
@@ -88,6 +90,7 @@
     Poco::Net::StreamSocket m_socket;
     int m_descriptor;
     http_stream *m_watched = nullptr;
+    bool m_endedInOrder = false;
     std::string m_buffer;
     size_t m_position = 0;
 };
--- a/src/persimmonrail/keyspace/range_plan.cpp
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -74,9 +74,13 @@
 
 key_placement reassignLost(key_placement placement,
                            const std::function<bool(const upstream_id &)> &isLost,
-                           const std::vector<range_candidate> &candidates,
-                           milliseconds takeOverAfter)
+                           std::vector<range_candidate> candidates, milliseconds takeOverAfter)
 {
+    std::erase_if(candidates,
+                  [&isLost](const range_candidate &candidate) { return isLost(candidate.id); });
+    if (candidates.empty()) {
+        return placement;
+    }
     std::vector<owned_range> lost;
     for (const owned_range &range : placement.ranges) {
         if (!range.owner.isEmpty() && isLost(range.owner)) {
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -155,6 +155,16 @@
     CHECK(later.dueGrants(start + 20s).size() == 2);
 }
 
+// Guards against keys that go back to the owner that was lost, and are dealt out again and again.
+TEST_CASE("a lost owner gets none of its keys again", "[keyspace]")
+{
+    const auto isLost = [](const upstream_id &id) { return id == a; };
+    const key_placement after = reassignLost(twoOwners(), isLost, {{a, 9}, {b, 9}, {c, 9}}, 0ms);
+    CHECK(ownedKeys(after, a) == 0);
+    CHECK(reassignLost(after, isLost, {{a, 9}, {b, 9}}, 0ms) == after);
+    CHECK(reassignLost(twoOwners(), isLost, {{a, 9}}, 0ms) == twoOwners());
+}
+
 // Guards against a hold, extended before a stop, that outlasts the takeover.
 TEST_CASE("an extended hold ends before a takeover", "[keyspace]")
 {
--- a/src/persimmonrail/relay/upstream_runner.cpp
+++ b/src/persimmonrail/relay/upstream_runner.cpp
@@ -108,6 +108,7 @@
     call.repeatable = request.repeatable;
     call.deadline = request.deadline;
     call.caller = &exchange.connection();
+    call.acceptsUnframed = true;
     answer_kind kind = answer_kind::Genuine;
     call.belongs = [&](const Poco::Net::HTTPResponse &head) {
         return m_codec.classifyAnswer(head, request.requestId) != answer_kind::Foreign;
