--- a/src/persimmonrail/fleet/fleet_directory.cpp
+++ b/src/persimmonrail/fleet/fleet_directory.cpp
@@ -43,6 +43,20 @@
     return found == m_placements.end() ? nullptr : &found->second;
 }
 
+std::vector<upstream_member> earlierLives(const fleet_directory &directory,
+                                          std::string_view peerAddress, const upstream_id &present)
+{
+    std::vector<upstream_member> earlier;
+    for (const auto &[name, known] : directory.members()) {
+        if (known.member.peerAddress == peerAddress && name != present.name
+            && !known.member.isGone) {
+            earlier.push_back(known.member);
+            earlier.back().isLeaving = earlier.back().isGone = true;
+        }
+    }
+    return earlier;
+}
+
 fleet_directory_builder::fleet_directory_builder(fault_hook onFault)
     : m_onFault(std::move(onFault))
 { }
--- a/src/persimmonrail/fleet/fleet_directory.h
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -47,6 +47,11 @@
     std::map<std::string, placed, std::less<>> m_placements;
 };
 
+// Returns the members behind a peer port that are not `present` and not known to be gone, as gone:
+// a host has one upstream, so they have ended.
+std::vector<upstream_member> earlierLives(const fleet_directory &directory,
+                                          std::string_view peerAddress, const upstream_id &present);
+
 // Builds directories from objects of the store. Objects that can't be read are reported and name
 // nothing. Not thread safe.
 class fleet_directory_builder
--- a/src/persimmonrail/fleet/tests/fleet_test.cpp
+++ b/src/persimmonrail/fleet/tests/fleet_test.cpp
@@ -128,3 +128,21 @@
     builder.applyOne({memberKey("i-1"), 10, true, ""});
     CHECK(builder.build()->findMember("i-1") == nullptr);
 }
+
+// Guards against keys that stay with an upstream which ended together with the daemon beside it:
+// the daemon that starts again knows it from the store only.
+TEST_CASE("members behind the same port that report no more are gone", "[fleet]")
+{
+    fleet_directory_builder builder([](const std::string &, std::string_view) {});
+    upstream_member elsewhere = member("i-3");
+    elsewhere.peerAddress = "127.0.0.2:9000";
+    upstream_member ended = member("i-4");
+    ended.isGone = true;
+    for (const upstream_member &known : {member("i-1"), member("i-2"), elsewhere, ended}) {
+        builder.applyOne({memberKey(known.id.name), 1, false, encodeMember(known)});
+    }
+    const auto earlier = earlierLives(*builder.build(), "127.0.0.1:9000", {"i-2", 9});
+    REQUIRE(earlier.size() == 1);
+    CHECK(earlier[0].id.name == "i-1");
+    CHECK(earlier[0].isGone);
+}
--- a/src/persimmonrail/keyspace/range_plan.cpp
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -183,6 +183,27 @@
 
 } // namespace
 
+namespace {
+
+// Evenly used keys of a large owner need a smaller move than the loads ask for; with this many
+// halvings the least share is a sixteenth.
+constexpr int mostHalvings = 4;
+
+std::optional<rated_window> shortestOf(const std::vector<key_interval> &intervals,
+                                       const std::function<double(shard_key)> &rate, double wanted)
+{
+    std::optional<rated_window> best;
+    for (const key_interval &interval : intervals) {
+        const auto window = shortestWindow(interval, rate, wanted);
+        if (window && (!best || window->keys.count() < best->keys.count())) {
+            best = window;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
 std::optional<planned_move> chooseMove(const std::vector<key_interval> &own,
                                        const std::function<double(shard_key)> &rate,
                                        const owner_load &self,
@@ -202,24 +223,22 @@
             total += rate(key);
         }
     }
-    const double share = (self.utilization - target->utilization) / (2 * self.utilization);
     if (total <= 0) {
         return std::nullopt;
     }
-    std::optional<rated_window> best;
-    for (const key_interval &interval : own) {
-        const auto window = shortestWindow(interval, rate, total * share);
-        if (window && (!best || window->keys.count() < best->keys.count())) {
-            best = window;
+    double share = (self.utilization - target->utilization) / (2 * self.utilization);
+    for (int halvings = 0; halvings < mostHalvings; ++halvings, share /= 2) {
+        const auto window = shortestOf(own, rate, total * share);
+        // A window that carries far more than wanted is one very busy key; moving it only moves the
+        // overload.
+        if (!window || window->rate > total * std::min(1.0, 1.6 * share)) {
+            return std::nullopt;
+        }
+        if (window->keys.count() <= options.mostKeys * (lastKey + 1)) {
+            return planned_move{window->keys, target->id};
         }
     }
-    // A window that carries far more than wanted is one very busy key; moving it only moves the
-    // overload.
-    if (!best || best->rate > total * std::min(1.0, 1.6 * share)
-        || best->keys.count() > options.mostKeys * (lastKey + 1)) {
-        return std::nullopt;
-    }
-    return planned_move{best->keys, target->id};
+    return std::nullopt;
 }
 
 std::optional<planned_move> chooseShareForNewcomer(const key_placement &placement,
--- a/src/persimmonrail/keyspace/range_plan.h
+++ b/src/persimmonrail/keyspace/range_plan.h
@@ -21,8 +21,8 @@
 key_placement assignUnowned(key_placement placement, std::vector<range_candidate> candidates);
 
 // Reassigns the keys of each owner for which `isLost` holds, as contiguous parts with equal shares
-// per slot. `takeOverAfter` is 0 if the lost owners certainly hold no keys any more. Candidates that
-// are lost themselves get nothing; without any other the placement stays as it is.
+// per slot. `takeOverAfter` is 0 if the lost owners certainly hold no keys any more. Candidates
+// that are lost themselves get nothing; without any other the placement stays as it is.
 key_placement reassignLost(key_placement placement,
                            const std::function<bool(const upstream_id &)> &isLost,
                            std::vector<range_candidate> candidates, milliseconds takeOverAfter);
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -277,6 +277,16 @@
     CHECK(moved == Approx(77).margin(8));
 }
 
+// Load pattern: after a start of everything one upstream owns all keys, and all are used evenly.
+TEST_CASE("an owner of all keys gives a part that one move may take", "[keyspace]")
+{
+    const auto even = [](shard_key) { return 0.01; };
+    const auto move = chooseMove({{0, lastKey}}, even, {a, 9, 3.0}, {{b, 9, 0.0}});
+    REQUIRE(move.has_value());
+    CHECK(move->keys.count() <= (lastKey + 1) / 4);
+    CHECK(move->keys.count() >= (lastKey + 1) / 16);
+}
+
 TEST_CASE("keys stay where moving them helps nobody", "[keyspace]")
 {
     const auto even = [](shard_key) { return 0.01; };
--- a/src/persimmonrail/router/object_watcher.cpp
+++ b/src/persimmonrail/router/object_watcher.cpp
@@ -38,6 +38,7 @@
 absl::Status object_watcher::step()
 {
     const steady_time readAt = std::chrono::steady_clock::now();
+    m_hasWatched = false;
     if (!m_listed) {
         const auto list = m_api.list(m_prefix);
         if (!list.ok()) {
@@ -61,6 +62,7 @@
     if (!changes.ok()) {
         return changes.status();
     }
+    m_hasWatched = true;
     m_revision = std::max(m_revision, changes->revision);
     m_hooks.onChanges(*changes, readAt);
     return absl::OkStatus();
@@ -84,7 +86,8 @@
             m_hooks.onReachable(status.ok(), status);
         }
         if (status.ok()) {
-            retry = m_options.firstRetry;
+            // A list may come another way than a watch, so only a watch shows that all is well.
+            retry = m_hasWatched ? m_options.firstRetry : retry;
             continue;
         }
         // The history may have moved on meanwhile; a list is always right.
--- a/src/persimmonrail/router/object_watcher.h
+++ b/src/persimmonrail/router/object_watcher.h
@@ -58,6 +58,8 @@
     const hooks m_hooks;
     const object_watcher_options m_options;
     bool m_listed = false;
+    // Whether the last step was a watch that was answered.
+    bool m_hasWatched = false;
     uint64_t m_revision = 0;
     std::atomic<bool> m_isReachable{false};
     std::mutex m_mutex;
--- a/src/persimmonrail/router/peer_monitor.cpp
+++ b/src/persimmonrail/router/peer_monitor.cpp
@@ -1,5 +1,11 @@
 #include "persimmonrail/router/peer_monitor.h"
 
+#include "persimmonrail/base/text.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
 #include <algorithm>
 
 namespace persimmonrail {
@@ -10,6 +16,29 @@
 
 } // namespace
 
+std::string encodePeerStatus(const peer_status &status)
+{
+    return absl::StrCat(encodeQueueReport(status.queue), ";", status.upstream.name, ";",
+                        status.upstream.startedAt, ";", status.takesWork ? 1 : 0);
+}
+
+std::optional<peer_status> parsePeerStatus(std::string_view text)
+{
+    const std::vector<std::string> parts = absl::StrSplit(toAbsl(text), ';');
+    if (parts.size() != 4) {
+        return std::nullopt;
+    }
+    const auto queue = parseQueueReport(parts[0]);
+    peer_status status;
+    status.upstream.name = parts[1];
+    status.takesWork = parts[3] == "1";
+    if (!queue || !absl::SimpleAtoi(parts[2], &status.upstream.startedAt)) {
+        return std::nullopt;
+    }
+    status.queue = *queue;
+    return status;
+}
+
 peer_health::peer_health(peer_monitor_options options)
     : m_options(options)
 { }
@@ -35,14 +64,15 @@
     m_entries = std::move(entries);
 }
 
-void peer_health::onAnswer(const upstream_id &id, const queue_report &report, steady_time now)
+void peer_health::onAnswer(const upstream_id &id, const peer_status &status, steady_time now)
 {
     const auto known = m_entries.find(id);
     if (known == m_entries.end()) {
         return;
     }
     entry &peer = known->second;
-    const double load = utilization(report);
+    const double load = utilization(status.queue);
+    peer.takesWork = status.takesWork && status.upstream == id;
     peer.utilization =
         peer.hasAnswered ? peer.utilization + (load - peer.utilization) * loadSmoothing : load;
     peer.hasAnswered = true;
@@ -82,8 +112,12 @@
         if (self != nullptr && id < self->id) {
             view.isCoordinator = false;
         }
-        if (!peer.member.isLeaving && peer.hasAnswered) {
+        // A member that was just written is believed until it could be asked.
+        const bool isLive = peer.hasAnswered ? peer.takesWork : !peer.isSilent;
+        if (!peer.member.isLeaving && isLive) {
             view.live.push_back({id, peer.member.slots});
+        }
+        if (!peer.member.isLeaving && peer.hasAnswered && peer.takesWork) {
             view.loads.push_back({id, peer.member.slots, peer.utilization});
         }
     }
@@ -121,10 +155,10 @@
             const auto answer =
                 simpleRequest(m_client, address, "GET", peerStatusPath, "",
                               std::chrono::steady_clock::now() + m_options.pollTimeout);
-            const auto report = answer.ok() ? parseQueueReport(answer->body) : std::nullopt;
-            m_loop.post([this, id = id, report](steady_time answered) {
-                if (report) {
-                    m_health.onAnswer(id, *report, answered);
+            const auto status = answer.ok() ? parsePeerStatus(answer->body) : std::nullopt;
+            m_loop.post([this, id = id, status](steady_time answered) {
+                if (status) {
+                    m_health.onAnswer(id, *status, answered);
                 } else {
                     m_health.onSilence(id, answered);
                 }
--- a/src/persimmonrail/router/peer_monitor.h
+++ b/src/persimmonrail/router/peer_monitor.h
@@ -17,6 +17,18 @@
 // Path under which a peer port answers with its queue report.
 inline constexpr char peerStatusPath[] = "/v1/status";
 
+// What a daemon tells its peers of the upstream beside it.
+struct peer_status
+{
+    queue_report queue;
+    upstream_id upstream;
+    bool takesWork = false;
+};
+
+std::string encodePeerStatus(const peer_status &status);
+// Nothing if the text is no status.
+std::optional<peer_status> parsePeerStatus(std::string_view text);
+
 struct peer_monitor_options
 {
     milliseconds pollInterval{500};
@@ -36,7 +48,7 @@
     explicit peer_health(peer_monitor_options options = {});
 
     void setPeers(const std::vector<const upstream_member *> &peers, steady_time now);
-    void onAnswer(const upstream_id &id, const queue_report &report, steady_time now);
+    void onAnswer(const upstream_id &id, const peer_status &status, steady_time now);
     void onSilence(const upstream_id &id, steady_time now);
     bool isUnreachable(const upstream_id &id, steady_time now) const;
     // The view of `self`; null if this daemon has no upstream.
@@ -51,6 +63,8 @@
         steady_time answeredAt{};
         bool hasAnswered = false;
         bool isSilent = false;
+        // By its own word, which is fresher than the store's.
+        bool takesWork = false;
         double utilization = 0;
     };
     const peer_monitor_options m_options;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds callerIdleTime{60000};
 constexpr size_t maxReportBytes = 64 * 1024;
 constexpr milliseconds reportTimeout{2000};
+// Values of the store are at most 1 MB.
+constexpr size_t maxRelayBytes = 2 * 1024 * 1024;
 
 random_source makeRandomSource()
 {
@@ -41,6 +43,7 @@
 router::state::state(const router_settings &settings, router_platform platform)
     : m_settings(settings)
     , m_platform(std::move(platform))
+    , m_store(makeRelayedStore(m_platform.store, makeRelayHooks()))
     , m_log({settings.level, ""})
     , m_builder([this](const std::string &key, std::string_view reason) {
         m_log.write(log_level::Warn,
@@ -53,10 +56,10 @@
         m_builder.applyOne(object);
         publishDirectory({});
     };
-    m_ranges = std::make_unique<range_keeper>(m_settings.service, leaseTiming(m_settings),
-                                              m_platform.store, m_platform.grants, m_loop, m_log,
+    m_ranges = std::make_unique<range_keeper>(m_settings.service, leaseTiming(m_settings), m_store,
+                                              m_platform.grants, m_loop, m_log,
                                               range_keeper::hooks{onObject});
-    m_publisher = std::make_unique<member_publisher>(m_platform.store, m_loop, m_log, onObject);
+    m_publisher = std::make_unique<member_publisher>(m_store, m_loop, m_log, onObject);
     m_peers = std::make_unique<peer_monitor>(m_loop);
     m_runner = std::make_unique<upstream_runner>(m_platform.codec, makeRunnerHooks());
     relay_path_options options;
@@ -154,11 +157,37 @@
     fleet.onReachable = [this](bool isReachable, const absl::Status &status) {
         onReachable("fleet", isReachable, status);
     };
-    m_fleetWatcher = std::make_unique<object_watcher>(m_platform.store, fleetPrefix, fleet);
+    m_fleetWatcher = std::make_unique<object_watcher>(m_store, fleetPrefix, fleet);
     m_desiredStateWatcher->start();
     m_fleetWatcher->start();
 }
 
+store_relay_hooks router::state::makeRelayHooks()
+{
+    store_relay_hooks hooks;
+    hooks.peers = [this] {
+        std::vector<std::string> addresses;
+        {
+            const std::lock_guard lock(m_mutex);
+            for (const auto &[name, known] : m_directory->members()) {
+                if (!known.member.isGone && known.member.peerAddress != m_settings.peerAddress) {
+                    addresses.push_back(known.member.peerAddress);
+                }
+            }
+        }
+        const auto now = std::chrono::steady_clock::now().time_since_epoch().count();
+        std::shuffle(addresses.begin(), addresses.end(),
+                     std::minstd_rand(static_cast<unsigned>(now)));
+        return addresses;
+    };
+    hooks.onChange = [this](bool isDirect, const absl::Status &status) {
+        logEvent(isDirect ? "store-direct" : "store-through-peers",
+                 absl::StrCat("reason=", status.ToString()));
+    };
+    hooks.now = [] { return std::chrono::steady_clock::now(); };
+    return hooks;
+}
+
 void router::state::schedulePeriodicTasks()
 {
     m_loop.every(rangeInterval, [this](steady_time now) {
@@ -177,6 +206,7 @@
         if (!listed) {
             return;
         }
+        publishEarlierLives(*directory);
         m_publisher->tick(*directory, now);
         const service_rule *rule =
             routes != nullptr ? routes->findService(m_settings.service) : nullptr;
@@ -314,12 +344,6 @@
     if (before && m_upstream.report() && before->id != m_upstream.report()->id) {
         // The process of the earlier life has ended, or its address would not be free.
         m_runner->dropConnections(before->address);
-        if (before->id.name != m_upstream.report()->id.name) {
-            upstream_member gone = ownMember();
-            gone.id = before->id;
-            gone.isLeaving = gone.isGone = true;
-            m_publisher->want(gone);
-        }
     }
     if (verdict == local_upstream::verdict::Changed) {
         onUpstreamChanged(message.isDeparture ? "departure" : "report", now);
@@ -363,6 +387,19 @@
                           m_settings.upstreamAddress, !m_upstream.takesWork());
 }
 
+// A host has one upstream. Once another one reports, the members that this daemon published before
+// it restarted have ended, whatever became of their last messages.
+void router::state::publishEarlierLives(const fleet_directory &directory)
+{
+    if (!m_upstream.report()) {
+        return;
+    }
+    for (const upstream_member &member :
+         earlierLives(directory, m_settings.peerAddress, m_upstream.report()->id)) {
+        m_publisher->want(member);
+    }
+}
+
 void router::state::checkUpstream(steady_time now)
 {
     if (m_upstream.expire(now)) {
@@ -445,7 +482,19 @@
 void router::state::servePeer(server_exchange &exchange)
 {
     if (exchange.request().getURI() == peerStatusPath) {
-        exchange.answer(200, encodeQueueReport(m_runner->queue()), "text/plain");
+        const local_target target = localTarget();
+        const bool takesWork = target.closed == relay_reason::None && !m_stopping;
+        exchange.answer(200, encodePeerStatus({m_runner->queue(), target.id, takesWork}),
+                        "text/plain");
+        return;
+    }
+    if (exchange.request().getURI() == storeRelayPath) {
+        std::string body;
+        const io_status status =
+            exchange.readAll(body, maxRelayBytes, std::chrono::steady_clock::now() + reportTimeout);
+        exchange.answer(status == io_status::Ok ? 200 : 400,
+                        status == io_status::Ok ? serveStoreRelay(m_platform.store, body) : "",
+                        "application/json");
         return;
     }
     m_path->servePeer(exchange);
@@ -503,6 +552,9 @@
     waitUntil(std::min(begun + callersLeaveTime, end), [] { return false; });
     m_loop.postAndWait([this](steady_time) { m_ranges->extendHolds(m_settings.maxHold); });
     m_closed = true;
+    // Ends idle connections, and the others after the request in progress; a request that is sent
+    // later would be cut off by the end of the process.
+    m_callerServer->stopListening();
     waitUntil(end, [this] { return m_path->inFlight() == 0; });
     logEvent("stopped", absl::StrCat("in_flight=", m_path->inFlight()));
 }
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -7,6 +7,7 @@
 #include "persimmonrail/router/peer_monitor.h"
 #include "persimmonrail/router/range_keeper.h"
 #include "persimmonrail/router/router.h"
+#include "persimmonrail/router/store_relay.h"
 
 #include <atomic>
 #include <memory>
@@ -32,6 +33,7 @@
 private:
     absl::Status listen();
     void startWatchers();
+    store_relay_hooks makeRelayHooks();
     void schedulePeriodicTasks();
 
     // Store.
@@ -45,6 +47,7 @@
     void serveReport(server_exchange &exchange);
     void onUpstreamMessage(const upstream_message &message, steady_time now);
     void onUpstreamChanged(std::string_view cause, steady_time now);
+    void publishEarlierLives(const fleet_directory &directory);
     void checkUpstream(steady_time now);
     upstream_member ownMember() const;
     local_target localTarget() const;
@@ -60,6 +63,8 @@
 
     const router_settings m_settings;
     const router_platform m_platform;
+    // The platform's store, directly or through a peer.
+    const object_api m_store;
     decision_log m_log;
     metrics m_metrics;
     control_loop m_loop;
--- /dev/null
+++ b/src/persimmonrail/router/store_relay.cpp
@@ -0,0 +1,239 @@
+#include "persimmonrail/router/store_relay.h"
+
+#include "persimmonrail/base/json_text.h"
+#include "persimmonrail/base/text.h"
+
+#include <Poco/JSON/Array.h>
+
+#include <algorithm>
+
+namespace persimmonrail {
+namespace {
+
+struct relay_call_text
+{
+    std::string operation;
+    std::string key;
+    uint64_t version = 0;
+    std::string value;
+};
+
+std::string encodeCall(const relay_call_text &call)
+{
+    Poco::JSON::Object object;
+    object.set("operation", call.operation);
+    object.set("key", call.key);
+    object.set("version", call.version);
+    object.set("value", call.value);
+    return renderJson(object);
+}
+
+absl::StatusOr<relay_call_text> parseCall(std::string_view text)
+{
+    return decodeJson(text, "store call",
+                      [](const Poco::JSON::Object &object) -> absl::StatusOr<relay_call_text> {
+                          return relay_call_text{object.getValue<std::string>("operation"),
+                                                 object.getValue<std::string>("key"),
+                                                 object.getValue<uint64_t>("version"),
+                                                 object.getValue<std::string>("value")};
+                      });
+}
+
+std::string encodeAnswer(const absl::Status &status, const object_list &list)
+{
+    Poco::JSON::Array objects;
+    for (const stored_object &stored : list.objects) {
+        Poco::JSON::Object entry;
+        entry.set("key", stored.key);
+        entry.set("version", stored.version);
+        entry.set("value", stored.value);
+        objects.add(entry);
+    }
+    Poco::JSON::Object object;
+    object.set("code", static_cast<int>(status.code()));
+    object.set("message", std::string(status.message()));
+    object.set("revision", list.revision);
+    object.set("objects", objects);
+    return renderJson(object);
+}
+
+absl::StatusOr<object_list> parseAnswer(std::string_view text)
+{
+    return decodeJson(text, "store answer",
+                      [](const Poco::JSON::Object &object) -> absl::StatusOr<object_list> {
+                          const int code = object.getValue<int>("code");
+                          if (code != 0) {
+                              return absl::Status(static_cast<absl::StatusCode>(code),
+                                                  object.getValue<std::string>("message"));
+                          }
+                          object_list list;
+                          list.revision = object.getValue<uint64_t>("revision");
+                          const Poco::JSON::Array::Ptr objects = object.getArray("objects");
+                          for (size_t i = 0; objects && i < objects->size(); ++i) {
+                              const Poco::JSON::Object::Ptr entry = objects->getObject(i);
+                              if (!entry) {
+                                  return absl::InvalidArgumentError("an object is none");
+                              }
+                              list.objects.push_back({entry->getValue<std::string>("key"),
+                                                      entry->getValue<uint64_t>("version"), false,
+                                                      entry->getValue<std::string>("value")});
+                          }
+                          return list;
+                      });
+}
+
+// Whether the same call may succeed by another way.
+bool isPathFault(const absl::Status &status)
+{
+    return absl::IsUnavailable(status) || absl::IsResourceExhausted(status);
+}
+
+class relayed_store
+{
+public:
+    relayed_store(object_api direct, store_relay_hooks hooks, store_relay_options options)
+        : m_direct(std::move(direct))
+        , m_hooks(std::move(hooks))
+        , m_options(options)
+        , m_client(std::make_shared<connection_pool>(connection_pool_options{
+              2, 32, milliseconds(5000), milliseconds(1000), milliseconds(400), false}))
+    { }
+
+    absl::StatusOr<stored_object> get(const std::string &key)
+    {
+        const auto answer =
+            run<stored_object>([&] { return m_direct.get(key); }, {"get", key, 0, ""},
+                               [](const object_list &list) -> absl::StatusOr<stored_object> {
+                                   return list.objects.empty()
+                                       ? absl::InternalError("no object")
+                                       : absl::StatusOr<stored_object>(list.objects.front());
+                               });
+        return answer;
+    }
+
+    absl::StatusOr<uint64_t> put(const std::string &key, uint64_t version, const std::string &value)
+    {
+        return run<uint64_t>(
+            [&] { return m_direct.put(key, version, value); }, {"put", key, version, value},
+            [](const object_list &list) -> absl::StatusOr<uint64_t> { return list.revision; });
+    }
+
+    absl::StatusOr<object_list> list(const std::string &prefix)
+    {
+        return run<object_list>(
+            [&] { return m_direct.list(prefix); }, {"list", prefix, 0, ""},
+            [](const object_list &list) -> absl::StatusOr<object_list> { return list; });
+    }
+
+private:
+    bool mayGoDirect()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_hooks.now() >= m_directAgainAt;
+    }
+
+    void noteDirect(const absl::Status &status)
+    {
+        const bool isDirect = !isPathFault(status);
+        bool changed = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            changed = isDirect != m_isDirect;
+            m_isDirect = isDirect;
+            m_directAgainAt = isDirect ? steady_time{} : m_hooks.now() + m_options.directPause;
+        }
+        if (changed) {
+            m_hooks.onChange(isDirect, status);
+        }
+    }
+
+    template <typename Value, typename Direct, typename Take>
+    absl::StatusOr<Value> run(const Direct &direct, const relay_call_text &call, const Take &take)
+    {
+        absl::Status failure = absl::UnavailableError("store not reachable directly");
+        if (mayGoDirect()) {
+            auto answer = direct();
+            noteDirect(answer.status());
+            if (!isPathFault(answer.status())) {
+                return answer;
+            }
+            failure = answer.status();
+        }
+        const std::vector<std::string> peers = m_hooks.peers();
+        const size_t count = std::min(peers.size(), static_cast<size_t>(m_options.mostPeers));
+        for (size_t i = 0; i < count; ++i) {
+            const auto answer = askPeer(peers[i], call);
+            if (answer.ok()) {
+                return take(*answer);
+            }
+            if (!isPathFault(answer.status())) {
+                return answer.status();
+            }
+        }
+        return failure;
+    }
+
+    absl::StatusOr<object_list> askPeer(const std::string &address, const relay_call_text &call)
+    {
+        const auto answer =
+            simpleRequest(m_client, address, "POST", storeRelayPath, encodeCall(call),
+                          std::chrono::steady_clock::now() + m_options.peerTimeout);
+        if (!answer.ok()) {
+            // Only a write can have had an effect.
+            return call.operation == "put" && absl::IsUnknown(answer.status())
+                ? answer.status()
+                : absl::UnavailableError(answer.status().message());
+        }
+        if (answer->status != 200) {
+            return absl::UnavailableError(absl::StrCat("peer answered ", answer->status));
+        }
+        return parseAnswer(answer->body);
+    }
+
+    const object_api m_direct;
+    const store_relay_hooks m_hooks;
+    const store_relay_options m_options;
+    http_client m_client;
+    std::mutex m_mutex;
+    bool m_isDirect = true;
+    steady_time m_directAgainAt{};
+};
+
+} // namespace
+
+object_api makeRelayedStore(object_api direct, store_relay_hooks hooks, store_relay_options options)
+{
+    object_api relayed = direct;
+    const auto store =
+        std::make_shared<relayed_store>(std::move(direct), std::move(hooks), options);
+    relayed.get = [store](const std::string &key) { return store->get(key); };
+    relayed.put = [store](const std::string &key, uint64_t version, const std::string &value) {
+        return store->put(key, version, value);
+    };
+    relayed.list = [store](const std::string &prefix) { return store->list(prefix); };
+    return relayed;
+}
+
+std::string serveStoreRelay(const object_api &direct, std::string_view body)
+{
+    const auto call = parseCall(body);
+    if (!call.ok()) {
+        return encodeAnswer(call.status(), {});
+    }
+    if (call->operation == "get") {
+        const auto object = direct.get(call->key);
+        return encodeAnswer(object.status(),
+                            object.ok() ? object_list{0, {*object}} : object_list{});
+    }
+    if (call->operation == "put") {
+        const auto version = direct.put(call->key, call->version, call->value);
+        return encodeAnswer(version.status(), {version.ok() ? *version : 0, {}});
+    }
+    if (call->operation == "list") {
+        const auto list = direct.list(call->key);
+        return encodeAnswer(list.status(), list.ok() ? *list : object_list{});
+    }
+    return encodeAnswer(absl::InvalidArgumentError("unknown operation"), {});
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/router/tests/peer_health_test.cpp
+++ b/src/persimmonrail/router/tests/peer_health_test.cpp
@@ -32,7 +32,7 @@
     }
     void answer(const std::string &name, steady_time now)
     {
-        health.onAnswer({name, 1}, {3, 0, 9, 10ms}, now);
+        health.onAnswer({name, 1}, {{3, 0, 9, 10ms}, {name, 1}, true}, now);
     }
 };
 
@@ -83,6 +83,45 @@
     CHECK(site.health.view(&site.self, start).live.size() == 2);
 }
 
+// Guards against keys for an upstream that drains, or another one behind the same port, while its
+// daemon can't tell the store.
+TEST_CASE("a peer's own word decides whether it is given keys", "[router]")
+{
+    fleet site;
+    site.health.setPeers(site.peers(), start);
+    site.answer("b", start);
+    site.health.onAnswer({"c", 1}, {{0, 0, 9, 10ms}, {"c", 1}, false}, start);
+    site.health.onAnswer({"d", 1}, {{0, 0, 9, 10ms}, {"e", 2}, true}, start);
+    const auto view = site.health.view(&site.self, start);
+    REQUIRE(view.loads.size() == 1);
+    CHECK(view.loads[0].id.name == "b");
+    CHECK(view.live.size() == 2);
+    CHECK(view.unreachable.empty());
+}
+
+// Guards against keys that all go to the first upstream after a start of everything.
+TEST_CASE("members that were just written count as live", "[router]")
+{
+    fleet site;
+    site.health.setPeers(site.peers(), start);
+    CHECK(site.health.view(&site.self, start).live.size() == 4);
+    CHECK(site.health.view(&site.self, start).loads.empty());
+    site.health.onSilence({"b", 1}, start);
+    CHECK(site.health.view(&site.self, start).live.size() == 3);
+}
+
+TEST_CASE("a peer's status is read as written", "[router]")
+{
+    const auto status = parsePeerStatus(encodePeerStatus({{3, 4, 9, 10ms}, {"i-1", 17}, true}));
+    REQUIRE(status.has_value());
+    CHECK(status->upstream == upstream_id{"i-1", 17});
+    CHECK(status->takesWork);
+    CHECK(status->queue.waiting == 4);
+    for (const char *text : {"", "1,2,3,4", "1,2,3,4;a;b;1", "x;a;1;1", "1,2,3,4;a;1;1;1"}) {
+        CHECK_FALSE(parsePeerStatus(text).has_value());
+    }
+}
+
 TEST_CASE("rates follow the requests of about a second", "[router]")
 {
     key_rates rates;
