--- a/src/persimmonrail/relay/relay_path.cpp
+++ b/src/persimmonrail/relay/relay_path.cpp
@@ -25,6 +25,12 @@
     return std::chrono::steady_clock::now();
 }
 
+bool isKeyMoving(relay_reason reason)
+{
+    return reason == relay_reason::NotOwner || reason == relay_reason::OtherUpstream
+        || reason == relay_reason::KeyNotHeld || reason == relay_reason::Draining;
+}
+
 class in_flight_guard
 {
 public:
@@ -154,10 +160,9 @@
         if (result.outcome == request_outcome::NotRun && !isPassing(result.reason)) {
             return false;
         }
-        // The queue of a key's owner is the only one; waiting there again brings nothing.
-        if (m_request.key
-            && (result.reason == relay_reason::Overload
-                || result.reason == relay_reason::DeadlineUnreachable)) {
+        // A key has one owner. Waiting for it helps only while the key moves; a full queue, a lost
+        // host or one that starts again takes longer than a caller should be held.
+        if (m_request.key && !isKeyMoving(result.reason)) {
             return false;
         }
         return arrivals < m_route->maxAttempts
@@ -174,6 +179,10 @@
             return notRun(relay_reason::NoUpstream);
         }
         m_request.upstream = member->id;
+        if (m_request.key && service.picker.isPenalized(member->id, now)) {
+            service.picker.finish(member->id, upstream_picker::result::Neutral, std::nullopt, now);
+            return notRun(relay_reason::PeerUnreachable);
+        }
         const steady_time sentAt = clockNow();
         relay_result result;
         if (member->id == m_path.m_runner.local().id) {
--- a/src/persimmonrail/relay/relay_path.h
+++ b/src/persimmonrail/relay/relay_path.h
@@ -28,7 +28,7 @@
     std::string callerService;
     std::string availabilityZone;
     // Pause before a key is looked up again whose owner does not serve it yet.
-    milliseconds ownerPause{30};
+    milliseconds ownerPause{60};
     // Longest wait for the owner of a key to begin serving it. A planned move takes less; longer
     // losses are refused, so that the caller learns when to come back.
     milliseconds ownerPatience{400};
--- a/src/persimmonrail/relay/tests/upstream_picker_test.cpp
+++ b/src/persimmonrail/relay/tests/upstream_picker_test.cpp
@@ -84,6 +84,21 @@
     CHECK_FALSE(picker.isPenalized(lost.id, start + 2s));
 }
 
+// Guards against many requests that all wait for a lost daemon once its penalty has ended.
+TEST_CASE("one request finds out whether a failed upstream is back", "[relay]")
+{
+    const upstream_member lost = member("lost");
+    const upstream_member sound = member("sound");
+    upstream_picker picker("nord", seeded(), {250ms, 4000ms, 500ms, 1.15});
+    picker.begin(lost.id);
+    picker.finish(lost.id, result::Failed, std::nullopt, start);
+    int tried = 0;
+    for (int i = 0; i < 50; ++i) {
+        tried += picker.pick({&lost, &sound}, {}, start + 300ms)->id == lost.id ? 1 : 0;
+    }
+    CHECK(tried == 1);
+}
+
 // The statuses 429 and 503 promise that a request has not run and never will.
 TEST_CASE("only requests that did not run are told so", "[relay]")
 {
--- a/src/persimmonrail/relay/upstream_picker.cpp
+++ b/src/persimmonrail/relay/upstream_picker.cpp
@@ -98,7 +98,12 @@
             chosen = other;
         }
     }
-    ++m_entries[chosen->id].inFlight;
+    entry &known = m_entries[chosen->id];
+    ++known.inFlight;
+    if (known.failures > 0) {
+        // One request at a time finds out whether it is back.
+        known.penaltyEnd = std::max(known.penaltyEnd, now + m_options.firstPenalty);
+    }
     return chosen;
 }
 
--- a/src/persimmonrail/relay/upstream_runner.cpp
+++ b/src/persimmonrail/relay/upstream_runner.cpp
@@ -49,8 +49,9 @@
     if (target.id != request.upstream || target.service != request.service) {
         return relay_reason::OtherUpstream;
     }
-    if (target.closed != relay_reason::None) {
-        return target.closed;
+    const relay_reason closed = request.key ? target.closedForKeys : target.closed;
+    if (closed != relay_reason::None) {
+        return closed;
     }
     if (request.key && !m_hooks.mayServe(*request.key)) {
         return relay_reason::NotOwner;
--- a/src/persimmonrail/relay/upstream_runner.h
+++ b/src/persimmonrail/relay/upstream_runner.h
@@ -20,6 +20,9 @@
     std::string address;
     // Why it takes no work; None if it does.
     relay_reason closed = relay_reason::None;
+    // The same for keys that it still holds: they are served until they have moved, as long as the
+    // platform lets a leaving upstream work.
+    relay_reason closedForKeys = relay_reason::None;
 };
 
 // Hooks into the state of the daemon; all are thread safe, none blocks.
--- a/src/persimmonrail/router/range_keeper.cpp
+++ b/src/persimmonrail/router/range_keeper.cpp
@@ -17,6 +17,8 @@
 // Between two confirmations by reads. Several fit into the confirmation life, so that one lost
 // answer matters little.
 constexpr milliseconds confirmInterval{2000};
+// Keys are released only if the store answered this lately, since the move has to be written.
+constexpr milliseconds storeFreshness{3000};
 constexpr milliseconds writeRetry{300};
 // Between two moves, so that the loads reported after the first one count for the second.
 constexpr milliseconds moveInterval{1000};
@@ -383,7 +385,8 @@
 
 void range_keeper::considerGiving(steady_time now)
 {
-    if (m_giving || m_writePending || now < m_nextMoveAt || m_peers.live.empty()) {
+    if (m_giving || m_writePending || now < m_nextMoveAt || m_peers.live.empty()
+        || bootNow() - m_confirmedAt > storeFreshness) {
         return;
     }
     const auto *placed = m_directory->findPlacement(m_service);
--- a/src/persimmonrail/router/router.h
+++ b/src/persimmonrail/router/router.h
@@ -46,6 +46,8 @@
     // Prefix that holds the operators' desired state, and the key of the object in it.
     std::string desiredStatePrefix;
     std::string desiredStateKey;
+    // Longest time that one watch of the store waits; the end of a router may take as long.
+    milliseconds watchWait{20000};
     // Errors: InvalidArgument.
     std::function<absl::StatusOr<std::shared_ptr<const route_table>>(std::string_view value)>
         parseDesiredState;
--- a/src/persimmonrail/router/router_settings.cpp
+++ b/src/persimmonrail/router/router_settings.cpp
@@ -114,6 +114,8 @@
         {"report-interval", "time between two reports of the upstream, such as 870ms", false,
          duration(&s::reportInterval)},
         {"max-hold", "longest hold time that upstreams accept", false, duration(&s::maxHold)},
+        {"drain-timeout", "how long a leaving upstream may get work", false,
+         duration(&s::drainTimeout)},
         {"grace-period", "time between the stop signal and the forced end", false,
          duration(&s::gracePeriod)},
         {"retry-ratio", "share of requests that may be repeated, all daemons together", false,
--- a/src/persimmonrail/router/router_settings.h
+++ b/src/persimmonrail/router/router_settings.h
@@ -30,6 +30,8 @@
     milliseconds reportInterval{1000};
     // Longest hold time that upstreams accept.
     milliseconds maxHold{10000};
+    // Longest time for which a leaving upstream may get work after its leaving was acknowledged.
+    milliseconds drainTimeout{2000};
     // Time between the stop signal and the end of the process, by force.
     milliseconds gracePeriod{6000};
     // All daemons together may repeat this share of a service's requests within the window, and
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -18,6 +18,10 @@
 // Left of the grace period for the end of the process itself.
 constexpr milliseconds exitReserve{700};
 constexpr milliseconds stopPoll{20};
+// Left of the drain timeout for a request on its way to the upstream.
+constexpr milliseconds drainReserve{500};
+// After this time a peer is marked again that took itself back but still can't be reached.
+constexpr milliseconds markInterval{10000};
 constexpr double loadSmoothing = 0.3;
 // A caller's connection outlives the idle time of the desired state, so that the caller closes it.
 constexpr milliseconds callerIdleTime{60000};
@@ -130,6 +134,8 @@
 
 void router::state::startWatchers()
 {
+    object_watcher_options watchOptions;
+    watchOptions.wait = m_platform.watchWait;
     object_watcher::hooks desired;
     desired.onList = desired.onChanges = [this](const object_list &objects, steady_time) {
         onDesiredState(objects);
@@ -157,7 +163,7 @@
     fleet.onReachable = [this](bool isReachable, const absl::Status &status) {
         onReachable("fleet", isReachable, status);
     };
-    m_fleetWatcher = std::make_unique<object_watcher>(m_store, fleetPrefix, fleet);
+    m_fleetWatcher = std::make_unique<object_watcher>(m_store, fleetPrefix, fleet, watchOptions);
     m_desiredStateWatcher->start();
     m_fleetWatcher->start();
 }
@@ -364,7 +370,7 @@
     return member;
 }
 
-void router::state::onUpstreamChanged(std::string_view cause, steady_time)
+void router::state::onUpstreamChanged(std::string_view cause, steady_time now)
 {
     const upstream_report &report = *m_upstream.report();
     logEvent("upstream",
@@ -373,6 +379,10 @@
                           " sequence=", report.sequence, " cause=", toAbsl(cause)));
     {
         const std::lock_guard lock(m_mutex);
+        if (m_upstream.phase() == upstream_phase::Draining
+            && m_target.closed != relay_reason::Draining) {
+            m_drainEnd = now + m_settings.drainTimeout - drainReserve;
+        }
         m_target.id = report.id;
         m_target.service = m_settings.service;
         m_target.address = m_settings.upstreamAddress;
@@ -421,7 +431,37 @@
     m_peers->poll(peers, now);
     const bool isThere = m_upstream.report() && m_upstream.phase() != upstream_phase::Absent;
     const upstream_member own = isThere ? ownMember() : upstream_member();
-    m_ranges->setPeers(m_peers->health().view(isThere ? &own : nullptr, now));
+    range_keeper::peers view = m_peers->health().view(isThere ? &own : nullptr, now);
+    if (view.isCoordinator) {
+        markUnreachable(*directory, view.unreachable, now);
+    }
+    m_ranges->setPeers(std::move(view));
+}
+
+// Tells the fleet of members that can't be reached, so that no daemon has to find out by itself. A
+// member that is back takes the mark away by itself.
+void router::state::markUnreachable(const fleet_directory &directory,
+                                    const std::vector<upstream_id> &unreachable, steady_time now)
+{
+    for (auto marked = m_marked.begin(); marked != m_marked.end();) {
+        const auto *known = directory.findMember(marked->first);
+        if (known == nullptr || known->member.isLeaving) {
+            m_publisher->forget(marked->first);
+        }
+        marked = now - marked->second >= markInterval ? m_marked.erase(marked) : std::next(marked);
+    }
+    for (const upstream_id &id : unreachable) {
+        const auto *known = directory.findMember(id.name);
+        if (known == nullptr || known->member.id != id || known->member.isLeaving
+            || m_marked.contains(id.name)) {
+            continue;
+        }
+        upstream_member member = known->member;
+        member.isLeaving = true;
+        m_publisher->want(member);
+        m_marked[id.name] = now;
+        logEvent("peer-unreachable", absl::StrCat("upstream=", toString(id)));
+    }
 }
 
 local_target router::state::localTarget() const
@@ -431,6 +471,9 @@
     if (m_closed && target.closed == relay_reason::None) {
         target.closed = relay_reason::Stopping;
     }
+    const bool servesKeys = target.closed == relay_reason::Draining && !m_closed
+        && std::chrono::steady_clock::now() < m_drainEnd;
+    target.closedForKeys = servesKeys ? relay_reason::None : target.closed;
     return target;
 }
 
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -10,6 +10,7 @@
 #include "persimmonrail/router/store_relay.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -52,6 +53,8 @@
     upstream_member ownMember() const;
     local_target localTarget() const;
     void pollPeers(steady_time now);
+    void markUnreachable(const fleet_directory &directory,
+                         const std::vector<upstream_id> &unreachable, steady_time now);
 
     // Ports.
     void serveReady(server_exchange &exchange);
@@ -75,7 +78,8 @@
     // Control state.
     fleet_directory_builder m_builder;
     local_upstream m_upstream;
-    bool m_isGoneKnown = false;
+    // When each unreachable peer was marked, by upstream name.
+    std::map<std::string, steady_time> m_marked;
     double m_utilization = 0;
 
     // Published for traffic threads.
@@ -84,6 +88,8 @@
     std::shared_ptr<const fleet_directory> m_directory;
     bool m_directoryListed = false;
     local_target m_target;
+    // When a leaving upstream gets no more work, even for keys that it holds.
+    steady_time m_drainEnd{};
 
     std::unique_ptr<range_keeper> m_ranges;
     std::unique_ptr<member_publisher> m_publisher;
