Do not starve routes of the same rank; relay reads of the desired state too

What comes later in the order has its turns whatever its rank (test failed first: none of 30 served). Ruled out: a desired state that was not in force (log: version 23 everywhere within 30 ms). The watcher of the desired state still used the direct store only.

--- a/src/persimmonrail/relay/peer_link.cpp
+++ b/src/persimmonrail/relay/peer_link.cpp
@@ -19,8 +19,8 @@
 // Between hosts a connection may go silent at any moment, and only a probe shows it. A daemon
 // closes idle connections of its peers late enough for this.
 constexpr milliseconds peerFreshTime{3000};
-// A crossing of availability zones takes a few milliseconds, and the kernel accepts connections even
-// of a busy process. Calls that running requests wait for have a quarter of a second in all.
+// A crossing of availability zones takes a few milliseconds, and the kernel accepts connections
+// even of a busy process. Calls that running requests wait for have a quarter of a second in all.
 constexpr milliseconds peerConnectTime{120};
 // After this time without progress, the peer is asked on a new connection whether it still has the
 // request.
--- a/src/persimmonrail/relay/slot_queue.cpp
+++ b/src/persimmonrail/relay/slot_queue.cpp
@@ -58,24 +58,26 @@
     if (freeAt.empty()) {
         freeAt.push(m_meanService);
     }
-    double sameRankAhead = 1;
-    bool lowerRank = false;
-    bool higherRank = false;
+    double equalAhead = 1;
+    bool earlierWaits = false;
+    bool laterWaits = false;
     for (const waiting_request &waiting : m_waiting) {
-        lowerRank = lowerRank || waiting.request.rank < request.rank;
-        higherRank = higherRank || waiting.request.rank > request.rank;
-        sameRankAhead += waiting.request.rank == request.rank ? 1 : 0;
-        if (!isBefore(request, waiting.request)) {
+        const bool isEarlier = isBefore(waiting.request, request);
+        const bool isLater = isBefore(request, waiting.request);
+        earlierWaits = earlierWaits || isEarlier;
+        laterWaits = laterWaits || isLater;
+        equalAhead += isEarlier || isLater ? 0 : 1;
+        if (!isLater) {
             const double start = freeAt.top();
             freeAt.pop();
             freeAt.push(start + serviceOf(waiting.request.kind));
         }
     }
-    // A less urgent rank gets its turns whatever waits before it.
-    const double byTurn = sameRankAhead * m_options.lowerRankTurn * m_meanService / m_slots;
-    const double turns = m_options.lowerRankTurn;
-    const double inOrder = freeAt.top() * (higherRank ? turns / (turns - 1) : 1);
-    return lowerRank ? std::min(inOrder, byTurn) : inOrder;
+    const double turns = m_options.laterTurn;
+    const double inOrder = freeAt.top() * (laterWaits ? turns / (turns - 1) : 1);
+    // What comes later in the order gets its turns whatever waits before it.
+    const double byTurn = equalAhead * turns * m_meanService / m_slots;
+    return earlierWaits ? std::min(inOrder, byTurn) : inOrder;
 }
 
 int slot_queue::slotsBefore(const slot_request &request) const
@@ -138,9 +140,9 @@
     const auto first = m_waiting.begin();
     const auto other =
         std::find_if(first, m_waiting.end(), [first](const waiting_request &waiting) {
-            return waiting.request.rank != first->request.rank;
+            return isBefore(first->request, waiting.request);
         });
-    if (other != m_waiting.end() && ++m_startsWhileOthersWait >= m_options.lowerRankTurn) {
+    if (other != m_waiting.end() && ++m_startsWhileOthersWait >= m_options.laterTurn) {
         m_startsWhileOthersWait = 0;
         return other;
     }
--- a/src/persimmonrail/relay/slot_queue.h
+++ b/src/persimmonrail/relay/slot_queue.h
@@ -17,8 +17,9 @@
     milliseconds assumedService{50};
     // Weight of one ended request in the mean service time of its kind.
     double smoothing = 0.1;
-    // While less urgent ranks wait, one of this many starts is theirs, so that none is starved.
-    int lowerRankTurn = 10;
+    // While requests later in the order wait, one of this many starts is theirs, so that none is
+    // starved.
+    int laterTurn = 10;
     // A request is accepted if it is expected to end within this multiple of its time to target.
     double acceptedShare = 0.9;
     // Time over which the load that each kind offers is measured.
@@ -119,7 +120,7 @@
     // In the order in which they start.
     std::list<waiting_request> m_waiting;
     std::map<uint64_t, running_request> m_running;
-    // Starts of the most urgent rank while others waited.
+    // Starts of the first in the order while others waited.
     int m_startsWhileOthersWait = 0;
 };
 
--- a/src/persimmonrail/relay/tests/slot_queue_test.cpp
+++ b/src/persimmonrail/relay/tests/slot_queue_test.cpp
@@ -177,6 +177,19 @@
     CHECK(results.at("urgent").inObjective >= 1200);
 }
 
+// Load pattern: sustained overload by one route, and a few requests on another one of the same rank
+// with a longer objective, such as a route that was just added.
+TEST_CASE("a longer objective of the same rank is not starved", "[relay]")
+{
+    slot_queue queue;
+    queue.setSlots(9);
+    const auto results =
+        play(queue, {{"busy", 0, 500ms, 60ms, 400}, {"new", 0, 1000ms, 20ms, 3}}, 10s);
+    CAPTURE(results.at("new").refused);
+    CHECK(results.at("new").inObjective >= 25);
+    CHECK(results.at("busy").inObjective >= 1200);
+}
+
 TEST_CASE("the time of a kind follows what its requests take", "[relay]")
 {
     slot_queue queue;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -146,8 +146,8 @@
     desired.onReachable = [this](bool isReachable, const absl::Status &status) {
         onReachable("desired-state", isReachable, status);
     };
-    m_desiredStateWatcher =
-        std::make_unique<object_watcher>(m_platform.store, m_platform.desiredStatePrefix, desired);
+    m_desiredStateWatcher = std::make_unique<object_watcher>(m_store, m_platform.desiredStatePrefix,
+                                                             desired, watchOptions);
     object_watcher::hooks fleet;
     fleet.onList = [this](const object_list &objects, steady_time readAt) {
         m_loop.post(
