--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -11,6 +11,8 @@
 namespace persimmonrail {
 namespace {
 
+// Several lines for each of the few hundred requests a second that a daemon takes at most.
+constexpr uint64_t logLinesPerSecond = 500;
 constexpr milliseconds rangeInterval{100};
 constexpr milliseconds upstreamCheckInterval{250};
 // Callers notice within two checks of readiness, a second apart, that a daemon stops.
@@ -48,7 +50,7 @@
     : m_settings(settings)
     , m_platform(std::move(platform))
     , m_store(makeRelayedStore(m_platform.store, makeRelayHooks()))
-    , m_log({settings.level, ""})
+    , m_log({settings.level, "", logLinesPerSecond, true})
     , m_builder([this](const std::string &key, std::string_view reason) {
         m_log.write(log_level::Warn,
                     absl::StrCat("object ignored key=", key, " reason=", toAbsl(reason)));
@@ -94,6 +96,7 @@
              absl::StrCat("host=", m_settings.hostName, " service=", m_settings.service,
                           " availability_zone=", m_settings.availabilityZone,
                           " version=" PERSIMMONRAIL_VERSION));
+    addGauges();
     schedulePeriodicTasks();
     m_loop.start();
     startWatchers();
@@ -132,6 +135,27 @@
     return status;
 }
 
+void router::state::addGauges()
+{
+    m_metrics.addGauge("persimmonrail_in_flight",
+                       [this] { return static_cast<double>(m_path->inFlight()); });
+    m_metrics.addGauge("persimmonrail_upstream_running",
+                       [this] { return static_cast<double>(m_runner->queue().running); });
+    m_metrics.addGauge("persimmonrail_upstream_waiting",
+                       [this] { return static_cast<double>(m_runner->queue().waiting); });
+    m_metrics.addGauge("persimmonrail_ready", [this] { return isReady() ? 1.0 : 0.0; });
+    m_metrics.addGauge("persimmonrail_log_lines_dropped",
+                       [this] { return static_cast<double>(m_log.droppedLines()); });
+    m_metrics.addGauge("persimmonrail_desired_state_version", [this] {
+        const std::lock_guard lock(m_mutex);
+        return m_routes == nullptr ? 0.0 : static_cast<double>(m_routes->version());
+    });
+    m_metrics.addGauge("persimmonrail_fleet_revision", [this] {
+        const std::lock_guard lock(m_mutex);
+        return static_cast<double>(m_directory->revision());
+    });
+}
+
 void router::state::startWatchers()
 {
     object_watcher_options watchOptions;
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -33,6 +33,7 @@
 
 private:
     absl::Status listen();
+    void addGauges();
     void startWatchers();
     store_relay_hooks makeRelayHooks();
     void schedulePeriodicTasks();
--- a/src/persimmonrail/telemetry/decision_log.cpp
+++ b/src/persimmonrail/telemetry/decision_log.cpp
@@ -2,9 +2,11 @@
 
 #include "persimmonrail/base/key_hash.h"
 #include "persimmonrail/base/text.h"
+#include "persimmonrail/telemetry/line_budget.h"
 
 #include <absl/strings/str_cat.h>
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/hierarchy.h>
@@ -12,9 +14,13 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <mutex>
+
 namespace persimmonrail {
 namespace {
 
+// Lines that wait for the thread that writes them.
+constexpr int asynchronousLines = 512;
 constexpr char linePattern[] = "%d{ISO8601} %-5p %m%n";
 
 log4cxx::LevelPtr toLevel(log_level level)
@@ -52,22 +58,36 @@
 class decision_log::state
 {
 public:
+    explicit state(uint64_t linesPerSecond)
+        : budget(linesPerSecond)
+    { }
+
     // A hierarchy of its own, so that several logs in one process do not share their levels.
     log4cxx::spi::LoggerRepositoryPtr repository = log4cxx::Hierarchy::create();
     log4cxx::LoggerPtr logger;
+    std::mutex mutex;
+    line_budget budget;
 };
 
 decision_log::decision_log(const log_options &options)
-    : m_state(std::make_unique<state>())
+    : m_state(std::make_unique<state>(options.linesPerSecond))
 {
     m_state->logger = m_state->repository->getLogger("persimmonrail");
     m_state->logger->setAdditivity(false);
     const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(linePattern));
-    if (options.file.empty()) {
-        m_state->logger->addAppender(log4cxx::AppenderPtr(new log4cxx::ConsoleAppender(layout)));
+    const log4cxx::AppenderPtr target(
+        options.file.empty()
+            ? static_cast<log4cxx::Appender *>(new log4cxx::ConsoleAppender(layout))
+            : static_cast<log4cxx::Appender *>(
+                new log4cxx::FileAppender(layout, options.file, true)));
+    if (options.isAsynchronous) {
+        auto *const buffer = new log4cxx::AsyncAppender;
+        buffer->setBufferSize(asynchronousLines);
+        buffer->setBlocking(false);
+        buffer->addAppender(target);
+        m_state->logger->addAppender(log4cxx::AppenderPtr(buffer));
     } else {
-        m_state->logger->addAppender(
-            log4cxx::AppenderPtr(new log4cxx::FileAppender(layout, options.file, true)));
+        m_state->logger->addAppender(target);
     }
     m_state->logger->setLevel(toLevel(options.level));
 }
@@ -86,9 +106,27 @@
 
 void decision_log::write(log_level level, std::string_view text)
 {
-    if (level != log_level::Off && isEnabled(level)) {
-        m_state->logger->forcedLog(toLevel(level), std::string(text));
+    if (level == log_level::Off || !isEnabled(level)) {
+        return;
+    }
+    uint64_t dropped = 0;
+    if (level == log_level::Debug || level == log_level::Info) {
+        const std::lock_guard lock(m_state->mutex);
+        if (!m_state->budget.take(std::chrono::steady_clock::now(), dropped)) {
+            return;
+        }
     }
+    if (dropped > 0) {
+        m_state->logger->forcedLog(toLevel(log_level::Warn),
+                                   absl::StrCat("log-lines-dropped count=", dropped));
+    }
+    m_state->logger->forcedLog(toLevel(level), std::string(text));
+}
+
+uint64_t decision_log::droppedLines() const
+{
+    const std::lock_guard lock(m_state->mutex);
+    return m_state->budget.droppedInAll();
 }
 
 bool decision_log::isEnabled(log_level level) const
--- a/src/persimmonrail/telemetry/decision_log.h
+++ b/src/persimmonrail/telemetry/decision_log.h
@@ -33,6 +33,11 @@
     log_level level = log_level::Info;
     // Path of the log file; empty logs to the console.
     std::string file;
+    // Lines of level Info and below that are written in one second; 0 sets no limit.
+    uint64_t linesPerSecond = 0;
+    // Hands lines to a thread of their own through a buffer that drops rather than waits, so that a
+    // reader which stands still does not hold up requests.
+    bool isAsynchronous = false;
 };
 
 // Log of decisions and events on log4cxx, one line each. Thread safe.
@@ -49,6 +54,9 @@
     void write(log_level level, std::string_view text);
     bool isEnabled(log_level level) const;
 
+    // Lines that were dropped because of the limit.
+    uint64_t droppedLines() const;
+
     // The line that write() logs for a decision.
     static std::string format(const decision &decision);
 
