--- a/src/persimmonrail/daemon/tests/input_test.cpp
+++ b/src/persimmonrail/daemon/tests/input_test.cpp
@@ -1,6 +1,6 @@
+#include "persimmonrail/objects/http_object_api.h"
 #include "persimmonrail/ownership/placement_record.h"
 #include "persimmonrail/peer/control_channel.h"
-#include "persimmonrail/objects/http_object_api.h"
 #include "persimmonrail/sync/fleet_view.h"
 #include "single_daemon.h"
 #include "standins/input_mutator.h"
--- a/src/persimmonrail/http/http_stream.cpp
+++ b/src/persimmonrail/http/http_stream.cpp
@@ -12,7 +12,10 @@
 namespace persimmonrail {
 namespace {
 
-constexpr size_t readBytes = 16 * 1024;
+// Heads and most bodies fit; each open connection keeps a buffer of this size, so it is small.
+constexpr size_t readBytes = 4 * 1024;
+// With this much waiting, bigger steps save system calls.
+constexpr size_t largeReadBytes = 32 * 1024;
 
 int pollTimeout(steady_time until)
 {
@@ -101,10 +104,12 @@
     m_buffer.erase(0, m_position);
     m_position = 0;
     const size_t before = m_buffer.size();
-    m_buffer.resize(before + readBytes);
+    const size_t step = m_lastReadWasFull ? largeReadBytes : readBytes;
+    m_buffer.resize(before + step);
     for (;;) {
-        const ssize_t n = ::recv(m_descriptor, m_buffer.data() + before, readBytes, MSG_DONTWAIT);
+        const ssize_t n = ::recv(m_descriptor, m_buffer.data() + before, step, MSG_DONTWAIT);
         if (n > 0) {
+            m_lastReadWasFull = static_cast<size_t>(n) == step;
             m_buffer.resize(before + static_cast<size_t>(n));
             return io_status::Ok;
         }
@@ -122,6 +127,12 @@
 
 io_status http_stream::waitReadable(steady_time until)
 {
+    // Connections wait here between requests; what a large body needed is given back.
+    if (m_position == m_buffer.size() && m_buffer.capacity() > 2 * readBytes) {
+        std::string().swap(m_buffer);
+        m_position = 0;
+        m_lastReadWasFull = false;
+    }
     return m_position < m_buffer.size() ? io_status::Ok : wait(POLLIN, until);
 }
 
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -91,6 +91,7 @@
     int m_descriptor;
     http_stream *m_watched = nullptr;
     bool m_endedInOrder = false;
+    bool m_lastReadWasFull = false;
     std::string m_buffer;
     size_t m_position = 0;
 };
--- a/src/persimmonrail/ownership/ownership_engine.h
+++ b/src/persimmonrail/ownership/ownership_engine.h
@@ -3,10 +3,10 @@
 #include "persimmonrail/base/clock.h"
 #include "persimmonrail/base/instance_id.h"
 #include "persimmonrail/base/key_hash.h"
+#include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/ownership/lease_timing.h"
 #include "persimmonrail/ownership/serving_table.h"
 #include "persimmonrail/ownership/write_pacer.h"
-#include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/sync/fleet_view.h"
 
 #include <control.pb.h>
--- a/src/persimmonrail/relay/peer_link.cpp
+++ b/src/persimmonrail/relay/peer_link.cpp
@@ -12,10 +12,11 @@
 namespace persimmonrail {
 namespace {
 
-// Connections between daemons cost little; each carries one request at a time.
-constexpr size_t maxIdlePerPeer = 32;
-constexpr size_t maxIdleInAll = 256;
-constexpr milliseconds peerIdleTime{10000};
+// Each connection between daemons carries one request at a time and holds a thread at its peer, so
+// those that a burst needed are given up soon.
+constexpr size_t maxIdlePerPeer = 8;
+constexpr size_t maxIdleInAll = 64;
+constexpr milliseconds peerIdleTime{5000};
 // Between hosts a connection may go silent at any moment, and only a probe shows it. A daemon
 // closes idle connections of its peers late enough for this.
 constexpr milliseconds peerFreshTime{3000};
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -27,6 +27,8 @@
 constexpr double loadSmoothing = 0.3;
 // A caller's connection outlives the idle time of the desired state, so that the caller closes it.
 constexpr milliseconds callerIdleTime{60000};
+// Longer than daemons keep idle connections, so that they close first.
+constexpr milliseconds peerIdleTime{8000};
 constexpr size_t maxReportBytes = 64 * 1024;
 constexpr milliseconds reportTimeout{2000};
 // Values of the store are at most 1 MB.
@@ -105,12 +107,13 @@
 
 absl::Status router::state::listen()
 {
-    const auto open = [this](std::unique_ptr<http_server> &server, const std::string &address,
-                             int connections, http_server::handler handler) -> absl::Status {
+    const auto open = [](std::unique_ptr<http_server> &server, const std::string &address,
+                         int connections, milliseconds idleTime,
+                         http_server::handler handler) -> absl::Status {
         http_server_options options;
         options.address = address;
         options.maxConnections = connections;
-        options.idleTimeout = callerIdleTime;
+        options.idleTimeout = idleTime;
         auto opened = http_server::listen(options, std::move(handler));
         if (opened.ok()) {
             server = std::move(*opened);
@@ -118,17 +121,19 @@
         return opened.status();
     };
     constexpr int fewConnections = 32;
-    absl::Status status = open(m_peerServer, m_settings.peerAddress, m_settings.maxPeerConnections,
-                               [this](server_exchange &exchange) { servePeer(exchange); });
-    status.Update(open(m_reportServer, m_settings.reportAddress, fewConnections,
+    absl::Status status =
+        open(m_peerServer, m_settings.peerAddress, m_settings.maxPeerConnections, peerIdleTime,
+             [this](server_exchange &exchange) { servePeer(exchange); });
+    status.Update(open(m_reportServer, m_settings.reportAddress, fewConnections, callerIdleTime,
                        [this](server_exchange &exchange) { serveReport(exchange); }));
     status.Update(open(m_callerServer, m_settings.callerAddress, m_settings.maxCallerConnections,
+                       callerIdleTime,
                        [this](server_exchange &exchange) { m_path->serveCaller(exchange); }));
-    status.Update(open(m_readyServer, m_settings.readyAddress, fewConnections,
+    status.Update(open(m_readyServer, m_settings.readyAddress, fewConnections, callerIdleTime,
                        [this](server_exchange &exchange) { serveReady(exchange); }));
     if (!m_settings.metricsAddress.empty()) {
         status.Update(open(m_metricsServer, m_settings.metricsAddress, fewConnections,
-                           [this](server_exchange &exchange) {
+                           callerIdleTime, [this](server_exchange &exchange) {
                                exchange.answer(200, m_metrics.renderText(), "text/plain");
                            }));
     }
--- a/tests/measure/capacity_measure_main.cpp
+++ b/tests/measure/capacity_measure_main.cpp
@@ -3,9 +3,9 @@
 
 #include "persimmonrail/balance/coordinator.h"
 #include "persimmonrail/daemon/instance_directory.h"
+#include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/ownership/ownership_engine.h"
 #include "persimmonrail/peer/control_channel.h"
-#include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/requests/at_most_once_table.h"
 #include "persimmonrail/sync/object_store.h"
 
