--- a/src/persimmonrail/fleet/upstream_member.h
+++ b/src/persimmonrail/fleet/upstream_member.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace persimmonrail {
 
@@ -17,7 +18,11 @@
     // Milliseconds since the Unix epoch, by the upstream's clock.
     int64_t startedAt = 0;
 
-    auto operator<=>(const upstream_id &) const = default;
+    bool operator==(const upstream_id &) const = default;
+    bool operator<(const upstream_id &other) const
+    {
+        return std::tie(name, startedAt) < std::tie(other.name, other.startedAt);
+    }
     bool isEmpty() const { return name.empty(); }
 };
 
--- a/src/persimmonrail/keyspace/key_placement.h
+++ b/src/persimmonrail/keyspace/key_placement.h
@@ -20,7 +20,7 @@
     shard_key first = 0;
     shard_key last = lastKey;
 
-    auto operator<=>(const key_interval &) const = default;
+    bool operator==(const key_interval &) const = default;
     uint32_t count() const { return last - first + 1; }
     bool contains(shard_key key) const { return first <= key && key <= last; }
 };
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -75,8 +75,8 @@
         const shard_key last = first + random() % (range.keys.last - first + 1);
         const key_placement before = placement;
         if (random() % 5 == 0) {
-            const upstream_id lost = ids[random() % 3];
-            const upstream_id taker = ids[(random() % 3)];
+            const upstream_id &lost = ids[random() % 3];
+            const upstream_id &taker = ids[(random() % 3)];
             placement = reassignLost(
                 placement, [&](const upstream_id &id) { return id == lost && id != taker; },
                 {{taker, 9}}, milliseconds(random() % 2 * 1000));
--- a/src/persimmonrail/router/peer_monitor.cpp
+++ b/src/persimmonrail/router/peer_monitor.cpp
@@ -147,6 +147,7 @@
     }
     m_pending = true;
     std::vector<std::pair<upstream_id, std::string>> targets;
+    targets.reserve(peers.size());
     for (const upstream_member *peer : peers) {
         targets.emplace_back(peer->id, peer->peerAddress);
     }
--- a/src/persimmonrail/router/range_keeper.cpp
+++ b/src/persimmonrail/router/range_keeper.cpp
@@ -479,7 +479,7 @@
     });
 }
 
-void range_keeper::finishGiving(std::vector<std::pair<planned_move, std::string>> given)
+void range_keeper::finishGiving(const std::vector<std::pair<planned_move, std::string>> &given)
 {
     const auto end = [this](bool) {
         m_giving = false;
--- a/src/persimmonrail/router/range_keeper.h
+++ b/src/persimmonrail/router/range_keeper.h
@@ -85,7 +85,7 @@
     void considerRecord();
     void considerGiving(steady_time now);
     void startGiving(std::vector<planned_move> moves, std::string_view reason);
-    void finishGiving(std::vector<std::pair<planned_move, std::string>> given);
+    void finishGiving(const std::vector<std::pair<planned_move, std::string>> &given);
     void write(placement_write change, std::function<void(bool written)> done);
     void confirm();
     std::vector<key_interval> ownIntervals() const;
--- a/src/persimmonrail/router/store_relay.cpp
+++ b/src/persimmonrail/router/store_relay.cpp
@@ -101,14 +101,12 @@
 
     absl::StatusOr<stored_object> get(const std::string &key)
     {
-        const auto answer =
-            run<stored_object>([&] { return m_direct.get(key); }, {"get", key, 0, ""},
-                               [](const object_list &list) -> absl::StatusOr<stored_object> {
-                                   return list.objects.empty()
-                                       ? absl::InternalError("no object")
-                                       : absl::StatusOr<stored_object>(list.objects.front());
-                               });
-        return answer;
+        return run<stored_object>([&] { return m_direct.get(key); }, {"get", key, 0, ""},
+                                  [](const object_list &list) -> absl::StatusOr<stored_object> {
+                                      return list.objects.empty()
+                                          ? absl::InternalError("no object")
+                                          : absl::StatusOr<stored_object>(list.objects.front());
+                                  });
     }
 
     absl::StatusOr<uint64_t> put(const std::string &key, uint64_t version, const std::string &value)
