Spread a hot area over several owners at once

One move a second, to one target, sized by the length of a queue that refuses what it can't serve, halved the overload per move while its record was often lost to another writer. Ruled out: too few slots in all (about half of them are in use), lost grants (none of the requests ran cold).

Change: chooseMoves levels the load offered (rates by key times service time) with up to six of the least loaded owners in one release and one write; the speed of each owner counts; a write that loses a race is made again on the newer record.

--- a/src/persimmonrail/keyspace/range_plan.cpp
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -155,12 +155,29 @@
 
 namespace {
 
+// Evenly used keys of a large owner need a smaller move than the loads ask for; with this many
+// halvings the least share is a sixteenth.
+constexpr int mostHalvings = 4;
+// A window that carries more than this multiple of what is wanted is one very busy key; moving it
+// only moves the overload.
+constexpr double mostExcess = 1.6;
+constexpr int levelSteps = 30;
+
 struct rated_window
 {
     key_interval keys;
     double rate = 0;
 };
 
+// What a target can take of an owner's load.
+struct target_room
+{
+    upstream_id id;
+    double utilization = 0;
+    // Requests per second of the owner that raise the target's utilization by 1.
+    double ratePerLoad = 0;
+};
+
 // Returns the shortest window within `interval` that carries at least `wanted`.
 std::optional<rated_window>
 shortestWindow(key_interval interval, const std::function<double(shard_key)> &rate, double wanted)
@@ -181,14 +198,6 @@
     return best;
 }
 
-} // namespace
-
-namespace {
-
-// Evenly used keys of a large owner need a smaller move than the loads ask for; with this many
-// halvings the least share is a sixteenth.
-constexpr int mostHalvings = 4;
-
 std::optional<rated_window> shortestOf(const std::vector<key_interval> &intervals,
                                        const std::function<double(shard_key)> &rate, double wanted)
 {
@@ -202,20 +211,94 @@
     return best;
 }
 
+// Chooses a window that carries about `wanted` and has no more keys than one move may take.
+std::optional<rated_window> chooseWindow(const std::vector<key_interval> &intervals,
+                                         const std::function<double(shard_key)> &rate,
+                                         double wanted, double mostKeys)
+{
+    for (int halvings = 0; halvings < mostHalvings; ++halvings, wanted /= 2) {
+        const auto window = shortestOf(intervals, rate, wanted);
+        if (!window || window->rate > wanted * mostExcess) {
+            return std::nullopt;
+        }
+        if (window->keys.count() <= mostKeys) {
+            return window;
+        }
+    }
+    return std::nullopt;
+}
+
+void removeFrom(std::vector<key_interval> &intervals, key_interval taken)
+{
+    std::vector<key_interval> left;
+    for (const key_interval &interval : intervals) {
+        if (taken.last < interval.first || interval.last < taken.first) {
+            left.push_back(interval);
+            continue;
+        }
+        if (interval.first < taken.first) {
+            left.push_back({interval.first, taken.first - 1});
+        }
+        if (taken.last < interval.last) {
+            left.push_back({taken.last + 1, interval.last});
+        }
+    }
+    intervals = std::move(left);
+}
+
+// The peers that are less loaded than the owner by the least difference, least loaded first.
+std::vector<target_room> findTargets(const owner_load &self, double ownRatePerLoad,
+                                     const std::vector<owner_load> &others,
+                                     const move_options &options)
+{
+    std::vector<target_room> targets;
+    for (const owner_load &other : others) {
+        if (self.utilization - other.utilization < options.leastDifference) {
+            continue;
+        }
+        const bool isMeasured = other.service.count() > 0 && self.service.count() > 0;
+        const double speed = isMeasured
+            ? static_cast<double>(self.service.count()) / static_cast<double>(other.service.count())
+            : 1;
+        const double slots =
+            static_cast<double>(std::max(other.slots, 1)) / std::max(self.slots, 1);
+        targets.push_back({other.id, other.utilization, ownRatePerLoad * slots * speed});
+    }
+    std::sort(targets.begin(), targets.end(), [](const target_room &a, const target_room &b) {
+        return a.utilization < b.utilization;
+    });
+    if (targets.size() > options.mostTargets) {
+        targets.resize(options.mostTargets);
+    }
+    return targets;
+}
+
+// The utilization at which what the owner gives is what the targets take.
+double findLevel(double utilization, double ownRatePerLoad, const std::vector<target_room> &targets,
+                 double intake)
+{
+    double low = targets.front().utilization;
+    double high = utilization;
+    for (int step = 0; step < levelSteps; ++step) {
+        const double level = (low + high) / 2;
+        double taken = 0;
+        for (const target_room &target : targets) {
+            taken += std::max(0.0, level - target.utilization) * target.ratePerLoad * intake;
+        }
+        (taken < (utilization - level) * ownRatePerLoad ? low : high) = level;
+    }
+    return high;
+}
+
 } // namespace
 
-std::optional<planned_move> chooseMove(const std::vector<key_interval> &own,
-                                       const std::function<double(shard_key)> &rate,
-                                       const owner_load &self,
-                                       const std::vector<owner_load> &others,
-                                       const move_options &options)
+std::vector<planned_move> chooseMoves(const std::vector<key_interval> &own,
+                                      const std::function<double(shard_key)> &rate,
+                                      const owner_load &self, const std::vector<owner_load> &others,
+                                      const move_options &options)
 {
-    const auto target = std::min_element(
-        others.begin(), others.end(),
-        [](const owner_load &a, const owner_load &b) { return a.utilization < b.utilization; });
-    if (target == others.end() || self.utilization < options.leastUtilization
-        || self.utilization - target->utilization < options.leastDifference) {
-        return std::nullopt;
+    if (self.utilization < options.leastUtilization) {
+        return {};
     }
     double total = 0;
     for (const key_interval &interval : own) {
@@ -223,22 +306,26 @@
             total += rate(key);
         }
     }
-    if (total <= 0) {
-        return std::nullopt;
+    const double ownRatePerLoad = total / self.utilization;
+    const auto targets = findTargets(self, ownRatePerLoad, others, options);
+    if (targets.empty() || total <= 0) {
+        return {};
     }
-    double share = (self.utilization - target->utilization) / (2 * self.utilization);
-    for (int halvings = 0; halvings < mostHalvings; ++halvings, share /= 2) {
-        const auto window = shortestOf(own, rate, total * share);
-        // A window that carries far more than wanted is one very busy key; moving it only moves the
-        // overload.
-        if (!window || window->rate > total * std::min(1.0, 1.6 * share)) {
-            return std::nullopt;
+    const double level = findLevel(self.utilization, ownRatePerLoad, targets, options.intake);
+    std::vector<planned_move> moves;
+    std::vector<key_interval> left = own;
+    for (const target_room &target : targets) {
+        const double wanted = (level - target.utilization) * target.ratePerLoad * options.intake;
+        if (wanted < total * options.leastShare) {
+            continue;
         }
-        if (window->keys.count() <= options.mostKeys * (lastKey + 1)) {
-            return planned_move{window->keys, target->id};
+        const auto window = chooseWindow(left, rate, wanted, options.mostKeys * (lastKey + 1));
+        if (window) {
+            moves.push_back({window->keys, target.id});
+            removeFrom(left, window->keys);
         }
     }
-    return std::nullopt;
+    return moves;
 }
 
 std::optional<planned_move> chooseShareForNewcomer(const key_placement &placement,
--- a/src/persimmonrail/keyspace/range_plan.h
+++ b/src/persimmonrail/keyspace/range_plan.h
@@ -45,8 +45,11 @@
 {
     upstream_id id;
     int slots = 1;
-    // Requests that run or wait, averaged over the last second, per slot.
+    // Slots that its requests would use if all were started at once, per slot that it has, averaged
+    // over about a second. Above 1 it can't serve them all.
     double utilization = 0;
+    // Mean time that one request takes there; 0 if unknown.
+    std::chrono::microseconds service{0};
 };
 
 struct move_options
@@ -57,6 +60,12 @@
     double leastDifference = 0.25;
     // Largest part of all keys that one move takes.
     double mostKeys = 0.25;
+    // Owners that get keys at once. A hot area may need as many as carry it together.
+    size_t mostTargets = 6;
+    // Part of the room of a target that one owner fills, since others may choose the same target.
+    double intake = 0.8;
+    // Moves of a smaller part of the owner's load are not worth their cost.
+    double leastShare = 0.02;
 };
 
 struct planned_move
@@ -65,14 +74,13 @@
     upstream_id target;
 };
 
-// Chooses the keys that an owner gives to the least loaded one, if any: the shortest interval that
-// carries half of the difference of their loads. `rates` holds requests per second by key, in the
-// `own` the ranges of the owner.
-std::optional<planned_move> chooseMove(const std::vector<key_interval> &own,
-                                       const std::function<double(shard_key)> &rate,
-                                       const owner_load &self,
-                                       const std::vector<owner_load> &others,
-                                       const move_options &options = {});
+// Chooses the keys that an owner gives away, if any, so that its load and those of its least loaded
+// peers come level: for each of them the shortest interval that carries its part. `rate` is the
+// requests per second by key, in the `own` ranges of the owner.
+std::vector<planned_move> chooseMoves(const std::vector<key_interval> &own,
+                                      const std::function<double(shard_key)> &rate,
+                                      const owner_load &self, const std::vector<owner_load> &others,
+                                      const move_options &options = {});
 
 // Chooses keys for an upstream that owns none: half of the keys of the owner with most keys, if
 // that is `self`.
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+#include <map>
 #include <random>
 #include <set>
 
@@ -260,41 +262,186 @@
     CHECK(holder.dueGrants(start).empty());
 }
 
+namespace {
+
+using key_rate = std::function<double(shard_key)>;
+
+double rateOf(const key_interval &keys, const key_rate &rate)
+{
+    double sum = 0;
+    for (shard_key key = keys.first; key <= keys.last; ++key) {
+        sum += rate(key);
+    }
+    return sum;
+}
+
+// Owners with equal slots and speeds, and the utilization that their keys bring them.
+struct loaded_owners
+{
+    key_rate rate;
+    // Requests per second that fill one owner.
+    double capacity;
+    std::map<upstream_id, std::vector<key_interval>> keys;
+    size_t moved = 0;
+
+    owner_load load(const upstream_id &id) const
+    {
+        double sum = 0;
+        for (const key_interval &interval : keys.at(id)) {
+            sum += rateOf(interval, rate);
+        }
+        return {id, 9, sum / capacity};
+    }
+    double highest() const
+    {
+        double most = 0;
+        for (const auto &[id, intervals] : keys) {
+            most = std::max(most, load(id).utilization);
+        }
+        return most;
+    }
+    // Each owner in turn gives what it chooses.
+    void moveOnce()
+    {
+        for (const auto &entry : std::map(keys)) {
+            const upstream_id id = entry.first;
+            std::vector<owner_load> others;
+            for (const auto &[other, intervals] : keys) {
+                if (other != id) {
+                    others.push_back(load(other));
+                }
+            }
+            std::set<upstream_id> targets;
+            for (const planned_move &move : chooseMoves(keys[id], rate, load(id), others)) {
+                CHECK(targets.insert(move.target).second);
+                give(id, move);
+            }
+        }
+    }
+    void give(const upstream_id &from, const planned_move &move)
+    {
+        std::vector<key_interval> left;
+        bool found = false;
+        for (const key_interval &own : keys[from]) {
+            if (!own.contains(move.keys.first) || !own.contains(move.keys.last)) {
+                left.push_back(own);
+                continue;
+            }
+            found = true;
+            if (own.first < move.keys.first) {
+                left.push_back({own.first, move.keys.first - 1});
+            }
+            if (move.keys.last < own.last) {
+                left.push_back({move.keys.last + 1, own.last});
+            }
+        }
+        REQUIRE(found);
+        keys[from] = left;
+        keys[move.target].push_back(move.keys);
+        moved += move.keys.count();
+    }
+};
+
+loaded_owners evenOwners(int count, key_rate rate, double capacity)
+{
+    loaded_owners owners{std::move(rate), capacity, {}, 0};
+    const int part = (lastKey + 1) / count;
+    for (int i = 0; i < count; ++i) {
+        const auto first = static_cast<shard_key>(i * part);
+        const shard_key last = i + 1 == count ? lastKey : first + part - 1;
+        owners.keys[{"o" + std::to_string(100 + i), 1}] = {{first, last}};
+    }
+    return owners;
+}
+
+} // namespace
+
 // Load pattern: a few neighbouring keys get much of the traffic of one owner.
 TEST_CASE("a busy area is cut, and few keys move", "[keyspace]")
 {
-    const auto rate = [](shard_key key) { return key >= 1000 && key < 1200 ? 1.0 : 0.002; };
+    const key_rate rate = [](shard_key key) { return key >= 1000 && key < 1200 ? 1.0 : 0.002; };
+    const double total = rateOf({0, 16383}, rate);
     const owner_load self{a, 9, 1.2};
-    const auto move = chooseMove({{0, 16383}}, rate, self, {{b, 9, 0.4}, {c, 9, 0.5}});
-    REQUIRE(move.has_value());
-    CHECK(move->target == b);
-    CHECK(move->keys.count() < 200);
-    double moved = 0;
-    for (shard_key key = move->keys.first; key <= move->keys.last; ++key) {
-        moved += rate(key);
+    const auto moves = chooseMoves({{0, 16383}}, rate, self, {{b, 9, 0.4}});
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].target == b);
+    CHECK(moves[0].keys.count() < 200);
+    const double share = rateOf(moves[0].keys, rate) / total;
+    // Both come level but for the part of the room that is left for others.
+    CHECK(1.2 * (1 - share) - (0.4 + 1.2 * share) == Approx(0).margin(0.12));
+}
+
+// Load pattern: neighbouring keys get several times what any single owner can serve.
+TEST_CASE("an area too busy for one owner is spread over several at once", "[keyspace]")
+{
+    // 30 owners at a half of their capacity, then 45% of the traffic goes to 200 keys.
+    const double all = 30 * 0.5 * 50;
+    const key_rate rate = [all](shard_key key) {
+        return key >= 3000 && key < 3200 ? all * 0.45 / 200 : all * 0.55 / (lastKey + 1 - 200);
+    };
+    loaded_owners owners = evenOwners(30, rate, 50);
+    CHECK(owners.highest() > 6.5);
+    owners.moveOnce();
+    CHECK(owners.highest() < 2.5);
+    owners.moveOnce();
+    CHECK(owners.highest() < 1.2);
+    owners.moveOnce();
+    CHECK(owners.highest() < 0.95);
+    // Only keys of the busy area and of small ranges beside it move.
+    CHECK(owners.moved < 4000);
+}
+
+// Load pattern: keys are used by a power law, and neighbours are alike.
+TEST_CASE("skewed keys come level in a few rounds", "[keyspace]")
+{
+    const key_rate rate = [](shard_key key) { return 40.0 / std::pow(1.0 + key / 8.0, 0.87); };
+    loaded_owners owners = evenOwners(30, rate, 1);
+    double sum = 0;
+    for (const auto &[id, intervals] : owners.keys) {
+        sum += owners.load(id).utilization;
     }
-    // A third of the load makes both equal.
-    CHECK(moved == Approx(77).margin(8));
+    owners.capacity = sum / 30 / 0.55;
+    for (int round = 0; round < 5; ++round) {
+        owners.moveOnce();
+    }
+    CHECK(owners.highest() < 0.9);
+    const size_t moved = owners.moved;
+    owners.moveOnce();
+    owners.moveOnce();
+    CHECK(owners.moved - moved < 2000);
 }
 
 // Load pattern: after a start of everything one upstream owns all keys, and all are used evenly.
 TEST_CASE("an owner of all keys gives a part that one move may take", "[keyspace]")
 {
     const auto even = [](shard_key) { return 0.01; };
-    const auto move = chooseMove({{0, lastKey}}, even, {a, 9, 3.0}, {{b, 9, 0.0}});
-    REQUIRE(move.has_value());
-    CHECK(move->keys.count() <= (lastKey + 1) / 4);
-    CHECK(move->keys.count() >= (lastKey + 1) / 16);
+    const auto moves = chooseMoves({{0, lastKey}}, even, {a, 9, 3.0}, {{b, 9, 0.0}});
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].keys.count() <= (lastKey + 1) / 4);
+    CHECK(moves[0].keys.count() >= (lastKey + 1) / 16);
+}
+
+TEST_CASE("a faster owner gets more of the load", "[keyspace]")
+{
+    const auto even = [](shard_key) { return 0.01; };
+    const auto moves = chooseMoves({{0, 16383}}, even, {a, 9, 1.4, 100ms},
+                                   {{b, 9, 0.2, 50ms}, {c, 9, 0.2, 200ms}});
+    REQUIRE(moves.size() == 2);
+    const auto &[fast, slow] =
+        moves[0].target == b ? std::pair(moves[0], moves[1]) : std::pair(moves[1], moves[0]);
+    CHECK(fast.keys.count() == Approx(4.0 * slow.keys.count()).epsilon(0.02));
 }
 
 TEST_CASE("keys stay where moving them helps nobody", "[keyspace]")
 {
     const auto even = [](shard_key) { return 0.01; };
     const auto single = [](shard_key key) { return key == 77 ? 50.0 : 0.0001; };
-    CHECK_FALSE(chooseMove({{0, 999}}, even, {a, 9, 0.5}, {{b, 9, 0.0}}));
-    CHECK_FALSE(chooseMove({{0, 999}}, even, {a, 9, 0.9}, {{b, 9, 0.8}}));
-    CHECK_FALSE(chooseMove({{0, 999}}, single, {a, 9, 1.5}, {{b, 9, 0.2}}));
-    CHECK_FALSE(chooseMove({{0, 999}}, even, {a, 9, 1.5}, {}));
+    CHECK(chooseMoves({{0, 999}}, even, {a, 9, 0.5}, {{b, 9, 0.0}}).empty());
+    CHECK(chooseMoves({{0, 999}}, even, {a, 9, 0.9}, {{b, 9, 0.8}}).empty());
+    CHECK(chooseMoves({{0, 999}}, single, {a, 9, 1.5}, {{b, 9, 0.2}}).empty());
+    CHECK(chooseMoves({{0, 999}}, even, {a, 9, 1.5}, {}).empty());
+    CHECK(
+        chooseMoves({{0, 999}}, [](shard_key) { return 0.0; }, {a, 9, 1.5}, {{b, 9, 0.2}}).empty());
 }
 
 TEST_CASE("a newcomer gets half of the keys of the largest owner", "[keyspace]")
--- a/src/persimmonrail/router/peer_monitor.cpp
+++ b/src/persimmonrail/router/peer_monitor.cpp
@@ -75,6 +75,7 @@
     peer.takesWork = status.takesWork && status.upstream == id;
     peer.utilization =
         peer.hasAnswered ? peer.utilization + (load - peer.utilization) * loadSmoothing : load;
+    peer.service = status.queue.service;
     peer.hasAnswered = true;
     peer.isSilent = false;
     peer.answeredAt = now;
@@ -118,7 +119,7 @@
             view.live.push_back({id, peer.member.slots});
         }
         if (!peer.member.isLeaving && peer.hasAnswered && peer.takesWork) {
-            view.loads.push_back({id, peer.member.slots, peer.utilization});
+            view.loads.push_back({id, peer.member.slots, peer.utilization, peer.service});
         }
     }
     const bool mostAreUnreachable = unreachable.size() * 2 > m_entries.size();
--- a/src/persimmonrail/router/peer_monitor.h
+++ b/src/persimmonrail/router/peer_monitor.h
@@ -66,6 +66,7 @@
         // By its own word, which is fresher than the store's.
         bool takesWork = false;
         double utilization = 0;
+        std::chrono::microseconds service{0};
     };
     const peer_monitor_options m_options;
     std::map<upstream_id, entry> m_entries;
--- a/src/persimmonrail/router/range_keeper.cpp
+++ b/src/persimmonrail/router/range_keeper.cpp
@@ -4,9 +4,8 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <ctime>
-
 #include <algorithm>
+#include <ctime>
 
 namespace persimmonrail {
 namespace {
@@ -22,6 +21,10 @@
 constexpr milliseconds writeRetry{300};
 // Between two moves, so that the loads reported after the first one count for the second.
 constexpr milliseconds moveInterval{1000};
+// Owners of one service write the same record, and the loser of a race writes again at once.
+constexpr int mostGiveRetries = 4;
+// Weight of one sample, taken with each tick, so that most of the mean is of the last second.
+constexpr double inUseSmoothing = 0.2;
 
 } // namespace
 
@@ -97,6 +100,14 @@
     m_peers = std::move(peers);
 }
 
+void range_keeper::setOwnQueue(const queue_report &queue)
+{
+    m_queue = queue;
+    const double inUse =
+        static_cast<double>(queue.running + queue.waiting) / std::max(queue.limit, 1);
+    m_inUse += (inUse - m_inUse) * inUseSmoothing;
+}
+
 bool range_keeper::mayServe(shard_key key) const
 {
     const std::lock_guard lock(m_mutex);
@@ -424,14 +435,28 @@
         return;
     }
     m_rates.advance(now);
-    owner_load self{*m_upstream, 1, m_utilization};
-    const auto move = chooseMove(
-        ownIntervals(), [this](shard_key key) { return m_rates.rate(key); }, self, m_peers.loads);
-    if (move) {
-        startGiving({*move}, "load");
+    auto moves = chooseMoves(
+        ownIntervals(), [this](shard_key key) { return m_rates.rate(key); }, ownLoad(),
+        m_peers.loads);
+    if (!moves.empty()) {
+        startGiving(std::move(moves), "load");
     }
 }
 
+// A full queue refuses what it can't serve, so its length alone hides how much is asked of it.
+owner_load range_keeper::ownLoad() const
+{
+    double asked = 0;
+    for (const key_interval &keys : ownIntervals()) {
+        for (shard_key key = keys.first; key <= keys.last; ++key) {
+            asked += m_rates.rate(key);
+        }
+    }
+    const int slots = std::max(m_queue.limit, 1);
+    const double offered = asked * std::chrono::duration<double>(m_queue.service).count() / slots;
+    return {*m_upstream, slots, std::max(offered, m_inUse), m_queue.service};
+}
+
 void range_keeper::startGiving(std::vector<planned_move> moves, std::string_view reason)
 {
     m_giving = true;
@@ -474,25 +499,28 @@
                     m_holder.onReleased(grant.keys, grant.fence);
                 }
             }
-            finishGiving(given);
+            finishGiving(given, mostGiveRetries);
         });
     });
 }
 
-void range_keeper::finishGiving(const std::vector<std::pair<planned_move, std::string>> &given)
+void range_keeper::endGiving()
+{
+    m_giving = false;
+    m_nextMoveAt = std::chrono::steady_clock::now() + moveInterval;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_holder.setGiving({});
+    }
+    renewGrants();
+}
+
+void range_keeper::finishGiving(const std::vector<std::pair<planned_move, std::string>> &given,
+                                int tries)
 {
-    const auto end = [this](bool) {
-        m_giving = false;
-        m_nextMoveAt = std::chrono::steady_clock::now() + moveInterval;
-        {
-            const std::lock_guard lock(m_mutex);
-            m_holder.setGiving({});
-        }
-        renewGrants();
-    };
     const auto *placed = m_directory->findPlacement(m_service);
     if (placed == nullptr || given.empty()) {
-        end(false);
+        endGiving();
         return;
     }
     key_placement next = placed->placement;
@@ -504,10 +532,19 @@
         }
     }
     if (next == placed->placement) {
-        end(false);
+        endGiving();
         return;
     }
-    write({std::move(next), placed->version, "give"}, end);
+    const uint64_t version = placed->version;
+    write({std::move(next), version, "give"}, [this, given, tries, version](bool written) {
+        const auto *latest = m_directory->findPlacement(m_service);
+        // Another writer was faster; the released keys still have to go to their new owners.
+        if (!written && tries > 0 && latest != nullptr && latest->version > version) {
+            finishGiving(given, tries - 1);
+            return;
+        }
+        endGiving();
+    });
 }
 
 void range_keeper::onUpstreamGone(const upstream_id &)
--- a/src/persimmonrail/router/range_keeper.h
+++ b/src/persimmonrail/router/range_keeper.h
@@ -5,6 +5,7 @@
 #include "persimmonrail/fleet/fleet_directory.h"
 #include "persimmonrail/keyspace/range_holder.h"
 #include "persimmonrail/keyspace/range_plan.h"
+#include "persimmonrail/relay/upstream_picker.h"
 #include "persimmonrail/router/key_rates.h"
 #include "persimmonrail/router/router.h"
 #include "persimmonrail/telemetry/decision_log.h"
@@ -59,7 +60,8 @@
         bool isCoordinator = false;
     };
     void setPeers(peers peers);
-    void setOwnLoad(double utilization) { m_utilization = utilization; }
+    // The queue in front of the upstream.
+    void setOwnQueue(const queue_report &queue);
     // The upstream is gone: its keys may be given to others at once.
     void onUpstreamGone(const upstream_id &id);
 
@@ -85,7 +87,10 @@
     void considerRecord();
     void considerGiving(steady_time now);
     void startGiving(std::vector<planned_move> moves, std::string_view reason);
-    void finishGiving(const std::vector<std::pair<planned_move, std::string>> &given);
+    // `tries`: writes that may follow if other writers change the record in between.
+    void finishGiving(const std::vector<std::pair<planned_move, std::string>> &given, int tries);
+    void endGiving();
+    owner_load ownLoad() const;
     void write(placement_write change, std::function<void(bool written)> done);
     void confirm();
     std::vector<key_interval> ownIntervals() const;
@@ -109,7 +114,9 @@
     std::string m_address;
     bool m_isLeaving = false;
     peers m_peers;
-    double m_utilization = 0;
+    queue_report m_queue;
+    // Requests that run or wait per slot, smoothed.
+    double m_inUse = 0;
     bool m_writePending = false;
     bool m_giving = false;
     bool m_confirmPending = false;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -24,7 +24,6 @@
 constexpr milliseconds drainReserve{500};
 // After this time a peer is marked again that took itself back but still can't be reached.
 constexpr milliseconds markInterval{10000};
-constexpr double loadSmoothing = 0.3;
 // A caller's connection outlives the idle time of the desired state, so that the caller closes it.
 constexpr milliseconds callerIdleTime{60000};
 // Longer than daemons keep idle connections, so that they close first.
@@ -226,9 +225,7 @@
 void router::state::schedulePeriodicTasks()
 {
     m_loop.every(rangeInterval, [this](steady_time now) {
-        const double load = peer_health::utilization(m_runner->queue());
-        m_utilization += (load - m_utilization) * loadSmoothing;
-        m_ranges->setOwnLoad(m_utilization);
+        m_ranges->setOwnQueue(m_runner->queue());
         std::shared_ptr<const route_table> routes;
         std::shared_ptr<const fleet_directory> directory;
         bool listed = false;
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -81,7 +81,6 @@
     local_upstream m_upstream;
     // When each unreachable peer was marked, by upstream name.
     std::map<std::string, steady_time> m_marked;
-    double m_utilization = 0;
 
     // Published for traffic threads.
     mutable std::mutex m_mutex;
