Follow the store through one daemon a zone; one member asks all others

Cause: each change of an owner ended the waiting watch of every daemon, 10,380 store calls in 40 s at 61 daemons; and each daemon asked every other one of its service twice a second, a number that grows with the square of the service. Ruled out: the confirming reads (25 owners, one each 2 s) are 500 of the calls.

The first member of each availability zone (one for 64) watches the store, gathers changes for 150 ms, and gives them out by long polls; the others follow it, list the store first, and go back to it when the relay fails or the store has not confirmed its view for 7 s. Of a service, the first member that can be reached asks all others, the others ask only it and learn what it knows; silent ones are asked on a thread of their own.

--- /dev/null
+++ b/src/persimmonrail/objects/object_list_codec.cpp
@@ -0,0 +1,52 @@
+#include "persimmonrail/objects/object_list_codec.h"
+
+#include <Poco/JSON/Array.h>
+
+namespace persimmonrail {
+
+Poco::JSON::Object encodeObjectList(const absl::StatusOr<object_list> &outcome)
+{
+    Poco::JSON::Array objects;
+    if (outcome.ok()) {
+        for (const stored_object &stored : outcome->objects) {
+            if (stored.deleted) {
+                continue;
+            }
+            Poco::JSON::Object entry;
+            entry.set("key", stored.key);
+            entry.set("version", stored.version);
+            entry.set("value", stored.value);
+            objects.add(entry);
+        }
+    }
+    Poco::JSON::Object object;
+    object.set("code", static_cast<int>(outcome.status().code()));
+    object.set("message", std::string(outcome.status().message()));
+    object.set("revision", outcome.ok() ? outcome->revision : 0);
+    object.set("objects", objects);
+    return object;
+}
+
+absl::StatusOr<object_list> decodeObjectList(const Poco::JSON::Object &object)
+{
+    const int code = object.getValue<int>("code");
+    if (code != 0) {
+        return absl::Status(static_cast<absl::StatusCode>(code),
+                            object.getValue<std::string>("message"));
+    }
+    object_list list;
+    list.revision = object.getValue<uint64_t>("revision");
+    const Poco::JSON::Array::Ptr objects = object.getArray("objects");
+    for (size_t i = 0; objects && i < objects->size(); ++i) {
+        const Poco::JSON::Object::Ptr entry = objects->getObject(i);
+        if (!entry) {
+            return absl::InvalidArgumentError("an object is none");
+        }
+        list.objects.push_back({entry->getValue<std::string>("key"),
+                                entry->getValue<uint64_t>("version"), false,
+                                entry->getValue<std::string>("value")});
+    }
+    return list;
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/router/peer_monitor.cpp
+++ b/src/persimmonrail/router/peer_monitor.cpp
@@ -39,6 +39,39 @@
     return status;
 }
 
+std::string encodeStatuses(const peer_status &own, const std::vector<reported_status> &others)
+{
+    std::string text = absl::StrCat(encodePeerStatus(own), ";0;0");
+    for (const reported_status &other : others) {
+        absl::StrAppend(&text, "\n", encodePeerStatus(other.status), ";", other.age.count(), ";",
+                        other.isSilent ? 1 : 0);
+    }
+    return text;
+}
+
+std::vector<reported_status> parseStatuses(std::string_view text)
+{
+    std::vector<reported_status> statuses;
+    for (const absl::string_view line : absl::StrSplit(toAbsl(text), '\n')) {
+        const size_t lastField = line.rfind(';');
+        const size_t ageField = lastField == absl::string_view::npos || lastField == 0
+            ? absl::string_view::npos
+            : line.rfind(';', lastField - 1);
+        if (ageField == absl::string_view::npos) {
+            continue;
+        }
+        const absl::string_view head = line.substr(0, ageField);
+        const auto status = parsePeerStatus(std::string_view(head.data(), head.size()));
+        int64_t age = 0;
+        if (!status || !absl::SimpleAtoi(line.substr(ageField + 1, lastField - ageField - 1), &age)
+            || age < 0) {
+            continue;
+        }
+        statuses.push_back({*status, milliseconds(age), line.substr(lastField + 1) == "1"});
+    }
+    return statuses;
+}
+
 peer_health::peer_health(peer_monitor_options options)
     : m_options(options)
 { }
@@ -75,7 +108,7 @@
     peer.takesWork = status.takesWork && status.upstream == id;
     peer.utilization =
         peer.hasAnswered ? peer.utilization + (load - peer.utilization) * loadSmoothing : load;
-    peer.service = status.queue.service;
+    peer.queue = status.queue;
     peer.hasAnswered = true;
     peer.isSilent = false;
     peer.answeredAt = now;
@@ -89,6 +122,56 @@
     }
 }
 
+void peer_health::onReported(const reported_status &reported, steady_time now)
+{
+    const upstream_id &id = reported.status.upstream;
+    const auto known = m_entries.find(id);
+    if (known == m_entries.end()) {
+        return;
+    }
+    if (reported.isSilent) {
+        known->second.isSilent = true;
+    } else if (now - reported.age > known->second.answeredAt) {
+        onAnswer(id, reported.status, now - reported.age);
+    }
+}
+
+std::vector<const upstream_member *> peer_health::targets(const upstream_member *self) const
+{
+    std::vector<const upstream_member *> asked;
+    for (const auto &[id, peer] : m_entries) {
+        if (self == nullptr || id < self->id) {
+            asked.push_back(&peer.member);
+            if (!peer.isSilent) {
+                return asked;
+            }
+        } else {
+            asked.push_back(&peer.member);
+        }
+    }
+    return asked;
+}
+
+std::vector<reported_status> peer_health::known(steady_time now) const
+{
+    std::vector<reported_status> statuses;
+    for (const auto &[id, peer] : m_entries) {
+        if (peer.hasAnswered || peer.isSilent) {
+            const auto age = std::chrono::duration_cast<milliseconds>(now - peer.answeredAt);
+            queue_report queue = peer.queue;
+            queue.limit = std::max({queue.limit, peer.member.slots, 1});
+            statuses.push_back({{queue, id, peer.takesWork}, age, peer.isSilent});
+        }
+    }
+    return statuses;
+}
+
+bool peer_health::isSilent(const upstream_id &id) const
+{
+    const auto known = m_entries.find(id);
+    return known != m_entries.end() && known->second.isSilent;
+}
+
 bool peer_health::isUnreachable(const upstream_id &id, steady_time now) const
 {
     const auto known = m_entries.find(id);
@@ -119,7 +202,7 @@
             view.live.push_back({id, peer.member.slots});
         }
         if (!peer.member.isLeaving && peer.hasAnswered && peer.takesWork) {
-            view.loads.push_back({id, peer.member.slots, peer.utilization, peer.service});
+            view.loads.push_back({id, peer.member.slots, peer.utilization, peer.queue.service});
         }
     }
     const bool mostAreUnreachable = unreachable.size() * 2 > m_entries.size();
@@ -140,33 +223,54 @@
     , m_client(m_pool)
 { }
 
-void peer_monitor::poll(const std::vector<const upstream_member *> &peers, steady_time now)
+void peer_monitor::poll(const std::vector<const upstream_member *> &peers,
+                        const upstream_member *self, steady_time now)
 {
     m_health.setPeers(peers, now);
-    if (m_pending) {
+    const milliseconds interval =
+        peers.size() > m_options.fewMembers ? m_options.largePollInterval : m_options.pollInterval;
+    // The caller's own interval is not exact.
+    if (now - m_lastRound < interval * 9 / 10) {
         return;
     }
-    m_pending = true;
-    std::vector<std::pair<upstream_id, std::string>> targets;
-    targets.reserve(peers.size());
-    for (const upstream_member *peer : peers) {
-        targets.emplace_back(peer->id, peer->peerAddress);
-    }
-    m_worker.enqueue([this, targets = std::move(targets)] {
-        for (const auto &[id, address] : targets) {
-            const auto answer =
-                simpleRequest(m_client, address, "GET", peerStatusPath, "",
-                              std::chrono::steady_clock::now() + m_options.pollTimeout);
-            const auto status = answer.ok() ? parsePeerStatus(answer->body) : std::nullopt;
-            m_loop.post([this, id = id, status](steady_time answered) {
-                if (status) {
-                    m_health.onAnswer(id, *status, answered);
-                } else {
-                    m_health.onSilence(id, answered);
-                }
-            });
+    m_lastRound = now;
+    std::vector<target> sound;
+    std::vector<target> silent;
+    for (const upstream_member *peer : m_health.targets(self)) {
+        (m_health.isSilent(peer->id) ? silent : sound).push_back({peer->id, peer->peerAddress});
+    }
+    ask(m_soundWorker, std::move(sound), m_soundPending);
+    ask(m_silentWorker, std::move(silent), m_silentPending);
+}
+
+void peer_monitor::ask(background_worker &worker, std::vector<target> targets, bool &pending)
+{
+    if (pending || targets.empty()) {
+        return;
+    }
+    pending = true;
+    worker.enqueue([this, targets = std::move(targets), &pending] {
+        for (const target &target : targets) {
+            askOne(target);
+        }
+        m_loop.post([&pending](steady_time) { pending = false; });
+    });
+}
+
+void peer_monitor::askOne(const target &target)
+{
+    const auto answer = simpleRequest(m_client, target.address, "GET", peerStatusesPath, "",
+                                      std::chrono::steady_clock::now() + m_options.pollTimeout);
+    auto statuses = answer.ok() ? parseStatuses(answer->body) : std::vector<reported_status>();
+    m_loop.post([this, id = target.id, statuses = std::move(statuses)](steady_time answered) {
+        if (statuses.empty()) {
+            m_health.onSilence(id, answered);
+            return;
+        }
+        m_health.onAnswer(id, statuses.front().status, answered);
+        for (size_t i = 1; i < statuses.size(); ++i) {
+            m_health.onReported(statuses[i], answered);
         }
-        m_loop.post([this](steady_time) { m_pending = false; });
     });
 }
 
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -38,6 +38,12 @@
     return [engine = std::mt19937_64(std::random_device()())]() mutable { return engine(); };
 }
 
+uint64_t makeFeedId()
+{
+    // JSON numbers are exact below 2^53.
+    return (makeRandomSource()() >> 12) + 1;
+}
+
 range_lease_timing leaseTiming(const router_settings &settings)
 {
     range_lease_timing timing;
@@ -52,6 +58,7 @@
     , m_platform(std::move(platform))
     , m_store(makeRelayedStore(m_platform.store, makeRelayHooks()))
     , m_log({settings.level, "", logLinesPerSecond, true})
+    , m_feed(makeFeedId())
     , m_builder([this](const std::string &key, std::string_view reason) {
         m_log.write(log_level::Warn,
                     absl::StrCat("object ignored key=", key, " reason=", toAbsl(reason)));
@@ -59,10 +66,7 @@
     , m_upstream({settings.reportInterval, 3})
     , m_directory(std::make_shared<fleet_directory>())
 {
-    const auto onObject = [this](const stored_object &object) {
-        m_builder.applyOne(object);
-        publishDirectory({});
-    };
+    const auto onObject = [this](const stored_object &object) { applyObject(object); };
     m_ranges = std::make_unique<range_keeper>(m_settings.service, leaseTiming(m_settings), m_store,
                                               m_platform.grants, m_loop, m_log,
                                               range_keeper::hooks{onObject});
@@ -81,6 +85,7 @@
 
 router::state::~state()
 {
+    m_feed.stop();
     m_metricsServer.reset();
     m_reportServer.reset();
     m_readyServer.reset();
@@ -178,10 +183,15 @@
                                                              desired, watchOptions);
     object_watcher::hooks fleet;
     fleet.onList = [this](const object_list &objects, steady_time readAt) {
+        m_feed.reset(objects);
+        if (relays().empty()) {
+            m_feed.confirm(readAt);
+        }
         m_loop.post(
             [this, objects, readAt](steady_time) { onFleetObjects(objects, true, readAt); });
     };
     fleet.onChanges = [this](const object_list &objects, steady_time readAt) {
+        m_feed.apply(objects);
         m_loop.post(
             [this, objects, readAt](steady_time) { onFleetObjects(objects, false, readAt); });
     };
@@ -191,7 +201,8 @@
     fleet.onReachable = [this](bool isReachable, const absl::Status &status) {
         onReachable("fleet", isReachable, status);
     };
-    m_fleetWatcher = std::make_unique<object_watcher>(m_store, fleetPrefix, fleet, watchOptions);
+    m_fleetWatcher = std::make_unique<object_watcher>(makeRelayedWatch(m_store, makeWatchHooks()),
+                                                      fleetPrefix, fleet, watchOptions);
     m_desiredStateWatcher->start();
     m_fleetWatcher->start();
 }
@@ -222,6 +233,32 @@
     return hooks;
 }
 
+std::vector<std::string> router::state::relays() const
+{
+    const std::lock_guard lock(m_mutex);
+    return relaysFor(*m_directory, m_settings.availabilityZone, m_settings.peerAddress);
+}
+
+relayed_watch_hooks router::state::makeWatchHooks()
+{
+    relayed_watch_hooks hooks;
+    hooks.relays = [this] { return relays(); };
+    hooks.onDirectAnswer = [this](steady_time now) { m_feed.confirm(now); };
+    hooks.onSource = [this](std::string_view source, const absl::Status &reason) {
+        logEvent("follow", absl::StrCat("source=", toAbsl(source), " reason=", reason.ToString()));
+    };
+    hooks.now = [] { return std::chrono::steady_clock::now(); };
+    hooks.pause = [](milliseconds time) { std::this_thread::sleep_for(time); };
+    return hooks;
+}
+
+void router::state::applyObject(const stored_object &object)
+{
+    m_builder.applyOne(object);
+    m_feed.applyOne(object);
+    publishDirectory({});
+}
+
 void router::state::schedulePeriodicTasks()
 {
     m_loop.every(rangeInterval, [this](steady_time now) {
@@ -454,9 +491,14 @@
     std::erase_if(peers, [this](const upstream_member *member) {
         return member->peerAddress == m_settings.peerAddress;
     });
-    m_peers->poll(peers, now);
     const bool isThere = m_upstream.report() && m_upstream.phase() != upstream_phase::Absent;
     const upstream_member own = isThere ? ownMember() : upstream_member();
+    m_peers->poll(peers, isThere ? &own : nullptr, now);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_peerStatuses = m_peers->health().known(now);
+        m_peerStatusesAt = now;
+    }
     range_keeper::peers view = m_peers->health().view(isThere ? &own : nullptr, now);
     if (view.isCoordinator) {
         markUnreachable(*directory, view.unreachable, now);
@@ -550,11 +592,8 @@
 
 void router::state::servePeer(server_exchange &exchange)
 {
-    if (exchange.request().getURI() == peerStatusPath) {
-        const local_target target = localTarget();
-        const bool takesWork = target.closed == relay_reason::None && !m_stopping;
-        exchange.answer(200, encodePeerStatus({m_runner->queue(), target.id, takesWork}),
-                        "text/plain");
+    if (exchange.request().getURI() == peerStatusesPath) {
+        exchange.answer(200, renderStatuses(), "text/plain");
         return;
     }
     if (exchange.request().getURI() == storeRelayPath) {
@@ -566,9 +605,32 @@
                         "application/json");
         return;
     }
+    if (std::string_view(exchange.request().getURI()).starts_with(changesPath)) {
+        exchange.answer(
+            200,
+            serveChanges(m_feed, exchange.request().getURI(), std::chrono::steady_clock::now()),
+            "application/json");
+        return;
+    }
     m_path->servePeer(exchange);
 }
 
+std::string router::state::renderStatuses() const
+{
+    const local_target target = localTarget();
+    const bool takesWork = target.closed == relay_reason::None && !m_stopping;
+    std::vector<reported_status> others;
+    {
+        const std::lock_guard lock(m_mutex);
+        others = m_peerStatuses;
+        const auto passed = std::chrono::steady_clock::now() - m_peerStatusesAt;
+        for (reported_status &other : others) {
+            other.age += std::chrono::duration_cast<milliseconds>(passed);
+        }
+    }
+    return encodeStatuses({m_runner->queue(), target.id, takesWork}, others);
+}
+
 bool router::state::isReady() const
 {
     const std::lock_guard lock(m_mutex);
@@ -601,6 +663,7 @@
     const steady_time begun = std::chrono::steady_clock::now();
     const steady_time end = begun + m_settings.gracePeriod - exitReserve;
     m_stopping = true;
+    m_feed.stop();
     logEvent("stop", absl::StrCat("in_flight=", m_path->inFlight()));
     m_loop.post([this](steady_time now) {
         if (m_upstream.report()) {
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "persimmonrail/feed/relayed_watch.h"
 #include "persimmonrail/fleet/local_upstream.h"
 #include "persimmonrail/relay/relay_path.h"
 #include "persimmonrail/router/member_publisher.h"
@@ -36,6 +37,10 @@
     void addGauges();
     void startWatchers();
     store_relay_hooks makeRelayHooks();
+    relayed_watch_hooks makeWatchHooks();
+    // Daemons that this one follows; empty if it follows the store itself.
+    std::vector<std::string> relays() const;
+    void applyObject(const stored_object &object);
     void schedulePeriodicTasks();
 
     // Store.
@@ -59,6 +64,7 @@
 
     // Ports.
     void serveReady(server_exchange &exchange);
+    std::string renderStatuses() const;
     void servePeer(server_exchange &exchange);
     bool isReady() const;
     relay_path_hooks makePathHooks();
@@ -73,6 +79,8 @@
     metrics m_metrics;
     control_loop m_loop;
     std::atomic<bool> m_stopping{false};
+    // The fleet's objects, for daemons that follow this one.
+    change_feed m_feed;
     // Set once the daemon hands nothing more to its upstream.
     std::atomic<bool> m_closed{false};
 
@@ -88,6 +96,9 @@
     std::shared_ptr<const fleet_directory> m_directory;
     bool m_directoryListed = false;
     local_target m_target;
+    // What this daemon knew of its peers at that moment, to be passed on to them.
+    std::vector<reported_status> m_peerStatuses;
+    steady_time m_peerStatusesAt{};
     // When a leaving upstream gets no more work, even for keys that it holds.
     steady_time m_drainEnd{};
 
--- a/src/persimmonrail/router/store_relay.cpp
+++ b/src/persimmonrail/router/store_relay.cpp
@@ -2,8 +2,7 @@
 
 #include "persimmonrail/base/json_text.h"
 #include "persimmonrail/base/text.h"
-
-#include <Poco/JSON/Array.h>
+#include "persimmonrail/objects/object_list_codec.h"
 
 #include <algorithm>
 
@@ -39,47 +38,9 @@
                       });
 }
 
-std::string encodeAnswer(const absl::Status &status, const object_list &list)
-{
-    Poco::JSON::Array objects;
-    for (const stored_object &stored : list.objects) {
-        Poco::JSON::Object entry;
-        entry.set("key", stored.key);
-        entry.set("version", stored.version);
-        entry.set("value", stored.value);
-        objects.add(entry);
-    }
-    Poco::JSON::Object object;
-    object.set("code", static_cast<int>(status.code()));
-    object.set("message", std::string(status.message()));
-    object.set("revision", list.revision);
-    object.set("objects", objects);
-    return renderJson(object);
-}
-
-absl::StatusOr<object_list> parseAnswer(std::string_view text)
+std::string encodeAnswer(const absl::StatusOr<object_list> &outcome)
 {
-    return decodeJson(text, "store answer",
-                      [](const Poco::JSON::Object &object) -> absl::StatusOr<object_list> {
-                          const int code = object.getValue<int>("code");
-                          if (code != 0) {
-                              return absl::Status(static_cast<absl::StatusCode>(code),
-                                                  object.getValue<std::string>("message"));
-                          }
-                          object_list list;
-                          list.revision = object.getValue<uint64_t>("revision");
-                          const Poco::JSON::Array::Ptr objects = object.getArray("objects");
-                          for (size_t i = 0; objects && i < objects->size(); ++i) {
-                              const Poco::JSON::Object::Ptr entry = objects->getObject(i);
-                              if (!entry) {
-                                  return absl::InvalidArgumentError("an object is none");
-                              }
-                              list.objects.push_back({entry->getValue<std::string>("key"),
-                                                      entry->getValue<uint64_t>("version"), false,
-                                                      entry->getValue<std::string>("value")});
-                          }
-                          return list;
-                      });
+    return renderJson(encodeObjectList(outcome));
 }
 
 // Whether the same call may succeed by another way.
@@ -185,7 +146,7 @@
         if (answer->status != 200) {
             return absl::UnavailableError(absl::StrCat("peer answered ", answer->status));
         }
-        return parseAnswer(answer->body);
+        return decodeJson(answer->body, "store answer", decodeObjectList);
     }
 
     const object_api m_direct;
@@ -216,22 +177,22 @@
 {
     const auto call = parseCall(body);
     if (!call.ok()) {
-        return encodeAnswer(call.status(), {});
+        return encodeAnswer(call.status());
     }
     if (call->operation == "get") {
         const auto object = direct.get(call->key);
-        return encodeAnswer(object.status(),
-                            object.ok() ? object_list{0, {*object}} : object_list{});
+        return encodeAnswer(object.ok() ? absl::StatusOr<object_list>(object_list{0, {*object}})
+                                        : object.status());
     }
     if (call->operation == "put") {
         const auto version = direct.put(call->key, call->version, call->value);
-        return encodeAnswer(version.status(), {version.ok() ? *version : 0, {}});
+        return encodeAnswer(version.ok() ? absl::StatusOr<object_list>(object_list{*version, {}})
+                                         : version.status());
     }
     if (call->operation == "list") {
-        const auto list = direct.list(call->key);
-        return encodeAnswer(list.status(), list.ok() ? *list : object_list{});
+        return encodeAnswer(direct.list(call->key));
     }
-    return encodeAnswer(absl::InvalidArgumentError("unknown operation"), {});
+    return encodeAnswer(absl::InvalidArgumentError("unknown operation"));
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/router/tests/peer_health_test.cpp
+++ b/src/persimmonrail/router/tests/peer_health_test.cpp
@@ -122,6 +122,86 @@
     }
 }
 
+namespace {
+
+std::vector<std::string> namesOf(const std::vector<const upstream_member *> &members)
+{
+    std::vector<std::string> names;
+    for (const upstream_member *known : members) {
+        names.push_back(known->id.name);
+    }
+    return names;
+}
+
+using names = std::vector<std::string>;
+
+} // namespace
+
+// Load pattern: many members of one service. Calls between them grow with their number, not with
+// its square, since one asks for all.
+TEST_CASE("one member asks all others, and they ask only it", "[router]")
+{
+    fleet site;
+    site.health.setPeers(site.peers(), start);
+    CHECK(namesOf(site.health.targets(&site.self)) == names{"b", "c", "d"});
+    const upstream_member last = member("z");
+    CHECK(namesOf(site.health.targets(&last)) == names{"b"});
+    const upstream_member third = member("cc");
+    CHECK(namesOf(site.health.targets(&third)) == names{"b"});
+    CHECK(namesOf(site.health.targets(nullptr)) == names{"b"});
+    // The next one answers while it is not certain that the first is lost.
+    site.health.onSilence({"b", 1}, start);
+    CHECK(namesOf(site.health.targets(&last)) == names{"b", "c"});
+    site.health.onSilence({"c", 1}, start);
+    CHECK(namesOf(site.health.targets(&third)) == names{"b", "c", "d"});
+    site.answer("b", start);
+    CHECK(namesOf(site.health.targets(&third)) == names{"b"});
+}
+
+TEST_CASE("what the first member knows serves the others", "[router]")
+{
+    fleet first;
+    first.health.setPeers(first.peers(), start);
+    first.answer("b", start + 1s);
+    first.health.onAnswer({"c", 1}, {{8, 10, 9, 25ms}, {"c", 1}, true}, start + 2s);
+    first.health.onSilence({"d", 1}, start + 2s);
+    const peer_status own{{1, 0, 9, 10ms}, {"a", 1}, true};
+    const auto told = parseStatuses(encodeStatuses(own, first.health.known(start + 2s)));
+    REQUIRE(told.size() == 4);
+    CHECK(told[0].status.upstream == upstream_id{"a", 1});
+    CHECK(told[1].age == 1s);
+
+    fleet other;
+    other.members = {member("a"), member("c"), member("d"), member("e")};
+    other.self = member("b");
+    other.health.setPeers(other.peers(), start);
+    for (const reported_status &reported : told) {
+        other.health.onReported(reported, start + 2s);
+    }
+    const auto view = other.health.view(&other.self, start + 2s);
+    REQUIRE(view.loads.size() == 2);
+    CHECK(view.loads[1].id.name == "c");
+    CHECK(view.loads[1].utilization == Approx(2.0));
+    CHECK(view.loads[1].service == 25ms);
+    // The silent one is left out; the one that was not asked yet is believed.
+    CHECK(view.live.size() == 4);
+    CHECK(other.health.isUnreachable({"d", 1}, start + 2s));
+    // Older news does not replace newer, and ends no silence that was noticed since.
+    other.health.onAnswer({"c", 1}, {{0, 0, 9, 25ms}, {"c", 1}, false}, start + 2s + 100ms);
+    other.health.onReported(told[2], start + 2s);
+    CHECK(other.health.view(&other.self, start + 2s).loads.size() == 1);
+}
+
+TEST_CASE("malformed statuses of a peer are left out", "[router]")
+{
+    const std::string good = "1,2,3,4;i;1;1;5;0";
+    CHECK(parseStatuses(good + "\n" + good).size() == 2);
+    const std::string bad = GENERATE("", ";", ";;", "1,2,3,4;i;1;1", "1,2,3,4;i;1;1;x;0",
+                                     "1,2,3,4;i;1;1;-5;0", "1,2,3;i;1;1;5;0", "\n");
+    CHECK(parseStatuses(bad).empty());
+    CHECK(parseStatuses(bad + "\n" + good).size() == 1);
+}
+
 TEST_CASE("rates follow the requests of about a second", "[router]")
 {
     key_rates rates;
