Shorten moves of key ranges: parallel releases, compact record, calm owners rest

Change: releases run at the same time (range_release); the ranges of a record are one text of numbers; targets of about the same load are ordered differently by each owner; an owner below its capacity moves keys at most every 4 s and from 0.75 of its slots.

--- a/src/persimmonrail/keyspace/key_placement.cpp
+++ b/src/persimmonrail/keyspace/key_placement.cpp
@@ -4,7 +4,13 @@
 
 #include <Poco/JSON/Array.h>
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
 #include <algorithm>
+#include <array>
+#include <map>
 
 namespace persimmonrail {
 
@@ -81,64 +87,151 @@
     return next == uint64_t{lastKey} + 1;
 }
 
-std::string encodePlacement(const key_placement &placement)
+namespace {
+
+// The strings of a placement, each once; ranges name them by position.
+class text_table
 {
-    Poco::JSON::Array ranges;
-    for (const owned_range &range : placement.ranges) {
-        Poco::JSON::Object entry;
-        entry.set("first", range.keys.first);
-        entry.set("last", range.keys.last);
-        entry.set("owner", range.owner.name);
-        entry.set("owner_started_at_ms", range.owner.startedAt);
-        entry.set("fence", range.fence);
-        if (!range.handover.empty()) {
-            entry.set("handover", range.handover);
+public:
+    int64_t add(const std::string &text)
+    {
+        const auto [entry, isNew] = m_positions.emplace(text, static_cast<int64_t>(m_texts.size()));
+        if (isNew) {
+            m_texts.add(text);
+        }
+        return entry->second;
+    }
+    int64_t add(const upstream_id &id) { return id.isEmpty() ? noText : add(toString(id)); }
+    const Poco::JSON::Array &texts() const { return m_texts; }
+
+    static constexpr int64_t noText = -1;
+
+private:
+    std::map<std::string, int64_t> m_positions;
+    Poco::JSON::Array m_texts;
+};
+
+// Fields of one range, all of them whole numbers.
+enum range_field { LastField, OwnerField, FenceField, HandoverField, AfterField, PreviousField };
+constexpr size_t rangeFields = 6;
+
+std::string encodeRange(const owned_range &range, text_table &table)
+{
+    const int64_t handover =
+        range.handover.empty() ? text_table::noText : table.add(range.handover);
+    return absl::StrCat(range.keys.last, ",", table.add(range.owner), ",", range.fence, ",",
+                        handover, ",", range.takeOverAfter.count(), ",",
+                        table.add(range.previousOwner));
+}
+
+absl::StatusOr<std::string> textAt(const std::vector<std::string> &texts, int64_t position)
+{
+    if (position == text_table::noText) {
+        return std::string();
+    }
+    if (position < 0 || position >= static_cast<int64_t>(texts.size())) {
+        return absl::InvalidArgumentError("a range names no text");
+    }
+    return texts[static_cast<size_t>(position)];
+}
+
+absl::StatusOr<upstream_id> upstreamAt(const std::vector<std::string> &texts, int64_t position)
+{
+    const auto text = textAt(texts, position);
+    if (!text.ok()) {
+        return text.status();
+    }
+    if (text->empty()) {
+        return upstream_id();
+    }
+    const size_t slash = text->rfind('/');
+    upstream_id id{text->substr(0, slash), 0};
+    if (slash == std::string::npos || id.isEmpty()
+        || !absl::SimpleAtoi(text->substr(slash + 1), &id.startedAt)) {
+        return absl::InvalidArgumentError("an owner is no upstream");
+    }
+    return id;
+}
+
+absl::StatusOr<owned_range> parseRange(absl::string_view text, shard_key first,
+                                       const std::vector<std::string> &texts)
+{
+    std::array<int64_t, rangeFields> fields{};
+    const std::vector<absl::string_view> parts = absl::StrSplit(text, ',');
+    if (parts.size() != rangeFields) {
+        return absl::InvalidArgumentError("a range has too few or too many fields");
+    }
+    for (size_t i = 0; i < rangeFields; ++i) {
+        if (!absl::SimpleAtoi(parts[i], &fields[i])) {
+            return absl::InvalidArgumentError("a field of a range is no number");
         }
-        if (range.takeOverAfter.count() > 0) {
-            entry.set("take_over_after_ms", static_cast<int64_t>(range.takeOverAfter.count()));
-            entry.set("previous_owner", range.previousOwner.name);
-            entry.set("previous_started_at_ms", range.previousOwner.startedAt);
+    }
+    if (fields[LastField] < first || fields[LastField] > lastKey || fields[FenceField] < 0
+        || fields[AfterField] < 0) {
+        return absl::InvalidArgumentError("a range does not follow the one before");
+    }
+    const auto owner = upstreamAt(texts, fields[OwnerField]);
+    const auto handover = textAt(texts, fields[HandoverField]);
+    const auto previous = upstreamAt(texts, fields[PreviousField]);
+    for (const absl::Status &status : {owner.status(), handover.status(), previous.status()}) {
+        if (!status.ok()) {
+            return status;
         }
-        ranges.add(entry);
+    }
+    return owned_range{{first, static_cast<shard_key>(fields[LastField])},
+                       *owner,
+                       static_cast<uint64_t>(fields[FenceField]),
+                       *handover,
+                       milliseconds(fields[AfterField]),
+                       *previous};
+}
+
+absl::StatusOr<key_placement> decodePlacement(const Poco::JSON::Object &object)
+{
+    key_placement placement;
+    placement.service = object.getValue<std::string>("service");
+    placement.highestFence = object.getValue<uint64_t>("highest_fence");
+    std::vector<std::string> texts;
+    const Poco::JSON::Array::Ptr table = object.getArray("texts");
+    for (size_t i = 0; table && i < table->size(); ++i) {
+        texts.push_back(table->getElement<std::string>(static_cast<unsigned>(i)));
+    }
+    shard_key first = 0;
+    const std::string ranges = object.getValue<std::string>("ranges");
+    for (const absl::string_view text : absl::StrSplit(ranges, ';')) {
+        auto range = parseRange(text, first, texts);
+        if (!range.ok()) {
+            return range.status();
+        }
+        first = range->keys.last + 1;
+        placement.ranges.push_back(std::move(*range));
+    }
+    if (placement.service.empty() || !isWhole(placement)) {
+        return absl::InvalidArgumentError("ranges do not cover the keys in order");
+    }
+    return placement;
+}
+
+} // namespace
+
+std::string encodePlacement(const key_placement &placement)
+{
+    text_table table;
+    std::string ranges;
+    for (const owned_range &range : placement.ranges) {
+        absl::StrAppend(&ranges, ranges.empty() ? "" : ";", encodeRange(range, table));
     }
     Poco::JSON::Object object;
     object.set("service", placement.service);
     object.set("highest_fence", placement.highestFence);
+    object.set("texts", table.texts());
     object.set("ranges", ranges);
     return renderJson(object);
 }
 
 absl::StatusOr<key_placement> parsePlacement(std::string_view json)
 {
-    return decodeJson(
-        json, "placement", [](const Poco::JSON::Object &object) -> absl::StatusOr<key_placement> {
-            key_placement placement;
-            placement.service = object.getValue<std::string>("service");
-            placement.highestFence = object.getValue<uint64_t>("highest_fence");
-            const Poco::JSON::Array::Ptr ranges = object.getArray("ranges");
-            for (size_t i = 0; ranges && i < ranges->size(); ++i) {
-                const Poco::JSON::Object::Ptr entry = ranges->getObject(i);
-                if (!entry) {
-                    return absl::InvalidArgumentError("a range is no object");
-                }
-                owned_range range;
-                range.keys = {entry->getValue<shard_key>("first"),
-                              entry->getValue<shard_key>("last")};
-                range.owner = {entry->getValue<std::string>("owner"),
-                               entry->getValue<int64_t>("owner_started_at_ms")};
-                range.fence = entry->getValue<uint64_t>("fence");
-                range.handover = entry->optValue<std::string>("handover", "");
-                range.takeOverAfter =
-                    milliseconds(entry->optValue<int64_t>("take_over_after_ms", 0));
-                range.previousOwner = {entry->optValue<std::string>("previous_owner", ""),
-                                       entry->optValue<int64_t>("previous_started_at_ms", 0)};
-                placement.ranges.push_back(std::move(range));
-            }
-            if (placement.service.empty() || !isWhole(placement)) {
-                return absl::InvalidArgumentError("ranges do not cover the keys in order");
-            }
-            return placement;
-        });
+    return decodeJson(json, "placement", decodePlacement);
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/keyspace/key_placement.h
+++ b/src/persimmonrail/keyspace/key_placement.h
@@ -69,6 +69,8 @@
 // Whether the invariant holds.
 bool isWhole(const key_placement &placement);
 
+// JSON in which the ranges are one text of numbers: every daemon reads every change, and a list of
+// JSON objects takes many times as long to read.
 std::string encodePlacement(const key_placement &placement);
 // Errors: InvalidArgument, also if the invariant does not hold.
 absl::StatusOr<key_placement> parsePlacement(std::string_view json);
--- a/src/persimmonrail/keyspace/range_plan.cpp
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <string>
+#include <utility>
 
 namespace persimmonrail {
 namespace {
@@ -162,6 +165,8 @@
 // only moves the overload.
 constexpr double mostExcess = 1.6;
 constexpr int levelSteps = 30;
+// Loads that differ by less count as the same when targets are put in order.
+constexpr double loadStep = 0.2;
 
 struct rated_window
 {
@@ -264,9 +269,15 @@
             static_cast<double>(std::max(other.slots, 1)) / std::max(self.slots, 1);
         targets.push_back({other.id, other.utilization, ownRatePerLoad * slots * speed});
     }
-    std::sort(targets.begin(), targets.end(), [](const target_room &a, const target_room &b) {
-        return a.utilization < b.utilization;
-    });
+    // Each owner orders targets of about the same load differently, so that several owners that
+    // act at once do not choose the same ones.
+    const auto orderOf = [&self](const target_room &target) {
+        const size_t order = std::hash<std::string>()(self.id.name + target.id.name);
+        return std::pair(std::floor(target.utilization / loadStep), order);
+    };
+    std::sort(
+        targets.begin(), targets.end(),
+        [&orderOf](const target_room &a, const target_room &b) { return orderOf(a) < orderOf(b); });
     if (targets.size() > options.mostTargets) {
         targets.resize(options.mostTargets);
     }
@@ -277,7 +288,10 @@
 double findLevel(double utilization, double ownRatePerLoad, const std::vector<target_room> &targets,
                  double intake)
 {
-    double low = targets.front().utilization;
+    double low = utilization;
+    for (const target_room &target : targets) {
+        low = std::min(low, target.utilization);
+    }
     double high = utilization;
     for (int step = 0; step < levelSteps; ++step) {
         const double level = (low + high) / 2;
--- a/src/persimmonrail/keyspace/range_plan.h
+++ b/src/persimmonrail/keyspace/range_plan.h
@@ -55,7 +55,7 @@
 struct move_options
 {
     // Below this utilization an owner keeps its keys, since moving them would help nobody.
-    double leastUtilization = 0.6;
+    double leastUtilization = 0.75;
     // Difference to the least loaded owner from which keys are moved.
     double leastDifference = 0.25;
     // Largest part of all keys that one move takes.
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -54,15 +54,37 @@
 // Guards against records of other writers whose gaps or overlaps would give a key two owners.
 TEST_CASE("a placement that does not cover the keys in order is refused", "[keyspace]")
 {
+    const auto parse = [](const std::string &ranges) {
+        return parsePlacement(R"({"service":"s","highest_fence":2,"texts":["a/1","b/1","a"],)"
+                              R"("ranges":)"
+                              + ranges + "}");
+    };
+    CHECK(parse(R"("9,0,1,-1,0,-1;65535,1,2,-1,0,-1")").ok());
     const std::string ranges = GENERATE(
-        R"([])", R"([{"first":0,"last":65534,"owner":"a","owner_started_at_ms":1,"fence":1}])",
-        R"([{"first":1,"last":65535,"owner":"a","owner_started_at_ms":1,"fence":1}])",
-        R"([{"first":0,"last":65535,"owner":"a","owner_started_at_ms":1,"fence":3}])",
-        R"([{"first":0,"last":9,"owner":"a","owner_started_at_ms":1,"fence":1},)"
-        R"({"first":9,"last":65535,"owner":"b","owner_started_at_ms":1,"fence":2}])",
-        R"([1])", R"("x")");
-    CHECK_FALSE(
-        parsePlacement(R"({"service":"s","highest_fence":2,"ranges":)" + ranges + "}").ok());
+        // Not all keys.
+        R"("")", R"("65534,0,1,-1,0,-1")", R"("9,0,1,-1,0,-1")",
+        // Out of order, beyond the last key, or below the first.
+        R"("9,0,1,-1,0,-1;8,1,2,-1,0,-1;65535,1,2,-1,0,-1")", R"("65536,0,1,-1,0,-1")",
+        R"("9,0,1,-1,0,-1;9,1,2,-1,0,-1;65535,1,2,-1,0,-1")", R"("-1,0,1,-1,0,-1")",
+        // A fence above the highest one, or below none.
+        R"("65535,0,3,-1,0,-1")", R"("65535,0,-1,-1,0,-1")",
+        // Texts that are none, or no upstream.
+        R"("65535,3,1,-1,0,-1")", R"("65535,-2,1,-1,0,-1")", R"("65535,2,1,-1,0,-1")",
+        R"("65535,0,1,7,0,-1")", R"("65535,0,1,-1,0,7")",
+        // Other forms.
+        R"("65535,0,1,-1,0")", R"("65535,0,1,-1,0,-1,0")", R"("65535,0,1,-1,-5,-1")",
+        R"("x,0,1,-1,0,-1")", R"("65535,0,1,-1,0,-1;")", "[1]", "7", "null");
+    CHECK_FALSE(parse(ranges).ok());
+}
+
+TEST_CASE("names and handovers of any form pass through the store", "[keyspace]")
+{
+    const upstream_id odd{"a;b,\"c\"/7", 5};
+    const std::string handover = "x;y,z \"\\/1";
+    const auto placement = giveRange(twoOwners(), {7, 9}, odd, handover);
+    const auto parsed = parsePlacement(encodePlacement(placement));
+    REQUIRE(parsed.ok());
+    CHECK(*parsed == placement);
 }
 
 // Guards against changes that break the order of ranges or reuse a fence.
--- a/src/persimmonrail/router/range_keeper.cpp
+++ b/src/persimmonrail/router/range_keeper.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds writeRetry{300};
 // Between two moves, so that the loads reported after the first one count for the second.
 constexpr milliseconds moveInterval{1000};
+// The same for an owner that can serve what is asked of it: its keys pause while they move.
+constexpr milliseconds calmMoveInterval{4000};
+constexpr double overload = 1.0;
 // Owners of one service write the same record, and the loser of a race writes again at once.
 constexpr int mostGiveRetries = 4;
 // Weight of one sample, taken with each tick, so that most of the mean is of the last second.
@@ -396,7 +399,7 @@
 
 void range_keeper::considerGiving(steady_time now)
 {
-    if (m_giving || m_writePending || now < m_nextMoveAt || m_peers.live.empty()
+    if (m_giving || m_writePending || now - m_movedAt < moveInterval || m_peers.live.empty()
         || bootNow() - m_confirmedAt > storeFreshness) {
         return;
     }
@@ -435,9 +438,12 @@
         return;
     }
     m_rates.advance(now);
+    const owner_load load = ownLoad();
+    if (load.utilization < overload && now - m_movedAt < calmMoveInterval) {
+        return;
+    }
     auto moves = chooseMoves(
-        ownIntervals(), [this](shard_key key) { return m_rates.rate(key); }, ownLoad(),
-        m_peers.loads);
+        ownIntervals(), [this](shard_key key) { return m_rates.rate(key); }, load, m_peers.loads);
     if (!moves.empty()) {
         startGiving(std::move(moves), "load");
     }
@@ -466,40 +472,30 @@
         logRange("give", move.keys, 0, "begun",
                  absl::StrCat(toAbsl(reason), ",to:", move.target.name));
     }
-    std::vector<std::vector<range_grant>> held;
+    std::vector<release_order> orders;
     {
         const std::lock_guard lock(m_mutex);
         m_holder.setGiving(intervals);
-        for (const key_interval &keys : intervals) {
-            held.push_back(m_holder.heldWithin(keys));
+        for (const planned_move &move : moves) {
+            for (const range_grant &grant : m_holder.heldWithin(move.keys)) {
+                orders.push_back({grant, move.target});
+            }
         }
     }
     // A grant of these keys may be on its way; it must not arrive after the release.
-    afterGrants([this, moves = std::move(moves), held = std::move(held), address = m_address] {
-        std::vector<std::pair<planned_move, std::string>> given;
-        std::vector<range_grant> released;
-        for (size_t i = 0; i < moves.size(); ++i) {
-            for (const range_grant &grant : held[i]) {
-                const auto handover = m_grants.release(address, grant.keys, grant.fence);
-                // A process that is gone holds nothing.
-                if (handover.ok() || absl::IsFailedPrecondition(handover.status())) {
-                    released.push_back(grant);
-                    planned_move part{grant.keys, moves[i].target};
-                    given.emplace_back(part, handover.ok() ? *handover : std::string());
-                } else {
-                    m_log.write(log_level::Warn,
-                                absl::StrCat("release failed: ", handover.status().ToString()));
-                }
-            }
+    afterGrants([this, orders = std::move(orders), address = m_address] {
+        release_outcome outcome = releaseAll(m_grants, address, orders);
+        for (const absl::Status &failure : outcome.failures) {
+            m_log.write(log_level::Warn, absl::StrCat("release failed: ", failure.ToString()));
         }
-        m_loop.post([this, given = std::move(given), released = std::move(released)](steady_time) {
+        m_loop.post([this, released = std::move(outcome.released)](steady_time) {
             {
                 const std::lock_guard lock(m_mutex);
-                for (const range_grant &grant : released) {
-                    m_holder.onReleased(grant.keys, grant.fence);
+                for (const released_range &range : released) {
+                    m_holder.onReleased(range.grant.keys, range.grant.fence);
                 }
             }
-            finishGiving(given, mostGiveRetries);
+            finishGiving(released, mostGiveRetries);
         });
     });
 }
@@ -507,7 +503,7 @@
 void range_keeper::endGiving()
 {
     m_giving = false;
-    m_nextMoveAt = std::chrono::steady_clock::now() + moveInterval;
+    m_movedAt = std::chrono::steady_clock::now();
     {
         const std::lock_guard lock(m_mutex);
         m_holder.setGiving({});
@@ -515,8 +511,7 @@
     renewGrants();
 }
 
-void range_keeper::finishGiving(const std::vector<std::pair<planned_move, std::string>> &given,
-                                int tries)
+void range_keeper::finishGiving(const std::vector<released_range> &given, int tries)
 {
     const auto *placed = m_directory->findPlacement(m_service);
     if (placed == nullptr || given.empty()) {
@@ -524,11 +519,12 @@
         return;
     }
     key_placement next = placed->placement;
-    for (const auto &[move, handover] : given) {
-        const owned_range range = next.rangeOf(move.keys.first);
+    for (const released_range &part : given) {
+        const key_interval keys = part.grant.keys;
+        const owned_range range = next.rangeOf(keys.first);
         // The record may have changed while the release ran.
-        if (m_upstream && range.owner == *m_upstream && range.keys.contains(move.keys.last)) {
-            next = giveRange(std::move(next), move.keys, move.target, handover);
+        if (m_upstream && range.owner == *m_upstream && range.keys.contains(keys.last)) {
+            next = giveRange(std::move(next), keys, part.target, part.handover);
         }
     }
     if (next == placed->placement) {
@@ -547,10 +543,4 @@
     });
 }
 
-void range_keeper::onUpstreamGone(const upstream_id &)
-{
-    const std::lock_guard lock(m_mutex);
-    m_holder.setUpstream(std::nullopt);
-}
-
 } // namespace persimmonrail
--- a/src/persimmonrail/router/range_keeper.h
+++ b/src/persimmonrail/router/range_keeper.h
@@ -7,7 +7,7 @@
 #include "persimmonrail/keyspace/range_plan.h"
 #include "persimmonrail/relay/upstream_picker.h"
 #include "persimmonrail/router/key_rates.h"
-#include "persimmonrail/router/router.h"
+#include "persimmonrail/router/range_release.h"
 #include "persimmonrail/telemetry/decision_log.h"
 
 #include <memory>
@@ -62,8 +62,6 @@
     void setPeers(peers peers);
     // The queue in front of the upstream.
     void setOwnQueue(const queue_report &queue);
-    // The upstream is gone: its keys may be given to others at once.
-    void onUpstreamGone(const upstream_id &id);
 
     // Acts on what is due; to be called about every 100 ms.
     void tick(steady_time now);
@@ -88,7 +86,7 @@
     void considerGiving(steady_time now);
     void startGiving(std::vector<planned_move> moves, std::string_view reason);
     // `tries`: writes that may follow if other writers change the record in between.
-    void finishGiving(const std::vector<std::pair<planned_move, std::string>> &given, int tries);
+    void finishGiving(const std::vector<released_range> &given, int tries);
     void endGiving();
     owner_load ownLoad() const;
     void write(placement_write change, std::function<void(bool written)> done);
@@ -124,7 +122,8 @@
     boot_time m_confirmedAt{};
     boot_time m_confirmSentAt{};
     steady_time m_nextWriteAt{};
-    steady_time m_nextMoveAt{};
+    // When the last move ended.
+    steady_time m_movedAt{};
     std::optional<steady_time> m_membersStableSince;
     size_t m_membersSeen = 0;
     // Declared last: their threads use the members above until they have ended.
