Let large answers leave a host one after the other

Change: answers of 16 KB and more to other daemons take turns; a transfer waits at most 100 ms and keeps its turn at most 100 ms, so that one that is stuck does not hold up the others.

--- a/src/persimmonrail/relay/peer_link.cpp
+++ b/src/persimmonrail/relay/peer_link.cpp
@@ -219,11 +219,24 @@
 }
 
 relay_sink::relay_sink(server_exchange &exchange,
-                       std::function<void(Poco::Net::HTTPResponse &head)> decorate)
+                       std::function<void(Poco::Net::HTTPResponse &head)> decorate,
+                       transfer_turns *turns)
     : m_exchange(exchange)
     , m_decorate(std::move(decorate))
+    , m_turns(turns)
 { }
 
+void relay_sink::noteBytes(size_t bytes)
+{
+    const bool wasLarge = m_turns == nullptr || m_turns->isLarge(m_bytes);
+    m_bytes += bytes;
+    if (!wasLarge && m_turns->isLarge(m_bytes)) {
+        m_turn = m_turns->enter();
+    } else if (m_turn != nullptr && m_turn->isOver(std::chrono::steady_clock::now())) {
+        m_turn.reset();
+    }
+}
+
 bool relay_sink::begin(const Poco::Net::HTTPResponse &head, const body_framing &framing,
                        std::string_view first, bool whole)
 {
@@ -235,18 +248,22 @@
     }
     const body_framing sent =
         whole ? body_framing{body_framing::kind::Length, first.size()} : framing;
+    noteBytes(first.size());
     return m_exchange.beginAnswer(answer, sent) && m_exchange.writeAnswer(first)
         && (!whole || m_exchange.endAnswer());
 }
 
 bool relay_sink::write(std::string_view piece)
 {
+    noteBytes(piece.size());
     return m_exchange.writeAnswer(piece);
 }
 
 bool relay_sink::finish()
 {
-    return m_exchange.endAnswer();
+    const bool ended = m_exchange.endAnswer();
+    m_turn.reset();
+    return ended;
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/relay/peer_link.h
+++ b/src/persimmonrail/relay/peer_link.h
@@ -3,6 +3,7 @@
 #include "persimmonrail/gateway/silent_peers.h"
 #include "persimmonrail/http/http_server.h"
 #include "persimmonrail/relay/relay_types.h"
+#include "persimmonrail/relay/transfer_turns.h"
 
 #include <absl/status/statusor.h>
 
@@ -43,9 +44,11 @@
 class relay_sink : public answer_sink
 {
 public:
-    // `decorate` may set fields of the head before it is sent; may be empty.
+    // `decorate` may set fields of the head before it is sent; may be empty. With `turns`, a large
+    // answer waits for its turn before its body.
     relay_sink(server_exchange &exchange,
-               std::function<void(Poco::Net::HTTPResponse &head)> decorate);
+               std::function<void(Poco::Net::HTTPResponse &head)> decorate,
+               transfer_turns *turns = nullptr);
 
     bool begin(const Poco::Net::HTTPResponse &head, const body_framing &framing,
                std::string_view first, bool whole) override;
@@ -53,8 +56,14 @@
     bool finish() override;
 
 private:
+    // Enters the turns once the answer is known to be large, and leaves them when its time is over.
+    void noteBytes(size_t bytes);
+
     server_exchange &m_exchange;
     const std::function<void(Poco::Net::HTTPResponse &head)> m_decorate;
+    transfer_turns *m_turns;
+    std::unique_ptr<transfer_turns::turn> m_turn;
+    size_t m_bytes = 0;
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/relay/relay_path.cpp
+++ b/src/persimmonrail/relay/relay_path.cpp
@@ -378,10 +378,11 @@
         const std::lock_guard lock(m_mutex);
         m_peerRequests.insert(request->requestId);
     }
-    relay_sink sink(exchange, [this](Poco::Net::HTTPResponse &head) {
+    const auto decorate = [this](Poco::Net::HTTPResponse &head) {
         head.set(outcomeHeader, std::string(toString(request_outcome::Run)));
         head.set(queueHeader, encodeQueueReport(m_runner.queue()));
-    });
+    };
+    relay_sink sink(exchange, decorate, &m_transferTurns);
     relay_result result = m_runner.run(*request, exchange, sink);
     {
         const std::lock_guard lock(m_mutex);
--- a/src/persimmonrail/relay/relay_path.h
+++ b/src/persimmonrail/relay/relay_path.h
@@ -83,6 +83,8 @@
     decision_log &m_log;
     metrics &m_metrics;
     peer_link m_peers;
+    // Of answers that leave this host.
+    transfer_turns m_transferTurns;
     std::atomic<int> m_inFlight{0};
     // Guards the members below.
     std::mutex m_mutex;
