Hand on no request whose caller has left before it was read

It sent each one on first and only then watched the caller's connection; a request with a body was sent even by the daemon beside the upstream, since unread bytes hid the close.

Change: both daemons look whether the peer has ended its connection (RDHUP, which unread bytes do not hide) right before each attempt.

Test: relay_path_test, GET and POST whose caller closes before the daemon reads; failed before (the request arrived), passes now.

--- a/src/persimmonrail/http/http_stream.cpp
+++ b/src/persimmonrail/http/http_stream.cpp
@@ -24,13 +24,6 @@
     return static_cast<int>(std::clamp<int64_t>(left.count(), 0, 60'000));
 }
 
-bool closedByPeer(int descriptor)
-{
-    char byte = 0;
-    const ssize_t n = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
-
 } // namespace
 
 std::string_view toString(io_status status)
@@ -248,11 +241,6 @@
     return ::poll(&descriptor, 1, 0) > 0 && descriptor.revents != 0;
 }
 
-bool http_stream::isClosedByPeer()
-{
-    return m_position == m_buffer.size() && closedByPeer(m_descriptor);
-}
-
 void http_stream::shutdown()
 {
     ::shutdown(m_descriptor, SHUT_RDWR);
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -75,8 +75,6 @@
     bool endedInOrder() const { return m_endedInOrder; }
     // Whether bytes can be read, or the connection has been closed by its peer.
     bool hasInput();
-    // Whether the peer has closed the connection and left no bytes to read.
-    bool isClosedByPeer();
     // Ends both directions; wakes a thread that waits in this stream. May be called by any thread.
     void shutdown();
     // Ends the sending direction and discards input until the peer closes or `until`. Closing with
--- a/src/persimmonrail/relay/relay_path.cpp
+++ b/src/persimmonrail/relay/relay_path.cpp
@@ -117,6 +117,10 @@
         int arrivals = 0;
         for (;;) {
             const steady_time now = clockNow();
+            // Also seen while the body of the request is unread.
+            if (m_exchange.connection().waitClosed(now)) {
+                return callerGone(result);
+            }
             if (arrivals > 0 && !service.retries.tryRetry(now)) {
                 m_budgetSpent = true;
                 return result;
@@ -147,6 +151,14 @@
         }
     }
 
+    // Nobody is told how the request ended; an attempt before may have run.
+    static relay_result callerGone(relay_result result)
+    {
+        result.reason = relay_reason::CallerGone;
+        result.callerGone = true;
+        return result;
+    }
+
     bool mayContinue(const relay_result &result, int arrivals)
     {
         if (result.outcome == request_outcome::Run || result.answerStarted || result.callerGone
--- /dev/null
+++ b/src/persimmonrail/relay/tests/relay_path_test.cpp
@@ -0,0 +1,98 @@
+#include "persimmonrail/relay/relay_path.h"
+
+#include "persimmonrail/base/header_names.h"
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <future>
+
+using namespace persimmonrail;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A daemon's path for requests, with one member of a service behind a counting peer port.
+struct path_site
+{
+    std::atomic<int> arrivals{0};
+    std::promise<void> served;
+    decision_log log{{log_level::Off, "", 100, false}};
+    metrics values;
+    std::unique_ptr<http_server> peer;
+    std::unique_ptr<http_server> callers;
+    std::unique_ptr<upstream_runner> runner;
+    std::unique_ptr<relay_path> path;
+
+    path_site()
+    {
+        peer = std::move(*http_server::listen({}, [this](server_exchange &exchange) {
+            ++arrivals;
+            Poco::Net::HTTPResponse head;
+            head.set(outcomeHeader, "run");
+            exchange.answer(head, "whole");
+        }));
+        exchange_codec codec;
+        codec.readCall = [](const Poco::Net::HTTPRequest &) {
+            caller_call call;
+            call.requestId = "r1";
+            return call;
+        };
+        upstream_runner_hooks runnerHooks;
+        runnerHooks.local = [] { return local_target(); };
+        runner = std::make_unique<upstream_runner>(codec, runnerHooks);
+        relay_path_hooks hooks;
+        hooks.routes = [] {
+            return std::make_shared<route_table>(
+                1, std::vector<route>{{"r", "h", "/", true, 2000ms, 500ms, 0, 2, {{"ledger", 1}}}},
+                std::vector<service_rule>{{"ledger", false, 9, ""}}, 10000ms);
+        };
+        hooks.directory = [this] {
+            fleet_directory_builder builder([](const std::string &, std::string_view) {});
+            const upstream_member member{{"i-1", 1}, "ledger", "z",  peer->address(),
+                                         9,          false,    false};
+            builder.applyOne({memberKey("i-1"), 1, false, encodeMember(member)});
+            return builder.build();
+        };
+        hooks.isStopping = [] { return false; };
+        hooks.makeRandom = [] { return [] { return uint64_t{1}; }; };
+        path =
+            std::make_unique<relay_path>(relay_path_options(), hooks, codec, *runner, log, values);
+    }
+    ~path_site() { callers.reset(); }
+
+    // Serves one request, after its caller has closed the connection if `afterClose`.
+    void serve(const std::string &request, bool afterClose)
+    {
+        callers = std::move(*http_server::listen({}, [&](server_exchange &exchange) {
+            if (afterClose) {
+                exchange.connection().waitClosed(std::chrono::steady_clock::now() + 20s);
+            }
+            path->serveCaller(exchange);
+            served.set_value();
+        }));
+        Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(callers->address())};
+        socket.sendBytes(request.data(), static_cast<int>(request.size()));
+        if (afterClose) {
+            socket.close();
+        }
+        REQUIRE(served.get_future().wait_for(20s) == std::future_status::ready);
+    }
+};
+
+} // namespace
+
+// Load pattern: daemons that start again find requests whose callers have given up. Guards against
+// work for callers that are gone, also where their body is still unread.
+TEST_CASE("a request whose caller has left goes to no upstream", "[relay]")
+{
+    const std::string request =
+        GENERATE("GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                 "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody");
+    const bool afterClose = GENERATE(false, true);
+    path_site site;
+    site.serve(request, afterClose);
+    CHECK(site.arrivals == (afterClose ? 0 : 1));
+}
