Give a slot back when the answer begins; keep idle peer connections for 2 s

Cause: on hosts with 15 Mbit/s an answer of 90 KB is on its way for some hundred milliseconds, and its request held one of 6 slots all the while, so calls that running requests wait for found no slot although the upstream was idle. With transfer turns alone deposit-credit still fails as often (965 of 10,351), and transfers gave up waiting after 100 ms, so that several went at once again. Idle connections between daemons: two daemons exchange a request about every 3 s at 73 daemons, and each connection kept a thread for 5 s.

Change: releasing_sink; a transfer waits up to 500 ms for its turn; idle time of peer connections 5 s to 2 s (peer side 8 s to 6 s).

--- a/src/persimmonrail/relay/peer_link.cpp
+++ b/src/persimmonrail/relay/peer_link.cpp
@@ -16,10 +16,10 @@
 // those that a burst needed are given up soon.
 constexpr size_t maxIdlePerPeer = 8;
 constexpr size_t maxIdleInAll = 64;
-constexpr milliseconds peerIdleTime{5000};
+constexpr milliseconds peerIdleTime{2000};
 // Between hosts a connection may go silent at any moment, and only a probe shows it. A daemon
 // closes idle connections of its peers late enough for this.
-constexpr milliseconds peerFreshTime{3000};
+constexpr milliseconds peerFreshTime{2000};
 // A crossing of availability zones takes a few milliseconds, and the kernel accepts connections
 // even of a busy process. Calls that running requests wait for have a quarter of a second in all.
 constexpr milliseconds peerConnectTime{120};
--- a/src/persimmonrail/relay/transfer_turns.h
+++ b/src/persimmonrail/relay/transfer_turns.h
@@ -16,7 +16,7 @@
     // Answers of at least this size take turns; smaller ones go at once.
     size_t largeBytes = 16 * 1024;
     // A transfer goes on without a turn after this time: one that is stuck must not hold up others.
-    milliseconds longestWait{100};
+    milliseconds longestWait{500};
     // A transfer gives up its turn after this time.
     milliseconds longestTurn{100};
 };
--- a/src/persimmonrail/relay/upstream_runner.cpp
+++ b/src/persimmonrail/relay/upstream_runner.cpp
@@ -1,5 +1,7 @@
 #include "persimmonrail/relay/upstream_runner.h"
 
+#include "persimmonrail/relay/releasing_sink.h"
+
 #include <algorithm>
 
 namespace persimmonrail {
@@ -76,23 +78,18 @@
     if (const auto *refused = std::get_if<slot_queue::refusal>(&entered)) {
         return notRun(relay_reason::Overload, refused->retryAfter);
     }
-    const auto &ticket = std::get<std::unique_ptr<slot_ticket>>(entered);
+    releasing_sink releasing(std::move(std::get<std::unique_ptr<slot_ticket>>(entered)), sink);
     // Anything may have changed while the request waited.
     const local_target target = m_hooks.local();
-    relay_result result = notRun(refusal(request, target));
-    if (result.reason == relay_reason::None) {
-        result = handOver(request, target, exchange, sink);
-    }
-    if (result.outcome == request_outcome::Run) {
-        ticket->noteTypical();
-    }
-    return result;
+    const relay_reason reason = refusal(request, target);
+    return reason == relay_reason::None ? handOver(request, target, exchange, releasing)
+                                        : notRun(reason);
 }
 
 relay_result upstream_runner::handOver(const relay_request &request, const local_target &target,
                                        server_exchange &exchange, answer_sink &sink)
 {
-    if (exchange.connection().isClosedByPeer()) {
+    if (exchange.connection().waitClosed(std::chrono::steady_clock::now())) {
         relay_result gone = notRun(relay_reason::CallerGone);
         gone.callerGone = true;
         return gone;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -27,7 +27,7 @@
 // A caller's connection outlives the idle time of the desired state, so that the caller closes it.
 constexpr milliseconds callerIdleTime{60000};
 // Longer than daemons keep idle connections, so that they close first.
-constexpr milliseconds peerIdleTime{8000};
+constexpr milliseconds peerIdleTime{6000};
 constexpr size_t maxReportBytes = 64 * 1024;
 constexpr milliseconds reportTimeout{2000};
 // Values of the store are at most 1 MB.
