Split the router's state by duty: ports, store, upstream

Cause: router_state.cpp had grown to 694 lines with start and stop, ports, the store, the upstream and its peers in one file. Change: router_state_store.cpp and router_state_upstream.cpp hold the member functions of these duties; no behaviour changes.

--- /dev/null
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -0,0 +1,190 @@
+// What the router believes of the upstream beside it and of those of its peers, and what it tells
+// the fleet of them.
+#include "persimmonrail/router/router_state.h"
+
+#include "persimmonrail/base/text.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace persimmonrail {
+namespace {
+
+// Left of the drain timeout for a request on its way to the upstream.
+constexpr milliseconds drainReserve{500};
+// After this time a peer is marked again that took itself back but still can't be reached.
+constexpr milliseconds markInterval{10000};
+constexpr size_t maxReportBytes = 64 * 1024;
+constexpr milliseconds reportTimeout{2000};
+
+} // namespace
+
+void router::state::serveReport(server_exchange &exchange)
+{
+    std::string body;
+    const io_status status =
+        exchange.readAll(body, maxReportBytes, std::chrono::steady_clock::now() + reportTimeout);
+    if (status != io_status::Ok) {
+        exchange.closeAfterAnswer();
+        exchange.answer(400, "", "text/plain");
+        return;
+    }
+    const auto message = m_platform.parseReport(exchange.request().getURI(), body);
+    if (!message.ok()) {
+        m_log.write(log_level::Warn,
+                    absl::StrCat("report ignored reason=", message.status().ToString()));
+        exchange.answer(400, "{}", "application/json");
+        return;
+    }
+    // The acknowledgement binds, so the daemon acts before it answers.
+    m_loop.postAndWait([this, &message](steady_time now) { onUpstreamMessage(*message, now); });
+    exchange.answer(200, "{}", "application/json");
+}
+
+void router::state::onUpstreamMessage(const upstream_message &message, steady_time now)
+{
+    const std::optional<upstream_report> before = m_upstream.report();
+    const local_upstream::verdict verdict = message.isDeparture
+        ? m_upstream.onDeparture(message.report.id, now)
+        : m_upstream.onReport(message.report, now);
+    if (verdict == local_upstream::verdict::Stale) {
+        m_log.write(log_level::Info,
+                    absl::StrCat("report stale upstream=", toString(message.report.id),
+                                 " sequence=", message.report.sequence));
+        return;
+    }
+    if (before && m_upstream.report() && before->id != m_upstream.report()->id) {
+        // The process of the earlier life has ended, or its address would not be free.
+        m_runner->dropConnections(before->address);
+    }
+    if (verdict == local_upstream::verdict::Changed) {
+        onUpstreamChanged(message.isDeparture ? "departure" : "report", now);
+    }
+}
+
+upstream_member router::state::ownMember() const
+{
+    const upstream_report &report = *m_upstream.report();
+    upstream_member member;
+    member.id = report.id;
+    member.service = m_settings.service;
+    member.availabilityZone = m_settings.availabilityZone;
+    member.peerAddress = m_settings.peerAddress;
+    member.slots = std::max(report.slots, 1);
+    member.isGone = m_upstream.phase() == upstream_phase::Absent;
+    member.isLeaving = !m_upstream.takesWork() || m_stopping;
+    return member;
+}
+
+void router::state::onUpstreamChanged(std::string_view cause, steady_time now)
+{
+    const upstream_report &report = *m_upstream.report();
+    logEvent("upstream",
+             absl::StrCat("id=", toString(report.id),
+                          " phase=", toAbsl(toString(m_upstream.phase())), " slots=", report.slots,
+                          " sequence=", report.sequence, " cause=", toAbsl(cause)));
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_upstream.phase() == upstream_phase::Draining
+            && m_target.closed != relay_reason::Draining) {
+            m_drainEnd = now + m_settings.drainTimeout - drainReserve;
+        }
+        m_target.id = report.id;
+        m_target.service = m_settings.service;
+        m_target.address = m_settings.upstreamAddress;
+        m_target.closed = m_upstream.takesWork()             ? relay_reason::None
+            : m_upstream.phase() == upstream_phase::Draining ? relay_reason::Draining
+                                                             : relay_reason::UpstreamUnreachable;
+    }
+    m_runner->setSlots(std::max(report.slots, 1));
+    m_publisher->want(ownMember());
+    const bool isThere = m_upstream.phase() != upstream_phase::Absent;
+    m_ranges->setUpstream(isThere ? std::optional(report.id) : std::nullopt,
+                          m_settings.upstreamAddress, !m_upstream.takesWork());
+}
+
+// A host has one upstream. Once another one reports, the members that this daemon published before
+// it restarted have ended, whatever became of their last messages.
+void router::state::publishEarlierLives(const fleet_directory &directory)
+{
+    if (!m_upstream.report()) {
+        return;
+    }
+    for (const upstream_member &member :
+         earlierLives(directory, m_settings.peerAddress, m_upstream.report()->id)) {
+        m_publisher->want(member);
+    }
+}
+
+void router::state::checkUpstream(steady_time now)
+{
+    if (m_upstream.expire(now)) {
+        onUpstreamChanged("reports-overdue", now);
+    }
+}
+
+void router::state::pollPeers(steady_time now)
+{
+    std::shared_ptr<const fleet_directory> directory;
+    {
+        const std::lock_guard lock(m_mutex);
+        directory = m_directory;
+    }
+    std::vector<const upstream_member *> peers = directory->membersOf(m_settings.service);
+    std::erase_if(peers, [this](const upstream_member *member) {
+        return member->peerAddress == m_settings.peerAddress;
+    });
+    const bool isThere = m_upstream.report() && m_upstream.phase() != upstream_phase::Absent;
+    const upstream_member own = isThere ? ownMember() : upstream_member();
+    m_peers->poll(peers, isThere ? &own : nullptr, now);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_peerStatuses = m_peers->health().known(now);
+        m_peerStatusesAt = now;
+    }
+    range_keeper::peers view = m_peers->health().view(isThere ? &own : nullptr, now);
+    if (view.isCoordinator) {
+        markUnreachable(*directory, view.unreachable, now);
+    }
+    m_ranges->setPeers(std::move(view));
+}
+
+// Tells the fleet of members that can't be reached, so that no daemon has to find out by itself. A
+// member that is back takes the mark away by itself.
+void router::state::markUnreachable(const fleet_directory &directory,
+                                    const std::vector<upstream_id> &unreachable, steady_time now)
+{
+    for (auto marked = m_marked.begin(); marked != m_marked.end();) {
+        const auto *known = directory.findMember(marked->first);
+        if (known == nullptr || known->member.isLeaving) {
+            m_publisher->forget(marked->first);
+        }
+        marked = now - marked->second >= markInterval ? m_marked.erase(marked) : std::next(marked);
+    }
+    for (const upstream_id &id : unreachable) {
+        const auto *known = directory.findMember(id.name);
+        if (known == nullptr || known->member.id != id || known->member.isLeaving
+            || m_marked.contains(id.name)) {
+            continue;
+        }
+        upstream_member member = known->member;
+        member.isLeaving = true;
+        m_publisher->want(member);
+        m_marked[id.name] = now;
+        logEvent("peer-unreachable", absl::StrCat("upstream=", toString(id)));
+    }
+}
+
+local_target router::state::localTarget() const
+{
+    const std::lock_guard lock(m_mutex);
+    local_target target = m_target;
+    if (m_closed && target.closed == relay_reason::None) {
+        target.closed = relay_reason::Stopping;
+    }
+    const bool servesKeys = target.closed == relay_reason::Draining && !m_closed
+        && std::chrono::steady_clock::now() < m_drainEnd;
+    target.closedForKeys = servesKeys ? relay_reason::None : target.closed;
+    return target;
+}
+
+} // namespace persimmonrail
