Pace large answers to the link of the upstream's host; refuse what would queue

Change: link_pacer spreads large answers in pieces of 16 KB over 0.85 of the link that the settings name (link-mbps); a request whose answer would miss its target behind those under way is refused at once (link-busy) or tried elsewhere. A fast link holds nothing back.

--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -81,8 +81,8 @@
     // unread input would reset the connection, and the peer could lose an answer sent before.
     void lingerClose(steady_time until);
     int descriptor() const { return m_descriptor; }
-    // Gives back the memory of the buffer if nothing in it is unread; for idle connections, of which
-    // there may be hundreds.
+    // Gives back the memory of the buffer if nothing in it is unread; for idle connections, of
+    // which there may be hundreds.
     void releaseBuffer();
 
 private:
--- a/src/persimmonrail/relay/peer_link.cpp
+++ b/src/persimmonrail/relay/peer_link.cpp
@@ -27,6 +27,10 @@
 // request.
 constexpr milliseconds progressTimeout{700};
 constexpr milliseconds probeTimeout{400};
+// Large answers leave in pieces of this size, so that a small one waits for one piece at most.
+constexpr size_t pacedBytes = 16 * 1024;
+// Shorter pauses are not worth waking up for; a fast link needs none.
+constexpr milliseconds leastPause{2};
 
 enum class probe_result { InFlight, Lost, Silent };
 
@@ -220,21 +224,50 @@
 
 relay_sink::relay_sink(server_exchange &exchange,
                        std::function<void(Poco::Net::HTTPResponse &head)> decorate,
-                       transfer_turns *turns)
+                       link_outlet *outlet, std::string route)
     : m_exchange(exchange)
     , m_decorate(std::move(decorate))
-    , m_turns(turns)
+    , m_outlet(outlet)
+    , m_route(std::move(route))
 { }
 
-void relay_sink::noteBytes(size_t bytes)
+relay_sink::~relay_sink()
 {
-    const bool wasLarge = m_turns == nullptr || m_turns->isLarge(m_bytes);
-    m_bytes += bytes;
-    if (!wasLarge && m_turns->isLarge(m_bytes)) {
-        m_turn = m_turns->enter();
-    } else if (m_turn != nullptr && m_turn->isOver(std::chrono::steady_clock::now())) {
+    if (m_left > 0) {
+        m_outlet->pacer.abandon(m_left);
+    }
+}
+
+void relay_sink::announce(size_t bytes)
+{
+    m_isLarge = m_outlet != nullptr && m_outlet->turns.isLarge(bytes);
+    if (m_isLarge) {
+        m_left = bytes;
+        m_outlet->pacer.begin(m_route, bytes);
+        m_turn = m_outlet->turns.enter();
+    }
+}
+
+bool relay_sink::awaitLink(size_t bytes)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time start = m_outlet->pacer.reserve(bytes, now);
+    m_left -= std::min(m_left, bytes);
+    if (m_turn != nullptr && m_turn->isOver(now)) {
         m_turn.reset();
     }
+    return start - now < leastPause || !m_exchange.connection().waitClosed(start);
+}
+
+bool relay_sink::send(std::string_view bytes)
+{
+    while (m_isLarge && bytes.size() > pacedBytes) {
+        if (!awaitLink(pacedBytes) || !m_exchange.writeAnswer(bytes.substr(0, pacedBytes))) {
+            return false;
+        }
+        bytes.remove_prefix(pacedBytes);
+    }
+    return (!m_isLarge || awaitLink(bytes.size())) && m_exchange.writeAnswer(bytes);
 }
 
 bool relay_sink::begin(const Poco::Net::HTTPResponse &head, const body_framing &framing,
@@ -248,15 +281,13 @@
     }
     const body_framing sent =
         whole ? body_framing{body_framing::kind::Length, first.size()} : framing;
-    noteBytes(first.size());
-    return m_exchange.beginAnswer(answer, sent) && m_exchange.writeAnswer(first)
-        && (!whole || m_exchange.endAnswer());
+    announce(sent.type == body_framing::kind::Length ? sent.length : first.size());
+    return m_exchange.beginAnswer(answer, sent) && send(first) && (!whole || finish());
 }
 
 bool relay_sink::write(std::string_view piece)
 {
-    noteBytes(piece.size());
-    return m_exchange.writeAnswer(piece);
+    return send(piece);
 }
 
 bool relay_sink::finish()
--- a/src/persimmonrail/relay/peer_link.h
+++ b/src/persimmonrail/relay/peer_link.h
@@ -2,6 +2,7 @@
 
 #include "persimmonrail/gateway/silent_peers.h"
 #include "persimmonrail/http/http_server.h"
+#include "persimmonrail/relay/link_pacer.h"
 #include "persimmonrail/relay/relay_types.h"
 #include "persimmonrail/relay/transfer_turns.h"
 
@@ -40,15 +41,25 @@
 // Answers a request of another daemon that got no answer from the upstream.
 void answerPeer(server_exchange &exchange, const relay_result &result);
 
+// What large answers share on their way out of this host.
+struct link_outlet
+{
+    transfer_turns turns;
+    link_pacer pacer;
+};
+
 // Passes an answer on to a requester. Used by one thread.
 class relay_sink : public answer_sink
 {
 public:
-    // `decorate` may set fields of the head before it is sent; may be empty. With `turns`, a large
-    // answer waits for its turn before its body.
+    // `decorate` may set fields of the head before it is sent; may be empty. With `outlet`, which
+    // must outlive the object, a large answer of `route` waits for its turn and is paced.
     relay_sink(server_exchange &exchange,
                std::function<void(Poco::Net::HTTPResponse &head)> decorate,
-               transfer_turns *turns = nullptr);
+               link_outlet *outlet = nullptr, std::string route = {});
+    relay_sink(const relay_sink &) = delete;
+    relay_sink &operator=(const relay_sink &) = delete;
+    ~relay_sink() override;
 
     bool begin(const Poco::Net::HTTPResponse &head, const body_framing &framing,
                std::string_view first, bool whole) override;
@@ -56,14 +67,20 @@
     bool finish() override;
 
 private:
-    // Enters the turns once the answer is known to be large, and leaves them when its time is over.
-    void noteBytes(size_t bytes);
+    // Takes a turn if the answer is large.
+    void announce(size_t bytes);
+    bool send(std::string_view bytes);
+    // Waits until the link may take the bytes; false if the requester left meanwhile.
+    bool awaitLink(size_t bytes);
 
     server_exchange &m_exchange;
     const std::function<void(Poco::Net::HTTPResponse &head)> m_decorate;
-    transfer_turns *m_turns;
+    link_outlet *m_outlet;
+    const std::string m_route;
     std::unique_ptr<transfer_turns::turn> m_turn;
-    size_t m_bytes = 0;
+    bool m_isLarge = false;
+    // Announced to the outlet and not sent yet.
+    size_t m_left = 0;
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/relay/relay_path.cpp
+++ b/src/persimmonrail/relay/relay_path.cpp
@@ -341,6 +341,7 @@
     , m_runner(runner)
     , m_log(log)
     , m_metrics(values)
+    , m_outlet{transfer_turns(), link_pacer(m_options.linkBytesPerSecond * m_options.largeShare)}
     , m_random(m_hooks.makeRandom())
 { }
 
@@ -379,7 +380,7 @@
         return;
     }
     const in_flight_guard guard(m_inFlight);
-    const auto request = readPeerRequest(exchange.request(), clockNow());
+    auto request = readPeerRequest(exchange.request(), clockNow());
     if (!request.ok()) {
         m_log.write(log_level::Warn,
                     absl::StrCat("peer request ignored: ", request.status().message()));
@@ -394,7 +395,8 @@
         head.set(outcomeHeader, std::string(toString(request_outcome::Run)));
         head.set(queueHeader, encodeQueueReport(m_runner.queue()));
     };
-    relay_sink sink(exchange, decorate, &m_transferTurns);
+    relay_sink sink(exchange, decorate, &m_outlet, request->route);
+    request->answerLink = m_outlet.pacer.expect(request->route, clockNow());
     relay_result result = m_runner.run(*request, exchange, sink);
     {
         const std::lock_guard lock(m_mutex);
--- a/src/persimmonrail/relay/relay_path.h
+++ b/src/persimmonrail/relay/relay_path.h
@@ -35,6 +35,10 @@
     // For refusals of which nothing tells how long their cause lasts.
     milliseconds defaultRetryAfter{250};
     retry_budget_options retries;
+    // What the link of this host carries; 0 if unknown.
+    double linkBytesPerSecond = 0;
+    // Part of it that large answers use; the rest is for small ones and what frames cost.
+    double largeShare = 0.85;
 };
 
 struct relay_path_hooks
@@ -84,7 +88,7 @@
     metrics &m_metrics;
     peer_link m_peers;
     // Of answers that leave this host.
-    transfer_turns m_transferTurns;
+    link_outlet m_outlet;
     std::atomic<int> m_inFlight{0};
     // Guards the members below.
     std::mutex m_mutex;
--- a/src/persimmonrail/relay/relay_reason.h
+++ b/src/persimmonrail/relay/relay_reason.h
@@ -21,6 +21,8 @@
     Draining,
     Stopping,
     Overload,
+    // Large answers queue for the link of the upstream's host.
+    LinkBusy,
     DeadlineUnreachable,
     PeerUnreachable,
     PeerSilent,
--- a/src/persimmonrail/relay/relay_types.h
+++ b/src/persimmonrail/relay/relay_types.h
@@ -4,6 +4,7 @@
 #include "persimmonrail/base/request_outcome.h"
 #include "persimmonrail/fleet/upstream_member.h"
 #include "persimmonrail/keyspace/key_placement.h"
+#include "persimmonrail/relay/link_pacer.h"
 #include "persimmonrail/relay/relay_reason.h"
 #include "persimmonrail/relay/upstream_picker.h"
 
@@ -35,6 +36,8 @@
     // Time within which an answer has its full worth, and the moment at which that time ends.
     milliseconds objective{0};
     steady_time target;
+    // What the answer is expected to take on the link of the upstream's host.
+    link_pacer::estimate answerLink;
 };
 
 // What one attempt at a request came to.
--- a/src/persimmonrail/relay/transfer_turns.h
+++ b/src/persimmonrail/relay/transfer_turns.h
@@ -16,9 +16,9 @@
     // Answers of at least this size take turns; smaller ones go at once.
     size_t largeBytes = 16 * 1024;
     // A transfer goes on without a turn after this time: one that is stuck must not hold up others.
-    milliseconds longestWait{500};
+    milliseconds longestWait{1000};
     // A transfer gives up its turn after this time.
-    milliseconds longestTurn{100};
+    milliseconds longestTurn{400};
 };
 
 // Lets large answers leave this host one after the other. Several at once fill the queue of the
--- a/src/persimmonrail/relay/upstream_runner.cpp
+++ b/src/persimmonrail/relay/upstream_runner.cpp
@@ -72,6 +72,13 @@
         m_hooks.countKey(*request.key);
     }
     const steady_time arrived = std::chrono::steady_clock::now();
+    const steady_time done =
+        arrived + m_gate.report().service + request.answerLink.backlog + request.answerLink.own;
+    // While answers queue for the link, one that would come late only makes the others late too.
+    if (request.answerLink.backlog.count() > 0 && done > request.target) {
+        return notRun(relay_reason::LinkBusy,
+                      std::chrono::ceil<milliseconds>(done - request.target));
+    }
     const slot_request wanted{request.route, request.rank, request.objective, request.target,
                               request.deadline};
     slot_result entered = m_gate.enter(wanted, arrived);
--- a/src/persimmonrail/router/key_rates.h
+++ b/src/persimmonrail/router/key_rates.h
@@ -9,8 +9,8 @@
 
 namespace persimmonrail {
 
-// Requests per second by key, over about the last half second. count() is thread safe, the rest belongs
-// to one thread.
+// Requests per second by key, over about the last half second. count() is thread safe, the rest
+// belongs to one thread.
 class key_rates
 {
 public:
--- a/src/persimmonrail/router/router_settings.cpp
+++ b/src/persimmonrail/router/router_settings.cpp
@@ -79,6 +79,12 @@
         && settings.retryRatio <= 1;
 }
 
+bool setLink(router_settings &settings, const std::string &value)
+{
+    return absl::SimpleAtod(value, &settings.linkMbps) && settings.linkMbps >= 0
+        && settings.linkMbps <= 1e9;
+}
+
 bool setLevel(router_settings &settings, const std::string &value)
 {
     static const std::map<std::string, log_level> levels = {{"debug", log_level::Debug},
@@ -123,6 +129,7 @@
         {"retry-slack", "repeats allowed within the window besides that share", false,
          count(&s::retrySlack)},
         {"retry-window", "window of both", false, duration(&s::retryWindow)},
+        {"link-mbps", "what the link of this host carries, in Mbit/s", false, setLink},
         {"max-caller-connections", "connections of callers", false,
          count(&s::maxCallerConnections)},
         {"max-peer-connections", "connections of other daemons", false,
--- a/src/persimmonrail/router/router_settings.h
+++ b/src/persimmonrail/router/router_settings.h
@@ -39,6 +39,8 @@
     double retryRatio = 0.2;
     int retrySlack = 0;
     milliseconds retryWindow{10000};
+    // What the link of this host carries, in 10^6 bits a second; 0 if unknown.
+    double linkMbps = 0;
     int maxCallerConnections = 512;
     int maxPeerConnections = 1024;
     log_level level = log_level::Info;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -74,6 +74,7 @@
     // The budget is shared by daemons that do not know each other's use of it, so each takes a
     // share of its own requests only, and a little for itself.
     options.retries = {m_settings.retryRatio * 0.6, 0.2, 2.0};
+    options.linkBytesPerSecond = m_settings.linkMbps * 1e6 / 8;
     m_path = std::make_unique<relay_path>(options, makePathHooks(), m_platform.codec, *m_runner,
                                           m_log, m_metrics);
 }
--- a/src/persimmonrail/router/tests/peer_health_test.cpp
+++ b/src/persimmonrail/router/tests/peer_health_test.cpp
@@ -248,6 +248,7 @@
         {"retry-ratio = 2\n", "retry-ratio: invalid"},
         {"metrics-address = host:1\n", "metrics-address: invalid"},
         {"log-level = loud\n", "log-level: invalid"},
+        {"link-mbps = -1\n", "link-mbps: invalid"},
     }));
     const auto refused = parseRouterSettings(valid + line);
     CHECK(std::string(refused.status().message()).find(word) != std::string::npos);
