Give no keys away while an unanswered grant of them may come into force

The release waited for the answer or the timeout of grants under way, which is not enough. Ruled out: a release that failed, a renewal after the release.

Change: range_holder keeps unanswered grants until their hold has ended by any clock (3.36 s); keys under one are neither chosen for a move nor released for it, and a daemon that starts assumes one for all keys.

Tests: keyspace_test (bars by key and time; after a start).

--- a/src/persimmonrail/feed/tests/relayed_watch_test.cpp
+++ b/src/persimmonrail/feed/tests/relayed_watch_test.cpp
@@ -162,6 +162,7 @@
     CHECK(relaysFor(*directory, "sued", "127.0.0.1:4").empty());
     CHECK(relaysFor(*directory, "mitte", "127.0.0.1:9").empty());
     std::vector<upstream_member> many;
+    many.reserve(130);
     for (int i = 0; i < 130; ++i) {
         many.push_back(member("m" + std::to_string(1000 + i), "nord", 1000 + i));
     }
--- a/src/persimmonrail/keyspace/range_holder.cpp
+++ b/src/persimmonrail/keyspace/range_holder.cpp
@@ -168,6 +168,29 @@
     m_held.push_back({grant, sentAt});
 }
 
+void range_holder::onGrantUnanswered(const range_grant &grant, milliseconds holdTime,
+                                     boot_time sentAt)
+{
+    std::erase_if(m_unanswered,
+                  [sentAt](const unanswered_grant &known) { return known.end <= sentAt; });
+    const boot_time end = sentAt + grantTransit + holdTime + holdTime * m_timing.driftPercent / 100;
+    m_unanswered.push_back({grant.keys, end});
+}
+
+void range_holder::noteStart(boot_time startedAt)
+{
+    onGrantUnanswered({key_interval(), 0, ""}, m_timing.holdTime, startedAt);
+}
+
+bool range_holder::mayGiveAway(key_interval keys, boot_time now) const
+{
+    return std::none_of(m_unanswered.begin(), m_unanswered.end(),
+                        [&](const unanswered_grant &known) {
+                            return now < known.end && known.keys.first <= keys.last
+                                && keys.first <= known.keys.last;
+                        });
+}
+
 void range_holder::onGrantRefused(const range_grant &grant)
 {
     std::erase_if(m_held, [&](const held_grant &held) {
--- a/src/persimmonrail/keyspace/range_holder.h
+++ b/src/persimmonrail/keyspace/range_holder.h
@@ -56,6 +56,9 @@
     void onPlacement(const key_placement &placement, boot_time confirmedAt, boot_time now);
     // The store still held the known placement at this moment.
     void onConfirmed(boot_time confirmedAt);
+    // An earlier run of this daemon may have sent grants until `startedAt` of which it got no
+    // answer.
+    void noteStart(boot_time startedAt);
     // The upstream beside this daemon, or nothing while there is none that may hold keys.
     void setUpstream(const std::optional<upstream_id> &upstream);
 
@@ -69,6 +72,12 @@
     bool maySend(const range_grant &grant, boot_time now) const;
     // `sentAt` is when the call was sent, so the hold ends no earlier than computed from it.
     void onGranted(const range_grant &grant, boot_time sentAt);
+    // A grant was sent and not answered: the upstream may carry it out at any later time, also
+    // after a release. Its hold counts from its arrival, so it is harmless once that has ended.
+    void onGrantUnanswered(const range_grant &grant, milliseconds holdTime, boot_time sentAt);
+    // Whether no such grant of these keys can still come into force, so that they may be released
+    // and given away.
+    bool mayGiveAway(key_interval keys, boot_time now) const;
     // The upstream refused the grant: it knows a higher fence, or has no such life any more.
     void onGrantRefused(const range_grant &grant);
     // Grants that are in force but not recorded for this upstream any more.
@@ -100,6 +109,12 @@
         range_grant grant;
         boot_time sentAt{};
     };
+    struct unanswered_grant
+    {
+        key_interval keys;
+        // When its hold has ended by any clock, whenever it is carried out.
+        boot_time end{};
+    };
     bool isOwn(const owned_range &range) const;
     bool isGiving(key_interval keys) const;
     // The parts of an interval that are not to be given away.
@@ -113,6 +128,7 @@
     std::vector<std::pair<uint64_t, boot_time>> m_takeoversSeen;
     std::optional<upstream_id> m_upstream;
     std::vector<held_grant> m_held;
+    std::vector<unanswered_grant> m_unanswered;
     std::vector<key_interval> m_giving;
 };
 
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -261,6 +261,40 @@
     CHECK(holder.maySend(holder.dueGrants(start).front(), start));
 }
 
+// Guards against two owners: an upstream may carry out a grant that it did not answer after its
+// keys were released and given to another one.
+TEST_CASE("keys stay until an unanswered grant of them can't come into force", "[keyspace]")
+{
+    range_holder holder;
+    holder.setUpstream(a);
+    holder.onPlacement(twoOwners(), start, start);
+    const range_grant grant = holder.dueGrants(start).at(0);
+    CHECK(holder.mayGiveAway(grant.keys, start));
+    holder.onGrantUnanswered({{100, 200}, grant.fence, ""}, 3000ms, start);
+    const auto [keys, isFreeAtOnce] = GENERATE(table<key_interval, bool>({
+        {{0, 99}, true},
+        {{0, 100}, false},
+        {{150, 150}, false},
+        {{200, 300}, false},
+        {{201, 300}, true},
+    }));
+    CHECK(holder.mayGiveAway(keys, start + 1s) == isFreeAtOnce);
+    // Hold time, its drift, and the way to the upstream.
+    CHECK(holder.mayGiveAway(keys, start + 3359ms) == isFreeAtOnce);
+    CHECK(holder.mayGiveAway(keys, start + 3361ms));
+    // A later grant that was answered says nothing of the earlier one.
+    holder.onGranted({{100, 200}, grant.fence, ""}, start + 1s);
+    CHECK(holder.mayGiveAway(keys, start + 1s) == isFreeAtOnce);
+}
+
+TEST_CASE("a daemon that starts again gives nothing away at once", "[keyspace]")
+{
+    range_holder holder;
+    holder.noteStart(start);
+    CHECK_FALSE(holder.mayGiveAway({7, 7}, start + 3s));
+    CHECK(holder.mayGiveAway({7, 7}, start + 4s));
+}
+
 TEST_CASE("grants that are recorded for another owner are released", "[keyspace]")
 {
     range_holder holder;
--- a/src/persimmonrail/router/range_keeper.cpp
+++ b/src/persimmonrail/router/range_keeper.cpp
@@ -51,7 +51,9 @@
     , m_releaseWorker(std::make_unique<background_worker>())
     , m_grantWorker(std::make_unique<background_worker>())
     , m_storeWorker(std::make_unique<background_worker>())
-{ }
+{
+    m_holder.noteStart(bootNow());
+}
 
 range_keeper::~range_keeper() = default;
 
@@ -201,6 +203,8 @@
                 m_holder.onGranted(grant, sentAt);
             } else if (absl::IsAborted(status)) {
                 m_holder.onGrantRefused(grant);
+            } else if (!absl::IsUnavailable(status) && !absl::IsFailedPrecondition(status)) {
+                m_holder.onGrantUnanswered(grant, holdTime, sentAt);
             }
         }
         if (!status.ok()) {
@@ -465,6 +469,15 @@
 
 void range_keeper::startGiving(std::vector<planned_move> moves, std::string_view reason)
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        std::erase_if(moves, [this](const planned_move &move) {
+            return !m_holder.mayGiveAway(move.keys, bootNow());
+        });
+    }
+    if (moves.empty()) {
+        return;
+    }
     m_giving = true;
     std::vector<key_interval> intervals;
     for (const planned_move &move : moves) {
@@ -483,7 +496,13 @@
         }
     }
     // A grant of these keys may be on its way; it must not arrive after the release.
-    afterGrants([this, orders = std::move(orders), address = m_address] {
+    afterGrants([this, orders = std::move(orders), address = m_address]() mutable {
+        {
+            const std::lock_guard lock(m_mutex);
+            std::erase_if(orders, [this](const release_order &order) {
+                return !m_holder.mayGiveAway(order.grant.keys, bootNow());
+            });
+        }
         release_outcome outcome = releaseAll(m_grants, address, orders);
         for (const absl::Status &failure : outcome.failures) {
             m_log.write(log_level::Warn, absl::StrCat("release failed: ", failure.ToString()));
