Let a list not take back what is known to be newer; a leaving owner gives at once

Change: fleet_directory_builder::reset keeps what is newer than the list; the pause between moves does not bind a leaving owner.

Test: fleet_test, failed before (the older entry won, a newer one was gone).

--- a/src/persimmonrail/fleet/fleet_directory.cpp
+++ b/src/persimmonrail/fleet/fleet_directory.cpp
@@ -63,11 +63,13 @@
 
 void fleet_directory_builder::reset(const object_list &list)
 {
-    m_current = {};
+    const auto isOld = [&list](const auto &entry) { return entry.second.version <= list.revision; };
+    std::erase_if(m_current.m_members, isOld);
+    std::erase_if(m_current.m_placements, isOld);
     for (const stored_object &object : list.objects) {
         put(object);
     }
-    m_current.m_revision = list.revision;
+    m_current.m_revision = std::max(m_current.m_revision, list.revision);
 }
 
 void fleet_directory_builder::apply(const object_list &changes)
--- a/src/persimmonrail/fleet/fleet_directory.h
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -60,7 +60,8 @@
     using fault_hook = std::function<void(const std::string &key, std::string_view reason)>;
     explicit fleet_directory_builder(fault_hook onFault);
 
-    // Replaces everything.
+    // Takes the whole content of the store at the list's revision. What is known to be newer stays:
+    // own writes may be known before a list that was read earlier.
     void reset(const object_list &list);
     // Applies changes in order.
     void apply(const object_list &changes);
--- a/src/persimmonrail/fleet/tests/fleet_test.cpp
+++ b/src/persimmonrail/fleet/tests/fleet_test.cpp
@@ -131,6 +131,25 @@
 
 // Guards against keys that stay with an upstream which ended together with the daemon beside it:
 // the daemon that starts again knows it from the store only.
+// Guards against an owner that grants keys again which it has just given away: its own write is known
+// before a list that was read earlier.
+TEST_CASE("a list does not take back what is newer", "[fleet]")
+{
+    fleet_directory_builder builder([](const std::string &, std::string_view) {});
+    upstream_member leaving = member("a");
+    leaving.isLeaving = true;
+    builder.applyOne({memberKey("a"), 12, false, encodeMember(leaving)});
+    builder.applyOne({memberKey("b"), 13, false, encodeMember(member("b"))});
+    builder.applyOne({memberKey("c"), 3, false, encodeMember(member("c"))});
+    builder.reset({10, {{memberKey("a"), 8, false, encodeMember(member("a"))}}});
+    const auto directory = builder.build();
+    REQUIRE(directory->findMember("a") != nullptr);
+    CHECK(directory->findMember("a")->member.isLeaving);
+    CHECK(directory->findMember("b") != nullptr);
+    // It was removed before the list was read.
+    CHECK(directory->findMember("c") == nullptr);
+}
+
 TEST_CASE("members behind the same port that report no more are gone", "[fleet]")
 {
     fleet_directory_builder builder([](const std::string &, std::string_view) {});
--- a/src/persimmonrail/relay/tests/transfer_turns_test.cpp
+++ b/src/persimmonrail/relay/tests/transfer_turns_test.cpp
@@ -28,8 +28,10 @@
     std::atomic<int> inside{0};
     std::atomic<int> most{0};
     std::atomic<int> served{0};
+    constexpr int count = 12;
     std::vector<std::thread> transfers;
-    for (int i = 0; i < 12; ++i) {
+    transfers.reserve(count);
+    for (int i = 0; i < count; ++i) {
         transfers.emplace_back([&] {
             const auto turn = turns.enter();
             if (turn == nullptr) {
@@ -45,7 +47,7 @@
         transfer.join();
     }
     CHECK(most == 1);
-    CHECK(served == 12);
+    CHECK(served == count);
 }
 
 TEST_CASE("small answers take no turn", "[relay]")
--- a/src/persimmonrail/router/range_keeper.cpp
+++ b/src/persimmonrail/router/range_keeper.cpp
@@ -404,8 +404,8 @@
 
 void range_keeper::considerGiving(steady_time now)
 {
-    if (m_giving || m_writePending || now - m_movedAt < moveInterval || m_peers.live.empty()
-        || bootNow() - m_confirmedAt > storeFreshness) {
+    if (m_giving || m_writePending || (!m_isLeaving && now - m_movedAt < moveInterval)
+        || m_peers.live.empty() || bootNow() - m_confirmedAt > storeFreshness) {
         return;
     }
     const auto *placed = m_directory->findPlacement(m_service);
--- a/src/persimmonrail/router/tests/peer_health_test.cpp
+++ b/src/persimmonrail/router/tests/peer_health_test.cpp
@@ -127,6 +127,7 @@
 std::vector<std::string> namesOf(const std::vector<const upstream_member *> &members)
 {
     std::vector<std::string> names;
+    names.reserve(members.size());
     for (const upstream_member *known : members) {
         names.push_back(known->id.name);
     }
