Keep released keys aside while their write may still take effect

The owner read the record back, saw itself, granted the released keys to itself again, and the late write then named another owner, who granted at once: two holders until the first one read the change.

--- a/src/persimmonrail/router/range_keeper.cpp
+++ b/src/persimmonrail/router/range_keeper.cpp
@@ -16,16 +16,7 @@
 // Between two confirmations by reads. Several fit into the confirmation life, so that one lost
 // answer matters little.
 constexpr milliseconds confirmInterval{2000};
-// Keys are released only if the store answered this lately, since the move has to be written.
-constexpr milliseconds storeFreshness{3000};
 constexpr milliseconds writeRetry{300};
-// Between two moves, so that the loads reported after the first one count for the second.
-constexpr milliseconds moveInterval{1000};
-// The same for an owner that can serve what is asked of it: its keys pause while they move.
-constexpr milliseconds calmMoveInterval{4000};
-constexpr double overload = 1.0;
-// Owners of one service write the same record, and the loser of a race writes again at once.
-constexpr int mostGiveRetries = 4;
 // Weight of one sample, taken with each tick, so that most of the mean is of the last second.
 constexpr double inUseSmoothing = 0.2;
 
@@ -159,6 +150,7 @@
         return;
     }
     m_rates.advance(now);
+    retryOpenGive(now);
     renewGrants();
     releaseSurplus();
     confirm();
@@ -299,7 +291,7 @@
     });
 }
 
-void range_keeper::write(placement_write change, std::function<void(bool written)> done)
+void range_keeper::write(placement_write change, std::function<void(write_result result)> done)
 {
     m_writePending = true;
     m_storeWorker->enqueue([this, change = std::move(change), done = std::move(done)] {
@@ -307,34 +299,25 @@
         const std::string value = encodePlacement(change.placement);
         const boot_time sentAt = bootNow();
         const auto version = m_store.put(key, change.expectedVersion, value);
-        bool written = version.ok();
-        std::optional<stored_object> object;
-        if (version.ok()) {
-            object = stored_object{key, *version, false, value};
-        } else {
-            // Read back what the store holds: another writer's change, or this one after all.
-            const auto read = m_store.get(key);
-            if (read.ok()) {
-                object = *read;
-                const auto placement = parsePlacement(read->value);
-                written = placement.ok() && *placement == change.placement;
-            }
-        }
+        // What the store holds: this change, or another writer's.
+        const absl::StatusOr<stored_object> object = version.ok()
+            ? absl::StatusOr<stored_object>(stored_object{key, *version, false, value})
+            : m_store.get(key);
+        const write_result result = judgeWrite(version.status(), change, object);
         const std::string status = version.status().ToString();
-        m_loop.post([this, written, object, sentAt, status, reason = std::string(change.reason),
+        m_loop.post([this, result, object, sentAt, status, reason = std::string(change.reason),
                      fence = change.placement.highestFence, done](steady_time now) {
             m_writePending = false;
-            logRange("place", {}, fence, written ? "written" : "not-written",
-                     absl::StrCat(reason, ",", status));
-            if (!written) {
+            logRange("place", {}, fence, toString(result), absl::StrCat(reason, ",", status));
+            if (result != write_result::Written) {
                 m_nextWriteAt = now + writeRetry;
             }
-            if (object) {
+            if (object.ok()) {
                 m_hooks.onObject(*object);
                 const std::lock_guard lock(m_mutex);
                 m_holder.onConfirmed(sentAt);
             }
-            done(written);
+            done(result);
         });
     });
 }
@@ -349,7 +332,7 @@
     const uint64_t version = placed != nullptr ? placed->version : 0;
     const key_placement current = placed != nullptr ? placed->placement : emptyPlacement(m_service);
     const auto propose = [&](key_placement next, std::string_view reason) {
-        write({std::move(next), version, reason}, [](bool) {});
+        write({std::move(next), version, reason}, [](write_result) {});
     };
     if (m_upstream) {
         const key_placement reclaimed = reclaimRanges(current, *m_upstream);
@@ -402,164 +385,4 @@
     }
 }
 
-void range_keeper::considerGiving(steady_time now)
-{
-    if (m_giving || m_writePending || (!m_isLeaving && now - m_movedAt < moveInterval)
-        || m_peers.live.empty() || bootNow() - m_confirmedAt > storeFreshness) {
-        return;
-    }
-    const auto *placed = m_directory->findPlacement(m_service);
-    if (placed == nullptr) {
-        return;
-    }
-    std::vector<range_candidate> others;
-    for (const range_candidate &candidate : m_peers.live) {
-        if (candidate.id != *m_upstream) {
-            others.push_back(candidate);
-        }
-    }
-    if (others.empty()) {
-        return;
-    }
-    if (m_isLeaving) {
-        std::vector<planned_move> moves;
-        size_t turn = 0;
-        for (const key_interval &keys : ownIntervals()) {
-            moves.push_back({keys, others[turn++ % others.size()].id});
-        }
-        if (moves.size() == 1 && others.size() > 1 && moves[0].keys.count() > 1) {
-            const shard_key middle = moves[0].keys.first + moves[0].keys.count() / 2;
-            moves.push_back({{middle, moves[0].keys.last}, others[1].id});
-            moves[0].keys.last = middle - 1;
-        }
-        if (!moves.empty()) {
-            startGiving(std::move(moves), "leaving");
-        }
-        return;
-    }
-    const auto share = chooseShareForNewcomer(placed->placement, *m_upstream, m_peers.live);
-    if (share) {
-        startGiving({*share}, "newcomer");
-        return;
-    }
-    const owner_load load = ownLoad();
-    if (load.utilization < overload && now - m_movedAt < calmMoveInterval) {
-        return;
-    }
-    auto moves = chooseMoves(
-        ownIntervals(), [this](shard_key key) { return m_rates.rate(key); }, load, m_peers.loads);
-    if (!moves.empty()) {
-        startGiving(std::move(moves), "load");
-    }
-}
-
-// A full queue refuses what it can't serve, so its length alone hides how much is asked of it.
-owner_load range_keeper::ownLoad() const
-{
-    double asked = 0;
-    for (const key_interval &keys : ownIntervals()) {
-        for (shard_key key = keys.first; key <= keys.last; ++key) {
-            asked += m_rates.rate(key);
-        }
-    }
-    const int slots = std::max(m_queue.limit, 1);
-    const double offered = asked * std::chrono::duration<double>(m_queue.service).count() / slots;
-    return {*m_upstream, slots, std::max(offered, m_inUse), m_queue.service};
-}
-
-void range_keeper::startGiving(std::vector<planned_move> moves, std::string_view reason)
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        std::erase_if(moves, [this](const planned_move &move) {
-            return !m_holder.mayGiveAway(move.keys, bootNow());
-        });
-    }
-    if (moves.empty()) {
-        return;
-    }
-    m_giving = true;
-    std::vector<key_interval> intervals;
-    for (const planned_move &move : moves) {
-        intervals.push_back(move.keys);
-        logRange("give", move.keys, 0, "begun",
-                 absl::StrCat(toAbsl(reason), ",to:", move.target.name));
-    }
-    std::vector<release_order> orders;
-    {
-        const std::lock_guard lock(m_mutex);
-        m_holder.setGiving(intervals);
-        for (const planned_move &move : moves) {
-            for (const range_grant &grant : m_holder.heldWithin(move.keys)) {
-                orders.push_back({grant, move.target});
-            }
-        }
-    }
-    // A grant of these keys may be on its way; it must not arrive after the release.
-    afterGrants([this, orders = std::move(orders), address = m_address]() mutable {
-        {
-            const std::lock_guard lock(m_mutex);
-            std::erase_if(orders, [this](const release_order &order) {
-                return !m_holder.mayGiveAway(order.grant.keys, bootNow());
-            });
-        }
-        release_outcome outcome = releaseAll(m_grants, address, orders);
-        for (const absl::Status &failure : outcome.failures) {
-            m_log.write(log_level::Warn, absl::StrCat("release failed: ", failure.ToString()));
-        }
-        m_loop.post([this, released = std::move(outcome.released)](steady_time) {
-            {
-                const std::lock_guard lock(m_mutex);
-                for (const released_range &range : released) {
-                    m_holder.onReleased(range.grant.keys, range.grant.fence);
-                }
-            }
-            finishGiving(released, mostGiveRetries);
-        });
-    });
-}
-
-void range_keeper::endGiving()
-{
-    m_giving = false;
-    m_movedAt = std::chrono::steady_clock::now();
-    {
-        const std::lock_guard lock(m_mutex);
-        m_holder.setGiving({});
-    }
-    renewGrants();
-}
-
-void range_keeper::finishGiving(const std::vector<released_range> &given, int tries)
-{
-    const auto *placed = m_directory->findPlacement(m_service);
-    if (placed == nullptr || given.empty()) {
-        endGiving();
-        return;
-    }
-    key_placement next = placed->placement;
-    for (const released_range &part : given) {
-        const key_interval keys = part.grant.keys;
-        const owned_range range = next.rangeOf(keys.first);
-        // The record may have changed while the release ran.
-        if (m_upstream && range.owner == *m_upstream && range.keys.contains(keys.last)) {
-            next = giveRange(std::move(next), keys, part.target, part.handover);
-        }
-    }
-    if (next == placed->placement) {
-        endGiving();
-        return;
-    }
-    const uint64_t version = placed->version;
-    write({std::move(next), version, "give"}, [this, given, tries, version](bool written) {
-        const auto *latest = m_directory->findPlacement(m_service);
-        // Another writer was faster; the released keys still have to go to their new owners.
-        if (!written && tries > 0 && latest != nullptr && latest->version > version) {
-            finishGiving(given, tries - 1);
-            return;
-        }
-        endGiving();
-    });
-}
-
 } // namespace persimmonrail
--- a/src/persimmonrail/router/range_keeper.h
+++ b/src/persimmonrail/router/range_keeper.h
@@ -7,6 +7,7 @@
 #include "persimmonrail/keyspace/range_plan.h"
 #include "persimmonrail/relay/upstream_picker.h"
 #include "persimmonrail/router/key_rates.h"
+#include "persimmonrail/router/placement_write.h"
 #include "persimmonrail/router/range_release.h"
 #include "persimmonrail/telemetry/decision_log.h"
 
@@ -21,14 +22,6 @@
 // Time since boot, which counts suspended time too.
 boot_time bootNow();
 
-// A conditional write of the service's placement.
-struct placement_write
-{
-    key_placement placement;
-    uint64_t expectedVersion = 0;
-    std::string_view reason;
-};
-
 // Keeps the key ranges of the upstream on this host: grants, renewals, releases and changes of the
 // recorded owners. Runs on the control thread, except for mayServe() and countKey(), which are
 // thread safe. Calls that block run on workers.
@@ -89,7 +82,9 @@
     void finishGiving(const std::vector<released_range> &given, int tries);
     void endGiving();
     owner_load ownLoad() const;
-    void write(placement_write change, std::function<void(bool written)> done);
+    void write(placement_write change, std::function<void(write_result result)> done);
+    void onGiveWritten(const std::vector<released_range> &given, int tries, write_result result);
+    void retryOpenGive(steady_time now);
     void confirm();
     std::vector<key_interval> ownIntervals() const;
     bool isGone(const upstream_id &id) const;
@@ -126,6 +121,13 @@
     steady_time m_movedAt{};
     std::optional<steady_time> m_membersStableSince;
     size_t m_membersSeen = 0;
+    // Released ranges whose record may or may not be written.
+    struct open_give
+    {
+        std::vector<released_range> given;
+        steady_time until;
+    };
+    std::optional<open_give> m_openGive;
     // Declared last: their threads use the members above until they have ended.
     std::unique_ptr<background_worker> m_releaseWorker;
     std::unique_ptr<background_worker> m_grantWorker;
--- /dev/null
+++ b/src/persimmonrail/router/range_keeper_giving.cpp
@@ -0,0 +1,212 @@
+// How an owner gives keys away: choosing them, releasing them, and writing the new owners.
+#include "persimmonrail/base/text.h"
+#include "persimmonrail/router/range_keeper.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace persimmonrail {
+namespace {
+
+// Keys are released only if the store answered this lately, since the move has to be written.
+constexpr milliseconds storeFreshness{3000};
+// Between two moves, so that the loads reported after the first one count for the second.
+constexpr milliseconds moveInterval{1000};
+// The same for an owner that can serve what is asked of it: its keys pause while they move.
+constexpr milliseconds calmMoveInterval{4000};
+constexpr double overload = 1.0;
+// Owners of one service write the same record, and the loser of a race writes again at once.
+constexpr int mostGiveRetries = 4;
+// A write without an answer may take effect some seconds later. Released keys stay unserved so
+// long, or until a further write decides which of them the record shows.
+constexpr milliseconds longestOpenWrite{7000};
+
+} // namespace
+
+void range_keeper::considerGiving(steady_time now)
+{
+    if (m_giving || m_writePending || (!m_isLeaving && now - m_movedAt < moveInterval)
+        || m_peers.live.empty() || bootNow() - m_confirmedAt > storeFreshness) {
+        return;
+    }
+    const auto *placed = m_directory->findPlacement(m_service);
+    if (placed == nullptr) {
+        return;
+    }
+    std::vector<range_candidate> others;
+    for (const range_candidate &candidate : m_peers.live) {
+        if (candidate.id != *m_upstream) {
+            others.push_back(candidate);
+        }
+    }
+    if (others.empty()) {
+        return;
+    }
+    if (m_isLeaving) {
+        std::vector<planned_move> moves;
+        size_t turn = 0;
+        for (const key_interval &keys : ownIntervals()) {
+            moves.push_back({keys, others[turn++ % others.size()].id});
+        }
+        if (moves.size() == 1 && others.size() > 1 && moves[0].keys.count() > 1) {
+            const shard_key middle = moves[0].keys.first + moves[0].keys.count() / 2;
+            moves.push_back({{middle, moves[0].keys.last}, others[1].id});
+            moves[0].keys.last = middle - 1;
+        }
+        if (!moves.empty()) {
+            startGiving(std::move(moves), "leaving");
+        }
+        return;
+    }
+    const auto share = chooseShareForNewcomer(placed->placement, *m_upstream, m_peers.live);
+    if (share) {
+        startGiving({*share}, "newcomer");
+        return;
+    }
+    const owner_load load = ownLoad();
+    if (load.utilization < overload && now - m_movedAt < calmMoveInterval) {
+        return;
+    }
+    auto moves = chooseMoves(
+        ownIntervals(), [this](shard_key key) { return m_rates.rate(key); }, load, m_peers.loads);
+    if (!moves.empty()) {
+        startGiving(std::move(moves), "load");
+    }
+}
+
+// A full queue refuses what it can't serve, so its length alone hides how much is asked of it.
+owner_load range_keeper::ownLoad() const
+{
+    double asked = 0;
+    for (const key_interval &keys : ownIntervals()) {
+        for (shard_key key = keys.first; key <= keys.last; ++key) {
+            asked += m_rates.rate(key);
+        }
+    }
+    const int slots = std::max(m_queue.limit, 1);
+    const double offered = asked * std::chrono::duration<double>(m_queue.service).count() / slots;
+    return {*m_upstream, slots, std::max(offered, m_inUse), m_queue.service};
+}
+
+void range_keeper::startGiving(std::vector<planned_move> moves, std::string_view reason)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        std::erase_if(moves, [this](const planned_move &move) {
+            return !m_holder.mayGiveAway(move.keys, bootNow());
+        });
+    }
+    if (moves.empty()) {
+        return;
+    }
+    m_giving = true;
+    std::vector<key_interval> intervals;
+    for (const planned_move &move : moves) {
+        intervals.push_back(move.keys);
+        logRange("give", move.keys, 0, "begun",
+                 absl::StrCat(toAbsl(reason), ",to:", move.target.name));
+    }
+    std::vector<release_order> orders;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_holder.setGiving(intervals);
+        for (const planned_move &move : moves) {
+            for (const range_grant &grant : m_holder.heldWithin(move.keys)) {
+                orders.push_back({grant, move.target});
+            }
+        }
+    }
+    // A grant of these keys may be on its way; it must not arrive after the release.
+    afterGrants([this, orders = std::move(orders), address = m_address]() mutable {
+        {
+            const std::lock_guard lock(m_mutex);
+            std::erase_if(orders, [this](const release_order &order) {
+                return !m_holder.mayGiveAway(order.grant.keys, bootNow());
+            });
+        }
+        release_outcome outcome = releaseAll(m_grants, address, orders);
+        for (const absl::Status &failure : outcome.failures) {
+            m_log.write(log_level::Warn, absl::StrCat("release failed: ", failure.ToString()));
+        }
+        m_loop.post([this, released = std::move(outcome.released)](steady_time) {
+            {
+                const std::lock_guard lock(m_mutex);
+                for (const released_range &range : released) {
+                    m_holder.onReleased(range.grant.keys, range.grant.fence);
+                }
+            }
+            finishGiving(released, mostGiveRetries);
+        });
+    });
+}
+
+void range_keeper::endGiving()
+{
+    m_giving = false;
+    m_openGive.reset();
+    m_movedAt = std::chrono::steady_clock::now();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_holder.setGiving({});
+    }
+    renewGrants();
+}
+
+void range_keeper::finishGiving(const std::vector<released_range> &given, int tries)
+{
+    const auto *placed = m_directory->findPlacement(m_service);
+    if (placed == nullptr || given.empty()) {
+        endGiving();
+        return;
+    }
+    key_placement next = placed->placement;
+    for (const released_range &part : given) {
+        const key_interval keys = part.grant.keys;
+        const owned_range range = next.rangeOf(keys.first);
+        // The record may have changed while the release ran.
+        if (m_upstream && range.owner == *m_upstream && range.keys.contains(keys.last)) {
+            next = giveRange(std::move(next), keys, part.target, part.handover);
+        }
+    }
+    if (next == placed->placement) {
+        endGiving();
+        return;
+    }
+    write({std::move(next), placed->version, "give"},
+          [this, given, tries](write_result result) { onGiveWritten(given, tries, result); });
+}
+
+void range_keeper::onGiveWritten(const std::vector<released_range> &given, int tries,
+                                 write_result result)
+{
+    if (result == write_result::Lost && tries > 0) {
+        // The released keys still have to go to their new owners.
+        m_openGive.reset();
+        finishGiving(given, tries - 1);
+        return;
+    }
+    if (result == write_result::Open && !m_openGive) {
+        m_openGive = {given, std::chrono::steady_clock::now() + longestOpenWrite};
+    }
+    const bool isDecided = result == write_result::Written || result == write_result::Lost;
+    if (!m_openGive || isDecided) {
+        endGiving();
+    }
+}
+
+// Writes again what may have been written: the first of these writes that takes effect makes the
+// others fail, since all expect the same version.
+void range_keeper::retryOpenGive(steady_time now)
+{
+    if (!m_openGive || m_writePending || now < m_nextWriteAt) {
+        return;
+    }
+    if (now >= m_openGive->until) {
+        endGiving();
+        return;
+    }
+    finishGiving(std::vector(m_openGive->given), mostGiveRetries);
+}
+
+} // namespace persimmonrail
