--- a/src/persimmonrail/fleet/tests/fleet_test.cpp
+++ b/src/persimmonrail/fleet/tests/fleet_test.cpp
@@ -131,8 +131,8 @@
 
 // Guards against keys that stay with an upstream which ended together with the daemon beside it:
 // the daemon that starts again knows it from the store only.
-// Guards against an owner that grants keys again which it has just given away: its own write is known
-// before a list that was read earlier.
+// Guards against an owner that grants keys again which it has just given away: its own write is
+// known before a list that was read earlier.
 TEST_CASE("a list does not take back what is newer", "[fleet]")
 {
     fleet_directory_builder builder([](const std::string &, std::string_view) {});
