Let idle connections hold no thread

Cause: a thread for each open connection, and threads of closed connections kept 10 s to 60 s by TCPServer and its pool.

Change: http_server accepts and watches idle connections with one thread (connection_watch, epoll); a worker takes a connection for the requests it carries, keeps it 20 ms after an answer, and gives it back. Poco's thread pool stays; TCPServer goes, since its dispatcher holds a thread until the connection ends, and so does the connection to the own listener that was needed to close it. A connection that finds no thread waits 10 ms instead of being dropped.

Ruled out: shorter idle times of TCPServerParams and ThreadPool alone; they free threads of closed connections, but an open idle connection still holds one.

"idle connections hold no thread" (http_test) is new.

--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -2,21 +2,23 @@
 
 #include "persimmonrail/base/header_names.h"
 #include "persimmonrail/base/instance_id.h"
+#include "persimmonrail/http/connection_watch.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/TCPServer.h>
-#include <Poco/Net/TCPServerConnection.h>
-#include <Poco/Net/TCPServerConnectionFactory.h>
-#include <Poco/Net/TCPServerParams.h>
-#include <Poco/Pipe.h>
+#include <Poco/Runnable.h>
 #include <Poco/ThreadPool.h>
 
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
 #include <condition_variable>
-#include <set>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
 
 namespace persimmonrail {
 namespace {
@@ -25,10 +27,19 @@
 constexpr int threadStackBytes = 512 * 1024;
 constexpr milliseconds lingerTime{500};
 constexpr milliseconds closeTimeout{1000};
-// How often an idle connection looks whether the server is crowded. Each look wakes a thread, and
-// there may be hundreds of idle connections.
+// How often idle connections are looked through for those whose time is over.
 constexpr milliseconds idleCheckInterval{2000};
-constexpr milliseconds crowdedCheckInterval{250};
+constexpr milliseconds closingCheckInterval{50};
+// How long an open connection may still send its last request once the listener is closed.
+constexpr milliseconds lastRequestTime{250};
+// Pause after a connection could not be accepted, so that a lack of descriptors costs no processor.
+constexpr milliseconds acceptPause{50};
+// When a connection that found no thread asks for one again.
+constexpr milliseconds deferredRetryInterval{10};
+// Threads that are kept, and how long others are kept without work: shorter pauses between
+// requests cost no new thread.
+constexpr int minThreads = 2;
+constexpr int threadIdleSeconds = 2;
 // Answer to a connection beyond the limit, of which no request is read.
 std::string overloadAnswer()
 {
@@ -44,6 +55,19 @@
                         body.size(), "\r\n\r\n", body);
 }
 
+void sendRefusal(const Poco::Net::StreamSocket &socket)
+{
+    try {
+        Poco::Net::StreamSocket copy(socket);
+        copy.setBlocking(false);
+        const std::string answer = overloadAnswer();
+        copy.sendBytes(answer.data(), static_cast<int>(answer.size()));
+        copy.shutdownSend();
+    } catch (const Poco::Exception &) {
+        // The requester is gone already.
+    }
+}
+
 steady_time after(milliseconds time)
 {
     return std::chrono::steady_clock::now() + time;
@@ -51,6 +75,30 @@
 
 } // namespace
 
+// One connection. Served by one worker at a time; while it is parked, by the polling thread.
+class http_server::connection : public Poco::Runnable
+{
+public:
+    connection(const Poco::Net::StreamSocket &socket, state &server)
+        : stream(socket)
+        , m_server(server)
+    { }
+
+    // Serves requests until the connection is parked or closed, which may delete this object.
+    void run() override;
+
+    http_stream stream;
+    // Since when it is parked.
+    steady_time since;
+    // Whether the sending direction has ended, so that only the end of the peer's is awaited.
+    bool isEnding = false;
+
+private:
+    state &m_server;
+};
+
+// Invariant: a connection is parked, deferred, or run by one worker. Parked ones are touched by
+// the polling thread alone.
 class http_server::state
 {
 public:
@@ -59,124 +107,299 @@
         : options(serverOptions)
         , handle(std::move(serverHandler))
         , onError(std::move(serverOnError))
-        , threads(2, options.maxConnections + 2, 60, threadStackBytes)
+        , threads(minThreads, options.maxConnections + minThreads, threadIdleSeconds,
+                  threadStackBytes)
     { }
 
     ~state()
     {
-        stopping = true;
-        if (server) {
-            server->stop();
+        {
+            const std::lock_guard lock(mutex);
+            stopping = true;
+        }
+        watch.wake();
+        if (poller.joinable()) {
+            poller.join();
         }
         std::unique_lock lock(mutex);
-        for (http_stream *stream : streams) {
-            stream->shutdown();
+        for (connection *idle : parked) {
+            connections.erase(idle);
         }
-        changed.wait(lock, [this] { return streams.empty(); });
+        for (connection *waiting : deferred) {
+            connections.erase(waiting);
+        }
+        for (const auto &[busy, owned] : connections) {
+            busy->stream.shutdown();
+        }
+        changed.wait(lock, [this] { return connections.empty(); });
         lock.unlock();
-        server.reset();
         threads.joinAll();
     }
 
-    bool enter(http_stream &stream)
+    // Throws Poco::Exception if the address can't be bound.
+    void start()
     {
-        const std::lock_guard lock(mutex);
-        if (!stopping) {
-            streams.insert(&stream);
+        listener.bind(Poco::Net::SocketAddress(options.address), true, false);
+        listener.listen(listenBacklog);
+        address = listener.address().toString();
+        if (!watch.add(listener.impl()->sockfd(), this)) {
+            throw Poco::IOException("cannot watch the listening socket");
         }
-        return !stopping;
+        poller = std::thread([this] { poll(); });
+    }
+
+    // Closes the listener once the connections that were made earlier are accepted, and the idle
+    // connections soon after.
+    void requestClose()
+    {
+        closing = true;
+        watch.wake();
+        std::unique_lock lock(mutex);
+        changed.wait_for(lock, closeTimeout, [this] { return closedAt.has_value(); });
+    }
+
+    bool waitAllClosed(steady_time until)
+    {
+        std::unique_lock lock(mutex);
+        return changed.wait_until(lock, until, [this] { return connections.empty(); });
     }
 
-    void leave(http_stream &stream)
+    int count() const
     {
         const std::lock_guard lock(mutex);
-        streams.erase(&stream);
-        changed.notify_all();
+        return static_cast<int>(connections.size());
     }
 
-    void refuse(http_stream &stream, int status, const std::string &reason) const
+    // Runs on a worker.
+    void serve(connection &served)
     {
-        server_exchange exchange(stream, Poco::Net::HTTPRequest(), {}, options.idleTimeout);
-        exchange.closeAfterAnswer();
-        if (onError) {
-            onError(exchange, status, reason);
+        bool isOpen = true;
+        try {
+            do {
+                isOpen = serveOne(served.stream);
+            } while (isOpen && !stopping
+                     && served.stream.waitReadable(after(options.parkAfter)) == io_status::Ok);
+        } catch (const std::exception &) {
+            // The handler failed; closing the connection tells the requester that no answer comes.
+            served.stream.shutdown();
+            isOpen = false;
+        }
+        if (!isOpen) {
+            served.stream.endSending();
+            served.isEnding = true;
+        }
+        if (served.isEnding && served.stream.discardInput() == io_status::Closed) {
+            const std::lock_guard lock(mutex);
+            forget(served);
         } else {
-            exchange.answer(status, reason + "\n", "text/plain");
+            park(served);
         }
     }
 
-    bool isCrowded() const { return server->currentConnections() * 4 > options.maxConnections * 3; }
+    const http_server_options options;
+    std::atomic<uint64_t> refused = 0;
+    std::string address;
 
-    // Waits in steps, since the time that an idle connection is kept depends on the others. Looks
-    // for a request once even while closing: the connection may have been queued before.
-    bool waitForRequest(http_stream &stream) const
+private:
+    // Loop of the polling thread.
+    void poll()
     {
-        const steady_time start = std::chrono::steady_clock::now();
-        for (;;) {
-            const bool isLast = closing;
-            const bool crowded = isCrowded();
-            const milliseconds kept = crowded ? options.crowdedIdleTimeout : options.idleTimeout;
-            const milliseconds step =
-                crowded || isLast ? crowdedCheckInterval : std::min(kept, idleCheckInterval);
-            const io_status status = stream.waitReadable(
-                after(step), isLast ? -1 : static_cast<int>(closePipe.readHandle()));
-            if (status == io_status::Ok) {
-                return true;
+        std::vector<void *> ready;
+        while (!stopping) {
+            watch.wait(pollStep(), ready);
+            for (void *owner : ready) {
+                if (owner == this) {
+                    acceptAll();
+                } else {
+                    resume(*static_cast<connection *>(owner));
+                }
+            }
+            retryDeferred();
+            const steady_time now = std::chrono::steady_clock::now();
+            if (acceptAgainAt && now >= *acceptAgainAt) {
+                acceptAll();
             }
-            const bool isOver =
-                status == io_status::TimedOut && std::chrono::steady_clock::now() - start >= kept;
-            if (status == io_status::Closed || isLast || isOver) {
-                return false;
+            if (closing && !closedAt) {
+                acceptAll();
+                closeListener(now);
             }
+            closeExpired(now);
         }
     }
 
-    // Connects to the listener. Connections that were made earlier are accepted before this one,
-    // and the thread that accepts it closes the listener: TCPServer::stop() would leave the socket
-    // open and drop the connections that are queued.
-    void requestClose()
+    milliseconds idleLimit() const
+    {
+        const bool isCrowded = count() * 4 > options.maxConnections * 3;
+        return isCrowded ? options.crowdedIdleTimeout : options.idleTimeout;
+    }
+
+    milliseconds pollStep() const
+    {
+        if (!deferred.empty()) {
+            return deferredRetryInterval;
+        }
+        const bool isSoon = closing || acceptAgainAt.has_value();
+        return std::clamp(idleLimit(), deferredRetryInterval,
+                          isSoon ? closingCheckInterval : idleCheckInterval);
+    }
+
+    void acceptAll()
     {
+        acceptAgainAt.reset();
         try {
-            Poco::Net::StreamSocket closer;
-            closing = true;
-            wakeIdle();
-            // Held while connecting, so that the accepting thread learns the address in time.
-            std::unique_lock lock(mutex);
-            closer.connect(Poco::Net::SocketAddress(address));
-            closerEnd = closer.address();
-            changed.wait_for(lock, closeTimeout, [this] { return closed; });
+            while (listener.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+                admit(listener.acceptConnection());
+            }
         } catch (const Poco::Exception &) {
-            // The destructor closes the listener.
+            // The peer is gone, or no descriptor is left: then the next try would fail at once.
+            acceptAgainAt = after(acceptPause);
+            return;
+        }
+        if (!watch.rearm(listener.impl()->sockfd(), this)) {
+            acceptAgainAt = after(acceptPause);
         }
     }
 
-    // Ends the waits of idle connections for good.
-    void wakeIdle()
+    void admit(const Poco::Net::StreamSocket &socket)
     {
-        const char byte = 0;
-        closePipe.writeBytes(&byte, 1);
+        if (count() >= options.maxConnections) {
+            ++refused;
+            sendRefusal(socket);
+            return;
+        }
+        auto made = std::make_unique<connection>(socket, *this);
+        connection &added = *made;
+        const std::lock_guard lock(mutex);
+        connections.emplace(&added, std::move(made));
+        added.since = std::chrono::steady_clock::now();
+        parked.insert(&added);
+        if (!watch.add(added.stream.descriptor(), &added)) {
+            ++refused;
+            forget(added);
+        }
     }
 
-    Poco::Net::SocketAddress closerAddress()
+    // Takes up a parked connection that has input.
+    void resume(connection &found)
+    {
+        if (found.isEnding) {
+            if (found.stream.discardInput() == io_status::Closed
+                || !watch.rearm(found.stream.descriptor(), &found)) {
+                const std::lock_guard lock(mutex);
+                forget(found);
+            }
+            return;
+        }
+        {
+            const std::lock_guard lock(mutex);
+            parked.erase(&found);
+        }
+        dispatch(found);
+    }
+
+    void dispatch(connection &found)
+    {
+        try {
+            threads.start(found);
+        } catch (const Poco::Exception &) {
+            // All threads are in use for a moment, or the system has none left.
+            deferred.push_back(&found);
+        }
+    }
+
+    void retryDeferred()
+    {
+        const std::vector<connection *> waiting = std::move(deferred);
+        deferred.clear();
+        for (connection *found : waiting) {
+            dispatch(*found);
+        }
+    }
+
+    void park(connection &served)
     {
         const std::lock_guard lock(mutex);
-        return closerEnd;
+        if (!stopping) {
+            served.since = std::chrono::steady_clock::now();
+            parked.insert(&served);
+            if (watch.rearm(served.stream.descriptor(), &served)) {
+                return;
+            }
+        }
+        forget(served);
+    }
+
+    // Closes a connection. Call with the mutex held.
+    void forget(connection &closed)
+    {
+        parked.erase(&closed);
+        connections.erase(&closed);
+        changed.notify_all();
     }
 
-    void closeListener()
+    void closeListener(steady_time now)
     {
         const std::lock_guard lock(mutex);
+        watch.remove(listener.impl()->sockfd());
         listener.close();
-        closed = true;
+        acceptAgainAt.reset();
+        // The end of each wait is earlier from now on.
+        nextScan = now;
+        closedAt = now;
         changed.notify_all();
     }
 
+    // Ends parked connections whose time is over.
+    void closeExpired(steady_time now)
+    {
+        if (now < nextScan) {
+            return;
+        }
+        nextScan = now + pollStep();
+        const milliseconds limit = idleLimit();
+        const std::lock_guard lock(mutex);
+        std::vector<connection *> over;
+        for (connection *idle : parked) {
+            if (now >= endOfWait(*idle, limit)) {
+                over.push_back(idle);
+            }
+        }
+        for (connection *idle : over) {
+            if (idle->isEnding) {
+                forget(*idle);
+            } else if (!idle->stream.hasInput()) {
+                // Input is reported by the next wait.
+                idle->stream.endSending();
+                idle->isEnding = true;
+                idle->since = now;
+            }
+        }
+    }
+
+    // A connection may have been queued before the listener closed, its request still on the way.
+    steady_time endOfWait(const connection &idle, milliseconds limit) const
+    {
+        if (idle.isEnding) {
+            return idle.since + lingerTime;
+        }
+        const steady_time end = idle.since + limit;
+        return closedAt ? std::min(end, *closedAt + lastRequestTime) : end;
+    }
+
+    void refuse(http_stream &stream, int status, const std::string &reason) const
+    {
+        server_exchange exchange(stream, Poco::Net::HTTPRequest(), {}, options.idleTimeout);
+        exchange.closeAfterAnswer();
+        if (onError) {
+            onError(exchange, status, reason);
+        } else {
+            exchange.answer(status, reason + "\n", "text/plain");
+        }
+    }
+
     // Serves one request; false if the connection is to be closed.
     bool serveOne(http_stream &stream) const
     {
-        if (!waitForRequest(stream)) {
-            return false;
-        }
         std::string head;
         io_status status = stream.readHead(head, after(options.idleTimeout));
         if (status == io_status::TooLarge) {
@@ -205,131 +428,38 @@
         return exchange.finish() && !closing;
     }
 
-    const http_server_options options;
     const handler handle;
     const error_handler onError;
     std::atomic<bool> stopping = false;
-    // Set once no new connections are accepted.
+    // Set once no new connections are to be accepted.
     std::atomic<bool> closing = false;
-    // Whether the listener is closed.
-    bool closed = false;
-    // Own address of the connection that asks for the close.
-    Poco::Net::SocketAddress closerEnd;
-    // Readable once `closing` is set.
-    Poco::Pipe closePipe;
-    // Used by the accepting thread only, once it runs.
+    // The following four are used by the polling thread only, once it runs.
     Poco::Net::ServerSocket listener;
-    std::atomic<uint64_t> refused = 0;
-    std::string address;
-    std::mutex mutex;
+    std::vector<connection *> deferred;
+    std::optional<steady_time> acceptAgainAt;
+    steady_time nextScan;
+    connection_watch watch;
+    mutable std::mutex mutex;
     std::condition_variable changed;
-    std::set<http_stream *> streams;
+    // When the listener was closed; written by the polling thread, with the mutex held.
+    std::optional<steady_time> closedAt;
+    std::unordered_map<connection *, std::unique_ptr<connection>> connections;
+    std::unordered_set<connection *> parked;
     Poco::ThreadPool threads;
-    std::unique_ptr<Poco::Net::TCPServer> server;
+    std::thread poller;
 };
 
-namespace {
-
-template <typename server_state> class connection : public Poco::Net::TCPServerConnection
+void http_server::connection::run()
 {
-public:
-    connection(const Poco::Net::StreamSocket &socket, server_state &state)
-        : TCPServerConnection(socket)
-        , m_state(state)
-    { }
-
-    void run() override
-    {
-        http_stream stream(socket());
-        if (!m_state.enter(stream)) {
-            return;
-        }
-        try {
-            while (!m_state.stopping && m_state.serveOne(stream)) { }
-        } catch (const std::exception &) {
-            // The handler failed; closing the connection tells the requester that no answer comes.
-            stream.shutdown();
-        }
-        if (!m_state.stopping) {
-            stream.lingerClose(after(lingerTime));
-        }
-        m_state.leave(stream);
-    }
-
-private:
-    server_state &m_state;
-};
-
-template <typename server_state>
-class connection_factory : public Poco::Net::TCPServerConnectionFactory
-{
-public:
-    explicit connection_factory(server_state &state)
-        : m_state(state)
-    { }
-    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
-    {
-        return new connection<server_state>(socket, m_state);
-    }
-
-private:
-    server_state &m_state;
-};
-
-template <typename server_state>
-class connection_limit : public Poco::Net::TCPServerConnectionFilter
-{
-public:
-    explicit connection_limit(server_state &state)
-        : m_state(state)
-    { }
-    // Runs on the thread that accepts connections.
-    bool accept(const Poco::Net::StreamSocket &socket) override
-    {
-        if (m_state.closing && socket.peerAddress() == m_state.closerAddress()) {
-            m_state.closeListener();
-            return false;
-        }
-        const auto &server = *m_state.server;
-        if (server.currentConnections() + server.queuedConnections()
-            < m_state.options.maxConnections) {
-            return true;
-        }
-        ++m_state.refused;
-        try {
-            Poco::Net::StreamSocket copy(socket);
-            copy.setBlocking(false);
-            const std::string answer = overloadAnswer();
-            copy.sendBytes(answer.data(), static_cast<int>(answer.size()));
-            copy.shutdownSend();
-        } catch (const Poco::Exception &) {
-            // The requester is gone already.
-        }
-        return false;
-    }
-
-private:
-    server_state &m_state;
-};
-
-} // namespace
+    m_server.serve(*this);
+}
 
 absl::StatusOr<std::unique_ptr<http_server>>
 http_server::listen(const http_server_options &options, handler handler, error_handler onError)
 {
     auto inner = std::make_unique<state>(options, std::move(handler), std::move(onError));
     try {
-        Poco::Net::ServerSocket &socket = inner->listener;
-        socket.bind(Poco::Net::SocketAddress(options.address), true, false);
-        socket.listen(listenBacklog);
-        inner->address = socket.address().toString();
-        Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
-        params->setMaxThreads(options.maxConnections);
-        params->setMaxQueued(options.maxConnections);
-        inner->server = std::make_unique<Poco::Net::TCPServer>(
-            new connection_factory<state>(*inner), inner->threads, socket, params);
-        inner->server->setConnectionFilter(new connection_limit<state>(*inner));
-        inner->server->start();
+        inner->start();
     } catch (const Poco::Exception &error) {
         return absl::UnavailableError("cannot listen on " + options.address + ": "
                                       + error.displayText());
@@ -350,7 +480,7 @@
 
 int http_server::connectionCount() const
 {
-    return m_state->server->currentConnections() + m_state->server->queuedConnections();
+    return m_state->count();
 }
 
 uint64_t http_server::refusedConnections() const
@@ -365,8 +495,7 @@
 
 bool http_server::waitClosed(steady_time until)
 {
-    std::unique_lock lock(m_state->mutex);
-    return m_state->changed.wait_until(lock, until, [this] { return m_state->streams.empty(); });
+    return m_state->waitAllClosed(until);
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/http/http_server.h
+++ b/src/persimmonrail/http/http_server.h
@@ -72,20 +72,24 @@
 {
     // "ip:port"; port 0 picks a free one.
     std::string address = "127.0.0.1:0";
-    // Connections beyond this number get a 503 and are closed. Each has a thread.
+    // Connections beyond this number get a 503 and are closed.
     int maxConnections = 1024;
     // A connection without a request, or without progress within one, is closed after this time.
     milliseconds idleTimeout{30000};
     // The same while more than three quarters of the connections are in use, so that idle ones make
     // room for new ones.
     milliseconds crowdedIdleTimeout{1000};
+    // A connection keeps its thread for this long after an answer, so that busy ones are served
+    // without a change of threads.
+    milliseconds parkAfter{20};
 };
 
-// HTTP/1.1 server with one thread per connection, on Poco's TCPServer. Thread safe.
+// HTTP/1.1 server with a thread for each request in progress; one more thread accepts connections
+// and watches the idle ones. Thread safe.
 class http_server
 {
 public:
-    // Runs on the thread of the connection.
+    // Runs on a thread of its own.
     using handler = std::function<void(server_exchange &exchange)>;
     // Answers requests that are not valid HTTP, before the connection is closed.
     using error_handler =
@@ -111,6 +115,7 @@
 
 private:
     class state;
+    class connection;
     explicit http_server(std::unique_ptr<state> state);
     std::unique_ptr<state> m_state;
 };
--- a/src/persimmonrail/http/http_stream.cpp
+++ b/src/persimmonrail/http/http_stream.cpp
@@ -64,14 +64,14 @@
     m_watched = other;
 }
 
-io_status http_stream::wait(short events, steady_time until, int interrupt)
+io_status http_stream::wait(short events, steady_time until)
 {
     // Bytes that the watched peer sends early would end each wait at once, so only the end of its
     // connection is watched. Descriptors below 0 are ignored.
     const int watched = m_watched != nullptr ? m_watched->m_descriptor : -1;
     for (;;) {
-        std::array<pollfd, 3> descriptors{
-            {{m_descriptor, events, 0}, {watched, POLLRDHUP, 0}, {interrupt, POLLIN, 0}}};
+        std::array<pollfd, 2> descriptors{
+            {{m_descriptor, events, 0}, {watched, POLLRDHUP, 0}}};
         const int ready = ::poll(descriptors.data(), descriptors.size(), pollTimeout(until));
         if (ready < 0 && errno != EINTR) {
             return io_status::Closed;
@@ -82,9 +82,6 @@
         if (ready > 0 && descriptors[0].revents != 0) {
             return io_status::Ok;
         }
-        if (ready > 0 && descriptors[2].revents != 0) {
-            return io_status::Cancelled;
-        }
         if (std::chrono::steady_clock::now() >= until) {
             return io_status::TimedOut;
         }
@@ -117,10 +114,10 @@
     }
 }
 
-io_status http_stream::waitReadable(steady_time until, int interrupt)
+io_status http_stream::waitReadable(steady_time until)
 {
     releaseBuffer();
-    return m_position < m_buffer.size() ? io_status::Ok : wait(POLLIN, until, interrupt);
+    return m_position < m_buffer.size() ? io_status::Ok : wait(POLLIN, until);
 }
 
 void http_stream::releaseBuffer()
@@ -246,15 +243,20 @@
     ::shutdown(m_descriptor, SHUT_RDWR);
 }
 
-void http_stream::lingerClose(steady_time until)
+void http_stream::endSending()
 {
     ::shutdown(m_descriptor, SHUT_WR);
     m_watched = nullptr;
-    io_status status = io_status::Ok;
-    while (status == io_status::Ok) {
-        m_position = m_buffer.size();
-        status = fill(until);
-    }
+}
+
+io_status http_stream::discardInput()
+{
+    std::string().swap(m_buffer);
+    m_position = 0;
+    std::array<char, readBytes> ignored{};
+    const ssize_t n = ::recv(m_descriptor, ignored.data(), ignored.size(), MSG_DONTWAIT);
+    const bool isOpen = n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
+    return isOpen ? io_status::Ok : io_status::Closed;
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -65,9 +65,8 @@
     // that an early answer is noticed; `written` tells how many bytes were taken.
     io_status write(std::string_view bytes, size_t &written, steady_time until,
                     bool stopOnInput = false);
-    // Waits until bytes can be read. Cancelled once `interrupt`, a descriptor, can be read; -1 for
-    // none.
-    io_status waitReadable(steady_time until, int interrupt = -1);
+    // Waits until bytes can be read.
+    io_status waitReadable(steady_time until);
     // Waits until `until` or until the peer closes the connection; true in the latter case.
     bool waitClosed(steady_time until);
 
@@ -77,16 +76,19 @@
     bool hasInput();
     // Ends both directions; wakes a thread that waits in this stream. May be called by any thread.
     void shutdown();
-    // Ends the sending direction and discards input until the peer closes or `until`. Closing with
-    // unread input would reset the connection, and the peer could lose an answer sent before.
-    void lingerClose(steady_time until);
+    // Ends the sending direction. The input is then to be discarded until the peer closes: closing
+    // with unread input would reset the connection, and the peer could lose an answer sent before.
+    void endSending();
+    // Discards the input that has arrived, in part if there is much. Closed once the peer has ended
+    // its side; Ok otherwise.
+    io_status discardInput();
     int descriptor() const { return m_descriptor; }
     // Gives back the memory of the buffer if nothing in it is unread; for idle connections, of
     // which there may be hundreds.
     void releaseBuffer();
 
 private:
-    io_status wait(short events, steady_time until, int interrupt = -1);
+    io_status wait(short events, steady_time until);
     io_status fill(steady_time until);
 
     Poco::Net::StreamSocket m_socket;
--- a/src/persimmonrail/http/tests/http_test.cpp
+++ b/src/persimmonrail/http/tests/http_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <condition_variable>
+#include <filesystem>
 #include <random>
 #include <thread>
 
@@ -74,6 +75,13 @@
     return *std::move(server);
 }
 
+// Threads of this process.
+int threadCount()
+{
+    const std::filesystem::directory_iterator tasks("/proc/self/task");
+    return static_cast<int>(std::distance(begin(tasks), end(tasks)));
+}
+
 } // namespace
 
 // Guards against requests that two hops would split differently, and against crashes on input that
@@ -469,6 +477,41 @@
     CHECK(std::chrono::steady_clock::now() - begun < 1900ms);
 }
 
+// Load pattern: hundreds of callers and daemons keep their connections between requests. Memory and
+// the system's number of threads are bounded by the requests in progress, not by the connections.
+TEST_CASE("idle connections hold no thread", "[http]")
+{
+    constexpr int connectionCount = 100;
+    http_server_options options;
+    options.idleTimeout = generous;
+    const auto server = echoServer(options);
+    std::vector<Poco::Net::StreamSocket> idle;
+    idle.reserve(connectionCount);
+    const auto askAll = [&] {
+        for (auto &socket : idle) {
+            sendText(socket, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        }
+        for (auto &socket : idle) {
+            CHECK(readHeadText(socket).starts_with("HTTP/1.1 200"));
+        }
+    };
+    const int before = threadCount();
+    for (int i = 0; i < connectionCount; ++i) {
+        idle.emplace_back(Poco::Net::SocketAddress(server->address()));
+    }
+    askAll();
+    // Threads without work leave when others are asked for.
+    const steady_time end = after(generous);
+    while (threadCount() > before + 8 && std::chrono::steady_clock::now() < end) {
+        sendText(idle.front(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        readHeadText(idle.front());
+        std::this_thread::sleep_for(50ms);
+    }
+    CHECK(threadCount() <= before + 8);
+    CHECK(server->connectionCount() == connectionCount);
+    askAll();
+}
+
 // Guards against requests that get lost or mixed up on one connection.
 TEST_CASE("requests sent ahead on one connection are answered in order", "[http]")
 {
