Keep back requests that an overloaded upstream would refuse

Change: each daemon sends an upstream 1.5 requests for each one accepted lately, for each kind by itself (rank and objective, the order of the upstream's queue), and refuses the others at once with the upstream's Retry-After, reason overload-expected. An accepted answer that reports a free slot ends it. The same bounds the attempts of one request for a service without keys, which went to every upstream in turn while all refuse.

--- a/src/persimmonrail/fleet/upstream_member.h
+++ b/src/persimmonrail/fleet/upstream_member.h
@@ -4,10 +4,10 @@
 
 #include <absl/status/statusor.h>
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <tuple>
 
 namespace persimmonrail {
 
@@ -18,11 +18,7 @@
     // Milliseconds since the Unix epoch, by the upstream's clock.
     int64_t startedAt = 0;
 
-    bool operator==(const upstream_id &) const = default;
-    bool operator<(const upstream_id &other) const
-    {
-        return std::tie(name, startedAt) < std::tie(other.name, other.startedAt);
-    }
+    auto operator<=>(const upstream_id &) const = default;
     bool isEmpty() const { return name.empty(); }
 };
 
--- a/src/persimmonrail/relay/relay_path.cpp
+++ b/src/persimmonrail/relay/relay_path.cpp
@@ -195,9 +195,19 @@
             service.picker.finish(member->id, upstream_picker::result::Neutral, std::nullopt, now);
             return notRun(relay_reason::PeerUnreachable);
         }
+        const bool isLocal = member->id == m_path.m_runner.local().id;
+        const overload_throttle::kind kind{member->id, m_request.rank, m_request.objective};
+        if (!isLocal) {
+            if (const auto pause = service.throttle.keepBack(kind, m_path.drawShare(), now)) {
+                service.picker.finish(member->id, upstream_picker::result::Neutral, std::nullopt,
+                                      now);
+                m_tried.push_back(member->id);
+                return notRun(relay_reason::OverloadExpected, *pause);
+            }
+        }
         const steady_time sentAt = clockNow();
         relay_result result;
-        if (member->id == m_path.m_runner.local().id) {
+        if (isLocal) {
             relay_sink sink(m_exchange, {});
             result = m_path.m_runner.run(m_request, m_exchange, sink);
             result.queue = m_path.m_runner.queue();
@@ -206,6 +216,7 @@
         } else {
             relay_sink sink(m_exchange, {});
             result = m_path.m_peers.forward(m_request, member->peerAddress, m_exchange, sink);
+            noteLoad(service.throttle, kind, result);
         }
         const bool failed = result.reason == relay_reason::PeerUnreachable
             || result.reason == relay_reason::PeerSilent
@@ -223,6 +234,18 @@
         return result;
     }
 
+    static void noteLoad(overload_throttle &throttle, const overload_throttle::kind &kind,
+                         const relay_result &result)
+    {
+        if (result.reason == relay_reason::Overload) {
+            throttle.noteRefused(kind, result.retryAfter, clockNow());
+        } else if (result.outcome == request_outcome::Run) {
+            const bool hasRoom = result.queue && result.queue->waiting == 0
+                && result.queue->running < result.queue->limit;
+            throttle.noteAccepted(kind, hasRoom, clockNow());
+        }
+    }
+
     const upstream_member *ownerOf(const fleet_directory &directory,
                                    relay_path::service_state &service) const
     {
@@ -351,6 +374,12 @@
     return m_random();
 }
 
+double relay_path::drawShare()
+{
+    // The upper 53 bits fill the mantissa of a double.
+    return static_cast<double>(draw() >> 11U) * 0x1.0p-53;
+}
+
 relay_path::service_state &relay_path::stateOf(const std::string &service, steady_time now)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/persimmonrail/relay/relay_path.h
+++ b/src/persimmonrail/relay/relay_path.h
@@ -4,6 +4,7 @@
 #include "persimmonrail/fleet/fleet_directory.h"
 #include "persimmonrail/gateway/silent_peers.h"
 #include "persimmonrail/http/http_server.h"
+#include "persimmonrail/relay/overload_throttle.h"
 #include "persimmonrail/relay/peer_link.h"
 #include "persimmonrail/relay/upstream_picker.h"
 #include "persimmonrail/relay/upstream_runner.h"
@@ -75,10 +76,13 @@
         explicit service_state(const relay_path_options &options, random_source random,
                                steady_time now);
         upstream_picker picker;
+        overload_throttle throttle;
         retry_budget retries;
     };
     service_state &stateOf(const std::string &service, steady_time now);
     uint64_t draw();
+    // Uniform in [0, 1).
+    double drawShare();
 
     const relay_path_options m_options;
     const relay_path_hooks m_hooks;
--- a/src/persimmonrail/relay/relay_reason.cpp
+++ b/src/persimmonrail/relay/relay_reason.cpp
@@ -25,6 +25,7 @@
     {relay_reason::Draining, "draining", true},
     {relay_reason::Stopping, "stopping", true},
     {relay_reason::Overload, "overload", true},
+    {relay_reason::OverloadExpected, "overload-expected", true},
     {relay_reason::LinkBusy, "link-busy", true},
     {relay_reason::DeadlineUnreachable, "deadline-unreachable", true},
     {relay_reason::PeerUnreachable, "peer-unreachable", true},
--- a/src/persimmonrail/relay/relay_reason.h
+++ b/src/persimmonrail/relay/relay_reason.h
@@ -21,6 +21,8 @@
     Draining,
     Stopping,
     Overload,
+    // Not offered to the upstream, which refuses nearly all such requests now.
+    OverloadExpected,
     // Large answers queue for the link of the upstream's host.
     LinkBusy,
     DeadlineUnreachable,
