Order the polling thread after the worker that parked a connection

Cause: resume() read isEnding without the mutex under which the worker parks; only the two system calls ordered them.

--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -282,6 +282,13 @@
     // Takes up a parked connection that has input.
     void resume(connection &found)
     {
+        {
+            // Also orders this after the worker that parked the connection.
+            const std::lock_guard lock(mutex);
+            if (!found.isEnding) {
+                parked.erase(&found);
+            }
+        }
         if (found.isEnding) {
             if (found.stream.discardInput() == io_status::Closed
                 || !watch.rearm(found.stream.descriptor(), &found)) {
@@ -290,10 +297,6 @@
             }
             return;
         }
-        {
-            const std::lock_guard lock(mutex);
-            parked.erase(&found);
-        }
         dispatch(found);
     }
 
