Let the strongest hosts relay changes and ask for others

Cause: the relay of an availability zone was its first member by name. The member that asks for all others in its service was the first by name too.

Ruled out: a cut (other daemons reached it in the same seconds). Whether its processor or its link binds was not told apart: both are the weakest.

Change: members state what their host has (processors, link; settings processor-share and processor-speed, link-mbps), and both duties go to the strongest host. Members of daemons that do not state it come last.

--- a/src/persimmonrail/feed/relayed_watch.cpp
+++ b/src/persimmonrail/feed/relayed_watch.cpp
@@ -164,15 +164,20 @@
 std::vector<std::string> relaysFor(const fleet_directory &directory,
                                    std::string_view availabilityZone, const std::string &ownAddress)
 {
-    std::vector<std::string> members;
+    std::vector<const upstream_member *> candidates;
     for (const auto &[name, known] : directory.members()) {
         const upstream_member &member = known.member;
         if (member.availabilityZone == availabilityZone && !member.isGone && !member.isLeaving) {
-            members.push_back(member.peerAddress);
+            candidates.push_back(&member);
         }
     }
-    const size_t count = (members.size() + membersPerRelay - 1) / membersPerRelay;
-    members.resize(count);
+    std::sort(candidates.begin(), candidates.end(),
+              [](const auto *a, const auto *b) { return worksBefore(*a, *b); });
+    candidates.resize((candidates.size() + membersPerRelay - 1) / membersPerRelay);
+    std::vector<std::string> members;
+    for (const upstream_member *candidate : candidates) {
+        members.push_back(candidate->peerAddress);
+    }
     if (members.empty() || std::find(members.begin(), members.end(), ownAddress) != members.end()) {
         return {};
     }
--- a/src/persimmonrail/feed/tests/relayed_watch_test.cpp
+++ b/src/persimmonrail/feed/tests/relayed_watch_test.cpp
@@ -153,6 +153,25 @@
     CHECK(answer.find("\"code\":3") != std::string::npos);
 }
 
+// Load pattern: a change of a large placement goes to 25 followers at once, several times a second.
+// A host with 0.1 of a processor and 15 Mbit/s has neither for that; every zone has stronger ones.
+TEST_CASE("the strongest hosts of an availability zone are its relays", "[feed]")
+{
+    upstream_member weak = member("a", "nord", 1);
+    weak.host = {0.1, 15};
+    upstream_member strong = member("b", "nord", 2);
+    strong.host = {0.5, 200};
+    upstream_member narrow = member("c", "nord", 3);
+    narrow.host = {0.5, 15};
+    const upstream_member unknown = member("d", "nord", 4);
+    const auto directory = directoryOf({weak, strong, narrow, unknown});
+    CHECK(relaysFor(*directory, "nord", "127.0.0.1:1") == std::vector<std::string>{"127.0.0.1:2"});
+    CHECK(relaysFor(*directory, "nord", "127.0.0.1:2").empty());
+    strong.isLeaving = true;
+    const auto later = directoryOf({weak, strong, narrow, unknown});
+    CHECK(relaysFor(*later, "nord", "127.0.0.1:1") == std::vector<std::string>{"127.0.0.1:3"});
+}
+
 TEST_CASE("the first members of an availability zone are its relays", "[feed]")
 {
     const auto directory = directoryOf({member("a", "nord", 1, true), member("b", "nord", 2),
--- a/src/persimmonrail/fleet/tests/fleet_test.cpp
+++ b/src/persimmonrail/fleet/tests/fleet_test.cpp
@@ -86,7 +86,8 @@
 
 TEST_CASE("members keep their values in the store", "[fleet]")
 {
-    const upstream_member original = member("i-1");
+    upstream_member original = member("i-1");
+    original.host = {0.25, 15.5};
     const auto parsed = parseMember(encodeMember(original));
     REQUIRE(parsed.ok());
     CHECK(*parsed == original);
--- a/src/persimmonrail/fleet/upstream_member.cpp
+++ b/src/persimmonrail/fleet/upstream_member.cpp
@@ -3,6 +3,8 @@
 #include "persimmonrail/base/json_text.h"
 #include "persimmonrail/base/socket_address.h"
 
+#include <tuple>
+
 namespace persimmonrail {
 
 std::string toString(const upstream_id &id)
@@ -10,6 +12,11 @@
     return id.isEmpty() ? std::string() : absl::StrCat(id.name, "/", id.startedAt);
 }
 
+bool worksBefore(const upstream_member &a, const upstream_member &b)
+{
+    return std::tie(b.host, a.id) < std::tie(a.host, b.id);
+}
+
 std::string encodeMember(const upstream_member &member)
 {
     Poco::JSON::Object object;
@@ -19,6 +26,8 @@
     object.set("availability_zone", member.availabilityZone);
     object.set("peer_address", member.peerAddress);
     object.set("slots", member.slots);
+    object.set("processors", member.host.processors);
+    object.set("link_mbps", member.host.linkMbps);
     object.set("leaving", member.isLeaving);
     object.set("gone", member.isGone);
     return renderJson(object);
@@ -35,6 +44,9 @@
             member.availabilityZone = object.getValue<std::string>("availability_zone");
             member.peerAddress = object.getValue<std::string>("peer_address");
             member.slots = object.getValue<int>("slots");
+            // Daemons of earlier versions do not state these.
+            member.host.processors = object.optValue<double>("processors", 0);
+            member.host.linkMbps = object.optValue<double>("link_mbps", 0);
             member.isLeaving = object.getValue<bool>("leaving");
             member.isGone = object.getValue<bool>("gone");
             if (member.id.isEmpty() || member.service.empty() || member.slots < 1) {
--- a/src/persimmonrail/fleet/upstream_member.h
+++ b/src/persimmonrail/fleet/upstream_member.h
@@ -40,6 +40,17 @@
     int64_t sequence = 0;
 };
 
+// What a host has for its daemon; 0 stands for unknown.
+struct host_resources
+{
+    // In processors of the usual speed.
+    double processors = 0;
+    // Of its link, 10^6 bits a second.
+    double linkMbps = 0;
+
+    auto operator<=>(const host_resources &) const = default;
+};
+
 // What the daemon beside an upstream publishes for the fleet.
 struct upstream_member
 {
@@ -53,10 +64,15 @@
     bool isLeaving = false;
     // The upstream is gone; nothing of it runs any more and it holds no key.
     bool isGone = false;
+    host_resources host = {};
 
     bool operator==(const upstream_member &) const = default;
 };
 
+// Order in which members do work for others, such as passing on what changes: the strongest hosts
+// come first, since the weakest have hardly enough for their own requests.
+bool worksBefore(const upstream_member &a, const upstream_member &b);
+
 std::string encodeMember(const upstream_member &member);
 // Errors: InvalidArgument.
 absl::StatusOr<upstream_member> parseMember(std::string_view json);
--- a/src/persimmonrail/router/peer_monitor.cpp
+++ b/src/persimmonrail/router/peer_monitor.cpp
@@ -138,15 +138,19 @@
 
 std::vector<const upstream_member *> peer_health::targets(const upstream_member *self) const
 {
-    std::vector<const upstream_member *> asked;
+    std::vector<const entry *> ordered;
     for (const auto &[id, peer] : m_entries) {
-        if (self == nullptr || id < self->id) {
-            asked.push_back(&peer.member);
-            if (!peer.isSilent) {
-                return asked;
-            }
-        } else {
-            asked.push_back(&peer.member);
+        ordered.push_back(&peer);
+    }
+    std::sort(ordered.begin(), ordered.end(), [](const entry *a, const entry *b) {
+        return worksBefore(a->member, b->member);
+    });
+    std::vector<const upstream_member *> asked;
+    for (const entry *peer : ordered) {
+        asked.push_back(&peer->member);
+        const bool asksForOthers = self == nullptr || worksBefore(peer->member, *self);
+        if (asksForOthers && !peer->isSilent) {
+            return asked;
         }
     }
     return asked;
--- a/src/persimmonrail/router/router_settings.cpp
+++ b/src/persimmonrail/router/router_settings.cpp
@@ -79,10 +79,16 @@
         && settings.retryRatio <= 1;
 }
 
-bool setLink(router_settings &settings, const std::string &value)
+setter quantity(double router_settings::*member)
 {
-    return absl::SimpleAtod(value, &settings.linkMbps) && settings.linkMbps >= 0
-        && settings.linkMbps <= 1e9;
+    return [member](router_settings &settings, const std::string &value) {
+        double number = 0;
+        if (!absl::SimpleAtod(value, &number) || number < 0 || number > 1e9) {
+            return false;
+        }
+        settings.*member = number;
+        return true;
+    };
 }
 
 bool setLevel(router_settings &settings, const std::string &value)
@@ -129,7 +135,12 @@
         {"retry-slack", "repeats allowed within the window besides that share", false,
          count(&s::retrySlack)},
         {"retry-window", "window of both", false, duration(&s::retryWindow)},
-        {"link-mbps", "what the link of this host carries, in Mbit/s", false, setLink},
+        {"link-mbps", "what the link of this host carries, in Mbit/s", false,
+         quantity(&s::linkMbps)},
+        {"processor-share", "part of a processor that this daemon may use", false,
+         quantity(&s::processorShare)},
+        {"processor-speed", "speed of that processor, as a multiple of the usual one", false,
+         quantity(&s::processorSpeed)},
         {"max-caller-connections", "connections of callers", false,
          count(&s::maxCallerConnections)},
         {"max-peer-connections", "connections of other daemons", false,
--- a/src/persimmonrail/router/router_settings.h
+++ b/src/persimmonrail/router/router_settings.h
@@ -41,6 +41,10 @@
     milliseconds retryWindow{10000};
     // What the link of this host carries, in 10^6 bits a second; 0 if unknown.
     double linkMbps = 0;
+    // Part of a processor that this daemon may use, and the speed of that processor as a multiple
+    // of the usual one; 0 if unknown.
+    double processorShare = 0;
+    double processorSpeed = 1;
     int maxCallerConnections = 512;
     int maxPeerConnections = 1024;
     log_level level = log_level::Info;
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -70,6 +70,7 @@
     member.availabilityZone = m_settings.availabilityZone;
     member.peerAddress = m_settings.peerAddress;
     member.slots = std::max(report.slots, 1);
+    member.host = {m_settings.processorShare * m_settings.processorSpeed, m_settings.linkMbps};
     member.isGone = m_upstream.phase() == upstream_phase::Absent;
     member.isLeaving = !m_upstream.takesWork() || m_stopping;
     return member;
--- a/src/persimmonrail/router/tests/peer_health_test.cpp
+++ b/src/persimmonrail/router/tests/peer_health_test.cpp
@@ -138,6 +138,21 @@
 
 } // namespace
 
+// Load pattern: the first member by name has the weakest host, and would ask 30 others.
+TEST_CASE("the member with the strongest host asks for the others", "[router]")
+{
+    upstream_member strong = member("m");
+    strong.host = {0.5, 200};
+    upstream_member weak = member("b");
+    weak.host = {0.1, 15};
+    const upstream_member last = member("z");
+    peer_health health;
+    health.setPeers({&weak, &strong}, start);
+    CHECK(namesOf(health.targets(&last)) == names{"m"});
+    health.setPeers({&weak, &last}, start);
+    CHECK(namesOf(health.targets(&strong)) == names{"b", "z"});
+}
+
 // Load pattern: many members of one service. Calls between them grow with their number, not with
 // its square, since one asks for all.
 TEST_CASE("one member asks all others, and they ask only it", "[router]")
@@ -250,6 +265,8 @@
         {"metrics-address = host:1\n", "metrics-address: invalid"},
         {"log-level = loud\n", "log-level: invalid"},
         {"link-mbps = -1\n", "link-mbps: invalid"},
+        {"processor-share = much\n", "processor-share: invalid"},
+        {"processor-speed = -1\n", "processor-speed: invalid"},
     }));
     const auto refused = parseRouterSettings(valid + line);
     CHECK(std::string(refused.status().message()).find(word) != std::string::npos);
