--- a/tests/measure/capacity_measure_main.cpp
+++ b/tests/measure/capacity_measure_main.cpp
@@ -3,6 +3,7 @@
 
 #include "persimmonrail/balance/coordinator.h"
 #include "persimmonrail/daemon/instance_directory.h"
+#include "persimmonrail/http/http_server.h"
 #include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/ownership/ownership_engine.h"
 #include "persimmonrail/peer/control_channel.h"
@@ -12,6 +13,7 @@
 #include <absl/strings/str_cat.h>
 #include <malloc.h>
 
+#include <array>
 #include <ctime>
 #include <deque>
 #include <fstream>
@@ -420,6 +422,27 @@
                               ",\"resident_bytes_both_ends\":", residentBytes() - before, "}\n");
 }
 
+// Memory of idle connections for requests, each after one request; the callers' ends run in this
+// process too, without buffers. To be measured first: memory that others have freed would hide it.
+void measureIdleConnections(int count)
+{
+    http_server_options options;
+    options.maxConnections = count + 1;
+    const auto server = *http_server::listen(
+        options, [](server_exchange &exchange) { exchange.answer(200, "ok", "text/plain"); });
+    std::vector<Poco::Net::StreamSocket> callers;
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const size_t before = residentBytes();
+    for (int i = 0; i < count; ++i) {
+        callers.emplace_back(Poco::Net::SocketAddress(server->address()));
+        callers.back().sendBytes(request.data(), static_cast<int>(request.size()));
+        std::array<char, 512> answer{};
+        callers.back().receiveBytes(answer.data(), static_cast<int>(answer.size()));
+    }
+    std::cout << absl::StrCat("{\"measurement\":\"idle_connections\",\"count\":", count,
+                              ",\"resident_bytes\":", residentBytes() - before, "}\n");
+}
+
 void measureAtMostOnce(int entries)
 {
     const size_t before = heapBytes();
@@ -449,6 +472,7 @@
 
 int main()
 {
+    measureIdleConnections(4000);
     for (const int instances : {400, 800, 1600, 3200, 6700}) {
         measureState(instances);
         measureViews(instances);
