Offer a request to three full upstreams at most

Ruled out: lack of slots (ledger's are used to about 0.8 by these requests), overload_throttle's records for each upstream (73 daemons see each of 22 upstreams about once a second, too seldom to learn).

"a request is offered to few upstreams that are full" (relay_path_test): 22 offers on the old code, 3 now; relay_tests 27 of 27.

--- a/src/persimmonrail/relay/relay_path.cpp
+++ b/src/persimmonrail/relay/relay_path.cpp
@@ -172,6 +172,9 @@
         if (result.outcome == request_outcome::NotRun && !isPassing(result.reason)) {
             return false;
         }
+        if (m_refusedOffers >= m_path.m_options.mostOffers) {
+            return false;
+        }
         // A key has one owner. Waiting for it helps only while the key moves; a full queue, a lost
         // host or one that starts again takes longer than a caller should be held.
         if (m_request.key && !isKeyMoving(result.reason)) {
@@ -217,6 +220,7 @@
             relay_sink sink(m_exchange, {});
             result = m_path.m_peers.forward(m_request, member->peerAddress, m_exchange, sink);
             noteLoad(service.throttle, kind, result);
+            m_refusedOffers += result.reason == relay_reason::Overload ? 1 : 0;
         }
         const bool failed = result.reason == relay_reason::PeerUnreachable
             || result.reason == relay_reason::PeerSilent
@@ -346,6 +350,8 @@
     const route *m_route = nullptr;
     relay_request m_request;
     std::vector<upstream_id> m_tried;
+    // Attempts that other daemons refused as beyond their upstream's capacity.
+    int m_refusedOffers = 0;
     bool m_mayHaveRun = false;
     bool m_budgetSpent = false;
 };
--- a/src/persimmonrail/relay/relay_path.h
+++ b/src/persimmonrail/relay/relay_path.h
@@ -35,6 +35,9 @@
     milliseconds ownerPatience{400};
     // For refusals of which nothing tells how long their cause lasts.
     milliseconds defaultRetryAfter{250};
+    // Upstreams that may refuse one request as beyond their capacity. Each refusal costs two
+    // daemons a message, and where this many have no room, others seldom have.
+    int mostOffers = 3;
     retry_budget_options retries;
     // What the link of this host carries; 0 if unknown.
     double linkBytesPerSecond = 0;
--- a/src/persimmonrail/relay/tests/relay_path_test.cpp
+++ b/src/persimmonrail/relay/tests/relay_path_test.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-// A daemon's path for requests, with one member of a service behind a counting peer port.
+// A daemon's path for requests, with members of a service behind a counting peer port.
 struct path_site
 {
     std::atomic<int> arrivals{0};
@@ -26,10 +26,14 @@
     std::unique_ptr<upstream_runner> runner;
     std::unique_ptr<relay_path> path;
 
-    path_site()
+    explicit path_site(int members = 1, bool refuses = false)
     {
-        peer = std::move(*http_server::listen({}, [this](server_exchange &exchange) {
+        peer = std::move(*http_server::listen({}, [this, refuses](server_exchange &exchange) {
             ++arrivals;
+            if (refuses) {
+                answerPeer(exchange, notRun(relay_reason::Overload, 80ms));
+                return;
+            }
             Poco::Net::HTTPResponse head;
             head.set(outcomeHeader, "run");
             exchange.answer(head, "whole");
@@ -49,11 +53,14 @@
                 1, std::vector<route>{{"r", "h", "/", true, 2000ms, 500ms, 0, 2, {{"ledger", 1}}}},
                 std::vector<service_rule>{{"ledger", false, 9, ""}}, 10000ms);
         };
-        hooks.directory = [this] {
+        hooks.directory = [this, members] {
             fleet_directory_builder builder([](const std::string &, std::string_view) {});
-            const upstream_member member{{"i-1", 1}, "ledger", "z",  peer->address(),
-                                         9,          false,    false};
-            builder.applyOne({memberKey("i-1"), 1, false, encodeMember(member)});
+            for (int i = 1; i <= members; ++i) {
+                const std::string name = "i-" + std::to_string(i);
+                const upstream_member member{{name, 1}, "ledger", "z",  peer->address(),
+                                             9,         false,    false};
+                builder.applyOne({memberKey(name), 1, false, encodeMember(member)});
+            }
             return builder.build();
         };
         hooks.isStopping = [] { return false; };
@@ -96,3 +103,12 @@
     site.serve(request, afterClose);
     CHECK(site.arrivals == (afterClose ? 0 : 1));
 }
+
+// Load pattern: all 22 upstreams of a service are full, and their hosts spend their processors on
+// refusing each request 22 times.
+TEST_CASE("a request is offered to few upstreams that are full", "[relay]")
+{
+    path_site site(22, true);
+    site.serve("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false);
+    CHECK(site.arrivals == relay_path_options().mostOffers);
+}
