Keep back requests without a key by the load of their service

The throttle learnt by upstream, and each daemon sees each of 22 upstreams about once a second.

Change: offers of requests without a key count for all upstreams of the service together, by rank and objective; a request that is kept back is refused at once with the last Retry-After.

Ruled out: fewer slots kept free for calls (rounding the reserve instead of taking its ceiling): "a flood of the least urgent work does not delay calls" then refuses 97 calls where 6 are allowed.

--- a/src/persimmonrail/relay/overload_throttle.h
+++ b/src/persimmonrail/relay/overload_throttle.h
@@ -31,6 +31,7 @@
     // Requests with the same place in the order of an upstream's queue.
     struct kind
     {
+        // Empty for all upstreams of a service together.
         upstream_id upstream;
         int rank = 0;
         milliseconds objective{0};
--- a/src/persimmonrail/relay/relay_path.cpp
+++ b/src/persimmonrail/relay/relay_path.cpp
@@ -172,7 +172,8 @@
         if (result.outcome == request_outcome::NotRun && !isPassing(result.reason)) {
             return false;
         }
-        if (m_refusedOffers >= m_path.m_options.mostOffers) {
+        if (m_refusedOffers >= m_path.m_options.mostOffers
+            || result.reason == relay_reason::OverloadExpected) {
             return false;
         }
         // A key has one owner. Waiting for it helps only while the key moves; a full queue, a lost
@@ -199,7 +200,7 @@
             return notRun(relay_reason::PeerUnreachable);
         }
         const bool isLocal = member->id == m_path.m_runner.local().id;
-        const overload_throttle::kind kind{member->id, m_request.rank, m_request.objective};
+        const overload_throttle::kind kind = loadKind(member->id);
         if (!isLocal) {
             if (const auto pause = service.throttle.keepBack(kind, m_path.drawShare(), now)) {
                 service.picker.finish(member->id, upstream_picker::result::Neutral, std::nullopt,
@@ -238,13 +239,21 @@
         return result;
     }
 
-    static void noteLoad(overload_throttle &throttle, const overload_throttle::kind &kind,
-                         const relay_result &result)
+    // A key has one owner. Other requests go to any upstream, and each daemon sees each of many too
+    // seldom to learn its load, so all of the service count together.
+    overload_throttle::kind loadKind(const upstream_id &upstream) const
+    {
+        return {m_request.key ? upstream : upstream_id(), m_request.rank, m_request.objective};
+    }
+
+    void noteLoad(overload_throttle &throttle, const overload_throttle::kind &kind,
+                  const relay_result &result) const
     {
         if (result.reason == relay_reason::Overload) {
             throttle.noteRefused(kind, result.retryAfter, clockNow());
         } else if (result.outcome == request_outcome::Run) {
-            const bool hasRoom = result.queue && result.queue->waiting == 0
+            // Room at one upstream says nothing of the others.
+            const bool hasRoom = m_request.key && result.queue && result.queue->waiting == 0
                 && result.queue->running < result.queue->limit;
             throttle.noteAccepted(kind, hasRoom, clockNow());
         }
