Park a connection as soon as its answer is sent

The 20 ms for which a worker kept a connection were meant to save changes of threads; most connections wait longer than that, so each request paid for one more wake-up.

The option goes.

--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -177,8 +177,7 @@
         try {
             do {
                 isOpen = serveOne(served.stream);
-            } while (isOpen && !stopping
-                     && served.stream.waitReadable(after(options.parkAfter)) == io_status::Ok);
+            } while (isOpen && !stopping && served.stream.hasInput());
         } catch (const std::exception &) {
             // The handler failed; closing the connection tells the requester that no answer comes.
             served.stream.shutdown();
@@ -323,6 +322,7 @@
     {
         const std::lock_guard lock(mutex);
         if (!stopping) {
+            served.stream.releaseBuffer();
             served.since = std::chrono::steady_clock::now();
             parked.insert(&served);
             if (watch.rearm(served.stream.descriptor(), &served)) {
--- a/src/persimmonrail/http/http_server.h
+++ b/src/persimmonrail/http/http_server.h
@@ -79,9 +79,6 @@
     // The same while more than three quarters of the connections are in use, so that idle ones make
     // room for new ones.
     milliseconds crowdedIdleTimeout{1000};
-    // A connection keeps its thread for this long after an answer, so that busy ones are served
-    // without a change of threads.
-    milliseconds parkAfter{20};
 };
 
 // HTTP/1.1 server with a thread for each request in progress; one more thread accepts connections
--- a/src/persimmonrail/http/http_stream.cpp
+++ b/src/persimmonrail/http/http_stream.cpp
@@ -114,12 +114,6 @@
     }
 }
 
-io_status http_stream::waitReadable(steady_time until)
-{
-    releaseBuffer();
-    return m_position < m_buffer.size() ? io_status::Ok : wait(POLLIN, until);
-}
-
 void http_stream::releaseBuffer()
 {
     if (m_position == m_buffer.size()) {
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -65,8 +65,6 @@
     // that an early answer is noticed; `written` tells how many bytes were taken.
     io_status write(std::string_view bytes, size_t &written, steady_time until,
                     bool stopOnInput = false);
-    // Waits until bytes can be read.
-    io_status waitReadable(steady_time until);
     // Waits until `until` or until the peer closes the connection; true in the latter case.
     bool waitClosed(steady_time until);
 
