Follow the formatter and the linter

Private members of the server's state get their prefix; comparisons are written out, since the linter takes a defaulted <=> for a null pointer.

--- a/src/persimmonrail/feed/relayed_watch.cpp
+++ b/src/persimmonrail/feed/relayed_watch.cpp
@@ -175,6 +175,7 @@
               [](const auto *a, const auto *b) { return worksBefore(*a, *b); });
     candidates.resize((candidates.size() + membersPerRelay - 1) / membersPerRelay);
     std::vector<std::string> members;
+    members.reserve(candidates.size());
     for (const upstream_member *candidate : candidates) {
         members.push_back(candidate->peerAddress);
     }
--- a/src/persimmonrail/fleet/upstream_member.h
+++ b/src/persimmonrail/fleet/upstream_member.h
@@ -4,10 +4,10 @@
 
 #include <absl/status/statusor.h>
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace persimmonrail {
 
@@ -18,7 +18,11 @@
     // Milliseconds since the Unix epoch, by the upstream's clock.
     int64_t startedAt = 0;
 
-    auto operator<=>(const upstream_id &) const = default;
+    bool operator==(const upstream_id &) const = default;
+    bool operator<(const upstream_id &other) const
+    {
+        return std::tie(name, startedAt) < std::tie(other.name, other.startedAt);
+    }
     bool isEmpty() const { return name.empty(); }
 };
 
@@ -48,7 +52,11 @@
     // Of its link, 10^6 bits a second.
     double linkMbps = 0;
 
-    auto operator<=>(const host_resources &) const = default;
+    bool operator==(const host_resources &) const = default;
+    bool operator<(const host_resources &other) const
+    {
+        return std::tie(processors, linkMbps) < std::tie(other.processors, other.linkMbps);
+    }
 };
 
 // What the daemon beside an upstream publishes for the fleet.
--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -105,69 +105,69 @@
     state(const http_server_options &serverOptions, handler serverHandler,
           error_handler serverOnError)
         : options(serverOptions)
-        , handle(std::move(serverHandler))
-        , onError(std::move(serverOnError))
-        , threads(minThreads, options.maxConnections + minThreads, threadIdleSeconds,
-                  threadStackBytes)
+        , m_handle(std::move(serverHandler))
+        , m_onError(std::move(serverOnError))
+        , m_threads(minThreads, options.maxConnections + minThreads, threadIdleSeconds,
+                    threadStackBytes)
     { }
 
     ~state()
     {
         {
-            const std::lock_guard lock(mutex);
-            stopping = true;
+            const std::lock_guard lock(m_mutex);
+            m_stopping = true;
         }
-        watch.wake();
-        if (poller.joinable()) {
-            poller.join();
+        m_watch.wake();
+        if (m_poller.joinable()) {
+            m_poller.join();
         }
-        std::unique_lock lock(mutex);
-        for (connection *idle : parked) {
-            connections.erase(idle);
+        std::unique_lock lock(m_mutex);
+        for (connection *idle : m_parked) {
+            m_connections.erase(idle);
         }
-        for (connection *waiting : deferred) {
-            connections.erase(waiting);
+        for (connection *waiting : m_deferred) {
+            m_connections.erase(waiting);
         }
-        for (const auto &[busy, owned] : connections) {
+        for (const auto &[busy, owned] : m_connections) {
             busy->stream.shutdown();
         }
-        changed.wait(lock, [this] { return connections.empty(); });
+        m_changed.wait(lock, [this] { return m_connections.empty(); });
         lock.unlock();
-        threads.joinAll();
+        m_threads.joinAll();
     }
 
     // Throws Poco::Exception if the address can't be bound.
     void start()
     {
-        listener.bind(Poco::Net::SocketAddress(options.address), true, false);
-        listener.listen(listenBacklog);
-        address = listener.address().toString();
-        if (!watch.add(listener.impl()->sockfd(), this)) {
-            throw Poco::IOException("cannot watch the listening socket");
+        m_listener.bind(Poco::Net::SocketAddress(options.address), true, false);
+        m_listener.listen(listenBacklog);
+        address = m_listener.address().toString();
+        if (!m_watch.add(m_listener.impl()->sockfd(), this)) {
+            throw Poco::IOException("cannot m_watch the listening socket");
         }
-        poller = std::thread([this] { poll(); });
+        m_poller = std::thread([this] { poll(); });
     }
 
     // Closes the listener once the connections that were made earlier are accepted, and the idle
     // connections soon after.
     void requestClose()
     {
-        closing = true;
-        watch.wake();
-        std::unique_lock lock(mutex);
-        changed.wait_for(lock, closeTimeout, [this] { return closedAt.has_value(); });
+        m_closing = true;
+        m_watch.wake();
+        std::unique_lock lock(m_mutex);
+        m_changed.wait_for(lock, closeTimeout, [this] { return m_closedAt.has_value(); });
     }
 
     bool waitAllClosed(steady_time until)
     {
-        std::unique_lock lock(mutex);
-        return changed.wait_until(lock, until, [this] { return connections.empty(); });
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_until(lock, until, [this] { return m_connections.empty(); });
     }
 
     int count() const
     {
-        const std::lock_guard lock(mutex);
-        return static_cast<int>(connections.size());
+        const std::lock_guard lock(m_mutex);
+        return static_cast<int>(m_connections.size());
     }
 
     // Runs on a worker.
@@ -177,7 +177,7 @@
         try {
             do {
                 isOpen = serveOne(served.stream);
-            } while (isOpen && !stopping && served.stream.hasInput());
+            } while (isOpen && !m_stopping && served.stream.hasInput());
         } catch (const std::exception &) {
             // The handler failed; closing the connection tells the requester that no answer comes.
             served.stream.shutdown();
@@ -188,7 +188,7 @@
             served.isEnding = true;
         }
         if (served.isEnding && served.stream.discardInput() == io_status::Closed) {
-            const std::lock_guard lock(mutex);
+            const std::lock_guard lock(m_mutex);
             forget(served);
         } else {
             park(served);
@@ -204,8 +204,8 @@
     void poll()
     {
         std::vector<void *> ready;
-        while (!stopping) {
-            watch.wait(pollStep(), ready);
+        while (!m_stopping) {
+            m_watch.wait(pollStep(), ready);
             for (void *owner : ready) {
                 if (owner == this) {
                     acceptAll();
@@ -215,10 +215,10 @@
             }
             retryDeferred();
             const steady_time now = std::chrono::steady_clock::now();
-            if (acceptAgainAt && now >= *acceptAgainAt) {
+            if (m_acceptAgainAt && now >= *m_acceptAgainAt) {
                 acceptAll();
             }
-            if (closing && !closedAt) {
+            if (m_closing && !m_closedAt) {
                 acceptAll();
                 closeListener(now);
             }
@@ -234,28 +234,28 @@
 
     milliseconds pollStep() const
     {
-        if (!deferred.empty()) {
+        if (!m_deferred.empty()) {
             return deferredRetryInterval;
         }
-        const bool isSoon = closing || acceptAgainAt.has_value();
+        const bool isSoon = m_closing || m_acceptAgainAt.has_value();
         return std::clamp(idleLimit(), deferredRetryInterval,
                           isSoon ? closingCheckInterval : idleCheckInterval);
     }
 
     void acceptAll()
     {
-        acceptAgainAt.reset();
+        m_acceptAgainAt.reset();
         try {
-            while (listener.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-                admit(listener.acceptConnection());
+            while (m_listener.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+                admit(m_listener.acceptConnection());
             }
         } catch (const Poco::Exception &) {
             // The peer is gone, or no descriptor is left: then the next try would fail at once.
-            acceptAgainAt = after(acceptPause);
+            m_acceptAgainAt = after(acceptPause);
             return;
         }
-        if (!watch.rearm(listener.impl()->sockfd(), this)) {
-            acceptAgainAt = after(acceptPause);
+        if (!m_watch.rearm(m_listener.impl()->sockfd(), this)) {
+            m_acceptAgainAt = after(acceptPause);
         }
     }
 
@@ -268,11 +268,11 @@
         }
         auto made = std::make_unique<connection>(socket, *this);
         connection &added = *made;
-        const std::lock_guard lock(mutex);
-        connections.emplace(&added, std::move(made));
+        const std::lock_guard lock(m_mutex);
+        m_connections.emplace(&added, std::move(made));
         added.since = std::chrono::steady_clock::now();
-        parked.insert(&added);
-        if (!watch.add(added.stream.descriptor(), &added)) {
+        m_parked.insert(&added);
+        if (!m_watch.add(added.stream.descriptor(), &added)) {
             ++refused;
             forget(added);
         }
@@ -283,15 +283,15 @@
     {
         {
             // Also orders this after the worker that parked the connection.
-            const std::lock_guard lock(mutex);
+            const std::lock_guard lock(m_mutex);
             if (!found.isEnding) {
-                parked.erase(&found);
+                m_parked.erase(&found);
             }
         }
         if (found.isEnding) {
             if (found.stream.discardInput() == io_status::Closed
-                || !watch.rearm(found.stream.descriptor(), &found)) {
-                const std::lock_guard lock(mutex);
+                || !m_watch.rearm(found.stream.descriptor(), &found)) {
+                const std::lock_guard lock(m_mutex);
                 forget(found);
             }
             return;
@@ -302,17 +302,17 @@
     void dispatch(connection &found)
     {
         try {
-            threads.start(found);
+            m_threads.start(found);
         } catch (const Poco::Exception &) {
             // All threads are in use for a moment, or the system has none left.
-            deferred.push_back(&found);
+            m_deferred.push_back(&found);
         }
     }
 
     void retryDeferred()
     {
-        const std::vector<connection *> waiting = std::move(deferred);
-        deferred.clear();
+        const std::vector<connection *> waiting = std::move(m_deferred);
+        m_deferred.clear();
         for (connection *found : waiting) {
             dispatch(*found);
         }
@@ -320,12 +320,12 @@
 
     void park(connection &served)
     {
-        const std::lock_guard lock(mutex);
-        if (!stopping) {
+        const std::lock_guard lock(m_mutex);
+        if (!m_stopping) {
             served.stream.releaseBuffer();
             served.since = std::chrono::steady_clock::now();
-            parked.insert(&served);
-            if (watch.rearm(served.stream.descriptor(), &served)) {
+            m_parked.insert(&served);
+            if (m_watch.rearm(served.stream.descriptor(), &served)) {
                 return;
             }
         }
@@ -335,34 +335,34 @@
     // Closes a connection. Call with the mutex held.
     void forget(connection &closed)
     {
-        parked.erase(&closed);
-        connections.erase(&closed);
-        changed.notify_all();
+        m_parked.erase(&closed);
+        m_connections.erase(&closed);
+        m_changed.notify_all();
     }
 
     void closeListener(steady_time now)
     {
-        const std::lock_guard lock(mutex);
-        watch.remove(listener.impl()->sockfd());
-        listener.close();
-        acceptAgainAt.reset();
+        const std::lock_guard lock(m_mutex);
+        m_watch.remove(m_listener.impl()->sockfd());
+        m_listener.close();
+        m_acceptAgainAt.reset();
         // The end of each wait is earlier from now on.
-        nextScan = now;
-        closedAt = now;
-        changed.notify_all();
+        m_nextScan = now;
+        m_closedAt = now;
+        m_changed.notify_all();
     }
 
     // Ends parked connections whose time is over.
     void closeExpired(steady_time now)
     {
-        if (now < nextScan) {
+        if (now < m_nextScan) {
             return;
         }
-        nextScan = now + pollStep();
+        m_nextScan = now + pollStep();
         const milliseconds limit = idleLimit();
-        const std::lock_guard lock(mutex);
+        const std::lock_guard lock(m_mutex);
         std::vector<connection *> over;
-        for (connection *idle : parked) {
+        for (connection *idle : m_parked) {
             if (now >= endOfWait(*idle, limit)) {
                 over.push_back(idle);
             }
@@ -386,15 +386,15 @@
             return idle.since + lingerTime;
         }
         const steady_time end = idle.since + limit;
-        return closedAt ? std::min(end, *closedAt + lastRequestTime) : end;
+        return m_closedAt ? std::min(end, *m_closedAt + lastRequestTime) : end;
     }
 
     void refuse(http_stream &stream, int status, const std::string &reason) const
     {
         server_exchange exchange(stream, Poco::Net::HTTPRequest(), {}, options.idleTimeout);
         exchange.closeAfterAnswer();
-        if (onError) {
-            onError(exchange, status, reason);
+        if (m_onError) {
+            m_onError(exchange, status, reason);
         } else {
             exchange.answer(status, reason + "\n", "text/plain");
         }
@@ -427,29 +427,29 @@
             return false;
         }
         server_exchange exchange(stream, request, framing, options.idleTimeout);
-        handle(exchange);
-        return exchange.finish() && !closing;
+        m_handle(exchange);
+        return exchange.finish() && !m_closing;
     }
 
-    const handler handle;
-    const error_handler onError;
-    std::atomic<bool> stopping = false;
+    const handler m_handle;
+    const error_handler m_onError;
+    std::atomic<bool> m_stopping = false;
     // Set once no new connections are to be accepted.
-    std::atomic<bool> closing = false;
+    std::atomic<bool> m_closing = false;
     // The following four are used by the polling thread only, once it runs.
-    Poco::Net::ServerSocket listener;
-    std::vector<connection *> deferred;
-    std::optional<steady_time> acceptAgainAt;
-    steady_time nextScan;
-    connection_watch watch;
-    mutable std::mutex mutex;
-    std::condition_variable changed;
+    Poco::Net::ServerSocket m_listener;
+    std::vector<connection *> m_deferred;
+    std::optional<steady_time> m_acceptAgainAt;
+    steady_time m_nextScan;
+    connection_watch m_watch;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
     // When the listener was closed; written by the polling thread, with the mutex held.
-    std::optional<steady_time> closedAt;
-    std::unordered_map<connection *, std::unique_ptr<connection>> connections;
-    std::unordered_set<connection *> parked;
-    Poco::ThreadPool threads;
-    std::thread poller;
+    std::optional<steady_time> m_closedAt;
+    std::unordered_map<connection *, std::unique_ptr<connection>> m_connections;
+    std::unordered_set<connection *> m_parked;
+    Poco::ThreadPool m_threads;
+    std::thread m_poller;
 };
 
 void http_server::connection::run()
--- a/src/persimmonrail/http/http_stream.cpp
+++ b/src/persimmonrail/http/http_stream.cpp
@@ -70,8 +70,7 @@
     // connection is watched. Descriptors below 0 are ignored.
     const int watched = m_watched != nullptr ? m_watched->m_descriptor : -1;
     for (;;) {
-        std::array<pollfd, 2> descriptors{
-            {{m_descriptor, events, 0}, {watched, POLLRDHUP, 0}}};
+        std::array<pollfd, 2> descriptors{{{m_descriptor, events, 0}, {watched, POLLRDHUP, 0}}};
         const int ready = ::poll(descriptors.data(), descriptors.size(), pollTimeout(until));
         if (ready < 0 && errno != EINTR) {
             return io_status::Closed;
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -503,6 +503,7 @@
         rest += key == hot ? 0 : rate(key);
     }
     std::vector<owner_load> others;
+    others.reserve(10);
     for (int i = 0; i < 10; ++i) {
         others.push_back({{"peer" + std::to_string(i), 1}, 6, 0.65, 91ms});
     }
--- a/src/persimmonrail/relay/overload_throttle.h
+++ b/src/persimmonrail/relay/overload_throttle.h
@@ -3,10 +3,10 @@
 #include "persimmonrail/base/clock.h"
 #include "persimmonrail/fleet/upstream_member.h"
 
-#include <compare>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <tuple>
 
 namespace persimmonrail {
 
@@ -35,7 +35,11 @@
         upstream_id upstream;
         int rank = 0;
         milliseconds objective{0};
-        auto operator<=>(const kind &) const = default;
+        bool operator<(const kind &other) const
+        {
+            return std::tie(upstream, rank, objective)
+                < std::tie(other.upstream, other.rank, other.objective);
+        }
     };
 
     explicit overload_throttle(overload_throttle_options options = {});
--- a/src/persimmonrail/router/peer_monitor.cpp
+++ b/src/persimmonrail/router/peer_monitor.cpp
@@ -142,9 +142,8 @@
     for (const auto &[id, peer] : m_entries) {
         ordered.push_back(&peer);
     }
-    std::sort(ordered.begin(), ordered.end(), [](const entry *a, const entry *b) {
-        return worksBefore(a->member, b->member);
-    });
+    std::sort(ordered.begin(), ordered.end(),
+              [](const entry *a, const entry *b) { return worksBefore(a->member, b->member); });
     std::vector<const upstream_member *> asked;
     for (const entry *peer : ordered) {
         asked.push_back(&peer->member);
