--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -40,6 +40,7 @@
 // requests cost no new thread.
 constexpr int minThreads = 2;
 constexpr int threadIdleSeconds = 2;
+
 // Answer to a connection beyond the limit, of which no request is read.
 std::string overloadAnswer()
 {
@@ -143,7 +144,7 @@
         m_listener.listen(listenBacklog);
         address = m_listener.address().toString();
         if (!m_watch.add(m_listener.impl()->sockfd(), this)) {
-            throw Poco::IOException("cannot m_watch the listening socket");
+            throw Poco::IOException("cannot watch the listening socket");
         }
         m_poller = std::thread([this] { poll(); });
     }
