Give up responses that never end

The client skipped empty lines before a head, the body of a response to another request and the body of a declined response until the deadline; the response to a grant or release was kept in memory whatever its size.

--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -250,16 +250,29 @@
         if (m_responseFraming.type == body_framing::kind::UntilClose) {
             return fail(exchange_state::Truncated, "unframed response to another request");
         }
+        const io_status status = skipBody();
+        return status == io_status::Ok || failIo(status, exchange_state::NoResponse);
+    }
+
+    // Reads the body of a response that the sink does not receive. Returns TooLarge if the body has
+    // more than maxSkippedBodyBytes bytes.
+    io_status skipBody()
+    {
         body_reader reader(m_stream, m_responseFraming);
         std::string piece;
+        size_t skippedBytes = 0;
         while (!reader.isComplete()) {
             const io_status status = runWithProgressTimeout(
                 [&](steady_time until) { return reader.read(piece, until); });
             if (status != io_status::Ok) {
-                return failIo(status, exchange_state::NoResponse);
+                return status;
+            }
+            skippedBytes += piece.size();
+            if (skippedBytes > maxSkippedBodyBytes) {
+                return io_status::TooLarge;
             }
         }
-        return true;
+        return io_status::Ok;
     }
 
     // Reads the next response head, which may be interim, and determines the framing of its body.
@@ -295,6 +308,11 @@
 
     void readBody()
     {
+        if (m_declined) {
+            m_isReusable = skipBody() == io_status::Ok && m_isReusable;
+            m_result.state = exchange_state::Declined;
+            return;
+        }
         body_reader reader(m_stream, m_responseFraming);
         std::string first;
         std::string piece;
@@ -304,16 +322,9 @@
                 [&](steady_time until) { return reader.read(piece, until); });
             if (status != io_status::Ok) {
                 m_isReusable = false;
-                if (m_declined) {
-                    m_result.state = exchange_state::Declined;
-                } else {
-                    failIo(status, exchange_state::Truncated);
-                }
+                failIo(status, exchange_state::Truncated);
                 return;
             }
-            if (m_declined) {
-                continue;
-            }
             if (hasBegun) {
                 if (!piece.empty() && !m_sink.write(piece)) {
                     return failDisconnectedSink();
@@ -329,10 +340,6 @@
                 first.clear();
             }
         }
-        if (m_declined) {
-            m_result.state = exchange_state::Declined;
-            return;
-        }
         m_result.responseStarted = true;
         const bool wasAccepted = hasBegun
             ? m_sink.finish()
--- a/src/persimmonrail/http/http_client.h
+++ b/src/persimmonrail/http/http_client.h
@@ -118,6 +118,10 @@
     virtual bool finish() = 0;
 };
 
+// Maximum number of body bytes that the client reads of a response that it does not pass to the
+// sink. With more, the connection is not worth keeping.
+inline constexpr size_t maxSkippedBodyBytes = 1024 * 1024;
+
 // How an exchange ended.
 enum class exchange_state {
     // The sink received the whole response.
--- a/src/persimmonrail/http/http_stream.cpp
+++ b/src/persimmonrail/http/http_stream.cpp
@@ -127,11 +127,16 @@
 io_status http_stream::readHead(std::string &head, steady_time until)
 {
     size_t searchedBytes = 0;
+    size_t skippedBytes = 0;
     for (;;) {
         // Empty lines before a head are skipped (RFC 9112, section 2.2).
         while (m_position < m_buffer.size()
                && (m_buffer[m_position] == '\r' || m_buffer[m_position] == '\n')) {
             ++m_position;
+            ++skippedBytes;
+        }
+        if (skippedBytes > maxHeadBytes) {
+            return io_status::TooLarge;
         }
         const std::string_view text = std::string_view(m_buffer).substr(m_position);
         const size_t from = searchedBytes < 3 ? 0 : searchedBytes - 3;
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -59,8 +59,8 @@
     // connection. Null ends the watch.
     void watchForClose(http_stream *other);
 
-    // Reads a head including the blank line at its end. Returns TooLarge if the head
-    // exceeds maxHeadBytes.
+    // Reads a head including the blank line at its end. Returns TooLarge if the head, or the empty
+    // lines before it, exceed maxHeadBytes.
     io_status readHead(std::string &head, steady_time until);
     // Reads between 1 and `capacity` bytes into `buffer` and sets `count` to their number, which is
     // 0 if the status is not Ok.
