Let each pending takeover wait for its own previous owner

Callers could have seen one key run at two upstreams at the same time (OWNER).

Cause: a daemon activated all pending takeovers of its upstream as soon as one of them was due. With two owners lost 5 s apart, the keys of the second were granted 5 s early, while the daemon of the second owner could still renew its grants. Class: one condition that is checked for a set, and then applied to members for which it does not hold.

dueTakeovers() now returns the fences of the takeovers that are due, and activateTakeovers() clears only these. A fence names one takeover, so the change stays correct on a record that another writer has changed meanwhile.

The tests that called the old functions check the same, and the fences besides.

--- a/src/persimmonrail/keyspace/range_lease_manager.cpp
+++ b/src/persimmonrail/keyspace/range_lease_manager.cpp
@@ -240,17 +240,21 @@
     m_held = std::move(remaining);
 }
 
-bool range_lease_manager::isTakeoverDue(boot_time now) const
+std::vector<uint64_t> range_lease_manager::dueTakeovers(boot_time now) const
 {
-    return std::any_of(
-        m_placement.ranges.begin(), m_placement.ranges.end(), [&](const owned_range &range) {
-            const auto pending =
-                std::find_if(m_pendingTakeovers.begin(), m_pendingTakeovers.end(),
-                             [&](const auto &entry) { return entry.first == range.fence; });
-            return isOwn(range) && range.takeoverDelay.count() > 0
-                && pending != m_pendingTakeovers.end()
-                && now - pending->second >= range.takeoverDelay;
-        });
+    std::vector<uint64_t> due;
+    for (const owned_range &range : m_placement.ranges) {
+        if (!isOwn(range) || range.takeoverDelay.count() == 0) {
+            continue;
+        }
+        const auto pending =
+            std::find_if(m_pendingTakeovers.begin(), m_pendingTakeovers.end(),
+                         [&](const auto &entry) { return entry.first == range.fence; });
+        if (pending != m_pendingTakeovers.end() && now - pending->second >= range.takeoverDelay) {
+            due.push_back(range.fence);
+        }
+    }
+    return due;
 }
 
 bool range_lease_manager::canServe(shard_key key, boot_time now) const
--- a/src/persimmonrail/keyspace/range_lease_manager.h
+++ b/src/persimmonrail/keyspace/range_lease_manager.h
@@ -104,8 +104,8 @@
     // Returns the grants that overlap the interval, each clipped to it and without handover token.
     std::vector<range_grant> grantsWithin(key_interval keys) const;
 
-    // Returns whether a takeover recorded for the local upstream may be activated.
-    bool isTakeoverDue(boot_time now) const;
+    // Returns the fences of the takeovers recorded for the local upstream that may be activated.
+    std::vector<uint64_t> dueTakeovers(boot_time now) const;
     // Returns whether the last confirmation by the store is younger than the lease duration.
     bool hasLease(boot_time now) const;
     // Returns whether a request for the key may be dispatched to the upstream.
--- a/src/persimmonrail/keyspace/range_plan.cpp
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -126,10 +126,12 @@
     return placement;
 }
 
-key_placement activateTakeover(key_placement placement, const upstream_id &owner)
+key_placement activateTakeovers(key_placement placement, const upstream_id &owner,
+                                const std::vector<uint64_t> &fences)
 {
     for (owned_range &range : placement.ranges) {
-        if (range.owner == owner) {
+        const bool isDue = std::find(fences.begin(), fences.end(), range.fence) != fences.end();
+        if (range.owner == owner && isDue) {
             range.takeoverDelay = milliseconds(0);
             range.previousOwner = {};
         }
--- a/src/persimmonrail/keyspace/range_plan.h
+++ b/src/persimmonrail/keyspace/range_plan.h
@@ -33,9 +33,11 @@
 key_placement moveRange(key_placement placement, key_interval keys, const upstream_id &target,
                         const std::string &handover);
 
-// Activates the pending takeovers by `owner`: clears their waiting time and previous owner. The
-// waiting time must have passed.
-key_placement activateTakeover(key_placement placement, const upstream_id &owner);
+// Activates the pending takeovers by `owner` that have one of `fences`: clears their waiting time
+// and previous owner. The waiting time of each must have passed; other takeovers stay pending,
+// since their previous owners may still hold the keys.
+key_placement activateTakeovers(key_placement placement, const upstream_id &owner,
+                                const std::vector<uint64_t> &fences);
 
 // Makes `previous`, which must still run, the owner again of all keys that pending takeovers took
 // from it.
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <map>
 #include <random>
@@ -30,6 +31,18 @@
     return placement.rangeOf(key).fence;
 }
 
+// Returns the fences of the owner's ranges.
+std::vector<uint64_t> fencesOf(const key_placement &placement, const upstream_id &owner)
+{
+    std::vector<uint64_t> fences;
+    for (const owned_range &range : placement.ranges) {
+        if (range.owner == owner) {
+            fences.push_back(range.fence);
+        }
+    }
+    return fences;
+}
+
 } // namespace
 
 TEST_CASE("the first assignment is proportional to the slots", "[keyspace]")
@@ -168,7 +181,7 @@
             lastEnd = now + timing.maxHold();
         }
         const bool isHeld = now < lastEnd;
-        const bool mayTakeOver = newOwner.isTakeoverDue(now);
+        const bool mayTakeOver = !newOwner.dueTakeovers(now).empty();
         CAPTURE((now - start).count());
         REQUIRE_FALSE((isHeld && mayTakeOver));
         if (now < start + timing.takeoverDelay()) {
@@ -177,12 +190,52 @@
             }
         }
     }
-    CHECK(newOwner.isTakeoverDue(start + timing.takeoverDelay()));
-    after = activateTakeover(after, b);
+    const auto due = newOwner.dueTakeovers(start + timing.takeoverDelay());
+    CHECK(due == std::vector<uint64_t>{fenceOf(after, 5)});
+    after = activateTakeovers(after, b, due);
     newOwner.onPlacement(after, start + 20s, start + 20s);
     CHECK(newOwner.dueGrants(start + 20s).size() == 2);
 }
 
+// Guards against two owners of one key: the new owner waited until its first takeover was due and
+// then granted the keys of all its pending takeovers, also those whose previous owner had been lost
+// later and could still hold them.
+TEST_CASE("each of several pending takeovers waits for its own previous owner", "[keyspace]")
+{
+    const range_lease_timing timing;
+    const key_placement before =
+        assignUnowned(emptyPlacement("haulbook"), {{a, 9}, {b, 9}, {c, 9}});
+    const auto lose = [&](const key_placement &placement, const upstream_id &lost) {
+        return reassignLost(
+            placement, [&](const upstream_id &id) { return id == lost; }, {{b, 9}},
+            timing.takeoverDelay());
+    };
+    constexpr shard_key keyOfA = 5;
+    constexpr shard_key keyOfC = lastKey;
+    const boot_time firstLoss = start;
+    const boot_time secondLoss = start + 5s;
+    range_lease_manager newOwner(timing);
+    newOwner.setUpstream(b);
+    key_placement placement = lose(before, a);
+    newOwner.onPlacement(placement, firstLoss, firstLoss);
+    placement = lose(placement, c);
+    newOwner.onPlacement(placement, secondLoss, secondLoss);
+
+    const auto isGrantDue = [&](shard_key key, boot_time now) {
+        const auto due = newOwner.dueGrants(now);
+        return std::any_of(due.begin(), due.end(),
+                           [key](const range_grant &grant) { return grant.keys.contains(key); });
+    };
+    for (boot_time now = secondLoss; now < secondLoss + 12s; now += 50ms) {
+        newOwner.onConfirmed(now);
+        placement = activateTakeovers(placement, b, newOwner.dueTakeovers(now));
+        newOwner.onPlacement(placement, now, now);
+        CAPTURE((now - start).count());
+        REQUIRE(isGrantDue(keyOfA, now) == (now >= firstLoss + timing.takeoverDelay()));
+        REQUIRE(isGrantDue(keyOfC, now) == (now >= secondLoss + timing.takeoverDelay()));
+    }
+}
+
 // Guards against keys that are assigned to the lost owner again and then reassigned without end.
 TEST_CASE("a lost owner gets none of its keys back", "[keyspace]")
 {
@@ -220,7 +273,9 @@
     placement = reassignLost(
         placement, [](const upstream_id &id) { return id == b; }, {{c, 9}}, 10s);
     CHECK(ownedKeys(reclaimRanges(placement, a), a) == 32768);
-    CHECK(reclaimRanges(activateTakeover(placement, c), a) == activateTakeover(placement, c));
+    const key_placement activated = activateTakeovers(placement, c, fencesOf(placement, c));
+    CHECK(activated != placement);
+    CHECK(reclaimRanges(activated, a) == activated);
 }
 
 // Guards against serving keys that are being released, and against an interruption for the other
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -345,13 +345,13 @@
             propose(reclaimed, "reclaim");
             return;
         }
-        bool takeoverDue = false;
+        std::vector<uint64_t> dueTakeovers;
         {
             const std::lock_guard lock(m_mutex);
-            takeoverDue = m_leaseManager.isTakeoverDue(bootNow());
+            dueTakeovers = m_leaseManager.dueTakeovers(bootNow());
         }
-        if (takeoverDue) {
-            propose(activateTakeover(current, *m_upstream), "activate-takeover");
+        if (!dueTakeovers.empty()) {
+            propose(activateTakeovers(current, *m_upstream, dueTakeovers), "activate-takeover");
             return;
         }
     }
