Log how moves of keys end and why keyed requests are not served

The log showed when a move begins and each write of the record, but not when the move ended, with which result and after which time, and a refused keyed request read `not-owner` whatever the cause.

A move that ends is now a line `give ... outcome=ended` with its result and duration. At most once a second a line `keys not-served` counts the requests refused for their key: the key was moving, was recorded for another upstream, or was recorded here without a grant in force.

router_tests and platform_tests pass.

--- a/src/persimmonrail/keyspace/range_lease_manager.h
+++ b/src/persimmonrail/keyspace/range_lease_manager.h
@@ -112,6 +112,8 @@
     bool canServe(shard_key key, boot_time now) const;
     // Returns the intervals whose grants are in force.
     std::vector<key_interval> servedIntervals(boot_time now) const;
+    // Returns whether the local upstream is the recorded owner of the range.
+    bool isOwn(const owned_range &range) const;
     // Returns the last placement of onPlacement(), for reports.
     const key_placement &placement() const { return m_placement; }
     // Returns the time at which the last grant has certainly ended, or nothing if there is none.
@@ -129,8 +131,6 @@
         // Time at which the grant has ended at the latest, with the clock error included.
         boot_time endsAt{};
     };
-    // Returns whether the local upstream is the recorded owner of the range.
-    bool isOwn(const owned_range &range) const;
     // Returns whether any of the keys is about to be moved.
     bool isMoving(key_interval keys) const;
     // Returns the parts of an interval that are not about to be moved.
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <utility>
 
 namespace persimmonrail {
 namespace {
@@ -17,6 +18,7 @@
 // confirmation, so that one lost response does not matter.
 constexpr milliseconds confirmInterval{2000};
 constexpr milliseconds writeRetryDelay{300};
+constexpr milliseconds unservedLogInterval{1000};
 // Weight of one sample in the exponentially weighted moving average. One sample is taken per tick,
 // so the last second makes up most of the average.
 constexpr double utilizationSmoothingWeight = 0.2;
@@ -106,10 +108,50 @@
     m_utilization += (utilization - m_utilization) * utilizationSmoothingWeight;
 }
 
-bool range_controller::canServe(shard_key key) const
+bool range_controller::canServe(shard_key key)
 {
     const std::lock_guard lock(m_mutex);
-    return m_leaseManager.canServe(key, bootNow());
+    const bool isServable = m_leaseManager.canServe(key, bootNow());
+    if (!isServable) {
+        countUnserved(key);
+    }
+    return isServable;
+}
+
+// Must be called with m_mutex held.
+void range_controller::countUnserved(shard_key key)
+{
+    const auto &moving = m_leaseManager.moving();
+    const auto &ranges = m_leaseManager.placement().ranges;
+    const auto hasKey = [key](key_interval keys) { return keys.contains(key); };
+    if (std::any_of(moving.begin(), moving.end(), hasKey)) {
+        ++m_unserved.moving;
+    } else if (std::any_of(ranges.begin(), ranges.end(), [&](const owned_range &range) {
+                   return range.keys.contains(key) && m_leaseManager.isOwn(range);
+               })) {
+        ++m_unserved.notGranted;
+    } else {
+        ++m_unserved.notRecorded;
+    }
+}
+
+void range_controller::logUnserved(steady_time now)
+{
+    if (now - m_unservedLoggedAt < unservedLogInterval) {
+        return;
+    }
+    m_unservedLoggedAt = now;
+    unserved_counts counts;
+    {
+        const std::lock_guard lock(m_mutex);
+        counts = std::exchange(m_unserved, {});
+    }
+    if (counts.moving + counts.notRecorded + counts.notGranted > 0) {
+        m_log.write(log_level::Info,
+                    absl::StrCat("keys not-served service=", m_service, " moving=", counts.moving,
+                                 " not_recorded=", counts.notRecorded,
+                                 " not_granted=", counts.notGranted));
+    }
 }
 
 bool range_controller::isTerminated(const upstream_id &id) const
@@ -147,6 +189,7 @@
 
 void range_controller::tick(steady_time now)
 {
+    logUnserved(now);
     if (!m_upstream) {
         // Another daemon, or the upstream's next incarnation, acts for the keys that the upstream
         // owned.
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -63,7 +63,7 @@
     void tick(steady_time now);
 
     // Whether the local upstream may serve requests for this key now.
-    bool canServe(shard_key key) const;
+    bool canServe(shard_key key);
     // Counts one request for this key, for the rates from which moves are chosen.
     void countKeyRequest(shard_key key) { m_rates.count(key); }
     bool isIdle() const { return !m_isMoving; }
@@ -87,7 +87,10 @@
     // `retriesLeft` is the number of further writes allowed if other writers change the record
     // first.
     void finishMove(const std::vector<released_range> &releasedRanges, int retriesLeft);
-    void endMove();
+    // `result` tells how the move ended, for the log.
+    void endMove(std::string_view result);
+    void countUnserved(shard_key key);
+    void logUnserved(steady_time now);
     owner_load ownLoad() const;
     void writePlacement(placement_write change, std::function<void(write_result result)> done);
     void onMoveWritten(const std::vector<released_range> &releasedRanges, int retriesLeft,
@@ -106,9 +109,20 @@
     control_loop &m_loop;
     decision_log &m_log;
     const hooks m_hooks;
-    // Guards m_leaseManager, which traffic threads read through canServe().
+    // Requests for keys that could not be served, by cause.
+    struct unserved_counts
+    {
+        uint64_t moving = 0;
+        // Recorded for another upstream, or for none.
+        uint64_t notRecorded = 0;
+        // Recorded for the local upstream, without a grant in force.
+        uint64_t notGranted = 0;
+    };
+    // Guards m_leaseManager, which traffic threads read through canServe(), and m_unserved.
     mutable std::mutex m_mutex;
     range_lease_manager m_leaseManager;
+    unserved_counts m_unserved;
+    steady_time m_unservedLoggedAt{};
     key_rates m_rates;
     std::shared_ptr<const fleet_directory> m_directory = std::make_shared<fleet_directory>();
     std::optional<upstream_id> m_upstream;
@@ -126,6 +140,8 @@
     boot_time m_confirmedAt{};
     boot_time m_confirmationSentAt{};
     steady_time m_nextWriteAt{};
+    // When the keys of the current move stopped being served.
+    steady_time m_moveBeganAt{};
     // When the last move ended.
     steady_time m_lastMoveEndedAt{};
     std::optional<steady_time> m_membersStableSince;
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -108,6 +108,7 @@
         return;
     }
     m_isMoving = true;
+    m_moveBeganAt = std::chrono::steady_clock::now();
     std::vector<key_interval> intervals;
     for (const planned_move &move : moves) {
         intervals.push_back(move.keys);
@@ -149,11 +150,14 @@
         });
 }
 
-void range_controller::endMove()
+void range_controller::endMove(std::string_view result)
 {
     m_isMoving = false;
     m_unconfirmedMove.reset();
     m_lastMoveEndedAt = std::chrono::steady_clock::now();
+    const auto duration =
+        std::chrono::duration_cast<milliseconds>(m_lastMoveEndedAt - m_moveBeganAt);
+    logRange("give", {}, 0, "ended", absl::StrCat(toAbsl(result), ",took_ms:", duration.count()));
     {
         const std::lock_guard lock(m_mutex);
         m_leaseManager.setMoving({});
@@ -166,7 +170,7 @@
 {
     const auto *record = m_directory->findPlacement(m_service);
     if (record == nullptr || releasedRanges.empty()) {
-        endMove();
+        endMove("not-released");
         return;
     }
     key_placement next = record->placement;
@@ -179,7 +183,7 @@
         }
     }
     if (next == record->placement) {
-        endMove();
+        endMove("not-recorded");
         return;
     }
     writePlacement({std::move(next), record->version, "give"},
@@ -204,7 +208,7 @@
     const bool isOutcomeKnown =
         result == write_result::Written || result == write_result::Superseded;
     if (!m_unconfirmedMove || isOutcomeKnown) {
-        endMove();
+        endMove(toString(result));
     }
 }
 
@@ -216,7 +220,7 @@
         return;
     }
     if (now >= m_unconfirmedMove->expiresAt) {
-        endMove();
+        endMove("expired");
         return;
     }
     finishMove(std::vector(m_unconfirmedMove->releasedRanges), maxMoveRetries);
