Begin no more moves than the hosts of a service can record

Callers saw 503 for keys that were released and not recorded for a new owner.

Such a closed loop waits until arrivals equal what is done: 30 owners at 8 a second need 3.75 s per round, 1 s of pause and 2.75 s of contention with the keys released. Class: saturation of a shared resource by clients that retry without regard to their number.

An owner now waits at least 200 ms for each live upstream of its service between two load moves (6 s of 30), so that all together begin at most five a second; services of five owners or fewer move as often as before, newcomers still get keys after 1 s, and leaving owners give theirs at once.

--- /dev/null
+++ b/src/persimmonrail/router/move_interval.cpp
@@ -0,0 +1,24 @@
+#include "persimmonrail/router/move_interval.h"
+
+#include <algorithm>
+
+namespace persimmonrail {
+namespace {
+
+// The second move has to take account of the loads that are reported after the first.
+constexpr milliseconds overloadedInterval{1000};
+// An owner that can serve its load moves keys less often, since requests for keys wait while the
+// keys move.
+constexpr milliseconds nonOverloadedInterval{4000};
+// Least mean time between the moves of all owners of a service.
+constexpr milliseconds intervalPerOwner{200};
+
+} // namespace
+
+milliseconds minMoveInterval(size_t owners, bool isOverloaded)
+{
+    return std::max(isOverloaded ? overloadedInterval : nonOverloadedInterval,
+                    intervalPerOwner * static_cast<int64_t>(owners));
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -1,6 +1,7 @@
 // Moves of key ranges to other owners: choosing the keys, releasing them, and writing the new
 // owners.
 #include "persimmonrail/base/text.h"
+#include "persimmonrail/router/move_interval.h"
 #include "persimmonrail/router/range_controller.h"
 
 #include <absl/strings/str_cat.h>
@@ -13,12 +14,8 @@
 // Keys are released only if the store responded within this time, since the move must be written to
 // the store.
 constexpr milliseconds maxConfirmationAge{3000};
-// Minimum interval between two moves, so that the second move takes account of the loads reported
-// after the first.
+// Least time between two moves, for whatever reason.
 constexpr milliseconds moveInterval{1000};
-// Replaces moveInterval for an owner that can serve its load, since requests for keys wait while
-// the keys move.
-constexpr milliseconds nonOverloadedMoveInterval{4000};
 constexpr double overloadUtilization = 1.0;
 // Longest time for which the new owners of released keys are written in one go. Giving the keys
 // back costs more than a further try: the owner would serve them without the state that the release
@@ -71,8 +68,8 @@
         return;
     }
     const owner_load load = ownLoad();
-    if (load.utilization < overloadUtilization
-        && now - m_lastMoveEndedAt < nonOverloadedMoveInterval) {
+    const bool isOverloaded = load.utilization >= overloadUtilization;
+    if (now - m_lastMoveEndedAt < minMoveInterval(m_peers.live.size(), isOverloaded)) {
         return;
     }
     auto moves = chooseMoves(
