Wait for a peer that responds late instead of giving up its requests

Cause: a failure detector that takes slowness for failure. After 700 ms without progress, a new connection asked the peer about the request; if no response came within 400 ms, the peer counted as failed: a repeatable request was given up (11,681 attempts, `silent-connection`), the peer got no requests for 2 s (14,757, `peer-silent`), and the picker's penalty rejected keyed requests to it (28,750 of them, `peer-unreachable`). The daemon of a host with 0.1 of a processor needs longer than 400 ms while it is overloaded; callers then repeated, which loaded it further.

Change: a probe has typed results. A request is given up if the peer says that it doesn't have it (`silent-connection`), if no connection to the host can be established (`peer-unreachable`, as unknown), or if the peer has responded to nothing on any connection for 3 s of waiting (`peer-silent`, as unknown); the latter two never while this daemon stops, and only if the request is repeatable. A probe stays open until it is answered, so an overloaded peer gets one for a request. peer_liveness keeps the signs of life per address; one request or probe a second tests a peer that gives none. The penalty of the picker needs proof; for keyed requests only an unreachable host is proof. A request stays "in flight" for probes until its response is sent. The attempts in the log say how many checks of probes were unanswered.

--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -24,30 +24,27 @@
 // Crossing between availability zones takes a few milliseconds, and the kernel accepts connections
 // even for a busy process. Calls that running requests wait for have a quarter of a second in all.
 constexpr milliseconds peerConnectTimeout{120};
-// After this time without progress, the client opens a new connection and asks the peer whether the
+// After each such time without progress, the client asks the peer over a new connection whether the
 // request is still in flight there.
 constexpr milliseconds progressTimeout{700};
-constexpr milliseconds probeTimeout{400};
+constexpr milliseconds probeConnectTimeout{400};
 // Large responses are sent in chunks of this size, so that a small response waits for at most one
 // chunk.
 constexpr size_t pacedChunkBytes = 16 * 1024;
 // Shorter delays do not justify a wake-up; a fast link needs none.
 constexpr milliseconds minPacingDelay{2};
 
-enum class probe_result { InFlight, Lost, Unresponsive };
-
-// Asks the peer over a new connection whether a request is in flight there.
-probe_result probePeer(const std::string &address, const std::string &requestId)
+// Returns why a request was given up after this result of a probe.
+proxy_reason reasonAfterProbe(probe_result probed)
 {
-    connection_pool_options options;
-    options.connectTimeout = probeTimeout;
-    http_client client(std::make_shared<connection_pool>(options));
-    const auto response = simpleRequest(client, address, "GET", proxyInFlightPath + requestId, "",
-                                        std::chrono::steady_clock::now() + probeTimeout);
-    if (!response.ok()) {
-        return probe_result::Unresponsive;
+    switch (probed) {
+    case probe_result::HostUnreachable:
+        return proxy_reason::PeerUnreachable;
+    case probe_result::NoResponse:
+        return proxy_reason::PeerSilent;
+    default:
+        return proxy_reason::SilentConnection;
     }
-    return response->status == 404 ? probe_result::Lost : probe_result::InFlight;
 }
 
 std::string formatMilliseconds(std::chrono::nanoseconds time)
@@ -101,12 +98,29 @@
 
 } // namespace
 
-peer_client::peer_client()
-    : m_pool(std::make_shared<connection_pool>(connection_pool_options{
-        maxIdlePerPeer, maxIdleConnections, peerIdleTimeout, peerFreshTime, peerConnectTimeout}))
+peer_client::peer_client(std::function<bool()> isStopping)
+    : m_isStopping(std::move(isStopping))
+    , m_pool(std::make_shared<connection_pool>(connection_pool_options{
+          maxIdlePerPeer, maxIdleConnections, peerIdleTimeout, peerFreshTime, peerConnectTimeout}))
+    , m_probeConnections({0, 0, milliseconds(0), milliseconds(0), probeConnectTimeout})
     , m_client(m_pool)
 { }
 
+bool peer_client::isGivenUp(const proxied_request &request, const std::string &peerAddress,
+                            probe_result probed) const
+{
+    if (probed == probe_result::RequestLost) {
+        return true;
+    }
+    // A request that is not repeatable must not run twice, and a planned stop ends no request
+    // early.
+    if (probed == probe_result::InFlight || !request.repeatable || m_isStopping()) {
+        return false;
+    }
+    return probed == probe_result::HostUnreachable
+        || m_liveness.isUnresponsive(peerAddress, std::chrono::steady_clock::now());
+}
+
 proxy_result peer_client::forward(const proxied_request &request, const std::string &peerAddress,
                                   server_exchange &exchange, response_sink &sink)
 {
@@ -127,18 +141,25 @@
         return head.get(outcomeHeader, "") == toString(request_outcome::Run);
     };
     call.progressTimeout = progressTimeout;
+    proxy_result result;
+    peer_probe probe(m_probeConnections, peerAddress, request.requestId);
+    probe_result probed = probe_result::InFlight;
     call.probe = [&] {
-        const probe_result probeResult = probePeer(peerAddress, request.requestId);
-        if (probeResult == probe_result::Unresponsive) {
-            m_unresponsivePeers.mark(peerAddress, std::chrono::steady_clock::now());
+        probed = probe.check(std::chrono::steady_clock::now());
+        const steady_time now = std::chrono::steady_clock::now();
+        if (probed == probe_result::NoResponse) {
+            ++result.unansweredProbes;
+            m_liveness.recordNoResponse(peerAddress, probe.sentAt(), now);
+        } else if (probed != probe_result::HostUnreachable) {
+            m_liveness.recordResponse(peerAddress, now);
         }
-        // With an unresponsive peer, a request that is not repeatable waits until its deadline,
-        // since it must not run twice.
-        return probeResult == probe_result::Lost
-            || (probeResult == probe_result::Unresponsive && request.repeatable);
+        return isGivenUp(request, peerAddress, probed);
     };
     const exchange_result exchanged = m_client.exchange(call, sink);
-    proxy_result result;
+    if (exchanged.responseStarted || exchanged.state == exchange_state::Complete
+        || exchanged.state == exchange_state::Declined) {
+        m_liveness.recordResponse(peerAddress, std::chrono::steady_clock::now());
+    }
     result.responseStarted = exchanged.responseStarted;
     result.callerDisconnected =
         exchanged.receiverDisconnected || exchanged.state == exchange_state::CallerDisconnected;
@@ -161,7 +182,7 @@
         result.reason = proxy_reason::DeadlineExceeded;
         break;
     case exchange_state::Unresponsive:
-        result.reason = proxy_reason::SilentConnection;
+        result.reason = reasonAfterProbe(probed);
         break;
     case exchange_state::Truncated:
         result.reason = proxy_reason::BrokenResponse;
--- a/src/persimmonrail/proxy/peer_client.h
+++ b/src/persimmonrail/proxy/peer_client.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "persimmonrail/gateway/unresponsive_peers.h"
 #include "persimmonrail/http/http_server.h"
 #include "persimmonrail/proxy/large_response_queue.h"
 #include "persimmonrail/proxy/link_pacer.h"
+#include "persimmonrail/proxy/peer_liveness.h"
+#include "persimmonrail/proxy/peer_probe.h"
 #include "persimmonrail/proxy/proxy_types.h"
 
 #include <absl/status/statusor.h>
@@ -13,32 +14,33 @@
 
 namespace persimmonrail {
 
-// Path on the peer port under which a daemon reports whether it runs a request for a peer: 200 if
-// it does, 404 if not.
-inline constexpr char proxyInFlightPath[] = "/v1/requests/";
-
 // Forwards requests to the peer ports of other daemons. Thread safe.
 class peer_client
 {
 public:
-    peer_client();
+    // `isStopping` returns whether this daemon is stopping; it must be thread safe.
+    explicit peer_client(std::function<bool()> isStopping);
 
     // Sends the request to the peer and passes the response of its upstream on to `sink`.
     // `exchange` supplies the request body and is watched for the caller's disconnection. Blocks
-    // until the response has ended or the attempt has failed; probes the peer if there is no
-    // progress.
+    // until the response has ended or the attempt has failed. If there is no progress, probes the
+    // peer, and gives the request up only if the probes prove that no response will follow.
     proxy_result forward(const proxied_request &request, const std::string &peerAddress,
                          server_exchange &exchange, response_sink &sink);
-    // Returns whether the peer has recently failed to respond to a probe.
-    bool isUnresponsive(std::string_view address, steady_time now) const
-    {
-        return m_unresponsivePeers.contains(address, now);
-    }
+    // Returns which peers have not responded to probes.
+    peer_liveness &liveness() { return m_liveness; }
 
 private:
+    // Returns whether a request without progress is given up after this result of a probe.
+    bool isGivenUp(const proxied_request &request, const std::string &peerAddress,
+                   probe_result probed) const;
+
+    const std::function<bool()> m_isStopping;
     std::shared_ptr<connection_pool> m_pool;
+    // Establishes the connections of probes.
+    connection_pool m_probeConnections;
     http_client m_client;
-    unresponsive_peers m_unresponsivePeers;
+    peer_liveness m_liveness;
 };
 
 // Decodes a request that forward() has sent, and removes the fields that forward() has set. Times
--- a/src/persimmonrail/proxy/proxy_reason.h
+++ b/src/persimmonrail/proxy/proxy_reason.h
@@ -32,8 +32,11 @@
     // Large responses queue for the link of the upstream's host.
     LinkBusy,
     DeadlineUnreachable,
+    // No connection to the peer could be established. If one could when the request was sent, the
+    // request may have run.
     PeerUnreachable,
-    // The peer has recently failed to respond to a probe.
+    // The peer accepts connections but has responded to nothing for seconds. If it did when the
+    // request was sent, the request may have run.
     PeerSilent,
     UpstreamUnreachable,
     // The upstream states that it did not run the request.
@@ -51,7 +54,8 @@
     MismatchedResponse,
     DeadlineExceeded,
     CallerDisconnected,
-    // The connection made no progress and was given up after a probe of the peer.
+    // The connection made no progress, and the peer responded over another one that it doesn't
+    // have the request.
     SilentConnection,
 };
 
--- a/src/persimmonrail/proxy/proxy_types.h
+++ b/src/persimmonrail/proxy/proxy_types.h
@@ -58,6 +58,8 @@
     bool callerDisconnected = false;
     // Whether the request may have reached the upstream, even if the upstream rejected it.
     bool hasReachedUpstream = false;
+    // Checks of probes that had no response yet.
+    int unansweredProbes = 0;
     // Queue of the upstream after the attempt; nullopt if unknown.
     std::optional<queue_report> queue;
 };
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -224,7 +224,7 @@
             proxy_sink sink(m_exchange, {});
             result = m_proxy.m_dispatcher.dispatch(m_request, m_exchange, sink);
             result.queue = m_proxy.m_dispatcher.queue();
-        } else if (m_proxy.m_peers.isUnresponsive(member->peerAddress, now)) {
+        } else if (!m_proxy.m_peers.liveness().tryBegin(member->peerAddress, sentAt)) {
             result = notRunResult(proxy_reason::PeerSilent);
         } else {
             proxy_sink sink(m_exchange, {});
@@ -232,22 +232,32 @@
             recordLoad(service.throttle, requestClass, result);
             m_overloadRejections += result.reason == proxy_reason::Overload ? 1 : 0;
         }
-        const bool isFailure = result.reason == proxy_reason::PeerUnreachable
-            || result.reason == proxy_reason::PeerSilent
-            || result.reason == proxy_reason::SilentConnection
-            || result.reason == proxy_reason::NoResponse
-            || result.reason == proxy_reason::OtherUpstream
-            || result.reason == proxy_reason::UpstreamUnreachable;
-        service.picker.finish(member->id,
-                              isFailure                       ? upstream_picker::result::Failed
-                                  : result.callerDisconnected ? upstream_picker::result::Neutral
-                                                              : upstream_picker::result::Reached,
-                              result.queue, clockNow());
+        service.picker.finish(member->id, pickerResult(result), result.queue, clockNow());
         m_tried.push_back(member->id);
         logAttempt(result, clockNow() - sentAt, directory->revision());
         return result;
     }
 
+    // Returns what an attempt says about its upstream. A key has one owner, so its requests are
+    // kept away from the owner only if no connection to the host of the owner can be established.
+    upstream_picker::result pickerResult(const proxy_result &attempted) const
+    {
+        switch (attempted.reason) {
+        case proxy_reason::PeerUnreachable:
+            return upstream_picker::result::Failed;
+        case proxy_reason::NoResponse:
+        case proxy_reason::OtherUpstream:
+        case proxy_reason::UpstreamUnreachable:
+            return m_request.key ? upstream_picker::result::Reached
+                                 : upstream_picker::result::Failed;
+        case proxy_reason::PeerSilent:
+            return upstream_picker::result::Neutral;
+        default:
+            return attempted.callerDisconnected ? upstream_picker::result::Neutral
+                                                : upstream_picker::result::Reached;
+        }
+    }
+
     // Requests with a key are throttled per owner. Other requests may go to any upstream, and a
     // daemon with many upstreams contacts each too seldom to learn its load, so all upstreams of
     // the service are counted together.
@@ -291,13 +301,19 @@
     }
 
     // Returns an upstream that is not draining and has not been tried; null if there is none.
+    // Prefers upstreams beside daemons that have responded lately.
     const upstream_member *pickUpstream(const fleet_directory &directory,
                                         request_proxy::service_state &service,
                                         steady_time now) const
     {
         std::vector<const upstream_member *> members = directory.membersOf(m_request.service);
         std::erase_if(members, [](const upstream_member *member) { return member->isDraining; });
-        return service.picker.pick(members, m_tried, now);
+        std::vector<const upstream_member *> responsive = members;
+        std::erase_if(responsive, [&](const upstream_member *member) {
+            return m_proxy.m_peers.liveness().shouldAvoid(member->peerAddress, now);
+        });
+        const upstream_member *picked = service.picker.pick(responsive, m_tried, now);
+        return picked != nullptr ? picked : service.picker.pick(members, m_tried, now);
     }
 
     void logAttempt(const proxy_result &result, std::chrono::nanoseconds took, uint64_t revision)
@@ -314,6 +330,7 @@
         entry.outcome = toString(result.outcome);
         const std::string reason = absl::StrCat(
             toAbsl(toString(result.reason)), ",status:", result.status,
+            ",unanswered_probes:", result.unansweredProbes,
             ",took_us:", std::chrono::duration_cast<std::chrono::microseconds>(took).count());
         entry.reason = reason;
         m_proxy.m_log.write(entry);
@@ -383,6 +400,30 @@
     bool m_isRetryBudgetSpent = false;
 };
 
+// Counts a request of a peer as in flight until its response is sent, so that a probe can't be
+// answered with "not in flight" before.
+class request_proxy::peer_request_guard
+{
+public:
+    peer_request_guard(request_proxy &proxy, const std::string &requestId)
+        : m_proxy(proxy)
+    {
+        const std::lock_guard lock(m_proxy.m_mutex);
+        m_entry = m_proxy.m_peerRequests.insert(requestId);
+    }
+    peer_request_guard(const peer_request_guard &) = delete;
+    peer_request_guard &operator=(const peer_request_guard &) = delete;
+    ~peer_request_guard()
+    {
+        const std::lock_guard lock(m_proxy.m_mutex);
+        m_proxy.m_peerRequests.erase(m_entry);
+    }
+
+private:
+    request_proxy &m_proxy;
+    std::multiset<std::string, std::less<>>::iterator m_entry;
+};
+
 request_proxy::service_state::service_state(const request_proxy_options &options,
                                             random_source random, steady_time now)
     : picker(options.availabilityZone, std::move(random))
@@ -398,6 +439,7 @@
     , m_dispatcher(dispatcher)
     , m_log(log)
     , m_metrics(values)
+    , m_peers(m_hooks.isStopping)
     , m_outboundLink{large_response_queue(),
                      link_pacer(m_options.linkBytesPerSecond * m_options.largeResponseShare)}
     , m_random(m_hooks.makeRandom())
@@ -435,12 +477,17 @@
     proxied_call(*this, exchange).serve();
 }
 
+bool request_proxy::isPeerRequestInFlight(const std::string &requestId)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_peerRequests.contains(requestId);
+}
+
 void request_proxy::servePeer(server_exchange &exchange)
 {
     const std::string &uri = exchange.request().getURI();
     if (uri.starts_with(proxyInFlightPath)) {
-        const std::lock_guard lock(m_mutex);
-        const bool isInFlight = m_peerRequests.contains(uri.substr(sizeof(proxyInFlightPath) - 1));
+        const bool isInFlight = isPeerRequestInFlight(uri.substr(sizeof(proxyInFlightPath) - 1));
         exchange.respond(isInFlight ? 200 : 404, "", "text/plain");
         return;
     }
@@ -452,10 +499,7 @@
         respondToPeer(exchange, notRunResult(proxy_reason::MalformedRequest));
         return;
     }
-    {
-        const std::lock_guard lock(m_mutex);
-        m_peerRequests.insert(request->requestId);
-    }
+    const peer_request_guard inFlightGuard(*this, request->requestId);
     const auto decorate = [this](Poco::Net::HTTPResponse &head) {
         head.set(outcomeHeader, std::string(toString(request_outcome::Run)));
         head.set(queueHeader, encodeQueueReport(m_dispatcher.queue()));
@@ -463,10 +507,6 @@
     proxy_sink sink(exchange, decorate, &m_outboundLink, request->route);
     request->linkEstimate = m_outboundLink.pacer.estimateFor(request->route, clockNow());
     proxy_result result = m_dispatcher.dispatch(*request, exchange, sink);
-    {
-        const std::lock_guard lock(m_mutex);
-        m_peerRequests.erase(m_peerRequests.find(request->requestId));
-    }
     if (result.outcome != request_outcome::Run && !result.responseStarted
         && !result.callerDisconnected) {
         result.queue = m_dispatcher.queue();
--- a/src/persimmonrail/proxy/request_proxy.h
+++ b/src/persimmonrail/proxy/request_proxy.h
@@ -2,7 +2,6 @@
 
 #include "persimmonrail/base/random_source.h"
 #include "persimmonrail/fleet/fleet_directory.h"
-#include "persimmonrail/gateway/unresponsive_peers.h"
 #include "persimmonrail/http/http_server.h"
 #include "persimmonrail/proxy/overload_throttle.h"
 #include "persimmonrail/proxy/peer_client.h"
@@ -79,6 +78,7 @@
 
 private:
     friend class proxied_call;
+    class peer_request_guard;
 
     // State of the requests to one service.
     struct service_state
@@ -90,6 +90,7 @@
         retry_budget retries;
     };
     service_state &findOrCreateService(const std::string &service, steady_time now);
+    bool isPeerRequestInFlight(const std::string &requestId);
     // Returns 64 random bits.
     uint64_t randomBits();
     // Returns a uniformly distributed number in [0, 1).
