Close the peer port of a stopping daemon before its process exits

Cause: router::state::stop returned as soon as no request was in flight, while the peer port still read requests; the process then exited with them. Their senders could not know that they had not run.

Change: from the stop signal on, responses at the peer port close their connections. Other daemons reuse none that has been idle for 2 s, so after 2.2 s they keep none. Once nothing is in flight, the port of the callers and then that of the peers is closed, and each is served for 0.3 s more, in which a connection that was accepted before may bring a request; it is answered `stopping`, not run. A later connection is refused, which proves that nothing was sent. All within the grace period.

The stop takes up to 0.6 s longer.

--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -492,6 +492,10 @@
         return;
     }
     const in_flight_guard guard(m_inFlight);
+    if (m_hooks.isStopping()) {
+        // Otherwise the peer could send a request on the connection while the process exits.
+        exchange.closeAfterResponse();
+    }
     auto request = readPeerRequest(exchange.request(), clockNow());
     if (!request.ok()) {
         m_log.write(log_level::Warn,
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -16,10 +16,15 @@
 constexpr milliseconds rangeTickInterval{100};
 constexpr milliseconds upstreamCheckInterval{250};
 // Callers check readiness once a second and notice within two checks that the daemon is stopping.
+// Other daemons reuse no connection that has been idle for 2 s, so by then they keep none to this
+// daemon.
 constexpr milliseconds callerDrainDelay{2200};
 // Part of the grace period reserved for the end of the process itself.
 constexpr milliseconds exitMargin{700};
 constexpr milliseconds stopPollInterval{20};
+// A connection that was accepted just before its port was closed may still bring a request. The
+// ports keep such connections open for a quarter of a second.
+constexpr milliseconds lastRequestTime{300};
 // Longer than the idle timeout that the desired state sets for callers, so that the caller closes
 // an idle connection first.
 constexpr milliseconds callerIdleTimeout{60000};
@@ -334,8 +339,16 @@
     m_isDispatchClosed = true;
     // Closes idle connections at once and the others after their current request. A request sent
     // later would be cut off by the end of the process.
-    m_callerServer->stopListening();
-    waitUntil(deadline, [this] { return m_proxy->inFlight() == 0; });
+    const auto closePort = [&](http_server &server) {
+        server.stopListening();
+        const steady_time lastRequestEnd = std::chrono::steady_clock::now() + lastRequestTime;
+        waitUntil(deadline, [&] {
+            return m_proxy->inFlight() == 0 && std::chrono::steady_clock::now() >= lastRequestEnd;
+        });
+    };
+    closePort(*m_callerServer);
+    // The peer port closes last, since other daemons ask there about their requests in flight.
+    closePort(*m_peerServer);
     logEvent("stopped", absl::StrCat("in_flight=", m_proxy->inFlight()));
 }
 
