Never let the polling thread of the HTTP server wait for other threads

Cause: http_server used Poco::ThreadPool, whose start() ends the threads that have been idle for 2 s and joins each of them, and waits until a new thread runs. It is called on the thread that accepts connections and polls them, so after a burst of requests a server answers nothing while hundreds of threads end one after the other on a busy host.

Change: worker_pool starts detached threads and never waits for them; the thread that became idle last gets the next task, the others end by themselves.

--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -3,11 +3,10 @@
 #include "persimmonrail/base/header_names.h"
 #include "persimmonrail/base/instance_id.h"
 #include "persimmonrail/http/connection_poller.h"
+#include "persimmonrail/http/worker_pool.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/Runnable.h>
-#include <Poco/ThreadPool.h>
 
 #include <absl/strings/str_cat.h>
 
@@ -24,7 +23,7 @@
 namespace {
 
 constexpr int listenBacklog = 1024;
-constexpr int threadStackBytes = 512 * 1024;
+constexpr size_t threadStackBytes = 512 * 1024;
 // After the server has shut down its sending direction, bounds the wait until the client closes the
 // connection.
 constexpr milliseconds lingerTimeout{500};
@@ -41,11 +40,8 @@
 constexpr milliseconds acceptRetryDelay{50};
 // Interval at which the server retries to start workers for deferred connections.
 constexpr milliseconds deferredRetryInterval{10};
-// Number of threads that the server always keeps.
-constexpr int minThreads = 2;
-// Idle timeout of the other threads. Requests that follow each other within this time need no new
-// thread.
-constexpr int threadIdleSeconds = 2;
+// Idle timeout of the threads. Requests that follow each other within this time need no new thread.
+constexpr milliseconds threadIdleTimeout{2000};
 
 // Returns the response to a connection beyond maxConnections. The server reads no request from such
 // a connection.
@@ -84,7 +80,7 @@
 } // namespace
 
 // One connection. It is used by one worker at a time, or by the polling thread while it is polled.
-class http_server::connection : public Poco::Runnable
+class http_server::connection
 {
 public:
     connection(const Poco::Net::StreamSocket &socket, state &server)
@@ -94,7 +90,7 @@
 
     // Serves requests until the connection returns to the poller or is closed, which may delete
     // this object.
-    void run() override;
+    void run();
 
     http_stream stream;
     // Start of the current wait for input, while the connection is polled.
@@ -117,8 +113,7 @@
         : options(serverOptions)
         , m_handler(std::move(serverHandler))
         , m_onError(std::move(serverOnError))
-        , m_threads(minThreads, options.maxConnections + minThreads, threadIdleSeconds,
-                    threadStackBytes)
+        , m_threads({options.maxConnections, threadStackBytes, threadIdleTimeout})
     { }
 
     ~state()
@@ -143,7 +138,7 @@
         }
         m_connectionsChanged.wait(lock, [this] { return m_connections.empty(); });
         lock.unlock();
-        m_threads.joinAll();
+        m_threads.waitUntilIdle();
     }
 
     // Throws Poco::Exception if the address can't be bound.
@@ -320,10 +315,8 @@
     // Starts a worker for a connection, or defers the connection if no thread is free.
     void startWorker(connection &target)
     {
-        try {
-            m_threads.start(target);
-        } catch (const Poco::Exception &) {
-            // All threads are in use, or the system can't create another one.
+        // All threads may be in use, or the system can't create another one.
+        if (!m_threads.tryRun([&target] { target.run(); })) {
             m_deferred.push_back(&target);
         }
     }
@@ -474,7 +467,7 @@
     std::optional<steady_time> m_closedAt;
     std::unordered_map<connection *, std::unique_ptr<connection>> m_connections;
     std::unordered_set<connection *> m_polled;
-    Poco::ThreadPool m_threads;
+    worker_pool m_threads;
     std::thread m_pollingThread;
 };
 
--- a/src/persimmonrail/http/tests/http_test.cpp
+++ b/src/persimmonrail/http/tests/http_test.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <filesystem>
 #include <random>
@@ -555,3 +556,48 @@
     }
     CHECK_THROWS_AS(Poco::Net::StreamSocket(address), Poco::Net::ConnectionRefusedException);
 }
+
+// Guards against a server that serves no request for seconds after a burst of requests, because
+// the threads of the burst end slowly on a busy host.
+TEST_CASE("threads that end slowly do not delay later requests", "[http]")
+{
+    struct slow_exit
+    {
+        std::atomic<bool> isUsed{false};
+        ~slow_exit() { std::this_thread::sleep_for(200ms); }
+    };
+    constexpr int burst = 40;
+    constexpr milliseconds burstTime{300};
+    // Threads of the server end after they had no request for 2 s.
+    constexpr milliseconds pauseTime{3200};
+    auto server = *http_server::listen({}, [&](server_exchange &exchange) {
+        thread_local slow_exit atThreadExit;
+        atThreadExit.isUsed = true;
+        if (exchange.request().getURI() == "/burst") {
+            std::this_thread::sleep_for(burstTime);
+        }
+        exchange.respond(200, "", "text/plain");
+    });
+    const auto send = [&](const std::string &path) {
+        http_client client(std::make_shared<connection_pool>());
+        return simpleRequest(client, server->address(), "GET", path, "", timeAfter(testTimeout))
+            .ok();
+    };
+    std::vector<std::thread> callers;
+    callers.reserve(burst);
+    for (int i = 0; i < burst; ++i) {
+        callers.emplace_back([&] { send("/burst"); });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    std::this_thread::sleep_for(pauseTime);
+    std::chrono::nanoseconds longest{0};
+    for (int i = 0; i < burst; ++i) {
+        const steady_time start = std::chrono::steady_clock::now();
+        CHECK(send("/later"));
+        longest =
+            std::max<std::chrono::nanoseconds>(longest, std::chrono::steady_clock::now() - start);
+    }
+    CHECK(longest < 2s);
+}
