Send a request elsewhere if its peer takes no more connections

Cause: the HTTP server rejects connections beyond its limit with the reason `too-many-connections`, which the proxy didn't know.

Change: the reason is known and retryable, and counts like an overload towards the three full upstreams to which a request is sent at most.

Test: slow_peer_test, "a request is sent elsewhere if its peer takes no more connections": one attempt before, two now.

--- a/src/persimmonrail/proxy/proxy_reason.cpp
+++ b/src/persimmonrail/proxy/proxy_reason.cpp
@@ -25,6 +25,7 @@
     {proxy_reason::Draining, "draining", true},
     {proxy_reason::Stopping, "stopping", true},
     {proxy_reason::Overload, "overload", true},
+    {proxy_reason::TooManyConnections, "too-many-connections", true},
     {proxy_reason::OverloadExpected, "overload-expected", true},
     {proxy_reason::LinkBusy, "link-busy", true},
     {proxy_reason::DeadlineUnreachable, "deadline-unreachable", true},
--- a/src/persimmonrail/proxy/proxy_reason.h
+++ b/src/persimmonrail/proxy/proxy_reason.h
@@ -27,6 +27,8 @@
     // The daemon is stopping.
     Stopping,
     Overload,
+    // The daemon takes no more connections. Its HTTP server rejects them without reading a request.
+    TooManyConnections,
     // Not sent to the upstream, which currently rejects nearly all such requests.
     OverloadExpected,
     // Large responses queue for the link of the upstream's host.
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -230,7 +230,9 @@
             proxy_sink sink(m_exchange, {});
             result = m_proxy.m_peers.forward(m_request, member->peerAddress, m_exchange, sink);
             recordLoad(service.throttle, requestClass, result);
-            m_overloadRejections += result.reason == proxy_reason::Overload ? 1 : 0;
+            const bool isOverloaded = result.reason == proxy_reason::Overload
+                || result.reason == proxy_reason::TooManyConnections;
+            m_overloadRejections += isOverloaded ? 1 : 0;
         }
         service.picker.finish(member->id, pickerResult(result), result.queue, clockNow());
         m_tried.push_back(member->id);
--- a/src/persimmonrail/proxy/tests/slow_peer_test.cpp
+++ b/src/persimmonrail/proxy/tests/slow_peer_test.cpp
@@ -26,6 +26,7 @@
     milliseconds processingTime{1800};
     milliseconds probeDelay{0};
     int probeStatus = 200;
+    int maxPeerConnections = 100;
     milliseconds routeTimeout{4000};
 };
 
@@ -36,7 +37,8 @@
 public:
     explicit slow_peer_site(const site_options &options)
         : m_options(options)
-        , m_peer(listen([this](server_exchange &exchange) { servePeer(exchange); }))
+        , m_peer(listen([this](server_exchange &exchange) { servePeer(exchange); },
+                        options.maxPeerConnections))
         , m_peerAddress(m_peer->address())
         , m_dispatcher(makeCodec(), makeDispatcherHooks())
         , m_proxy({}, makeProxyHooks(), makeCodec(), m_dispatcher, m_log, m_metrics)
@@ -54,11 +56,15 @@
     void closePeer() { m_peer.reset(); }
     int executions() const { return m_executions; }
     int probes() const { return m_probes; }
+    uint64_t peerRejections() const { return m_peer->rejectedConnections(); }
 
 private:
-    static std::unique_ptr<http_server> listen(http_server::handler handler)
+    static std::unique_ptr<http_server> listen(http_server::handler handler,
+                                               int maxConnections = 100)
     {
-        return std::move(*http_server::listen({}, std::move(handler)));
+        http_server_options options;
+        options.maxConnections = maxConnections;
+        return std::move(*http_server::listen(options, std::move(handler)));
     }
 
     void servePeer(server_exchange &exchange)
@@ -239,3 +245,14 @@
     CHECK(site.send(fastPath).status == 503);
     CHECK(std::chrono::steady_clock::now() - start < 3s);
 }
+
+// Guards against a rejection that is taken for a broken response, which is not sent to another
+// upstream.
+TEST_CASE("a request is sent elsewhere if its peer takes no more connections", "[relay]")
+{
+    site_options options;
+    options.maxPeerConnections = 0;
+    slow_peer_site site(options);
+    CHECK(site.send(fastPath).status == 503);
+    CHECK(site.peerRejections() == 2);
+}
--- a/src/persimmonrail/proxy/tests/upstream_picker_test.cpp
+++ b/src/persimmonrail/proxy/tests/upstream_picker_test.cpp
@@ -105,6 +105,7 @@
     const auto [reason, outcome, status] = GENERATE(table<proxy_reason, request_outcome, int>({
         {proxy_reason::NoRoute, request_outcome::NotRun, 404},
         {proxy_reason::Overload, request_outcome::NotRun, 503},
+        {proxy_reason::TooManyConnections, request_outcome::NotRun, 503},
         {proxy_reason::DeadlineBeforeSend, request_outcome::NotRun, 503},
         {proxy_reason::NoResponse, request_outcome::Unknown, 502},
         {proxy_reason::DeadlineExceeded, request_outcome::Unknown, 504},
