--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -7,13 +7,14 @@
 #include "persimmonrail/keyspace/range_plan.h"
 #include "persimmonrail/proxy/upstream_picker.h"
 #include "persimmonrail/router/key_rates.h"
-#include "persimmonrail/router/placement_write.h"
+#include "persimmonrail/router/placement_update.h"
 #include "persimmonrail/router/range_release.h"
 #include "persimmonrail/telemetry/decision_log.h"
 
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -63,7 +64,7 @@
     void tick(steady_time now);
 
     // Whether the local upstream may serve requests for this key now.
-    bool canServe(shard_key key) const;
+    bool canServe(shard_key key);
     // Counts one request for this key, for the rates from which moves are chosen.
     void countKeyRequest(shard_key key) { m_rates.count(key); }
     bool isIdle() const { return !m_isMoving; }
@@ -84,18 +85,23 @@
     void proposePlacementChange();
     void considerMove(steady_time now);
     void startMove(std::vector<planned_move> moves, std::string_view reason);
-    // `retriesLeft` is the number of further writes allowed if other writers change the record
-    // first.
-    void finishMove(const std::vector<released_range> &releasedRanges, int retriesLeft);
-    void endMove();
+    void finishMove(const std::vector<released_range> &releasedRanges);
+    // `result` tells how the move ended, for the log.
+    void endMove(std::string_view result);
+    void countUnserved(shard_key key);
+    void logUnserved(steady_time now);
     owner_load ownLoad() const;
-    void writePlacement(placement_write change, std::function<void(write_result result)> done);
-    void onMoveWritten(const std::vector<released_range> &releasedRanges, int retriesLeft,
-                       write_result result);
+    // Returns whether the record needs the change, and starts to write the change if so.
+    bool propose(const key_placement &current, placement_change change, std::string_view reason);
+    // Changes the record on the store worker, and calls `done` on the control thread.
+    void updateRecord(placement_change change, std::string_view reason, milliseconds timeLimit,
+                      std::function<void(const placement_update_result &result)> done);
+    void onMoveWritten(const std::vector<released_range> &releasedRanges,
+                       const placement_update_result &result);
+    fleet_directory::versioned_placement knownRecord() const;
     void retryUnconfirmedMove(steady_time now);
     void confirmPlacement();
     std::vector<key_interval> ownIntervals() const;
-    bool isTerminated(const upstream_id &id) const;
     void logRange(std::string_view kind, key_interval keys, uint64_t fence,
                   std::string_view outcome, std::string_view reason) const;
 
@@ -106,10 +112,23 @@
     control_loop &m_loop;
     decision_log &m_log;
     const hooks m_hooks;
-    // Guards m_leaseManager, which traffic threads read through canServe().
+    // Requests for keys that could not be served, by cause.
+    struct unserved_counts
+    {
+        uint64_t moving = 0;
+        // Recorded for another upstream, or for none.
+        uint64_t notRecorded = 0;
+        // Recorded for the local upstream, without a grant in force.
+        uint64_t notGranted = 0;
+    };
+    // Guards m_leaseManager, which traffic threads read through canServe(), and m_unserved.
     mutable std::mutex m_mutex;
     range_lease_manager m_leaseManager;
+    unserved_counts m_unserved;
+    steady_time m_unservedLoggedAt{};
     key_rates m_rates;
+    // Used only by the store worker.
+    std::mt19937_64 m_random;
     std::shared_ptr<const fleet_directory> m_directory = std::make_shared<fleet_directory>();
     std::optional<upstream_id> m_upstream;
     std::string m_address;
@@ -126,6 +145,8 @@
     boot_time m_confirmedAt{};
     boot_time m_confirmationSentAt{};
     steady_time m_nextWriteAt{};
+    // When the keys of the current move stopped being served.
+    steady_time m_moveBeganAt{};
     // When the last move ended.
     steady_time m_lastMoveEndedAt{};
     std::optional<steady_time> m_membersStableSince;
