Respond to all requests before the process of a stopping daemon ends

Cause: router::state::stop returns at the end of the grace period whatever is in flight, and the process exits. Requests kept their own deadlines, which may lie later. Class: a shutdown with a deadline that the work in flight doesn't know.

Change: the daemon publishes a shutdown deadline, 0.2 s before that end. The deadline of a request that arrives while the daemon stops is at most this one; exchanges with peers that are under way are abandoned at it, and no attempt begins after it. The caller gets 502 or 504.

--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -98,8 +98,10 @@
 
 } // namespace
 
-peer_client::peer_client(std::function<bool()> isStopping)
+peer_client::peer_client(std::function<bool()> isStopping,
+                         std::function<steady_time()> shutdownDeadline)
     : m_isStopping(std::move(isStopping))
+    , m_shutdownDeadline(std::move(shutdownDeadline))
     , m_pool(std::make_shared<connection_pool>(connection_pool_options{
           maxIdlePerPeer, maxIdleConnections, peerIdleTimeout, peerFreshTime, peerConnectTimeout}))
     , m_probeConnections({0, 0, milliseconds(0), milliseconds(0), probeConnectTimeout})
@@ -141,6 +143,7 @@
         return head.get(outcomeHeader, "") == toString(request_outcome::Run);
     };
     call.progressTimeout = progressTimeout;
+    call.abandonTime = m_shutdownDeadline;
     proxy_result result;
     peer_probe probe(m_probeConnections, peerAddress, request.requestId);
     probe_result probed = probe_result::InFlight;
@@ -176,11 +179,15 @@
         break;
     case exchange_state::NotSent:
         result.reason = exchanged.deadlinePassed ? proxy_reason::DeadlineBeforeSend
+            : exchanged.leaseEnding              ? proxy_reason::Stopping
                                                  : proxy_reason::PeerUnreachable;
         break;
     case exchange_state::TimedOut:
         result.reason = proxy_reason::DeadlineExceeded;
         break;
+    case exchange_state::Abandoned:
+        result.reason = proxy_reason::Stopping;
+        break;
     case exchange_state::Unresponsive:
         result.reason = reasonAfterProbe(probed);
         break;
--- a/src/persimmonrail/proxy/peer_client.h
+++ b/src/persimmonrail/proxy/peer_client.h
@@ -18,8 +18,9 @@
 class peer_client
 {
 public:
-    // `isStopping` returns whether this daemon is stopping; it must be thread safe.
-    explicit peer_client(std::function<bool()> isStopping);
+    // `isStopping` returns whether this daemon is stopping. `shutdownDeadline` returns the time at
+    // which requests in flight are abandoned, as in request_proxy_hooks. Both must be thread safe.
+    peer_client(std::function<bool()> isStopping, std::function<steady_time()> shutdownDeadline);
 
     // Sends the request to the peer and passes the response of its upstream on to `sink`.
     // `exchange` supplies the request body and is watched for the caller's disconnection. Blocks
@@ -36,6 +37,7 @@
                    probe_result probed) const;
 
     const std::function<bool()> m_isStopping;
+    const std::function<steady_time()> m_shutdownDeadline;
     std::shared_ptr<connection_pool> m_pool;
     // Establishes the connections of probes.
     connection_pool m_probeConnections;
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -106,7 +106,8 @@
         m_request.rank = m_route->rank;
         m_request.repeatable = m_route->repeatable;
         const milliseconds timeout = fields.timeout.value_or(defaultTimeout);
-        m_request.deadline = m_startedAt + std::min(timeout, m_route->timeout);
+        m_request.deadline = std::min(m_startedAt + std::min(timeout, m_route->timeout),
+                                      m_proxy.m_hooks.shutdownDeadline());
         m_request.objectiveEnd = m_startedAt + m_route->objective;
         return {};
     }
@@ -166,11 +167,16 @@
         return result;
     }
 
+    steady_time lastAttemptEnd() const
+    {
+        return std::min(m_request.deadline, m_proxy.m_hooks.shutdownDeadline());
+    }
+
     // Returns whether another attempt may follow, and rewinds the request body for it.
     bool canRetry(const proxy_result &result, int sentAttempts)
     {
         if (result.outcome == request_outcome::Run || result.responseStarted
-            || result.callerDisconnected || clockNow() + minTimeForAttempt >= m_request.deadline) {
+            || result.callerDisconnected || clockNow() + minTimeForAttempt >= lastAttemptEnd()) {
             return false;
         }
         if (result.outcome == request_outcome::Unknown
@@ -441,7 +447,7 @@
     , m_dispatcher(dispatcher)
     , m_log(log)
     , m_metrics(values)
-    , m_peers(m_hooks.isStopping)
+    , m_peers(m_hooks.isStopping, m_hooks.shutdownDeadline)
     , m_outboundLink{large_response_queue(),
                      link_pacer(m_options.linkBytesPerSecond * m_options.largeResponseShare)}
     , m_random(m_hooks.makeRandom())
@@ -505,6 +511,7 @@
         respondToPeer(exchange, notRunResult(proxy_reason::MalformedRequest));
         return;
     }
+    request->deadline = std::min(request->deadline, m_hooks.shutdownDeadline());
     const peer_request_guard inFlightGuard(*this, request->requestId);
     const auto decorate = [this](Poco::Net::HTTPResponse &head) {
         head.set(outcomeHeader, std::string(toString(request_outcome::Run)));
--- a/src/persimmonrail/proxy/tests/request_proxy_test.cpp
+++ b/src/persimmonrail/proxy/tests/request_proxy_test.cpp
@@ -64,6 +64,7 @@
             return builder.build();
         };
         hooks.isStopping = [] { return false; };
+        hooks.shutdownDeadline = [] { return steady_time::max(); };
         hooks.makeRandom = [] { return [] { return uint64_t{1}; }; };
         proxy = std::make_unique<request_proxy>(request_proxy_options(), hooks, codec, *dispatcher,
                                                 log, values);
--- a/src/persimmonrail/proxy/tests/slow_peer_test.cpp
+++ b/src/persimmonrail/proxy/tests/slow_peer_test.cpp
@@ -52,6 +52,12 @@
                                             std::chrono::steady_clock::now() + 20s);
         return response.ok() ? *response : simple_response{0, response.status().ToString()};
     }
+    // Begins the graceful shutdown of the daemon that the requests are sent to.
+    void stopWithin(milliseconds time)
+    {
+        m_shutdownDeadline = std::chrono::steady_clock::now() + time;
+        m_isStopping = true;
+    }
     // Makes the peer refuse connections.
     void closePeer() { m_peer.reset(); }
     int executions() const { return m_executions; }
@@ -133,7 +139,8 @@
             builder.applyObject({placementKey("ledger"), 1, false, encodePlacement(placement)});
             return builder.build();
         };
-        hooks.isStopping = [this] { return m_options.isStopping; };
+        hooks.isStopping = [this] { return m_options.isStopping || m_isStopping; };
+        hooks.shutdownDeadline = [this] { return m_shutdownDeadline.load(); };
         hooks.makeRandom = [] { return [] { return uint64_t{1}; }; };
         return hooks;
     }
@@ -141,6 +148,8 @@
     const site_options m_options;
     std::atomic<int> m_executions{0};
     std::atomic<int> m_probes{0};
+    std::atomic<bool> m_isStopping{false};
+    std::atomic<steady_time> m_shutdownDeadline{steady_time::max()};
     decision_log m_log{{log_level::Off, "", 100, false}};
     metrics m_metrics;
     std::unique_ptr<http_server> m_peer;
@@ -256,3 +265,30 @@
     CHECK(site.send(fastPath).status == 503);
     CHECK(site.peerRejections() == 2);
 }
+
+// Guards against a daemon whose process ends with requests in flight: their callers got neither a
+// response nor a rejection.
+TEST_CASE("a stopping daemon responds to every request before its shutdown deadline", "[relay]")
+{
+    site_options options;
+    options.processingTime = 15000ms;
+    options.routeTimeout = 20000ms;
+    options.isRepeatable = GENERATE(true, false);
+    options.isKeyed = GENERATE(false, true);
+    const bool isInFlight = GENERATE(true, false);
+    CAPTURE(options.isRepeatable, options.isKeyed, isInFlight);
+    slow_peer_site site(options);
+    std::future<simple_response> inFlight;
+    if (isInFlight) {
+        inFlight = std::async(std::launch::async, [&] { return site.send(slowPath); });
+        while (site.executions() == 0) {
+            std::this_thread::sleep_for(5ms);
+        }
+    }
+    const steady_time stoppedAt = std::chrono::steady_clock::now();
+    site.stopWithin(1500ms);
+    const simple_response response = isInFlight ? inFlight.get() : site.send(slowPath);
+    CHECK((response.status == 502 || response.status == 504));
+    CHECK(std::chrono::steady_clock::now() - stoppedAt < 8s);
+    CHECK(site.executions() == 1);
+}
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -22,6 +22,9 @@
 // Part of the grace period reserved for the end of the process itself.
 constexpr milliseconds exitMargin{700};
 constexpr milliseconds stopPollInterval{20};
+// Part of the grace period in which a stopping daemon only sends the responses to the requests that
+// it has abandoned.
+constexpr milliseconds lastResponseTime{200};
 // A connection that was accepted just before its port was closed may still bring a request. The
 // ports keep such connections open for a quarter of a second.
 constexpr milliseconds lastRequestTime{300};
@@ -239,6 +242,7 @@
         return m_directory;
     };
     hooks.isStopping = [this] { return m_isStopping.load(); };
+    hooks.shutdownDeadline = [this] { return m_shutdownDeadline.load(); };
     hooks.makeRandom = makeRandomSource;
     return hooks;
 }
@@ -315,6 +319,7 @@
 {
     const steady_time startedAt = std::chrono::steady_clock::now();
     const steady_time deadline = startedAt + m_settings.gracePeriod - exitMargin;
+    m_shutdownDeadline = deadline - lastResponseTime;
     m_isStopping = true;
     m_feed.stop();
     logEvent("stop", absl::StrCat("in_flight=", m_proxy->inFlight()));
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -81,6 +81,8 @@
     metrics m_metrics;
     control_loop m_loop;
     std::atomic<bool> m_isStopping{false};
+    // Time by which all requests must have got a response; the maximum while not stopping.
+    std::atomic<steady_time> m_shutdownDeadline{steady_time::max()};
     // The fleet's objects, for daemons that follow this daemon.
     change_feed m_feed;
     // Set during the shutdown, when the daemon stops dispatching requests to its upstream.
