Split running and error responses off routed_request

Change: local_attempt runs a request on the local upstream, error_response writes the response of a request without one of the upstream, and resolved_request holds what both need to know of the request. The condition under which an error response is sent stood three times; it is now respondUnlessStarted(). setDeadline() was declared and never defined. No behaviour changes.

--- a/src/persimmonrail/gateway/request_router.cpp
+++ b/src/persimmonrail/gateway/request_router.cpp
@@ -1,6 +1,7 @@
 #include "persimmonrail/gateway/request_router.h"
 
 #include "persimmonrail/base/header_names.h"
+#include "persimmonrail/gateway/error_response.h"
 #include "persimmonrail/gateway/routed_request.h"
 
 #include <Poco/JSON/Array.h>
@@ -124,7 +125,7 @@
     attempt_result result;
     result.status = status;
     result.reason = reason;
-    routed_request(*this, exchange).respondWithError(result);
+    sendErrorResponse(exchange, {}, result);
 }
 
 std::string request_router::explain(std::string_view service, std::string_view key,
--- a/src/persimmonrail/gateway/routed_request.h
+++ b/src/persimmonrail/gateway/routed_request.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "persimmonrail/gateway/caller_sink.h"
+#include "persimmonrail/gateway/attempt_result.h"
 #include "persimmonrail/gateway/request_router.h"
-#include "persimmonrail/gateway/request_target.h"
+#include "persimmonrail/gateway/resolved_request.h"
 
 #include <optional>
 #include <string>
@@ -10,24 +10,6 @@
 
 namespace persimmonrail {
 
-// Result of one attempt, or of the whole request.
-struct attempt_result
-{
-    request_outcome outcome = request_outcome::NotRun;
-    std::string reason;
-    // HTTP status of an error response that persimmonrail creates. If it is 0, the outcome and the
-    // reason determine the status.
-    int status = 0;
-    milliseconds retryAfter{0};
-    // Whether the request may run on another instance, or on the same one after a short wait.
-    bool canRetry = false;
-    // Whether the head of a response was sent, so that no error response can follow.
-    bool responseStarted = false;
-    bool callerDisconnected = false;
-    // Name of the lease holder that a "not-owner" response states; empty if unknown.
-    std::string holder;
-};
-
 // Routes one request of a caller or of another daemon to an upstream. Not thread safe; used by the
 // thread of the request's connection.
 class routed_request
@@ -41,8 +23,6 @@
     // Serves a request forwarded by another daemon: runs it on the local upstream, or responds with
     // an error. Never forwards the request again.
     void servePeer();
-    // Sends a response that states the outcome and reason of `result` as header fields and JSON.
-    void respondWithError(const attempt_result &result);
 
 private:
     // Steps of the ingress daemon, which is the one that the caller is connected to.
@@ -50,7 +30,6 @@
     // otherwise.
     std::optional<attempt_result> resolveOperation();
     std::optional<attempt_result> resolveKey();
-    void setDeadline(milliseconds timeout);
     // Reads the header Persimmonrail-Subsidiary, cut to a maximum length.
     void readSubsidiary();
     // Attempts a request that has a key hash in rounds: first under a lease of this daemon, then on
@@ -63,15 +42,9 @@
     // Attempts a request that any instance of the service may run, on up to maxInstances of them.
     attempt_result routeToAnyInstance();
 
-    // Runs the request on the local upstream if that upstream is up and belongs to the service.
-    // `ticket` is null for a request that any instance may run.
+    // Makes an attempt on the local upstream. `ticket` is null for a request that any instance may
+    // run.
     attempt_result runLocally(const lease_ticket *ticket);
-    // Runs a request that is not repeatable, or sends the stored response if it ran before.
-    attempt_result runAtMostOnce(const lease_ticket &ticket, steady_time now);
-    // Checks the crash quarantine, waits for a slot of the local upstream and dispatches the
-    // request. `storeResponse` receives a complete response that is small enough; it may be empty.
-    attempt_result admitAndDispatch(const lease_ticket *ticket,
-                                    const caller_sink::store_hook &storeResponse);
     // Forwards the request to the peer port of another daemon.
     attempt_result forwardTo(const member_record &member);
     // Records an unknown outcome and prepares the next attempt: rewinds the body and, after an
@@ -86,26 +59,16 @@
     // Updates the metrics for the whole request and responds, unless the response has already
     // started.
     void recordAndRespond(attempt_result result);
+    // Sends an error response, unless a response has started or the caller has disconnected.
+    void respondUnlessStarted(const attempt_result &result);
 
     request_router &m_router;
     server_exchange &m_exchange;
     const steady_time m_startedAt;
-    std::string m_requestId;
-    // The request as it is passed on, without the Persimmonrail-* fields that it arrived with.
-    Poco::Net::HTTPRequest m_message;
+    resolved_request m_request;
     std::shared_ptr<const fleet_view> m_view;
     // Null if the service is unknown.
     std::shared_ptr<const service_document> m_document;
-    request_target m_target;
-    std::string m_rank;
-    // Index of the rank in the service document; 0 is the most urgent.
-    size_t m_rankIndex = 0;
-    std::string m_subsidiary;
-    bool m_repeatable = false;
-    std::string m_idempotencyKey;
-    // Absent if any instance of the service may run the request.
-    std::optional<uint64_t> m_keyHash;
-    steady_time m_deadline;
     // Name of the lease holder according to the last peer tried; empty if it named none.
     std::string m_holderHint;
     // Whether an attempt ended with an unknown outcome. The request may then have run, whatever the
