Split reading requests and overload responses off http_server

Change: request_reader reads a request, rejects an invalid one and runs the handler; overload_response writes the response without a request. What stays is the life of connections. No behaviour changes.

--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -1,16 +1,14 @@
 #include "persimmonrail/http/http_server.h"
 
-#include "persimmonrail/base/header_names.h"
-#include "persimmonrail/base/instance_id.h"
 #include "persimmonrail/http/connection_poller.h"
+#include "persimmonrail/http/overload_response.h"
+#include "persimmonrail/http/request_reader.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Runnable.h>
 #include <Poco/ThreadPool.h>
 
-#include <absl/strings/str_cat.h>
-
 #include <algorithm>
 #include <condition_variable>
 #include <mutex>
@@ -47,35 +45,6 @@
 // thread.
 constexpr int threadIdleSeconds = 2;
 
-// Returns the response to a connection beyond maxConnections. The server reads no request from such
-// a connection.
-std::string overloadResponse()
-{
-    const std::string id = absl::StrCat(absl::Hex(generateIncarnation(), absl::kZeroPad16),
-                                        absl::Hex(generateIncarnation(), absl::kZeroPad16));
-    const std::string body = absl::StrCat(
-        R"({"outcome":"not-run","reason":"too-many-connections","request_id":")", id, R"("})");
-    return absl::StrCat("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n", outcomeHeader,
-                        ": not-run\r\n", reasonHeader, ": too-many-connections\r\n",
-                        requestIdHeader, ": ", id,
-                        "\r\nRetry-After: 1\r\nContent-Type: application/json\r\n"
-                        "Content-Length: ",
-                        body.size(), "\r\n\r\n", body);
-}
-
-void sendOverloadResponse(const Poco::Net::StreamSocket &socket)
-{
-    try {
-        Poco::Net::StreamSocket copy(socket);
-        copy.setBlocking(false);
-        const std::string response = overloadResponse();
-        copy.sendBytes(response.data(), static_cast<int>(response.size()));
-        copy.shutdownSend();
-    } catch (const Poco::Exception &) {
-        // The client has disconnected already.
-    }
-}
-
 steady_time after(milliseconds delay)
 {
     return std::chrono::steady_clock::now() + delay;
@@ -112,11 +81,9 @@
 class http_server::state
 {
 public:
-    state(const http_server_options &serverOptions, handler serverHandler,
-          error_handler serverOnError)
+    state(const http_server_options &serverOptions, handler handler, error_handler onError)
         : options(serverOptions)
-        , m_handler(std::move(serverHandler))
-        , m_onError(std::move(serverOnError))
+        , m_requests(options.idleTimeout, std::move(handler), std::move(onError))
         , m_threads(minThreads, options.maxConnections + minThreads, threadIdleSeconds,
                     threadStackBytes)
     { }
@@ -188,7 +155,7 @@
         bool isOpen = true;
         try {
             do {
-                isOpen = serveRequest(target.stream);
+                isOpen = m_requests.serveNext(target.stream) && !m_isClosing;
             } while (isOpen && !m_isStopping && target.stream.hasInput());
         } catch (const std::exception &) {
             // The handler failed. The closed connection tells the client that no response follows.
@@ -414,51 +381,7 @@
         return m_closedAt ? std::min(end, *m_closedAt + lastRequestTimeout) : end;
     }
 
-    // Responds to an invalid request.
-    void rejectRequest(http_stream &stream, int status, const std::string &reason) const
-    {
-        server_exchange exchange(stream, Poco::Net::HTTPRequest(), {}, options.idleTimeout);
-        exchange.closeAfterResponse();
-        if (m_onError) {
-            m_onError(exchange, status, reason);
-        } else {
-            exchange.respond(status, reason + "\n", "text/plain");
-        }
-    }
-
-    // Serves one request. Returns false if the connection is to be closed.
-    bool serveRequest(http_stream &stream) const
-    {
-        std::string head;
-        io_status status = stream.readHead(head, after(options.idleTimeout));
-        if (status == io_status::TooLarge) {
-            rejectRequest(stream, 431, "header-too-large");
-        }
-        if (status != io_status::Ok) {
-            return false;
-        }
-        Poco::Net::HTTPRequest request;
-        body_framing framing;
-        status = parseRequest(head, request);
-        if (status == io_status::Ok) {
-            status = requestFraming(request, framing);
-        }
-        if (status != io_status::Ok) {
-            rejectRequest(stream, 400, "malformed-request");
-            return false;
-        }
-        if (request.getVersion() != Poco::Net::HTTPMessage::HTTP_1_1) {
-            // HTTP/1.0 has no chunked framing, so its clients can't detect a truncated response.
-            rejectRequest(stream, 505, "http-version-not-supported");
-            return false;
-        }
-        server_exchange exchange(stream, request, framing, options.idleTimeout);
-        m_handler(exchange);
-        return exchange.canReuseConnection() && !m_isClosing;
-    }
-
-    const handler m_handler;
-    const error_handler m_onError;
+    const request_reader m_requests;
     std::atomic<bool> m_isStopping = false;
     // Set once no new connections are to be accepted.
     std::atomic<bool> m_isClosing = false;
