Convert the results of exchanges in one place

Cause: upstream_client and forwarder each converted an exchange_result to an outcome and a reason, and each parsed Retry-After, in the same way.

Change: toDeliveryResult() does both. dispatch_result is a delivery_result and forward_result derives from it; what differs between an upstream and a peer stays where it was. The gateway converted both to an attempt_result field by field; toAttemptResult() does so now. No behaviour changes.

--- a/src/persimmonrail/gateway/attempt_result.cpp
+++ b/src/persimmonrail/gateway/attempt_result.cpp
@@ -13,4 +13,16 @@
     return result;
 }
 
+attempt_result toAttemptResult(const delivery_result &delivered, bool canRetry)
+{
+    attempt_result result;
+    result.outcome = delivered.outcome;
+    result.reason = delivered.reason;
+    result.retryAfter = delivered.retryAfter;
+    result.canRetry = canRetry;
+    result.responseStarted = delivered.responseStarted;
+    result.callerDisconnected = delivered.callerDisconnected;
+    return result;
+}
+
 } // namespace persimmonrail
--- a/src/persimmonrail/gateway/attempt_result.h
+++ b/src/persimmonrail/gateway/attempt_result.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "persimmonrail/base/clock.h"
-#include "persimmonrail/base/request_outcome.h"
+#include "persimmonrail/http/delivery_result.h"
 
 #include <string>
 
@@ -28,5 +27,8 @@
 // Returns the result of an attempt that did not run the request. The reason determines whether the
 // request may be retried.
 attempt_result notRunResult(std::string reason, int status = 0);
+// Returns the result of an attempt that passed the request on. Leaves the status of an error
+// response to the outcome and the reason.
+attempt_result toAttemptResult(const delivery_result &delivered, bool canRetry);
 
 } // namespace persimmonrail
--- a/src/persimmonrail/gateway/forwarder.cpp
+++ b/src/persimmonrail/gateway/forwarder.cpp
@@ -2,8 +2,6 @@
 
 #include "persimmonrail/base/header_names.h"
 
-#include <absl/strings/numbers.h>
-
 #include <algorithm>
 
 namespace persimmonrail {
@@ -49,17 +47,12 @@
     return head.get(outcomeHeader, "") == toString(request_outcome::Run);
 }
 
-// Fills `result` from a response that states another outcome than "run", or none.
+// Completes `result` from a response that states another outcome than "run", or none.
 void parseDeclinedResponse(const Poco::Net::HTTPResponse &head, forward_result &result)
 {
     const std::string outcome = head.get(outcomeHeader, "");
     result.reason = head.get(reasonHeader, "");
-    result.status = head.getStatus();
     result.holder = head.get(holderHeader, "");
-    int retryAfterSeconds = 0;
-    if (absl::SimpleAtoi(head.get("Retry-After", "0"), &retryAfterSeconds)) {
-        result.retryAfter = milliseconds(std::clamp(retryAfterSeconds, 0, 3600) * 1000);
-    }
     if (outcome == toString(request_outcome::NotRun)) {
         result.outcome = request_outcome::NotRun;
         result.canRetry = isRetryable(result.reason);
@@ -116,30 +109,11 @@
             || (probeResult == probe_result::Unresponsive && repeatable);
     };
     const exchange_result exchange = m_client.exchange(request, sink);
-    forward_result result;
-    result.responseStarted = exchange.responseStarted;
-    result.callerDisconnected = exchange.receiverDisconnected;
-    result.reason = toString(exchange.state);
-    result.outcome = exchange.hasSentBytes ? request_outcome::Unknown : request_outcome::NotRun;
-    switch (exchange.state) {
-    case exchange_state::Complete:
-        result.outcome = request_outcome::Run;
-        result.status = exchange.head.getStatus();
-        result.reason = "answered";
-        break;
-    case exchange_state::Declined:
+    forward_result result{toDeliveryResult(exchange, "peer-refused-connection"), false, {}};
+    if (exchange.state == exchange_state::Declined) {
         parseDeclinedResponse(exchange.head, result);
-        break;
-    case exchange_state::NotSent:
-        result.outcome = request_outcome::NotRun;
-        result.reason = exchange.deadlinePassed ? "deadline-exceeded" : "peer-refused-connection";
+    } else if (exchange.state == exchange_state::NotSent) {
         result.canRetry = !exchange.deadlinePassed;
-        break;
-    case exchange_state::CallerDisconnected:
-        result.callerDisconnected = true;
-        break;
-    default:
-        break;
     }
     return result;
 }
--- a/src/persimmonrail/gateway/forwarder.h
+++ b/src/persimmonrail/gateway/forwarder.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "persimmonrail/base/request_outcome.h"
 #include "persimmonrail/gateway/unresponsive_peers.h"
-#include "persimmonrail/http/http_client.h"
+#include "persimmonrail/http/delivery_result.h"
 
 #include <string>
 #include <string_view>
@@ -10,21 +9,13 @@
 namespace persimmonrail {
 
 // Result of forwarding a request to one peer.
-struct forward_result
+struct forward_result : delivery_result
 {
-    request_outcome outcome = request_outcome::NotRun;
-    std::string reason;
     // Whether the request may be sent to another peer, provided that its body can be sent again:
     // this peer does not own the partition, cannot serve the request now or could not be reached.
     bool canRetry = false;
     // Name of the lease holder according to a "not-owner" response; empty if it names none.
     std::string holder;
-    // Whether the sink received the head of the response.
-    bool responseStarted = false;
-    bool callerDisconnected = false;
-    // HTTP status of the response; 0 if there is none.
-    int status = 0;
-    milliseconds retryAfter{0};
 };
 
 // Returns whether a request that was not run for this reason may run on another instance, or on the
--- a/src/persimmonrail/gateway/local_attempt.cpp
+++ b/src/persimmonrail/gateway/local_attempt.cpp
@@ -11,18 +11,6 @@
     return std::chrono::steady_clock::now();
 }
 
-attempt_result toAttemptResult(const dispatch_result &dispatched)
-{
-    attempt_result result;
-    result.outcome = dispatched.outcome;
-    result.reason = dispatched.reason;
-    result.retryAfter = dispatched.retryAfter;
-    result.responseStarted = dispatched.responseStarted;
-    result.callerDisconnected = dispatched.callerDisconnected;
-    result.canRetry = isRetryable(dispatched.reason);
-    return result;
-}
-
 } // namespace
 
 local_attempt::local_attempt(const gateway_hooks &hooks, upstream_client &upstreamClient,
@@ -119,7 +107,7 @@
     body.recordEnd(dispatched, endedAt);
     std::get<std::unique_ptr<admission_ticket>>(admitted)->finish(
         dispatched.outcome, dispatched.reason, endedAt - dispatchedAt, endedAt);
-    return toAttemptResult(dispatched);
+    return toAttemptResult(dispatched, isRetryable(dispatched.reason));
 }
 
 dispatch_request local_attempt::makeDispatchRequest(const lease_ticket *ticket) const
--- a/src/persimmonrail/gateway/routed_request.cpp
+++ b/src/persimmonrail/gateway/routed_request.cpp
@@ -262,13 +262,7 @@
     request.caller = &m_exchange.connection();
     caller_sink sink(m_exchange, m_request.id);
     const forward_result forwarded = m_router.m_forwarder.forward(std::move(request), sink);
-    attempt_result result;
-    result.outcome = forwarded.outcome;
-    result.reason = forwarded.reason;
-    result.retryAfter = forwarded.retryAfter;
-    result.canRetry = forwarded.canRetry;
-    result.responseStarted = forwarded.responseStarted;
-    result.callerDisconnected = forwarded.callerDisconnected;
+    attempt_result result = toAttemptResult(forwarded, forwarded.canRetry);
     result.holder = forwarded.holder;
     if (forwarded.outcome == request_outcome::NotRun && forwarded.status != 503) {
         result.status = forwarded.status;
--- a/src/persimmonrail/upstream/upstream_client.cpp
+++ b/src/persimmonrail/upstream/upstream_client.cpp
@@ -6,7 +6,6 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -17,16 +16,6 @@
 // Below the number of connections that upstreams accept, which is at least 90.
 constexpr size_t maxIdleConnections = 64;
 
-// Returns the Retry-After field, limited to one hour; zero if the field is absent or is not a
-// number of seconds.
-milliseconds parseRetryAfter(const Poco::Net::HTTPResponse &head)
-{
-    int seconds = 0;
-    return absl::SimpleAtoi(head.get("Retry-After", "0"), &seconds)
-        ? milliseconds(std::clamp(seconds, 0, 3600) * 1000)
-        : milliseconds(0);
-}
-
 // Returns whether the response states that the upstream did not run the request.
 bool isRejection(const Poco::Net::HTTPResponse &head)
 {
@@ -344,37 +333,12 @@
 dispatch_result upstream_client::finishDispatch(const exchange_result &exchange,
                                                 const dispatch_request &request)
 {
-    dispatch_result result;
-    result.responseStarted = exchange.responseStarted;
-    result.callerDisconnected = exchange.receiverDisconnected;
-    result.reason = toString(exchange.state);
-    result.outcome = exchange.hasSentBytes ? request_outcome::Unknown : request_outcome::NotRun;
-    switch (exchange.state) {
-    case exchange_state::Complete:
-        result.outcome = request_outcome::Run;
-        result.status = exchange.head.getStatus();
-        result.reason = "answered";
-        break;
-    case exchange_state::Declined:
+    dispatch_result result = toDeliveryResult(exchange, "upstream-refused-connection");
+    if (exchange.state == exchange_state::Declined) {
         result.outcome = request_outcome::NotRun;
-        result.status = exchange.head.getStatus();
         result.reason = exchange.head.get(refusedHeader, "shed");
-        result.retryAfter = parseRetryAfter(exchange.head);
-        break;
-    case exchange_state::NotSent:
-        result.outcome = request_outcome::NotRun;
-        if (exchange.leaseEnding) {
-            result.reason = "lease-ending";
-        } else {
-            result.reason =
-                exchange.deadlinePassed ? "deadline-exceeded" : "upstream-refused-connection";
-        }
-        break;
-    case exchange_state::CallerDisconnected:
-        result.callerDisconnected = true;
-        break;
-    default:
-        break;
+    } else if (exchange.state == exchange_state::NotSent && exchange.leaseEnding) {
+        result.reason = "lease-ending";
     }
     {
         const std::lock_guard lock(m_mutex);
--- a/src/persimmonrail/upstream/upstream_client.h
+++ b/src/persimmonrail/upstream/upstream_client.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "persimmonrail/base/request_outcome.h"
-#include "persimmonrail/http/http_client.h"
+#include "persimmonrail/http/delivery_result.h"
 #include "persimmonrail/upstream/announcement.h"
 
 #include <absl/status/status.h>
@@ -70,22 +69,8 @@
     http_stream *caller = nullptr;
 };
 
-struct dispatch_result
-{
-    request_outcome outcome = request_outcome::NotRun;
-    // One of a fixed set of words, such as "upstream-refused-connection", "truncated-answer" or
-    // "shed".
-    std::string reason;
-    // Whether the sink received the head of the response, so that no other response can be sent to
-    // the caller.
-    bool responseStarted = false;
-    // Whether the caller disconnected.
-    bool callerDisconnected = false;
-    // HTTP status of the upstream's response; 0 if there is none.
-    int status = 0;
-    // Retry-After of the upstream's rejection; zero if the field is absent.
-    milliseconds retryAfter{0};
-};
+// Result of the dispatch of a request to the local upstream.
+using dispatch_result = delivery_result;
 
 struct upstream_client_options
 {
