Share the discarding sink of two tests

Cause: endless_response_test and response_input_test each defined the same sink.

Change: the sink stands in tests/standins. No check of a test changes.

--- a/src/persimmonrail/http/tests/endless_response_test.cpp
+++ b/src/persimmonrail/http/tests/endless_response_test.cpp
@@ -1,5 +1,6 @@
 #include "persimmonrail/http/http_client.h"
 
+#include "standins/discarding_sink.h"
 #include "standins/scripted_server.h"
 
 #include <catch2/catch.hpp>
@@ -15,18 +16,6 @@
 // the two sockets may hold.
 constexpr size_t maxSentBytes = maxSkippedBodyBytes + size_t{16} * 1024 * 1024;
 
-class discarding_sink : public response_sink
-{
-public:
-    bool begin(const Poco::Net::HTTPResponse &, const body_framing &, std::string_view,
-               bool) override
-    {
-        return true;
-    }
-    bool write(std::string_view) override { return true; }
-    bool finish() override { return true; }
-};
-
 struct endless_response
 {
     const char *name;
--- a/src/persimmonrail/upstream/tests/response_input_test.cpp
+++ b/src/persimmonrail/upstream/tests/response_input_test.cpp
@@ -1,5 +1,6 @@
 #include "persimmonrail/objects/http_object_api.h"
 #include "persimmonrail/upstream/upstream_client.h"
+#include "standins/discarding_sink.h"
 #include "standins/input_mutator.h"
 #include "standins/scripted_server.h"
 
@@ -13,18 +14,6 @@
 constexpr milliseconds testTimeout{60'000};
 constexpr uint64_t responseCount = 200;
 
-class discarding_sink : public response_sink
-{
-public:
-    bool begin(const Poco::Net::HTTPResponse &, const body_framing &, std::string_view,
-               bool) override
-    {
-        return true;
-    }
-    bool write(std::string_view) override { return true; }
-    bool finish() override { return true; }
-};
-
 // Responds to the request on each connection with a mutation of one of the messages and closes the
 // connection. The connection's index is the seed of the mutation.
 scripted_server::script malformedResponses(const std::vector<std::string> &messages)
