Store the handling of a JSON request in one struct

Cause: in json_server.cpp, the request handler and its factory had the same two members and the same constructor.

Change: request_handling holds the two. No behaviour changes.

--- a/tests/standins/json_server.cpp
+++ b/tests/standins/json_server.cpp
@@ -38,17 +38,23 @@
     return call;
 }
 
+// How a server reads and handles its requests.
+struct request_handling
+{
+    size_t maxBodyBytes;
+    json_handler handler;
+};
+
 class json_request_handler : public Poco::Net::HTTPRequestHandler
 {
 public:
-    json_request_handler(size_t maxBodyBytes, json_handler handler)
-        : m_maxBodyBytes(maxBodyBytes)
-        , m_handler(std::move(handler))
+    explicit json_request_handler(request_handling handling)
+        : m_handling(std::move(handling))
     { }
 
     void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
     {
-        const auto result = m_handler(readCall(request, m_maxBodyBytes));
+        const auto result = m_handling.handler(readCall(request, m_handling.maxBodyBytes));
         if (!result) {
             // The server closes the connection without a response.
             response.setKeepAlive(false);
@@ -63,26 +69,23 @@
     }
 
 private:
-    size_t m_maxBodyBytes;
-    json_handler m_handler;
+    request_handling m_handling;
 };
 
 class json_request_handler_factory : public Poco::Net::HTTPRequestHandlerFactory
 {
 public:
-    json_request_handler_factory(size_t maxBodyBytes, json_handler handler)
-        : m_maxBodyBytes(maxBodyBytes)
-        , m_handler(std::move(handler))
+    explicit json_request_handler_factory(request_handling handling)
+        : m_handling(std::move(handling))
     { }
 
     Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override
     {
-        return new json_request_handler(m_maxBodyBytes, m_handler);
+        return new json_request_handler(m_handling);
     }
 
 private:
-    size_t m_maxBodyBytes;
-    json_handler m_handler;
+    request_handling m_handling;
 };
 
 } // namespace
@@ -109,7 +112,7 @@
     params->setMaxQueued(maxThreads);
     params->setKeepAlive(true);
     m_server = std::make_unique<Poco::Net::HTTPServer>(
-        new json_request_handler_factory(maxBodyBytes, std::move(handler)), m_pool, m_socket,
+        new json_request_handler_factory({maxBodyBytes, std::move(handler)}), m_pool, m_socket,
         params);
     m_server->start();
 }
