Wait for the stop signals in one place

Cause: persimmonraild and both stand-in programs blocked SIGTERM and SIGINT and waited for them with the same lines.

Change: stop_signals does so. persimmonrail-sidecar also waits for SIGHUP and keeps its own code. No behaviour changes.

--- a/src/persimmonraild/main.cpp
+++ b/src/persimmonraild/main.cpp
@@ -1,4 +1,5 @@
 // persimmonraild: the daemon that runs beside one upstream.
+#include "persimmonrail/base/stop_signals.h"
 #include "persimmonrail/daemon/daemon.h"
 #include "persimmonrail/settings/daemon_settings.h"
 
@@ -11,21 +12,9 @@
 constexpr int exitFailed = 1;
 constexpr int exitUsage = 2;
 
-// Blocks SIGTERM and SIGINT in this thread and the threads that it starts, and returns these
-// signals, so that they can be awaited with sigwait().
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
 int run(const persimmonrail::daemon_settings &settings)
 {
-    const sigset_t stopSignals = blockStopSignals();
+    const persimmonrail::stop_signals stopSignals;
     // A write to a connection that the peer has closed must fail with an error instead of ending
     // the process.
     std::signal(SIGPIPE, SIG_IGN);
@@ -34,8 +23,7 @@
         std::cerr << "persimmonraild: " << daemon.status().message() << "\n";
         return exitFailed;
     }
-    int received = 0;
-    sigwait(&stopSignals, &received);
+    stopSignals.wait();
     return (*daemon)->stop() ? exitOk : exitFailed;
 }
 
--- a/tests/standins/platform_standin_main.cpp
+++ b/tests/standins/platform_standin_main.cpp
@@ -1,11 +1,11 @@
 // Runs the platform stand-in as a process, for tests with real daemons and for tools/quickstart.
 
+#include "persimmonrail/base/stop_signals.h"
 #include "persimmonrail/settings/flag_parser.h"
 #include "standins/platform_standin.h"
 
 #include <absl/strings/numbers.h>
 
-#include <csignal>
 #include <iostream>
 
 using namespace persimmonrail;
@@ -47,18 +47,12 @@
         }
         return 2;
     }
-    // Blocks the signals before any thread starts, so that only sigwait() receives them.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const stop_signals stopSignals;
     try {
         const auto address = parsed.values.emplace("address", "127.0.0.1:0").first->second;
         const standins::platform_standin standin(address, budget);
         std::cout << "listening on " << standin.address() << std::endl;
-        int received = 0;
-        sigwait(&signals, &received);
+        stopSignals.wait();
     } catch (const std::exception &error) {
         std::cerr << "platform_standin: " << error.what() << "\n";
         return 1;
--- a/tests/standins/upstream_standin_main.cpp
+++ b/tests/standins/upstream_standin_main.cpp
@@ -1,4 +1,5 @@
 // Runs the upstream stand-in as a process, for tests with real daemons and for tools.
+#include "persimmonrail/base/stop_signals.h"
 #include "standins/upstream_standin.h"
 
 #include <absl/strings/numbers.h>
@@ -6,7 +7,6 @@
 #include <getopt.h>
 
 #include <algorithm>
-#include <csignal>
 #include <iostream>
 
 using namespace persimmonrail;
@@ -135,12 +135,7 @@
         std::cerr << usage;
         return 2;
     }
-    // Blocks the signals before any thread starts, so that only sigwait() receives them.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const stop_signals stopSignals;
 
     auto standin = upstream_standin::start(options.standin);
     if (!standin.ok()) {
@@ -149,8 +144,7 @@
     }
     // Scripts read the selected port from this line.
     std::cout << "listening on " << (*standin)->address() << std::endl;
-    int received = 0;
-    sigwait(&signals, &received);
+    stopSignals.wait();
 
     upstream_standin_faults faults = (*standin)->faults();
     faults.draining = true;
