Decode stored document objects in one place

Cause: decodeAccepted() and decodeStatus() parsed the text, checked it and collected errors in the same way.

Change: decodeObject() does so; readAccepted() and readStatus() read the fields. No behaviour changes.

--- a/src/persimmonrail/document/document_acceptance.cpp
+++ b/src/persimmonrail/document/document_acceptance.cpp
@@ -39,6 +39,54 @@
     return reader.requiredInteger("source_version", 1, std::numeric_limits<int64_t>::max() - 1);
 }
 
+accepted_document readAccepted(object_reader &reader)
+{
+    accepted_document accepted;
+    accepted.sourceVersion = static_cast<uint64_t>(readSourceVersion(reader).value_or(0));
+    accepted.document = reader.requiredString("document").value_or("");
+    return accepted;
+}
+
+document_status readStatus(object_reader &reader)
+{
+    document_status status;
+    status.sourceVersion = static_cast<uint64_t>(readSourceVersion(reader).value_or(0));
+    const auto state = reader.requiredString("state").value_or("");
+    if (state != "accepted" && state != "rejected") {
+        reader.reportError("state", "must be 'accepted' or 'rejected'");
+    }
+    status.state = state == "accepted" ? document_state::Accepted : document_state::Rejected;
+    // The clock counts nanoseconds in 64 bits, so larger values would overflow.
+    constexpr int64_t maxDecidedAtMs = std::numeric_limits<int64_t>::max() / 1'000'000;
+    status.decidedAt +=
+        milliseconds(reader.requiredInteger("decided_at_ms", 0, maxDecidedAtMs).value_or(0));
+    for (auto &entry : reader.objectArray("errors", false)) {
+        auto path = entry.requiredString("path");
+        auto message = entry.requiredString("message");
+        status.errors.push_back({path.value_or(""), message.value_or("")});
+    }
+    return status;
+}
+
+// Decodes a stored JSON object with `read`, which reports invalid fields to the reader. Errors:
+// InvalidArgument, with all errors, if the text or a field is invalid.
+template <typename Value>
+absl::StatusOr<Value> decodeObject(std::string_view text, std::string_view description,
+                                   Value (*read)(object_reader &reader))
+{
+    error_list errors;
+    const auto object = parseJsonObject(text, maxStoredJsonDepth, errors);
+    if (object.isNull()) {
+        return invalidArgument(description, errors);
+    }
+    object_reader reader(object, "", errors);
+    Value value = read(reader);
+    if (!errors.empty()) {
+        return invalidArgument(description, errors);
+    }
+    return value;
+}
+
 bool isSameKeyRule(const std::optional<key_rule> &a, const std::optional<key_rule> &b)
 {
     if (!a || !b) {
@@ -123,19 +171,7 @@
 
 absl::StatusOr<accepted_document> decodeAccepted(std::string_view text)
 {
-    error_list errors;
-    const auto object = parseJsonObject(text, maxStoredJsonDepth, errors);
-    if (object.isNull()) {
-        return invalidArgument("accepted document", errors);
-    }
-    object_reader reader(object, "", errors);
-    accepted_document accepted;
-    accepted.sourceVersion = static_cast<uint64_t>(readSourceVersion(reader).value_or(0));
-    accepted.document = reader.requiredString("document").value_or("");
-    if (!errors.empty()) {
-        return invalidArgument("accepted document", errors);
-    }
-    return accepted;
+    return decodeObject<accepted_document>(text, "accepted document", readAccepted);
 }
 
 std::string encodeStatus(const document_status &status)
@@ -159,32 +195,7 @@
 
 absl::StatusOr<document_status> decodeStatus(std::string_view text)
 {
-    error_list decodeErrors;
-    const auto object = parseJsonObject(text, maxStoredJsonDepth, decodeErrors);
-    if (object.isNull()) {
-        return invalidArgument("document status", decodeErrors);
-    }
-    object_reader reader(object, "", decodeErrors);
-    document_status status;
-    status.sourceVersion = static_cast<uint64_t>(readSourceVersion(reader).value_or(0));
-    const auto state = reader.requiredString("state").value_or("");
-    if (state != "accepted" && state != "rejected") {
-        reader.reportError("state", "must be 'accepted' or 'rejected'");
-    }
-    status.state = state == "accepted" ? document_state::Accepted : document_state::Rejected;
-    // The clock counts nanoseconds in 64 bits, so larger values would overflow.
-    constexpr int64_t maxDecidedAtMs = std::numeric_limits<int64_t>::max() / 1'000'000;
-    status.decidedAt +=
-        milliseconds(reader.requiredInteger("decided_at_ms", 0, maxDecidedAtMs).value_or(0));
-    for (auto &entry : reader.objectArray("errors", false)) {
-        auto path = entry.requiredString("path");
-        auto message = entry.requiredString("message");
-        status.errors.push_back({path.value_or(""), message.value_or("")});
-    }
-    if (!decodeErrors.empty()) {
-        return invalidArgument("document status", decodeErrors);
-    }
-    return status;
+    return decodeObject<document_status>(text, "document status", readStatus);
 }
 
 acceptance_decision decideAcceptance(const stored_object &config,
