Split load moves and standby repairs off placement_plan

Change: load_move finds the best move or exchange of load, standby_repair chooses the standbys of a record; the planner turns their results into changes. No behaviour changes.

--- a/src/persimmonrail/balance/placement_plan.cpp
+++ b/src/persimmonrail/balance/placement_plan.cpp
@@ -1,5 +1,8 @@
 #include "persimmonrail/balance/placement_plan.h"
 
+#include "persimmonrail/balance/load_move.h"
+#include "persimmonrail/balance/standby_repair.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -10,7 +13,6 @@
 namespace {
 
 constexpr size_t witnessesPerPartition = 3;
-constexpr size_t standbysPerPartition = 3;
 
 // Plans the record changes of one call of planPlacement().
 class planner
@@ -44,28 +46,6 @@
     }
 
 private:
-    // An available member. Its count and load include partitions that are being moved to the member
-    // and exclude partitions that are being moved away.
-    struct available_member
-    {
-        const member_record *memberRecord = nullptr;
-        size_t partitionCount = 0;
-        // Requests per second, summed over the partitions.
-        double load = 0;
-        // Records of the member's partitions that can be moved to other members.
-        std::vector<const versioned_record *> movableRecords;
-    };
-    // A move that takes load from a member: the partition of `outgoing` goes to the receiver. In an
-    // exchange, the partition of `incoming` comes from the receiver; otherwise `incoming` is null.
-    struct load_move
-    {
-        available_member *receiver = nullptr;
-        const versioned_record *outgoing = nullptr;
-        const versioned_record *incoming = nullptr;
-        // By how much the move lowers the higher load of the two members.
-        double loadReduction = 0;
-    };
-
     member_condition conditionOf(const instance_id &id) const
     {
         const auto *member = m_view.findMember(id);
@@ -75,13 +55,6 @@
         return m_hooks.condition ? m_hooks.condition(*member) : member_condition::Available;
     }
 
-    // Returns requests per second; 0 if unknown.
-    double requestRateOf(const placement_record &record) const
-    {
-        const auto rate = m_options.requestRates.find(record.partition);
-        return rate == m_options.requestRates.end() ? 0 : rate->second;
-    }
-
     // Returns null if no available member has this id.
     available_member *findAvailable(const instance_id &id)
     {
@@ -135,7 +108,7 @@
             findAvailable(isMoving && !isTargetUnavailable ? record.nextOwner : record.owner);
         if (owner != nullptr) {
             ++owner->partitionCount;
-            owner->load += requestRateOf(record);
+            owner->load += requestRateOf(m_options, record);
         }
         if (isMoving) {
             return;
@@ -320,7 +293,7 @@
     {
         auto record = versioned.record;
         record.nextOwner = to.memberRecord->id;
-        const double requestRate = requestRateOf(record);
+        const double requestRate = requestRateOf(m_options, record);
         addChange(record_change::change_kind::Move, std::move(record), versioned.version,
                   std::string(reason));
         m_changes.back().isLoadDriven = isLoadDriven;
@@ -359,7 +332,7 @@
             if (donor->load <= mean * (1 + m_options.minLoadExcess)) {
                 return;
             }
-            const auto best = findLoadMove(*donor);
+            const auto best = findLoadMove(*donor, m_available, m_options);
             if (best.outgoing != nullptr
                 && best.loadReduction >= mean * m_options.minLoadReduction) {
                 move(*best.outgoing, donor, *best.receiver, true, "loads differ");
@@ -371,49 +344,6 @@
         }
     }
 
-    // Returns the move or exchange that relieves the donor most. If there is none, `outgoing` is
-    // null.
-    load_move findLoadMove(const available_member &donor)
-    {
-        load_move best;
-        for (auto &[id, receiver] : m_available) {
-            if (&receiver == &donor) {
-                continue;
-            }
-            for (const auto *outgoing : donor.movableRecords) {
-                if (donor.partitionCount > receiver.partitionCount) {
-                    considerLoadMove(best, donor, {&receiver, outgoing, nullptr});
-                }
-                if (m_options.maxConcurrentMoves < 2) {
-                    continue;
-                }
-                for (const auto *incoming : receiver.movableRecords) {
-                    considerLoadMove(best, donor, {&receiver, outgoing, incoming});
-                }
-            }
-        }
-        return best;
-    }
-
-    // Replaces `best` by `candidate` if the candidate relieves the donor enough to be preferred.
-    void considerLoadMove(load_move &best, const available_member &donor, load_move candidate) const
-    {
-        double shiftedLoad = requestRateOf(candidate.outgoing->record);
-        if (candidate.incoming != nullptr) {
-            shiftedLoad -= requestRateOf(candidate.incoming->record);
-        }
-        const double higherLoad =
-            std::max(donor.load - shiftedLoad, candidate.receiver->load + shiftedLoad);
-        candidate.loadReduction = donor.load - higherLoad;
-        // An exchange costs two moves, so it must relieve the donor clearly more than one move.
-        constexpr double minExchangeAdvantage = 1.1;
-        const bool costsMore = candidate.incoming != nullptr && best.incoming == nullptr;
-        if (candidate.loadReduction
-            > best.loadReduction * (costsMore ? minExchangeAdvantage : 1.0)) {
-            best = candidate;
-        }
-    }
-
     // Plans repairs for records without other planned changes, up to the limit of one call.
     void repairStandbys()
     {
@@ -429,41 +359,16 @@
         }
     }
 
-    // Replaces standbys that are no longer members and fills up missing ones. Returns whether a
-    // change was planned.
+    // Plans the repair of the standbys of a record. Returns whether a change was planned.
     bool repairRecord(const versioned_record &versioned)
     {
-        const auto &record = versioned.record;
-        std::vector<instance_id> standbys;
-        // A standby that has become the owner may still be listed.
-        std::copy_if(record.standbys.begin(), record.standbys.end(), std::back_inserter(standbys),
-                     [&](const instance_id &id) {
-                         return m_view.findMember(id) != nullptr && id != record.owner;
-                     });
-        // If the owner is lost, its standbys claim the partition, and a change of the record would
-        // only delay their claims.
-        if (m_view.findMember(record.owner) == nullptr && !standbys.empty()) {
-            return false;
-        }
-        // The hook sorts all members by rendezvous weight, which is too slow to be done for every
-        // record on each call.
-        const bool isComplete = standbys.size() >= std::min(standbysPerPartition, m_maxStandbys);
-        if (isComplete && standbys.size() == record.standbys.size()) {
-            return false;
-        }
-        const auto chosen =
-            m_hooks.chooseStandbys(m_view, m_service, record.owner, record.partition);
-        for (const auto &id : chosen) {
-            const bool isListed = std::find(standbys.begin(), standbys.end(), id) != standbys.end();
-            if (standbys.size() < standbysPerPartition && !isListed && id != record.owner) {
-                standbys.push_back(id);
-            }
-        }
-        if (standbys == record.standbys) {
+        auto standbys =
+            repairedStandbys(m_view, m_service, versioned.record, m_maxStandbys, m_hooks);
+        if (!standbys) {
             return false;
         }
-        auto changed = record;
-        changed.standbys = std::move(standbys);
+        auto changed = versioned.record;
+        changed.standbys = *std::move(standbys);
         addChange(record_change::change_kind::RepairStandbys, std::move(changed), versioned.version,
                   "standbys lost or missing");
         return true;
@@ -476,7 +381,7 @@
     // Number of members of the service that can be standbys of one record, i.e. all but its owner.
     size_t m_maxStandbys = 0;
     // Available members of the service.
-    std::map<instance_id, available_member> m_available;
+    available_members m_available;
     // Range records of the service.
     std::vector<const versioned_record *> m_records;
     // Records of draining owners whose move has not started.
