Version the fleet's objects by the store's epoch and revision

A store that is restored from an older copy gives its revisions out again.

A version now has the store's epoch in its high bits, so versions rise across restores and every comparison stays right. The list of a new epoch replaces all entries; changes of an older epoch that arrive late are ignored. Each epoch has a placement record of its own, because a write that was prepared before the restore can find its expected revision again on other content; the directory shows the record of the highest epoch.

Nothing composes such versions yet: until the store client does, all versions belong to epoch 0 and the behaviour is unchanged. placementKey() without an epoch names the record of the base epoch, for callers that do not know epochs yet.

--- a/src/persimmonrail/fleet/fleet_directory.cpp
+++ b/src/persimmonrail/fleet/fleet_directory.cpp
@@ -1,12 +1,47 @@
 #include "persimmonrail/fleet/fleet_directory.h"
 
+#include <absl/strings/numbers.h>
+
 #include <algorithm>
+#include <optional>
+#include <tuple>
 
 namespace persimmonrail {
 namespace {
 
 constexpr std::string_view memberPrefix = "fleet/member.";
-constexpr std::string_view placementPrefix = "fleet/keys.";
+constexpr std::string_view basePlacementPrefix = "fleet/keys.";
+// Placement records of epochs after the base epoch: "fleet/epoch.EPOCH.keys.SERVICE".
+constexpr std::string_view epochPrefix = "fleet/epoch.";
+constexpr std::string_view placementInfix = ".keys.";
+
+// The record to which a placement's store key refers.
+struct placement_record_id
+{
+    std::string service;
+    uint64_t epoch = baseEpoch;
+};
+
+// Returns nullopt if `key` is not the store key of a placement.
+std::optional<placement_record_id> parsePlacementKey(std::string_view key)
+{
+    if (key.starts_with(basePlacementPrefix)) {
+        return placement_record_id{std::string(key.substr(basePlacementPrefix.size())), baseEpoch};
+    }
+    const size_t infix = key.find(placementInfix);
+    if (!key.starts_with(epochPrefix) || infix == std::string_view::npos
+        || infix < epochPrefix.size()) {
+        return std::nullopt;
+    }
+    const std::string epochText(key.substr(epochPrefix.size(), infix - epochPrefix.size()));
+    placement_record_id id;
+    id.service = key.substr(infix + placementInfix.size());
+    if (!absl::SimpleAtoi(epochText, &id.epoch) || id.epoch > maxEpoch
+        || placementKey(id.service, id.epoch) != key) {
+        return std::nullopt;
+    }
+    return id;
+}
 
 } // namespace
 
@@ -15,9 +50,12 @@
     return std::string(memberPrefix) + upstream;
 }
 
-std::string placementKey(const std::string &service)
+std::string placementKey(const std::string &service, uint64_t epoch)
 {
-    return std::string(placementPrefix) + service;
+    if (epoch <= baseEpoch) {
+        return std::string(basePlacementPrefix) + service;
+    }
+    return std::string(epochPrefix) + std::to_string(epoch) + std::string(placementInfix) + service;
 }
 
 std::vector<const upstream_member *> fleet_directory::membersOf(std::string_view service) const
@@ -74,7 +112,7 @@
     for (const stored_object &object : list.objects) {
         put(object);
     }
-    m_directory.m_revision = std::max(m_directory.m_revision, list.revision);
+    advanceRevision(list.revision);
 }
 
 void fleet_directory_builder::apply(const object_list &changes)
@@ -82,7 +120,7 @@
     for (const stored_object &object : changes.objects) {
         applyObject(object);
     }
-    m_directory.m_revision = std::max(m_directory.m_revision, changes.revision);
+    advanceRevision(changes.revision);
 }
 
 void fleet_directory_builder::applyObject(const stored_object &object)
@@ -94,55 +132,85 @@
     }
 }
 
+void fleet_directory_builder::advanceRevision(uint64_t revision)
+{
+    m_directory.m_revision = std::max(m_directory.m_revision, revision);
+    m_directory.m_epoch = std::max(m_directory.m_epoch, epochOf(revision));
+}
+
 void fleet_directory_builder::put(const stored_object &object)
 {
-    const std::string_view key = object.key;
-    if (key.starts_with(memberPrefix)) {
-        const auto member = parseMember(object.value);
-        auto &members = m_directory.m_members;
-        const std::string name(key.substr(memberPrefix.size()));
-        if (!member.ok() || member->id.name != name) {
-            m_onError(object.key,
-                      member.ok() ? "the upstream name differs from the store key"
-                                  : member.status().ToString());
-            return;
-        }
-        const auto entry = members.find(name);
-        if (entry == members.end() || entry->second.version < object.version) {
-            members[name] = {*member, object.version};
-        }
-    } else if (key.starts_with(placementPrefix)) {
-        auto placement = parsePlacement(object.value);
-        const std::string service(key.substr(placementPrefix.size()));
-        if (!placement.ok() || placement->service != service) {
-            m_onError(object.key,
-                      placement.ok() ? "the service name differs from the store key"
-                                     : placement.status().ToString());
-            return;
-        }
-        auto &placements = m_directory.m_placements;
-        const auto entry = placements.find(service);
-        if (entry == placements.end() || entry->second.version < object.version) {
-            placements[service] = {std::move(*placement), object.version};
-        }
+    m_directory.m_epoch = std::max(m_directory.m_epoch, epochOf(object.version));
+    if (epochOf(object.version) < epochOf(m_directory.m_revision)) {
+        // The restored store may not have this object.
+        return;
+    }
+    if (object.key.starts_with(memberPrefix)) {
+        putMember(object);
     } else {
+        putPlacement(object);
+    }
+}
+
+void fleet_directory_builder::putMember(const stored_object &object)
+{
+    const auto member = parseMember(object.value);
+    auto &members = m_directory.m_members;
+    const std::string name = object.key.substr(memberPrefix.size());
+    if (!member.ok() || member->id.name != name) {
+        m_onError(object.key,
+                  member.ok() ? "the upstream name differs from the store key"
+                              : member.status().ToString());
+        return;
+    }
+    const auto entry = members.find(name);
+    if (entry == members.end() || entry->second.version < object.version) {
+        members[name] = {*member, object.version};
+    }
+}
+
+void fleet_directory_builder::putPlacement(const stored_object &object)
+{
+    const auto id = parsePlacementKey(object.key);
+    if (!id) {
         m_onError(object.key, "the store key has an unknown prefix");
+        return;
+    }
+    auto placement = parsePlacement(object.value);
+    if (!placement.ok() || placement->service != id->service) {
+        m_onError(object.key,
+                  placement.ok() ? "the service name differs from the store key"
+                                 : placement.status().ToString());
+        return;
+    }
+    auto &placements = m_directory.m_placements;
+    const auto entry = placements.find(id->service);
+    if (entry == placements.end()
+        || std::tie(entry->second.epoch, entry->second.version)
+            < std::tie(id->epoch, object.version)) {
+        placements[id->service] = {std::move(*placement), object.version, id->epoch};
     }
 }
 
 void fleet_directory_builder::erase(const std::string &key, uint64_t version)
 {
+    m_directory.m_epoch = std::max(m_directory.m_epoch, epochOf(version));
     const std::string_view keyView = key;
     if (keyView.starts_with(memberPrefix)) {
         const auto entry = m_directory.m_members.find(keyView.substr(memberPrefix.size()));
         if (entry != m_directory.m_members.end() && entry->second.version < version) {
             m_directory.m_members.erase(entry);
         }
-    } else if (keyView.starts_with(placementPrefix)) {
-        const auto entry = m_directory.m_placements.find(keyView.substr(placementPrefix.size()));
-        if (entry != m_directory.m_placements.end() && entry->second.version < version) {
-            m_directory.m_placements.erase(entry);
-        }
+        return;
+    }
+    const auto id = parsePlacementKey(key);
+    if (!id) {
+        return;
+    }
+    const auto entry = m_directory.m_placements.find(id->service);
+    if (entry != m_directory.m_placements.end() && entry->second.epoch == id->epoch
+        && entry->second.version < version) {
+        m_directory.m_placements.erase(entry);
     }
 }
 
--- a/src/persimmonrail/fleet/fleet_directory.h
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -3,6 +3,7 @@
 #include "persimmonrail/fleet/upstream_member.h"
 #include "persimmonrail/keyspace/key_placement.h"
 #include "persimmonrail/objects/object_api.h"
+#include "persimmonrail/objects/object_version.h"
 
 #include <functional>
 #include <map>
@@ -17,8 +18,10 @@
 inline constexpr char fleetPrefix[] = "fleet/";
 // Returns the store key of an upstream's member entry.
 std::string memberKey(const std::string &upstream);
-// Returns the store key of a service's key placement.
-std::string placementKey(const std::string &service);
+// Returns the store key of a service's key placement. Each epoch of the store has a placement
+// record of its own, so that a write that was prepared before a restore cannot reach the record
+// that is in use after it, although the restored store gives the expected revision out again.
+std::string placementKey(const std::string &service, uint64_t epoch = baseEpoch);
 
 // Members and key placements of the fleet at one revision of the store. A directory does not change
 // once it is built, so threads may share it.
@@ -30,6 +33,10 @@
     {
         key_placement placement;
         uint64_t version = 0;
+        // Epoch to which the record belongs, at least baseEpoch. A record of an epoch before
+        // fleet_directory::epoch() was inherited from the copy from which the store was restored,
+        // or read before the restore.
+        uint64_t epoch = baseEpoch;
     };
     // A member and the version of its object in the store.
     struct versioned_member
@@ -40,12 +47,15 @@
 
     // Returns the revision of the store up to which the directory holds all changes.
     uint64_t revision() const { return m_revision; }
+    // Returns the highest epoch of the store that any object or list showed.
+    uint64_t epoch() const { return m_epoch; }
     // Returns the members of a service that are not terminated. The pointers are valid for the
     // lifetime of the directory.
     std::vector<const upstream_member *> membersOf(std::string_view service) const;
     // Returns the member entry of an upstream, or null if there is none.
     const versioned_member *findMember(std::string_view upstream) const;
-    // Returns the key placement of a service, or null if there is none.
+    // Returns the key placement of a service, or null if there is none. If there are records of
+    // several epochs, returns that of the highest epoch.
     const versioned_placement *findPlacement(std::string_view service) const;
     // Returns all members by upstream name, including terminated ones.
     const std::map<std::string, versioned_member, std::less<>> &members() const
@@ -56,6 +66,7 @@
 private:
     friend class fleet_directory_builder;
     uint64_t m_revision = 0;
+    uint64_t m_epoch = 0;
     std::map<std::string, versioned_member, std::less<>> m_members;
     std::map<std::string, versioned_placement, std::less<>> m_placements;
 };
@@ -69,7 +80,8 @@
                                             const upstream_id &present);
 
 // Builds directories from objects of the store. An object that cannot be parsed is reported to the
-// error hook and otherwise ignored. Not thread safe.
+// error hook and otherwise ignored. A list of a new epoch of the store replaces all that was read
+// before the restore, and objects of an older epoch than the list are ignored. Not thread safe.
 class fleet_directory_builder
 {
 public:
@@ -91,8 +103,11 @@
 private:
     // Adds or replaces the entry of an object, unless the known entry is as new.
     void put(const stored_object &object);
+    void putMember(const stored_object &object);
+    void putPlacement(const stored_object &object);
     // Removes the entry of a deleted object if the entry is older than `version`.
     void erase(const std::string &key, uint64_t version);
+    void advanceRevision(uint64_t revision);
 
     const error_hook m_onError;
     fleet_directory m_directory;
--- a/src/persimmonrail/fleet/tests/fleet_test.cpp
+++ b/src/persimmonrail/fleet/tests/fleet_test.cpp
@@ -29,6 +29,13 @@
     return {{name, 5}, "ledger", "nord", "127.0.0.1:9000", 9, false, false};
 }
 
+key_placement placement(const std::string &service, uint64_t highestFence)
+{
+    key_placement result = emptyPlacement(service);
+    result.highestFence = highestFence;
+    return result;
+}
+
 } // namespace
 
 // Guards against a late or repeated report that restores an earlier incarnation or phase.
@@ -149,6 +156,148 @@
     CHECK(directory->findMember("c") == nullptr);
 }
 
+// Guards against a daemon that follows the content from before a restore: the restored copy has
+// lower revisions than the entries that the daemon has read.
+TEST_CASE("the list of a restored store replaces what was read before", "[fleet]")
+{
+    fleet_directory_builder builder([](const std::string &, std::string_view) {});
+    upstream_member draining = member("a");
+    draining.isDraining = true;
+    const uint64_t before = makeVersion(1, 90);
+    const uint64_t after = makeVersion(2, 70);
+    builder.reset({before,
+                   {{memberKey("a"), before, false, encodeMember(draining)},
+                    {memberKey("b"), before, false, encodeMember(member("b"))},
+                    {placementKey("s"), before, false, encodePlacement(placement("s", 8))}}});
+    builder.reset({after,
+                   {{memberKey("a"), makeVersion(2, 60), false, encodeMember(member("a"))},
+                    {placementKey("s"), after, false, encodePlacement(placement("s", 3))}}});
+    const auto directory = builder.build();
+    CHECK(directory->epoch() == 2);
+    CHECK(directory->revision() == after);
+    REQUIRE(directory->findMember("a") != nullptr);
+    CHECK_FALSE(directory->findMember("a")->member.isDraining);
+    CHECK(directory->findMember("a")->version == makeVersion(2, 60));
+    CHECK(directory->findMember("b") == nullptr);
+    REQUIRE(directory->findPlacement("s") != nullptr);
+    CHECK(directory->findPlacement("s")->placement.highestFence == 3);
+    CHECK(directory->findPlacement("s")->epoch == baseEpoch);
+}
+
+// Guards against content from before a restore that returns through a slower path, such as a relay
+// that has not noticed the restore.
+TEST_CASE("late changes from before a restore are ignored", "[fleet]")
+{
+    fleet_directory_builder builder([](const std::string &, std::string_view) {});
+    const uint64_t listed = makeVersion(2, 70);
+    builder.reset({listed, {{memberKey("a"), listed, false, encodeMember(member("a"))}}});
+    const uint64_t late = makeVersion(1, 95);
+    const object_list changes{
+        late,
+        {{memberKey("a"), late, true, ""},
+         {memberKey("b"), late, false, encodeMember(member("b"))},
+         {placementKey("s"), late, false, encodePlacement(placement("s", 8))}}};
+    SECTION("changes")
+    {
+        builder.apply(changes);
+    }
+    SECTION("a list")
+    {
+        object_list list = changes;
+        list.objects.erase(list.objects.begin());
+        builder.reset(list);
+    }
+    const auto directory = builder.build();
+    CHECK(directory->revision() == listed);
+    CHECK(directory->epoch() == 2);
+    CHECK(directory->findMember("a") != nullptr);
+    CHECK(directory->findMember("b") == nullptr);
+    CHECK(directory->findPlacement("s") == nullptr);
+}
+
+// Guards against an object of the restored store that a list from before the restore removes, and
+// against a directory that does not show the restore before the list has arrived.
+TEST_CASE("a single object shows the epoch of the store", "[fleet]")
+{
+    fleet_directory_builder builder([](const std::string &, std::string_view) {});
+    builder.reset({makeVersion(1, 90), {}});
+    builder.applyObject({memberKey("a"), makeVersion(2, 60), false, encodeMember(member("a"))});
+    builder.reset({makeVersion(1, 95), {}});
+    CHECK(builder.build()->epoch() == 2);
+    CHECK(builder.build()->findMember("a") != nullptr);
+}
+
+TEST_CASE("the placement record of the highest epoch is in force", "[fleet]")
+{
+    const uint64_t listed = makeVersion(3, 70);
+    const stored_object base{placementKey("s"), makeVersion(3, 60), false,
+                             encodePlacement(placement("s", 1))};
+    const stored_object second{placementKey("s", 2), makeVersion(3, 50), false,
+                               encodePlacement(placement("s", 2))};
+    const stored_object third{placementKey("s", 3), makeVersion(3, 71), false,
+                              encodePlacement(placement("s", 3))};
+    struct test_case
+    {
+        std::string description;
+        std::vector<stored_object> listed;
+        std::vector<stored_object> later;
+        uint64_t expectedEpoch;
+    };
+    const auto test = GENERATE_COPY(values<test_case>({
+        {"only the record of the base epoch", {base}, {}, 1},
+        {"records of two epochs", {base, second}, {}, 2},
+        {"the same in the other order", {second, base}, {}, 2},
+        {"a record is created for the present epoch", {base, second}, {third}, 3},
+        {"a later write to the record of an older epoch",
+         {base, second},
+         {third, {second.key, makeVersion(3, 72), false, second.value}},
+         3},
+        {"a later deletion of the record of an older epoch",
+         {base, second},
+         {third, {second.key, makeVersion(3, 72), true, ""}},
+         3},
+    }));
+    INFO(test.description);
+    fleet_directory_builder builder([](const std::string &, std::string_view) {});
+    builder.reset({listed, test.listed});
+    for (const stored_object &object : test.later) {
+        builder.applyObject(object);
+    }
+    const auto *record = builder.build()->findPlacement("s");
+    REQUIRE(record != nullptr);
+    CHECK(record->epoch == test.expectedEpoch);
+    CHECK(record->placement.highestFence == test.expectedEpoch);
+}
+
+// Guards against a list that was read before the record of the present epoch was created.
+TEST_CASE("a list does not replace the record of a newer epoch", "[fleet]")
+{
+    fleet_directory_builder builder([](const std::string &, std::string_view) {});
+    const stored_object base{placementKey("s"), makeVersion(2, 60), false,
+                             encodePlacement(placement("s", 1))};
+    builder.applyObject(
+        {placementKey("s", 2), makeVersion(2, 71), false, encodePlacement(placement("s", 2))});
+    builder.reset({makeVersion(2, 70), {base}});
+    CHECK(builder.build()->findPlacement("s")->epoch == 2);
+}
+
+TEST_CASE("placement keys name the epoch after a restore only", "[fleet]")
+{
+    CHECK(placementKey("s", 0) == placementKey("s"));
+    CHECK(placementKey("s", 1) == placementKey("s"));
+    CHECK(placementKey("s", 2) != placementKey("s"));
+    CHECK(placementKey("s", 2) != placementKey("s", 3));
+    const std::string key =
+        GENERATE("fleet/epoch.", "fleet/epoch.2", "fleet/epoch.x.keys.s", "fleet/epoch.1.keys.s",
+                 "fleet/epoch.02.keys.s", "fleet/epoch.8192.keys.s", "fleet/epoch.-2.keys.s",
+                 "fleet/epoch..keys.s", "fleet/epoch.2.keys.t");
+    int errors = 0;
+    fleet_directory_builder builder([&errors](const std::string &, std::string_view) { ++errors; });
+    builder.applyObject({key, 3, false, encodePlacement(placement("s", 1))});
+    CHECK(errors == 1);
+    CHECK(builder.build()->findPlacement("s") == nullptr);
+}
+
 // Guards against keys that stay with an upstream which ended together with the daemon beside it.
 // The restarted daemon knows that upstream from the store only.
 TEST_CASE("earlier members at the same peer address are terminated", "[fleet]")
