Make followers list the store again after a restore

A daemon that follows a relay could keep objects that a restore had lost, for example its own member entry: the relay passes on what the restored store holds, but has no entry of its own to remove, so the follower never learned that its entry is gone and did not write it again.

The cause is the assumption that a follower knows no object that the feed never had. A listing of a new epoch of the store now ends all cursors, and a follower whose list is from an older epoch has to list the store. Objects of an older epoch that arrive late are not passed on.

--- a/src/persimmonrail/feed/change_feed.cpp
+++ b/src/persimmonrail/feed/change_feed.cpp
@@ -1,5 +1,7 @@
 #include "persimmonrail/feed/change_feed.h"
 
+#include "persimmonrail/objects/object_version.h"
+
 #include <algorithm>
 #include <set>
 #include <vector>
@@ -19,6 +21,9 @@
 
 void change_feed::put(const stored_object &object)
 {
+    if (epochOf(object.version) < epochOf(m_revision)) {
+        return;
+    }
     entry &stored = m_entries[object.key];
     if (stored.object.version < object.version) {
         stored = {object, ++m_position};
@@ -51,6 +56,9 @@
     for (const std::string &key : missing) {
         remove(key);
     }
+    if (epochOf(objects.revision) > epochOf(m_revision)) {
+        ++m_id;
+    }
     m_revision = std::max(m_revision, objects.revision);
     m_changed.notify_all();
 }
@@ -111,6 +119,9 @@
     if (!isCursorValid()) {
         return absl::OutOfRangeError("the cursor belongs to another feed");
     }
+    if (cursor.feed == 0 && epochOf(revision) < epochOf(m_revision)) {
+        return absl::OutOfRangeError("the store was restored from a copy");
+    }
     return cursor.feed == 0 ? collectChanges(0, revision) : collectChanges(cursor.position, 0);
 }
 
--- a/src/persimmonrail/feed/change_feed.h
+++ b/src/persimmonrail/feed/change_feed.h
@@ -39,6 +39,8 @@
 // has received, for every object, a version at least as new as the feed's version at that cursor.
 // Changes are returned only if the store has recently responded to this daemon, so that the
 // followers of a daemon that has lost its connection to the store switch to another source.
+// A follower that listed the store before a restore lists it again, since the restored store may
+// lack objects that the follower knows and the feed never had.
 class change_feed
 {
 public:
@@ -47,7 +49,8 @@
     explicit change_feed(uint64_t id);
 
     // Applies a complete listing of the prefix. Objects that are missing from the listing are
-    // removed unless their version is newer than the revision of the listing.
+    // removed unless their version is newer than the revision of the listing. The listing of a new
+    // epoch of the store replaces all objects of older epochs.
     void reset(const object_list &objects);
     // Applies changes that the store's watch returned. Must be called in the order of the changes.
     void apply(const object_list &changes);
@@ -61,8 +64,9 @@
     // Returns the changes after `cursor`. If there are none, waits for one until `until` and
     // returns no changes if the wait times out. A follower without a cursor receives the objects
     // newer than `revision` at once. Errors: Unavailable if the store has not responded recently or
-    // stop() was called before; OutOfRange if the cursor belongs to another feed or objects were
-    // removed, in which case the follower must list the store.
+    // stop() was called before; OutOfRange if the cursor belongs to another feed, objects were
+    // removed, or the store was restored from a copy since the follower's list, in which case the
+    // follower must list the store.
     absl::StatusOr<feed_changes> changesAfter(const feed_cursor &cursor, uint64_t revision,
                                               steady_time now, steady_time until);
     // Ends all waits. Later calls of changesAfter() return Unavailable.
@@ -76,6 +80,8 @@
         uint64_t position = 0;
     };
     // The following functions require m_mutex to be held.
+    // Adds or replaces an object, unless the known one is as new or the feed has the listing of a
+    // newer epoch of the store.
     void put(const stored_object &object);
     void remove(const std::string &key);
     // Returns the objects whose position is above `position` and whose version is above `revision`.
--- a/src/persimmonrail/feed/tests/change_feed_test.cpp
+++ b/src/persimmonrail/feed/tests/change_feed_test.cpp
@@ -1,4 +1,5 @@
 #include "persimmonrail/feed/change_feed.h"
+#include "persimmonrail/objects/object_version.h"
 
 #include <catch2/catch.hpp>
 
@@ -134,3 +135,67 @@
         CHECK(fixture.read(cursor).ok());
     }
 }
+
+// Guards against followers that keep what they read before the store was restored from a copy. They
+// may know objects that neither the restored store nor the feed has, such as their own writes.
+TEST_CASE("followers list the store after a restore", "[feed]")
+{
+    feed_fixture fixture;
+    const auto cursor = fixture.read({}, 10)->cursor;
+    fixture.feed.reset(
+        {makeVersion(2, 8), {object("a", makeVersion(2, 3)), object("b", makeVersion(2, 8))}});
+    SECTION("a follower with a cursor")
+    {
+        CHECK(absl::IsOutOfRange(fixture.read(cursor).status()));
+    }
+    SECTION("a follower whose list is from before the restore")
+    {
+        CHECK(absl::IsOutOfRange(fixture.read({}, 10).status()));
+    }
+    SECTION("a follower whose list is from after the restore")
+    {
+        const auto changes = fixture.read({}, makeVersion(2, 3));
+        REQUIRE(changes.ok());
+        CHECK(changedKeys(*changes) == std::vector<std::string>{"fleet/b"});
+        CHECK(changes->changes.revision == makeVersion(2, 8));
+        CHECK(fixture.read(changes->cursor)->changes.objects.empty());
+    }
+}
+
+// Guards against a waiting follower that does not notice the restore until its wait ends.
+TEST_CASE("a restore ends the wait of a follower", "[feed]")
+{
+    feed_fixture fixture;
+    const auto cursor = fixture.read({}, 10)->cursor;
+    const object_list restored{makeVersion(2, 8),
+                               {object("a", makeVersion(2, 3)), object("b", makeVersion(2, 8))}};
+    std::thread writer([&] { fixture.feed.reset(restored); });
+    const auto changes = fixture.feed.changesAfter(cursor, 0, fixture.now, fixture.now + 20s);
+    writer.join();
+    CHECK(absl::IsOutOfRange(changes.status()));
+}
+
+// Guards against objects that the restored store lost and that return through a slower path.
+TEST_CASE("objects from before a restore are not passed on after it", "[feed]")
+{
+    feed_fixture fixture;
+    fixture.feed.reset({makeVersion(2, 8), {object("a", makeVersion(2, 3))}});
+    fixture.feed.applyObject(object("b", makeVersion(1, 90)));
+    fixture.feed.apply({makeVersion(1, 91), {object("c", makeVersion(1, 91))}});
+    const auto changes = fixture.read({}, makeVersion(2, 0));
+    REQUIRE(changes.ok());
+    CHECK(changedKeys(*changes) == std::vector<std::string>{"fleet/a"});
+    CHECK(changes->changes.revision == makeVersion(2, 8));
+}
+
+// Guards against a follower that goes back to the content from before a restore, because its relay
+// has not noticed the restore yet.
+TEST_CASE("a feed that has not noticed a restore passes on nothing older", "[feed]")
+{
+    feed_fixture fixture;
+    const auto before = fixture.read({}, makeVersion(2, 5));
+    REQUIRE(before.ok());
+    CHECK(before->changes.objects.empty());
+    fixture.feed.reset({makeVersion(2, 8), {object("a", makeVersion(2, 3))}});
+    CHECK(absl::IsOutOfRange(fixture.read(before->cursor).status()));
+}
--- a/src/persimmonrail/feed/tests/relayed_watch_test.cpp
+++ b/src/persimmonrail/feed/tests/relayed_watch_test.cpp
@@ -1,6 +1,7 @@
 #include "persimmonrail/feed/relayed_watch.h"
 
 #include "persimmonrail/http/http_server.h"
+#include "persimmonrail/objects/object_version.h"
 
 #include <catch2/catch.hpp>
 
@@ -119,6 +120,28 @@
     CHECK(fixture.watch()->revision == 20);
 }
 
+// Guards against a follower that keeps the content from before a restore of the store, whose
+// revisions are lower.
+TEST_CASE("a follower lists the store after a restore, then follows its relay again", "[feed]")
+{
+    relay_fixture fixture;
+    REQUIRE(fixture.watch().ok());
+    const uint64_t listed = makeVersion(2, 15);
+    fixture.feed.reset({listed, {object("a", makeVersion(2, 12))}});
+    CHECK(absl::IsOutOfRange(fixture.watch().status()));
+    const auto unchanged = fixture.follower.watch(fleetPrefix, listed, 20s);
+    REQUIRE(unchanged.ok());
+    CHECK(unchanged->objects.empty());
+    CHECK(unchanged->revision == listed);
+    const uint64_t version = makeVersion(2, 16);
+    fixture.feed.apply({version, {object("a", version)}});
+    const auto changes = fixture.follower.watch(fleetPrefix, listed, 20s);
+    REQUIRE(changes.ok());
+    REQUIRE(changes->objects.size() == 1);
+    CHECK(changes->objects[0].version == version);
+    CHECK(fixture.storeWaits.empty());
+}
+
 // Load pattern: many changes in a short time reach a daemon that watches the store in few
 // responses.
 TEST_CASE("changes in quick succession arrive in one response", "[feed]")
--- a/src/persimmonrail/router/tests/store_proxy_test.cpp
+++ b/src/persimmonrail/router/tests/store_proxy_test.cpp
@@ -1,6 +1,7 @@
 #include "persimmonrail/router/store_proxy.h"
 
 #include "persimmonrail/http/http_server.h"
+#include "persimmonrail/objects/object_version.h"
 
 #include <catch2/catch.hpp>
 
@@ -121,6 +122,20 @@
     CHECK(site.peerStore.calls == 0);
 }
 
+// Guards against versions that are rounded on their way through a peer.
+TEST_CASE("versions of any epoch pass through a peer unchanged", "[router]")
+{
+    store_proxy_fixture site;
+    site.directStore.error = absl::UnavailableError("cut");
+    const uint64_t version = makeVersion(maxEpoch, (uint64_t{1} << revisionBits) - 2);
+    site.peerStore.revision = version - 1;
+    REQUIRE(*site.proxied.put("fleet/x", 0, "{}") == version);
+    CHECK(site.proxied.get("fleet/x")->version == version);
+    CHECK(site.proxied.list("fleet/")->revision == version);
+    CHECK(site.proxied.list("fleet/")->objects.at(0).version == version);
+    CHECK(*site.proxied.put("fleet/x", version, "{}") == version + 1);
+}
+
 TEST_CASE("without any path the direct error is returned", "[router]")
 {
     store_proxy_fixture site;
