--- a/src/persimmonrail/keyspace/placement_proposal.cpp
+++ b/src/persimmonrail/keyspace/placement_proposal.cpp
@@ -32,23 +32,41 @@
     return now >= dueAt + (input.isCoordinator ? milliseconds(0) : coordinatorTimeout);
 }
 
+// Returns a proposal of the change that `plan` makes, or nothing if it changes nothing now.
+std::optional<placement_proposal>
+proposeIfNeeded(const key_placement &current, std::string_view reason,
+                std::function<key_placement(const key_placement &latest)> plan)
+{
+    if (plan(current) == current) {
+        return std::nullopt;
+    }
+    const auto change =
+        [plan = std::move(plan)](const key_placement &latest) -> std::optional<key_placement> {
+        key_placement next = plan(latest);
+        return next == latest ? std::nullopt : std::optional(std::move(next));
+    };
+    return placement_proposal{change, reason};
+}
+
 std::optional<placement_proposal> proposeOwnChange(const proposal_input &input,
                                                    const range_lease_manager &leases,
                                                    const key_placement &current, boot_time now)
 {
+    const upstream_id id = *input.upstream;
     if (!input.isDraining) {
-        key_placement reclaimed = reclaimHeld(reclaimRanges(current, *input.upstream),
-                                              *input.upstream, leases.reclaimableKeys(now));
-        if (reclaimed != current) {
-            return placement_proposal{std::move(reclaimed), "reclaim"};
+        auto reclaim =
+            proposeIfNeeded(current, "reclaim",
+                            [id, held = leases.reclaimableKeys(now)](const key_placement &latest) {
+                                return reclaimHeld(reclaimRanges(latest, id), id, held);
+                            });
+        if (reclaim) {
+            return reclaim;
         }
     }
-    const std::vector<uint64_t> due = leases.dueTakeovers(now);
-    if (!due.empty()) {
-        return placement_proposal{activateTakeovers(current, *input.upstream, due),
-                                  "activate-takeover"};
-    }
-    return std::nullopt;
+    return proposeIfNeeded(current, "activate-takeover",
+                           [id, due = leases.dueTakeovers(now)](const key_placement &latest) {
+                               return activateTakeovers(latest, id, due);
+                           });
 }
 
 std::optional<placement_proposal> proposeCoordinatorChange(const proposal_input &input,
@@ -58,25 +76,43 @@
         std::any_of(current.ranges.begin(), current.ranges.end(),
                     [](const owned_range &range) { return range.owner.isEmpty(); });
     if (hasUnownedRange) {
-        return input.areMembersStable
-            ? std::optional(placement_proposal{assignUnowned(current, input.live), "assign"})
-            : std::nullopt;
+        return !input.areMembersStable
+            ? std::nullopt
+            : proposeIfNeeded(current, "assign", [live = input.live](const key_placement &latest) {
+                  return assignUnowned(latest, live);
+              });
     }
-    key_placement withoutTerminated =
-        reassignLost(current, input.isTerminated, input.live, milliseconds(0));
-    if (withoutTerminated != current) {
-        return placement_proposal{std::move(withoutTerminated), "owner-gone"};
+    auto withoutTerminated = proposeIfNeeded(
+        current, "owner-gone",
+        [isTerminated = input.isTerminated, live = input.live](const key_placement &latest) {
+            return reassignLost(latest, isTerminated, live, milliseconds(0));
+        });
+    if (withoutTerminated) {
+        return withoutTerminated;
     }
-    const auto isUnreachable = [&input](const upstream_id &id) {
-        return std::find(input.unreachable.begin(), input.unreachable.end(), id)
-            != input.unreachable.end();
+    return proposeIfNeeded(current, "owner-unreachable",
+                           [unreachable = input.unreachable, live = input.live,
+                            delay = input.takeoverDelay](const key_placement &latest) {
+                               const auto isUnreachable = [&unreachable](const upstream_id &id) {
+                                   return std::find(unreachable.begin(), unreachable.end(), id)
+                                       != unreachable.end();
+                               };
+                               return reassignLost(latest, isUnreachable, live, delay);
+                           });
+}
+
+// Returns the proposal of the first record of the epoch, which changes no record of the epoch that
+// another daemon has written.
+placement_proposal proposeFirstRecord(const proposal_input &input,
+                                      const range_lease_manager &leases)
+{
+    const auto change =
+        [epoch = input.epoch,
+         first = carryIntoEpoch(newestInherited(input, leases), input.epoch, input.takeoverDelay)](
+            const key_placement &latest) -> std::optional<key_placement> {
+        return latest.highestFence >= firstFence(epoch) ? std::nullopt : std::optional(first);
     };
-    key_placement withoutUnreachable =
-        reassignLost(current, isUnreachable, input.live, input.takeoverDelay);
-    if (withoutUnreachable != current) {
-        return placement_proposal{std::move(withoutUnreachable), "owner-unreachable"};
-    }
-    return std::nullopt;
+    return {change, "new-epoch"};
 }
 
 } // namespace
@@ -93,9 +129,7 @@
         if (!input.upstream || !actsForAll(input, leases.epochSeenAt(), now)) {
             return std::nullopt;
         }
-        return placement_proposal{
-            carryIntoEpoch(newestInherited(input, leases), input.epoch, input.takeoverDelay),
-            "new-epoch"};
+        return proposeFirstRecord(input, leases);
     }
     const key_placement current =
         input.record != nullptr ? *input.record : emptyPlacement(input.service);
@@ -106,7 +140,7 @@
         }
         if (leases.isCarryOverEnded(now)
             && actsForAll(input, leases.epochSeenAt() + input.takeoverDelay, now)) {
-            return placement_proposal{clearCarriedOver(current), "epoch-settled"};
+            return proposeIfNeeded(current, "epoch-settled", clearCarriedOver);
         }
     }
     if (!input.isCoordinator || input.live.empty()) {
--- a/src/persimmonrail/keyspace/placement_proposal.h
+++ b/src/persimmonrail/keyspace/placement_proposal.h
@@ -31,14 +31,20 @@
     bool areMembersStable = false;
     std::vector<range_candidate> live;
     std::vector<upstream_id> unreachable;
+    // Must depend only on values that do not change, and be callable on any thread.
     std::function<bool(const upstream_id &id)> isTerminated;
     milliseconds takeoverDelay{0};
 };
 
-// A change of the placement record of `epoch`, and the reason for it.
+// Computes the placement that replaces `current`; nullopt if nothing is left to change. Called once
+// for each record that is tried, possibly on another thread, so it must depend only on `current`
+// and on values that do not change.
+using placement_change = std::function<std::optional<key_placement>(const key_placement &current)>;
+
+// A change of the placement record of the current epoch, and the reason for it.
 struct placement_proposal
 {
-    key_placement placement;
+    placement_change change;
     std::string_view reason;
 };
 
@@ -47,8 +53,8 @@
 bool isInherited(const proposal_input &input);
 
 // Returns the change of the placement that is due at `now`, other than a move; nothing if there is
-// none. While the record is inherited, the change is the first record of the epoch, which must be
-// written only if the epoch has no record yet.
+// none. While the record is inherited, the change makes the first record of the epoch from an empty
+// placement, and must be written only if the epoch has no record yet.
 std::optional<placement_proposal> proposeChange(const proposal_input &input,
                                                 const range_lease_manager &leases, boot_time now);
 
--- a/src/persimmonrail/keyspace/range_plan.cpp
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -144,7 +144,9 @@
                                 const std::string &handover)
 {
     const owned_range &range = placement.rangeOf(keys.first);
-    if (range.owner != owner || range.fence != fence || !range.keys.contains(keys.last)) {
+    const bool isPending = range.takeoverDelay.count() > 0 && !range.isCarriedOver();
+    if (range.owner != owner || range.fence != fence || isPending
+        || !range.keys.contains(keys.last)) {
         return placement;
     }
     return moveRange(std::move(placement), keys, target, handover);
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -886,7 +886,9 @@
     input.isCoordinator = true;
     const auto byCoordinator = proposeChange(input, manager, start);
     REQUIRE(byCoordinator);
-    CHECK(byCoordinator->placement == carriedOver(expected));
+    CHECK(byCoordinator->change(emptyPlacement("haulbook")) == carriedOver(expected));
+    // Another daemon was faster.
+    CHECK_FALSE(byCoordinator->change(carriedOver(newer)));
     input.isCoordinator = false;
     CHECK(proposeChange(input, manager, start + 1s));
     input.upstream.reset();
@@ -905,5 +907,5 @@
     CHECK_FALSE(proposeChange(input, manager, start + input.takeoverDelay - 1ms));
     const auto change = proposeChange(input, manager, start + input.takeoverDelay);
     REQUIRE(change);
-    CHECK(change->placement == clearCarriedOver(record));
+    CHECK(change->change(record) == clearCarriedOver(record));
 }
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <thread>
 #include <utility>
 
 namespace persimmonrail {
@@ -22,6 +23,15 @@
 // Weight of one sample in the exponentially weighted moving average. One sample is taken per tick,
 // so the last second makes up most of the average.
 constexpr double utilizationSmoothingWeight = 0.2;
+// Longest time for which an update of the record that is not part of a move is tried in one go.
+constexpr milliseconds updateTimeout{1000};
+
+bool isTerminated(const fleet_directory &directory, const upstream_id &id)
+{
+    const auto *known = directory.findMember(id.name);
+    return known != nullptr
+        && (known->member.isTerminated || known->member.id.startedAt > id.startedAt);
+}
 
 } // namespace
 
@@ -43,6 +53,7 @@
     , m_log(log)
     , m_hooks(std::move(hooks))
     , m_leaseManager(timing)
+    , m_random(std::random_device()())
     , m_releaseWorker(std::make_unique<background_worker>())
     , m_grantWorker(std::make_unique<background_worker>())
     , m_storeWorker(std::make_unique<background_worker>())
@@ -179,13 +190,6 @@
     }
 }
 
-bool range_controller::isTerminated(const upstream_id &id) const
-{
-    const auto *known = m_directory->findMember(id.name);
-    return known != nullptr
-        && (known->member.isTerminated || known->member.id.startedAt > id.startedAt);
-}
-
 bool range_controller::ownsNoKeys() const
 {
     const auto *record = currentRecord();
@@ -369,31 +373,38 @@
     }
 }
 
-void range_controller::writePlacement(placement_write change,
-                                      std::function<void(write_result result)> done)
+fleet_directory::versioned_placement range_controller::knownRecord() const
+{
+    const auto *record = currentRecord();
+    return record != nullptr
+        ? *record
+        : fleet_directory::versioned_placement{emptyPlacement(m_service), 0, currentEpoch()};
+}
+
+void range_controller::updateRecord(placement_change change, std::string_view reason,
+                                    milliseconds timeLimit,
+                                    std::function<void(const placement_update_result &result)> done)
 {
     m_isWritePending = true;
-    m_storeWorker->enqueue([this, change = std::move(change), done = std::move(done)] {
-        const std::string key = placementKey(m_service, change.epoch);
-        const std::string value = encodePlacement(change.placement);
-        const boot_time sentAt = bootNow();
-        const auto version = m_store.put(key, change.expectedVersion, value);
-        // What the store holds now: this change, or the change of another writer.
-        const absl::StatusOr<stored_object> object = version.ok()
-            ? absl::StatusOr<stored_object>(stored_object{key, *version, false, value})
-            : m_store.get(key);
-        const write_result result = classifyWrite(version.status(), change, object);
-        const std::string status = version.status().ToString();
-        m_loop.post([this, result, object, sentAt, status, reason = std::string(change.reason),
-                     fence = change.placement.highestFence, done](steady_time now) {
+    placement_update update{std::move(change), reason, bootNow() + timeLimit};
+    m_storeWorker->enqueue([this, base = knownRecord(), update = std::move(update),
+                            done = std::move(done)] {
+        const placement_update_hooks hooks{
+            bootNow, [](milliseconds time) { std::this_thread::sleep_for(time); },
+            [this] { return m_random(); }};
+        const placement_update_result result =
+            updatePlacement(m_store, m_service, base, update, hooks);
+        m_loop.post([this, result, reason = update.reason, done](steady_time now) {
             m_isWritePending = false;
-            logRange("place", {}, fence, toString(result), absl::StrCat(reason, ",", status));
-            if (result != write_result::Written) {
+            logRange("place", {}, result.fence, toString(result.result),
+                     absl::StrCat(toAbsl(reason), ",conflicts:", result.conflicts, ",",
+                                  result.status.ToString()));
+            if (result.result != write_result::Written && result.result != write_result::Unneeded) {
                 m_nextWriteAt = now + writeRetryDelay;
             }
-            if (object.ok()) {
-                m_hooks.onObject(*object);
-                confirmLease(*object, sentAt);
+            if (result.object) {
+                m_hooks.onObject(*result.object);
+                confirmLease(*result.object, result.confirmedAt);
             }
             done(result);
         });
@@ -417,10 +428,8 @@
         proposal = proposeChange(input, m_leaseManager, bootNow());
     }
     if (proposal) {
-        const auto *record = currentRecord();
-        writePlacement({std::move(proposal->placement), record != nullptr ? record->version : 0,
-                        proposal->reason, input.epoch},
-                       [](write_result) {});
+        updateRecord(std::move(proposal->change), proposal->reason, updateTimeout,
+                     [](const placement_update_result &) {});
     }
 }
 
@@ -441,7 +450,9 @@
         m_membersStableSince && now - *m_membersStableSince >= initialAssignmentDelay;
     input.live = m_peers.live;
     input.unreachable = m_peers.unreachable;
-    input.isTerminated = [this](const upstream_id &id) { return isTerminated(id); };
+    input.isTerminated = [directory = m_directory](const upstream_id &id) {
+        return isTerminated(*directory, id);
+    };
     input.takeoverDelay = m_timing.takeoverDelay();
     return input;
 }
--- a/src/persimmonrail/router/range_release.cpp
+++ b/src/persimmonrail/router/range_release.cpp
@@ -1,5 +1,7 @@
 #include "persimmonrail/router/range_release.h"
 
+#include "persimmonrail/keyspace/range_plan.h"
+
 #include <algorithm>
 #include <atomic>
 #include <thread>
@@ -44,4 +46,15 @@
     return outcome;
 }
 
+std::optional<key_placement> recordNewOwners(const key_placement &current, const upstream_id &owner,
+                                             const std::vector<released_range> &releasedRanges)
+{
+    key_placement next = current;
+    for (const released_range &released : releasedRanges) {
+        next = moveReleasedRange(std::move(next), released.grant.keys, owner, released.grant.fence,
+                                 released.newOwner, released.handover);
+    }
+    return next == current ? std::nullopt : std::optional(std::move(next));
+}
+
 } // namespace persimmonrail
--- a/src/persimmonrail/router/tests/restore_simulation_test.cpp
+++ b/src/persimmonrail/router/tests/restore_simulation_test.cpp
@@ -562,17 +562,18 @@
             return;
         }
         const proposal_input input = inputOf(daemon);
-        auto change = proposeChange(input, *daemon.leases, m_now);
-        if (!change) {
+        const auto proposal = proposeChange(input, *daemon.leases, m_now);
+        if (!proposal) {
             return;
         }
         const bool isNewEpoch = isInherited(input);
+        const key_placement current =
+            isNewEpoch || !daemon.record ? emptyPlacement(input.service) : *daemon.record;
+        key_placement next = *proposal->change(current);
         if (isNewEpoch) {
-            disableMechanisms(change->placement, input);
+            disableMechanisms(next, input);
         }
-        write(daemon,
-              {change->placement, isNewEpoch ? 0 : daemon.recordVersion, change->reason,
-               daemon.epoch},
+        write(daemon, {next, isNewEpoch ? 0 : daemon.recordVersion, proposal->reason, daemon.epoch},
               [](write_result) {});
     }
     void disableMechanisms(key_placement &placement, const proposal_input &input) const
