Route keys of carried-over ranges to their recorded owner

After a restore of the store, the owner of a carried-over range goes on with the keys that it holds. The proxy treated the range as a pending takeover and rejected its requests as not-owner at every daemon for 10.4 s.

--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -283,7 +283,7 @@
         const owned_range &range = versionedPlacement->placement.rangeOf(*m_request.key);
         const auto *versionedMember = directory.findMember(range.owner.name);
         if (versionedMember == nullptr || versionedMember->member.id != range.owner
-            || range.takeoverDelay.count() > 0) {
+            || (range.takeoverDelay.count() > 0 && !range.isCarriedOver())) {
             return nullptr;
         }
         service.picker.begin(range.owner);
