Let only an upstream's own or newer incarnation end its ownership

A store that was restored from an older copy can show the earlier incarnation of a running upstream, as ended. The coordinator took that for the end of the present one and gave its keys to others without a wait, while its daemon could still renew their grants. Class: an entry is compared by name where the incarnation decides.

The entry ends the incarnation that it names, and a newer one all before. The test failed before for the entry of an earlier incarnation that has ended; fleet_tests and router_tests pass.

--- a/src/persimmonrail/fleet/fleet_directory.cpp
+++ b/src/persimmonrail/fleet/fleet_directory.cpp
@@ -83,6 +83,14 @@
     return entry == m_placements.end() ? nullptr : &entry->second;
 }
 
+bool hasEnded(const fleet_directory &directory, const upstream_id &id)
+{
+    const auto *known = directory.findMember(id.name);
+    return known != nullptr
+        && (known->member.id.startedAt > id.startedAt
+            || (known->member.id == id && known->member.isTerminated));
+}
+
 std::vector<upstream_member> endedMembersAt(const fleet_directory &directory,
                                             std::string_view peerAddress,
                                             const upstream_id &present)
--- a/src/persimmonrail/fleet/fleet_directory.h
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -71,6 +71,11 @@
     std::map<std::string, versioned_placement, std::less<>> m_placements;
 };
 
+// Returns whether the directory shows that this incarnation of an upstream has ended: its own entry
+// says so, or that of a newer incarnation exists. The entry of an earlier incarnation, which a store
+// shows that was restored from an older copy, tells nothing about it.
+bool hasEnded(const fleet_directory &directory, const upstream_id &id);
+
 // Returns the members at `peerAddress` that have another name than `present` and that the directory
 // does not show as terminated. The returned entries are marked as draining and terminated: a host
 // runs only one upstream at a time, so the upstreams that ran beside the same daemon before
--- a/src/persimmonrail/fleet/tests/fleet_test.cpp
+++ b/src/persimmonrail/fleet/tests/fleet_test.cpp
@@ -315,3 +315,30 @@
     CHECK(earlier[0].id.name == "i-1");
     CHECK(earlier[0].isTerminated);
 }
+
+// Guards against two holders of a key: a store that was restored from an older copy shows the
+// earlier incarnation of a running upstream, as ended, and its keys are given to others at once.
+TEST_CASE("only the same or a newer incarnation tells that an upstream has ended", "[fleet]")
+{
+    constexpr int64_t startedAt = 5;
+    struct row
+    {
+        int64_t recordedStartedAt;
+        bool isTerminated;
+        bool expected;
+    };
+    const std::vector<row> rows = {
+        {startedAt, false, false},   {startedAt, true, true},      {startedAt + 1, false, true},
+        {startedAt + 1, true, true}, {startedAt - 1, true, false}, {startedAt - 1, false, false},
+    };
+    for (const row &row : rows) {
+        fleet_directory_builder builder([](const std::string &, std::string_view) {});
+        upstream_member recorded = member("a");
+        recorded.id.startedAt = row.recordedStartedAt;
+        recorded.isTerminated = row.isTerminated;
+        builder.applyObject({memberKey("a"), 1, false, encodeMember(recorded)});
+        CAPTURE(row.recordedStartedAt, row.isTerminated);
+        CHECK(hasEnded(*builder.build(), {"a", startedAt}) == row.expected);
+        CHECK_FALSE(hasEnded(*builder.build(), {"b", startedAt}));
+    }
+}
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -26,13 +26,6 @@
 // Longest time for which an update of the record that is not part of a move is tried in one go.
 constexpr milliseconds updateTimeout{1000};
 
-bool isTerminated(const fleet_directory &directory, const upstream_id &id)
-{
-    const auto *known = directory.findMember(id.name);
-    return known != nullptr
-        && (known->member.isTerminated || known->member.id.startedAt > id.startedAt);
-}
-
 } // namespace
 
 boot_time bootNow()
@@ -451,7 +444,7 @@
     input.live = m_peers.live;
     input.unreachable = m_peers.unreachable;
     input.isTerminated = [directory = m_directory](const upstream_id &id) {
-        return isTerminated(*directory, id);
+        return hasEnded(*directory, id);
     };
     input.takeoverDelay = m_timing.takeoverDelay();
     return input;
