--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -82,14 +82,19 @@
         onEpochChanged();
     }
     const auto *record = currentRecord();
+    bool isNewRecord = false;
     {
         const std::lock_guard lock(m_mutex);
         m_leaseManager.onEpoch(currentEpoch(), bootNow());
         if (record != nullptr) {
+            isNewRecord = m_leaseManager.placementEpoch() != record->epoch;
             m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
             m_leaseManager.onPlacement(record->placement, confirmedAt, bootNow());
         }
     }
+    if (isNewRecord) {
+        logCarriedOver(*record);
+    }
     if (changed) {
         renewGrants();
         releaseUnownedRanges();
@@ -114,6 +119,30 @@
              absl::StrCat("record-epoch:", record != nullptr ? record->epoch : 0));
 }
 
+// Logs which ranges the local upstream goes on with, waits for or reclaims in a new epoch.
+void range_controller::logCarriedOver(const fleet_directory::versioned_placement &record) const
+{
+    if (!m_upstream || record.epoch == baseEpoch) {
+        return;
+    }
+    uint32_t grantedKeys = 0;
+    uint32_t reclaimableKeys = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        const boot_time now = bootNow();
+        for (const range_grant &grant : m_leaseManager.dueGrants(now)) {
+            grantedKeys += grant.keys.count();
+        }
+        for (const key_interval &keys : m_leaseManager.reclaimableKeys(now)) {
+            reclaimableKeys += keys.count();
+        }
+    }
+    const uint32_t recordedKeys = ownedKeys(record.placement, *m_upstream);
+    logRange("epoch", {}, record.epoch, "record-taken",
+             absl::StrCat("recorded:", recordedKeys, ",continued:", grantedKeys,
+                          ",reclaimed:", reclaimableKeys));
+}
+
 void range_controller::setUpstream(const std::optional<upstream_id> &upstream,
                                    const std::string &address, bool isDraining)
 {
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -90,6 +90,7 @@
     // Returns the placement record of the current epoch; null if none is known.
     const fleet_directory::versioned_placement *currentRecord() const;
     void onEpochChanged();
+    void logCarriedOver(const fleet_directory::versioned_placement &record) const;
     // Renews the lease if the object, which the store contained at `confirmedAt`, is the known
     // record of the current epoch.
     void confirmLease(const stored_object &object, boot_time confirmedAt);
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -163,6 +163,10 @@
         const std::lock_guard lock(m_mutex);
         return static_cast<double>(m_directory->revision());
     });
+    m_metrics.addGauge("persimmonrail_store_epoch", [this] {
+        const std::lock_guard lock(m_mutex);
+        return static_cast<double>(m_directory->epoch());
+    });
 }
 
 void router::state::schedulePeriodicTasks()
