--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -161,7 +161,11 @@
     });
     m_metrics.addGauge("persimmonrail_fleet_revision", [this] {
         const std::lock_guard lock(m_mutex);
-        return static_cast<double>(m_directory->revision());
+        return static_cast<double>(revisionOf(m_directory->revision()));
+    });
+    m_metrics.addGauge("persimmonrail_store_epoch", [this] {
+        const std::lock_guard lock(m_mutex);
+        return static_cast<double>(m_directory->epoch());
     });
 }
 
--- a/src/persimmonrail/router/router_state_store.cpp
+++ b/src/persimmonrail/router/router_state_store.cpp
@@ -3,6 +3,7 @@
 #include "persimmonrail/router/router_state.h"
 
 #include "persimmonrail/base/text.h"
+#include "persimmonrail/objects/object_version.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -110,7 +111,8 @@
 {
     if (m_log.isEnabled(log_level::Debug)) {
         m_log.write(log_level::Debug,
-                    absl::StrCat("watch prefix=desired-state revision=", objects.revision,
+                    absl::StrCat("watch prefix=desired-state epoch=", epochOf(objects.revision),
+                                 " revision=", revisionOf(objects.revision),
                                  " objects=", objects.objects.size()));
     }
     for (const stored_object &object : objects.objects) {
@@ -135,7 +137,8 @@
         m_routes = *table;
         m_log.write(log_level::Info,
                     absl::StrCat("desired-state in force version=", m_routes->version(),
-                                 " store_version=", object.version,
+                                 " store_epoch=", epochOf(object.version),
+                                 " store_revision=", revisionOf(object.version),
                                  " routes=", m_routes->routes().size()));
         m_metrics.count("persimmonrail_desired_state_total", "outcome=\"in-force\"");
         logRoutes(*m_routes);
@@ -179,10 +182,16 @@
 void router::state::publishDirectory(boot_time confirmedAt)
 {
     const auto directory = m_builder.build();
+    uint64_t previousEpoch = 0;
     {
         const std::lock_guard lock(m_mutex);
+        previousEpoch = m_directory->epoch();
         m_directory = directory;
     }
+    if (directory->epoch() != previousEpoch) {
+        logEvent("store-epoch",
+                 absl::StrCat("epoch=", directory->epoch(), " previous=", previousEpoch));
+    }
     m_ranges->onDirectory(directory, confirmedAt);
 }
 
