--- a/src/persimmonrail/router/placement_write.cpp
+++ b/src/persimmonrail/router/placement_write.cpp
@@ -7,12 +7,16 @@
     switch (result) {
     case write_result::Written:
         return "written";
+    case write_result::Unneeded:
+        return "unneeded";
     case write_result::Superseded:
         return "lost";
     case write_result::NotApplied:
         return "undone";
     case write_result::Unconfirmed:
         return "open";
+    case write_result::EpochEnded:
+        return "epoch-ended";
     }
     return "open";
 }
@@ -20,6 +24,9 @@
 write_result classifyWrite(const absl::Status &status, const placement_write &write,
                            const absl::StatusOr<stored_object> &readBack)
 {
+    if (readBack.ok() && epochOf(readBack->version) > write.epoch) {
+        return write_result::EpochEnded;
+    }
     if (status.ok()) {
         return write_result::Written;
     }
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <ctime>
+#include <thread>
+#include <utility>
 
 namespace persimmonrail {
 namespace {
@@ -17,9 +19,19 @@
 // confirmation, so that one lost response does not matter.
 constexpr milliseconds confirmInterval{2000};
 constexpr milliseconds writeRetryDelay{300};
+constexpr milliseconds unservedLogInterval{1000};
 // Weight of one sample in the exponentially weighted moving average. One sample is taken per tick,
 // so the last second makes up most of the average.
 constexpr double utilizationSmoothingWeight = 0.2;
+// Longest time for which an update of the record that is not part of a move is tried in one go.
+constexpr milliseconds updateTimeout{1000};
+
+bool isTerminated(const fleet_directory &directory, const upstream_id &id)
+{
+    const auto *known = directory.findMember(id.name);
+    return known != nullptr
+        && (known->member.isTerminated || known->member.id.startedAt > id.startedAt);
+}
 
 } // namespace
 
@@ -41,6 +53,7 @@
     , m_log(log)
     , m_hooks(std::move(hooks))
     , m_leaseManager(timing)
+    , m_random(std::random_device()())
     , m_releaseWorker(std::make_unique<background_worker>())
     , m_grantWorker(std::make_unique<background_worker>())
     , m_storeWorker(std::make_unique<background_worker>())
@@ -70,12 +83,19 @@
                                    boot_time confirmedAt)
 {
     const bool changed = directory != m_directory;
+    const uint64_t epochBefore = currentEpoch();
     m_directory = directory;
-    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
-    const auto *record = m_directory->findPlacement(m_service);
-    if (record != nullptr) {
+    if (currentEpoch() != epochBefore) {
+        onEpochChanged();
+    }
+    const auto *record = currentRecord();
+    {
         const std::lock_guard lock(m_mutex);
-        m_leaseManager.onPlacement(record->placement, confirmedAt, bootNow());
+        m_leaseManager.onEpoch(currentEpoch(), bootNow());
+        if (record != nullptr) {
+            m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+            m_leaseManager.onPlacement(record->placement, confirmedAt, bootNow());
+        }
     }
     if (changed) {
         renewGrants();
@@ -83,6 +103,24 @@
     }
 }
 
+uint64_t range_controller::currentEpoch() const
+{
+    return std::max(baseEpoch, m_directory->epoch());
+}
+
+const fleet_directory::versioned_placement *range_controller::currentRecord() const
+{
+    const auto *record = m_directory->findPlacement(m_service);
+    return record != nullptr && record->epoch == currentEpoch() ? record : nullptr;
+}
+
+void range_controller::onEpochChanged()
+{
+    const auto *record = m_directory->findPlacement(m_service);
+    logRange("epoch", {}, currentEpoch(), "learned",
+             absl::StrCat("record-epoch:", record != nullptr ? record->epoch : 0));
+}
+
 void range_controller::setUpstream(const std::optional<upstream_id> &upstream,
                                    const std::string &address, bool isDraining)
 {
@@ -106,22 +144,55 @@
     m_utilization += (utilization - m_utilization) * utilizationSmoothingWeight;
 }
 
-bool range_controller::canServe(shard_key key) const
+bool range_controller::canServe(shard_key key)
 {
     const std::lock_guard lock(m_mutex);
-    return m_leaseManager.canServe(key, bootNow());
+    const bool isServable = m_leaseManager.canServe(key, bootNow());
+    if (!isServable) {
+        countUnserved(key);
+    }
+    return isServable;
 }
 
-bool range_controller::isTerminated(const upstream_id &id) const
+// Must be called with m_mutex held.
+void range_controller::countUnserved(shard_key key)
 {
-    const auto *known = m_directory->findMember(id.name);
-    return known != nullptr
-        && (known->member.isTerminated || known->member.id.startedAt > id.startedAt);
+    const auto &moving = m_leaseManager.moving();
+    const auto &ranges = m_leaseManager.placement().ranges;
+    const auto hasKey = [key](key_interval keys) { return keys.contains(key); };
+    if (std::any_of(moving.begin(), moving.end(), hasKey)) {
+        ++m_unserved.moving;
+    } else if (std::any_of(ranges.begin(), ranges.end(), [&](const owned_range &range) {
+                   return range.keys.contains(key) && m_leaseManager.isOwn(range);
+               })) {
+        ++m_unserved.notGranted;
+    } else {
+        ++m_unserved.notRecorded;
+    }
+}
+
+void range_controller::logUnserved(steady_time now)
+{
+    if (now - m_unservedLoggedAt < unservedLogInterval) {
+        return;
+    }
+    m_unservedLoggedAt = now;
+    unserved_counts counts;
+    {
+        const std::lock_guard lock(m_mutex);
+        counts = std::exchange(m_unserved, {});
+    }
+    if (counts.moving + counts.notRecorded + counts.notGranted > 0) {
+        m_log.write(log_level::Info,
+                    absl::StrCat("keys not-served service=", m_service, " moving=", counts.moving,
+                                 " not_recorded=", counts.notRecorded,
+                                 " not_granted=", counts.notGranted));
+    }
 }
 
 bool range_controller::ownsNoKeys() const
 {
-    const auto *record = m_directory->findPlacement(m_service);
+    const auto *record = currentRecord();
     return !m_upstream || record == nullptr || ownedKeys(record->placement, *m_upstream) == 0;
 }
 
@@ -134,10 +205,11 @@
 std::vector<key_interval> range_controller::ownIntervals() const
 {
     std::vector<key_interval> own;
-    const auto *record = m_directory->findPlacement(m_service);
+    const auto *record = currentRecord();
     if (record != nullptr && m_upstream) {
         for (const owned_range &range : record->placement.ranges) {
-            if (range.owner == *m_upstream && range.takeoverDelay.count() == 0) {
+            if (range.owner == *m_upstream
+                && (range.takeoverDelay.count() == 0 || range.isCarriedOver())) {
                 own.push_back(range.keys);
             }
         }
@@ -147,6 +219,7 @@
 
 void range_controller::tick(steady_time now)
 {
+    logUnserved(now);
     if (!m_upstream) {
         // Another daemon, or the upstream's next incarnation, acts for the keys that the upstream
         // owned.
@@ -240,7 +313,7 @@
     std::vector<range_grant> due;
     {
         const std::lock_guard lock(m_mutex);
-        due = m_leaseManager.dueReleases();
+        due = m_leaseManager.dueReleases(bootNow());
         for (const range_grant &grant : due) {
             // The keys are no longer served from here, whether or not the release succeeds.
             m_leaseManager.onReleased(grant.keys, grant.fence);
@@ -276,51 +349,62 @@
     }
     m_isConfirmationPending = true;
     m_confirmationSentAt = now;
-    m_storeWorker->enqueue([this] {
+    m_storeWorker->enqueue([this, epoch = currentEpoch()] {
         const boot_time sentAt = bootNow();
-        auto object = m_store.get(placementKey(m_service));
+        auto object = m_store.get(placementKey(m_service, epoch));
         m_loop.post([this, sentAt, object = std::move(object)](steady_time) {
             m_isConfirmationPending = false;
             if (!object.ok()) {
                 return;
             }
             m_hooks.onObject(*object);
-            const auto *record = m_directory->findPlacement(m_service);
-            if (record != nullptr && record->version == object->version) {
-                m_confirmedAt = std::max(m_confirmedAt, sentAt);
-                const std::lock_guard lock(m_mutex);
-                m_leaseManager.onConfirmed(sentAt);
-            }
+            confirmLease(*object, sentAt);
         });
     });
 }
 
-void range_controller::writePlacement(placement_write change,
-                                      std::function<void(write_result result)> done)
+void range_controller::confirmLease(const stored_object &object, boot_time confirmedAt)
+{
+    const auto *record = currentRecord();
+    if (record != nullptr && record->version == object.version) {
+        m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+        const std::lock_guard lock(m_mutex);
+        m_leaseManager.onConfirmed(confirmedAt);
+    }
+}
+
+fleet_directory::versioned_placement range_controller::knownRecord() const
+{
+    const auto *record = currentRecord();
+    return record != nullptr
+        ? *record
+        : fleet_directory::versioned_placement{emptyPlacement(m_service), 0, currentEpoch()};
+}
+
+void range_controller::updateRecord(placement_change change, std::string_view reason,
+                                    milliseconds timeLimit,
+                                    std::function<void(const placement_update_result &result)> done)
 {
     m_isWritePending = true;
-    m_storeWorker->enqueue([this, change = std::move(change), done = std::move(done)] {
-        const std::string key = placementKey(m_service);
-        const std::string value = encodePlacement(change.placement);
-        const boot_time sentAt = bootNow();
-        const auto version = m_store.put(key, change.expectedVersion, value);
-        // What the store holds now: this change, or the change of another writer.
-        const absl::StatusOr<stored_object> object = version.ok()
-            ? absl::StatusOr<stored_object>(stored_object{key, *version, false, value})
-            : m_store.get(key);
-        const write_result result = classifyWrite(version.status(), change, object);
-        const std::string status = version.status().ToString();
-        m_loop.post([this, result, object, sentAt, status, reason = std::string(change.reason),
-                     fence = change.placement.highestFence, done](steady_time now) {
+    placement_update update{std::move(change), reason, bootNow() + timeLimit};
+    m_storeWorker->enqueue([this, base = knownRecord(), update = std::move(update),
+                            done = std::move(done)] {
+        const placement_update_hooks hooks{
+            bootNow, [](milliseconds time) { std::this_thread::sleep_for(time); },
+            [this] { return m_random(); }};
+        const placement_update_result result =
+            updatePlacement(m_store, m_service, base, update, hooks);
+        m_loop.post([this, result, reason = update.reason, done](steady_time now) {
             m_isWritePending = false;
-            logRange("place", {}, fence, toString(result), absl::StrCat(reason, ",", status));
-            if (result != write_result::Written) {
+            logRange("place", {}, result.fence, toString(result.result),
+                     absl::StrCat(toAbsl(reason), ",conflicts:", result.conflicts, ",",
+                                  result.status.ToString()));
+            if (result.result != write_result::Written && result.result != write_result::Unneeded) {
                 m_nextWriteAt = now + writeRetryDelay;
             }
-            if (object.ok()) {
-                m_hooks.onObject(*object);
-                const std::lock_guard lock(m_mutex);
-                m_leaseManager.onConfirmed(sentAt);
+            if (result.object) {
+                m_hooks.onObject(*result.object);
+                confirmLease(*result.object, result.confirmedAt);
             }
             done(result);
         });
@@ -333,61 +417,44 @@
     if (m_isWritePending || m_isMoving || now < m_nextWriteAt) {
         return;
     }
-    const auto *record = m_directory->findPlacement(m_service);
-    const uint64_t version = record != nullptr ? record->version : 0;
-    const key_placement current = record != nullptr ? record->placement : emptyPlacement(m_service);
-    const auto propose = [&](key_placement next, std::string_view reason) {
-        writePlacement({std::move(next), version, reason}, [](write_result) {});
-    };
-    if (m_upstream) {
-        const key_placement reclaimed = reclaimRanges(current, *m_upstream);
-        if (reclaimed != current && !m_isDraining) {
-            propose(reclaimed, "reclaim");
-            return;
-        }
-        bool takeoverDue = false;
-        {
-            const std::lock_guard lock(m_mutex);
-            takeoverDue = m_leaseManager.isTakeoverDue(bootNow());
-        }
-        if (takeoverDue) {
-            propose(activateTakeover(current, *m_upstream), "activate-takeover");
-            return;
-        }
-    }
     if (m_peers.live.size() != m_lastMemberCount) {
         m_lastMemberCount = m_peers.live.size();
         m_membersStableSince = now;
     }
-    if (!m_peers.isCoordinator || m_peers.live.empty() || !m_membersStableSince) {
-        return;
-    }
-    const bool hasUnownedRange =
-        std::any_of(current.ranges.begin(), current.ranges.end(),
-                    [](const owned_range &range) { return range.owner.isEmpty(); });
-    if (hasUnownedRange) {
-        if (now - *m_membersStableSince >= initialAssignmentDelay) {
-            propose(assignUnowned(current, m_peers.live), "assign");
-        }
-        return;
+    const proposal_input input = proposalInput(now);
+    std::optional<placement_proposal> proposal;
+    {
+        const std::lock_guard lock(m_mutex);
+        proposal = proposeChange(input, m_leaseManager, bootNow());
     }
-    const key_placement withoutTerminated = reassignLost(
-        current, [this](const upstream_id &id) { return isTerminated(id); }, m_peers.live,
-        milliseconds(0));
-    if (withoutTerminated != current) {
-        propose(withoutTerminated, "owner-gone");
-        return;
+    if (proposal) {
+        updateRecord(std::move(proposal->change), proposal->reason, updateTimeout,
+                     [](const placement_update_result &) {});
     }
-    const key_placement withoutUnreachable = reassignLost(
-        current,
-        [this](const upstream_id &id) {
-            return std::find(m_peers.unreachable.begin(), m_peers.unreachable.end(), id)
-                != m_peers.unreachable.end();
-        },
-        m_peers.live, m_timing.takeoverDelay());
-    if (withoutUnreachable != current) {
-        propose(withoutUnreachable, "owner-unreachable");
+}
+
+proposal_input range_controller::proposalInput(steady_time now) const
+{
+    const auto *record = m_directory->findPlacement(m_service);
+    proposal_input input;
+    input.service = m_service;
+    input.epoch = currentEpoch();
+    if (record != nullptr) {
+        input.record = &record->placement;
+        input.recordEpoch = record->epoch;
     }
+    input.upstream = m_upstream;
+    input.isDraining = m_isDraining;
+    input.isCoordinator = m_peers.isCoordinator;
+    input.areMembersStable =
+        m_membersStableSince && now - *m_membersStableSince >= initialAssignmentDelay;
+    input.live = m_peers.live;
+    input.unreachable = m_peers.unreachable;
+    input.isTerminated = [directory = m_directory](const upstream_id &id) {
+        return isTerminated(*directory, id);
+    };
+    input.takeoverDelay = m_timing.takeoverDelay();
+    return input;
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -3,17 +3,19 @@
 #include "persimmonrail/daemon/background_worker.h"
 #include "persimmonrail/daemon/control_loop.h"
 #include "persimmonrail/fleet/fleet_directory.h"
+#include "persimmonrail/keyspace/placement_proposal.h"
 #include "persimmonrail/keyspace/range_lease_manager.h"
 #include "persimmonrail/keyspace/range_plan.h"
 #include "persimmonrail/proxy/upstream_picker.h"
 #include "persimmonrail/router/key_rates.h"
-#include "persimmonrail/router/placement_write.h"
+#include "persimmonrail/router/placement_update.h"
 #include "persimmonrail/router/range_release.h"
 #include "persimmonrail/telemetry/decision_log.h"
 
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -63,7 +65,7 @@
     void tick(steady_time now);
 
     // Whether the local upstream may serve requests for this key now.
-    bool canServe(shard_key key) const;
+    bool canServe(shard_key key);
     // Counts one request for this key, for the rates from which moves are chosen.
     void countKeyRequest(shard_key key) { m_rates.count(key); }
     bool isIdle() const { return !m_isMoving; }
@@ -82,20 +84,33 @@
     void releaseUnownedRanges();
     void enqueueReleaseAfterGrants(std::function<void()> release);
     void proposePlacementChange();
+    proposal_input proposalInput(steady_time now) const;
+    // Returns the epoch of the store, at least baseEpoch.
+    uint64_t currentEpoch() const;
+    // Returns the placement record of the current epoch; null if none is known.
+    const fleet_directory::versioned_placement *currentRecord() const;
+    void onEpochChanged();
+    // Renews the lease if the object, which the store contained at `confirmedAt`, is the known
+    // record of the current epoch.
+    void confirmLease(const stored_object &object, boot_time confirmedAt);
     void considerMove(steady_time now);
     void startMove(std::vector<planned_move> moves, std::string_view reason);
-    // `retriesLeft` is the number of further writes allowed if other writers change the record
-    // first.
-    void finishMove(const std::vector<released_range> &releasedRanges, int retriesLeft);
-    void endMove();
+    void finishMove(const std::vector<released_range> &releasedRanges);
+    // `result` tells how the move ended, for the log.
+    void endMove(std::string_view result);
+    void countUnserved(shard_key key);
+    void logUnserved(steady_time now);
     owner_load ownLoad() const;
-    void writePlacement(placement_write change, std::function<void(write_result result)> done);
-    void onMoveWritten(const std::vector<released_range> &releasedRanges, int retriesLeft,
-                       write_result result);
+    // Changes the record of the current epoch on the store worker, and calls `done` on the control
+    // thread.
+    void updateRecord(placement_change change, std::string_view reason, milliseconds timeLimit,
+                      std::function<void(const placement_update_result &result)> done);
+    void onMoveWritten(const std::vector<released_range> &releasedRanges,
+                       const placement_update_result &result);
+    fleet_directory::versioned_placement knownRecord() const;
     void retryUnconfirmedMove(steady_time now);
     void confirmPlacement();
     std::vector<key_interval> ownIntervals() const;
-    bool isTerminated(const upstream_id &id) const;
     void logRange(std::string_view kind, key_interval keys, uint64_t fence,
                   std::string_view outcome, std::string_view reason) const;
 
@@ -106,10 +121,23 @@
     control_loop &m_loop;
     decision_log &m_log;
     const hooks m_hooks;
-    // Guards m_leaseManager, which traffic threads read through canServe().
+    // Requests for keys that could not be served, by cause.
+    struct unserved_counts
+    {
+        uint64_t moving = 0;
+        // Recorded for another upstream, or for none.
+        uint64_t notRecorded = 0;
+        // Recorded for the local upstream, without a grant in force.
+        uint64_t notGranted = 0;
+    };
+    // Guards m_leaseManager, which traffic threads read through canServe(), and m_unserved.
     mutable std::mutex m_mutex;
     range_lease_manager m_leaseManager;
+    unserved_counts m_unserved;
+    steady_time m_unservedLoggedAt{};
     key_rates m_rates;
+    // Used only by the store worker.
+    std::mt19937_64 m_random;
     std::shared_ptr<const fleet_directory> m_directory = std::make_shared<fleet_directory>();
     std::optional<upstream_id> m_upstream;
     std::string m_address;
@@ -121,11 +149,15 @@
     bool m_isWritePending = false;
     // Whether the release or the write of a move is in progress.
     bool m_isMoving = false;
+    // Epoch of the store in which the move began.
+    uint64_t m_moveEpoch = 0;
     bool m_isConfirmationPending = false;
     bool m_areGrantsPending = false;
     boot_time m_confirmedAt{};
     boot_time m_confirmationSentAt{};
     steady_time m_nextWriteAt{};
+    // When the keys of the current move stopped being served.
+    steady_time m_moveBeganAt{};
     // When the last move ended.
     steady_time m_lastMoveEndedAt{};
     std::optional<steady_time> m_membersStableSince;
