--- a/src/persimmonrail/fleet/fleet_directory.h
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -72,8 +72,8 @@
 };
 
 // Returns whether the directory shows that this incarnation of an upstream has ended: its own entry
-// says so, or that of a newer incarnation exists. The entry of an earlier incarnation, which a store
-// shows that was restored from an older copy, tells nothing about it.
+// says so, or that of a newer incarnation exists. The entry of an earlier incarnation, which a
+// store shows that was restored from an older copy, tells nothing about it.
 bool hasEnded(const fleet_directory &directory, const upstream_id &id);
 
 // Returns the members at `peerAddress` that have another name than `present` and that the directory
