--- a/src/persimmonrail/router/placement_update.cpp
+++ b/src/persimmonrail/router/placement_update.cpp
@@ -27,7 +27,7 @@
                                         const placement_update &update,
                                         const placement_update_hooks &hooks)
 {
-    const std::string key = placementKey(service);
+    const std::string key = placementKey(service, base.epoch);
     placement_update_result result;
     for (;;) {
         auto next = update.change(base.placement);
@@ -35,15 +35,15 @@
             result.result = write_result::Unneeded;
             return result;
         }
-        const placement_write write{std::move(*next), base.version, update.reason};
+        const placement_write write{std::move(*next), base.version, update.reason, base.epoch};
         const std::string value = encodePlacement(write.placement);
         boot_time sentAt = hooks.now();
         const auto version = store.put(key, write.expectedVersion, value);
         result.status = version.status();
         result.fence = write.placement.highestFence;
         if (version.ok()) {
-            result.result = write_result::Written;
             result.object = stored_object{key, *version, false, value};
+            result.result = classifyWrite(version.status(), write, *result.object);
             result.confirmedAt = sentAt;
             return result;
         }
@@ -68,7 +68,7 @@
         if (!current.ok()) {
             return result;
         }
-        base = {std::move(*current), readBack->version};
+        base = {std::move(*current), readBack->version, base.epoch};
     }
 }
 
--- a/src/persimmonrail/router/placement_update.h
+++ b/src/persimmonrail/router/placement_update.h
@@ -2,7 +2,7 @@
 
 #include "persimmonrail/base/random_source.h"
 #include "persimmonrail/fleet/fleet_directory.h"
-#include "persimmonrail/keyspace/range_lease_manager.h"
+#include "persimmonrail/keyspace/placement_proposal.h"
 #include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/router/placement_write.h"
 
@@ -11,11 +11,6 @@
 
 namespace persimmonrail {
 
-// Computes the placement that replaces `current`; nullopt if nothing is left to change. Called once
-// for each record that is tried, possibly on another thread, so it must depend only on `current`
-// and on values that do not change.
-using placement_change = std::function<std::optional<key_placement>(const key_placement &current)>;
-
 struct placement_update
 {
     placement_change change;
@@ -49,11 +44,12 @@
     boot_time confirmedAt{};
 };
 
-// Changes the placement record of `service` by conditional writes, beginning with the record
-// `base`. After each conflict the change is computed again for the record that won, until a write
-// succeeds, fails for another reason or has an unknown outcome, until nothing is left to change, or
-// until the deadline. Many owners change the same record, so the time between a read and the next
-// write is kept short, and writers that lose repeatedly pause for random times. Blocks.
+// Changes the placement record of `service` and of the epoch of `base` by conditional writes,
+// beginning with the record `base`; version 0 stands for no record. After each conflict the change
+// is computed again for the record that won, until a write succeeds, fails for another reason or
+// has an unknown outcome, until nothing is left to change, or until the deadline. Many owners
+// change the same record, so the time between a read and the next write is kept short, and writers
+// that lose repeatedly pause for random times. Blocks.
 placement_update_result updatePlacement(const object_api &store, const std::string &service,
                                         fleet_directory::versioned_placement base,
                                         const placement_update &update,
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -26,28 +26,6 @@
 // Longest time for which an update of the record that is not part of a move is tried in one go.
 constexpr milliseconds updateTimeout{1000};
 
-bool isTerminated(const fleet_directory &directory, const upstream_id &id)
-{
-    const auto *known = directory.findMember(id.name);
-    return known != nullptr
-        && (known->member.isTerminated || known->member.id.startedAt > id.startedAt);
-}
-
-// Returns the change that `plan` makes to a placement; it is not needed if the result is equal.
-placement_change makeChange(std::function<key_placement(const key_placement &latest)> plan)
-{
-    return [plan = std::move(plan)](const key_placement &latest) -> std::optional<key_placement> {
-        key_placement next = plan(latest);
-        return next == latest ? std::nullopt : std::optional(std::move(next));
-    };
-}
-
-bool hasUnownedRange(const key_placement &placement)
-{
-    return std::any_of(placement.ranges.begin(), placement.ranges.end(),
-                       [](const owned_range &range) { return range.owner.isEmpty(); });
-}
-
 } // namespace
 
 boot_time bootNow()
@@ -98,12 +76,24 @@
                                    boot_time confirmedAt)
 {
     const bool changed = directory != m_directory;
+    const uint64_t epochBefore = currentEpoch();
     m_directory = directory;
-    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
-    const auto *record = m_directory->findPlacement(m_service);
-    if (record != nullptr) {
+    if (currentEpoch() != epochBefore) {
+        onEpochChanged();
+    }
+    const auto *record = currentRecord();
+    bool isNewRecord = false;
+    {
         const std::lock_guard lock(m_mutex);
-        m_leaseManager.onPlacement(record->placement, confirmedAt, bootNow());
+        m_leaseManager.onEpoch(currentEpoch(), bootNow());
+        if (record != nullptr) {
+            isNewRecord = m_leaseManager.placementEpoch() != record->epoch;
+            m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+            m_leaseManager.onPlacement(record->placement, confirmedAt, bootNow());
+        }
+    }
+    if (isNewRecord) {
+        logCarriedOver(*record);
     }
     if (changed) {
         renewGrants();
@@ -111,6 +101,48 @@
     }
 }
 
+uint64_t range_controller::currentEpoch() const
+{
+    return std::max(baseEpoch, m_directory->epoch());
+}
+
+const fleet_directory::versioned_placement *range_controller::currentRecord() const
+{
+    const auto *record = m_directory->findPlacement(m_service);
+    return record != nullptr && record->epoch == currentEpoch() ? record : nullptr;
+}
+
+void range_controller::onEpochChanged()
+{
+    const auto *record = m_directory->findPlacement(m_service);
+    logRange("epoch", {}, currentEpoch(), "learned",
+             absl::StrCat("record-epoch:", record != nullptr ? record->epoch : 0));
+}
+
+// Logs which ranges the local upstream goes on with, waits for or reclaims in a new epoch.
+void range_controller::logCarriedOver(const fleet_directory::versioned_placement &record) const
+{
+    if (!m_upstream || record.epoch == baseEpoch) {
+        return;
+    }
+    uint32_t grantedKeys = 0;
+    uint32_t reclaimableKeys = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        const boot_time now = bootNow();
+        for (const range_grant &grant : m_leaseManager.dueGrants(now)) {
+            grantedKeys += grant.keys.count();
+        }
+        for (const key_interval &keys : m_leaseManager.reclaimableKeys(now)) {
+            reclaimableKeys += keys.count();
+        }
+    }
+    const uint32_t recordedKeys = ownedKeys(record.placement, *m_upstream);
+    logRange("epoch", {}, record.epoch, "record-taken",
+             absl::StrCat("recorded:", recordedKeys, ",continued:", grantedKeys,
+                          ",reclaimed:", reclaimableKeys));
+}
+
 void range_controller::setUpstream(const std::optional<upstream_id> &upstream,
                                    const std::string &address, bool isDraining)
 {
@@ -182,7 +214,7 @@
 
 bool range_controller::ownsNoKeys() const
 {
-    const auto *record = m_directory->findPlacement(m_service);
+    const auto *record = currentRecord();
     return !m_upstream || record == nullptr || ownedKeys(record->placement, *m_upstream) == 0;
 }
 
@@ -195,10 +227,11 @@
 std::vector<key_interval> range_controller::ownIntervals() const
 {
     std::vector<key_interval> own;
-    const auto *record = m_directory->findPlacement(m_service);
+    const auto *record = currentRecord();
     if (record != nullptr && m_upstream) {
         for (const owned_range &range : record->placement.ranges) {
-            if (range.owner == *m_upstream && range.takeoverDelay.count() == 0) {
+            if (range.owner == *m_upstream
+                && (range.takeoverDelay.count() == 0 || range.isCarriedOver())) {
                 own.push_back(range.keys);
             }
         }
@@ -302,7 +335,7 @@
     std::vector<range_grant> due;
     {
         const std::lock_guard lock(m_mutex);
-        due = m_leaseManager.dueReleases();
+        due = m_leaseManager.dueReleases(bootNow());
         for (const range_grant &grant : due) {
             // The keys are no longer served from here, whether or not the release succeeds.
             m_leaseManager.onReleased(grant.keys, grant.fence);
@@ -338,30 +371,36 @@
     }
     m_isConfirmationPending = true;
     m_confirmationSentAt = now;
-    m_storeWorker->enqueue([this] {
+    m_storeWorker->enqueue([this, epoch = currentEpoch()] {
         const boot_time sentAt = bootNow();
-        auto object = m_store.get(placementKey(m_service));
+        auto object = m_store.get(placementKey(m_service, epoch));
         m_loop.post([this, sentAt, object = std::move(object)](steady_time) {
             m_isConfirmationPending = false;
             if (!object.ok()) {
                 return;
             }
             m_hooks.onObject(*object);
-            const auto *record = m_directory->findPlacement(m_service);
-            if (record != nullptr && record->version == object->version) {
-                m_confirmedAt = std::max(m_confirmedAt, sentAt);
-                const std::lock_guard lock(m_mutex);
-                m_leaseManager.onConfirmed(sentAt);
-            }
+            confirmLease(*object, sentAt);
         });
     });
 }
 
+void range_controller::confirmLease(const stored_object &object, boot_time confirmedAt)
+{
+    const auto *record = currentRecord();
+    if (record != nullptr && record->version == object.version) {
+        m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+        const std::lock_guard lock(m_mutex);
+        m_leaseManager.onConfirmed(confirmedAt);
+    }
+}
+
 fleet_directory::versioned_placement range_controller::knownRecord() const
 {
-    const auto *record = m_directory->findPlacement(m_service);
-    return record != nullptr ? *record
-                             : fleet_directory::versioned_placement{emptyPlacement(m_service), 0};
+    const auto *record = currentRecord();
+    return record != nullptr
+        ? *record
+        : fleet_directory::versioned_placement{emptyPlacement(m_service), 0, currentEpoch()};
 }
 
 void range_controller::updateRecord(placement_change change, std::string_view reason,
@@ -387,84 +426,57 @@
             }
             if (result.object) {
                 m_hooks.onObject(*result.object);
-                const std::lock_guard lock(m_mutex);
-                m_leaseManager.onConfirmed(result.confirmedAt);
+                confirmLease(*result.object, result.confirmedAt);
             }
             done(result);
         });
     });
 }
 
-bool range_controller::propose(const key_placement &current, placement_change change,
-                               std::string_view reason)
-{
-    if (!change(current)) {
-        return false;
-    }
-    updateRecord(std::move(change), reason, updateTimeout, [](const placement_update_result &) {});
-    return true;
-}
-
 void range_controller::proposePlacementChange()
 {
     const steady_time now = std::chrono::steady_clock::now();
     if (m_isWritePending || m_isMoving || now < m_nextWriteAt) {
         return;
     }
-    const key_placement current = knownRecord().placement;
-    if (m_upstream) {
-        const auto reclaim = makeChange(
-            [id = *m_upstream](const key_placement &latest) { return reclaimRanges(latest, id); });
-        if (!m_isDraining && propose(current, reclaim, "reclaim")) {
-            return;
-        }
-        std::vector<uint64_t> dueTakeovers;
-        {
-            const std::lock_guard lock(m_mutex);
-            dueTakeovers = m_leaseManager.dueTakeovers(bootNow());
-        }
-        const auto activate =
-            makeChange([id = *m_upstream, dueTakeovers](const key_placement &latest) {
-                return activateTakeovers(latest, id, dueTakeovers);
-            });
-        if (!dueTakeovers.empty() && propose(current, activate, "activate-takeover")) {
-            return;
-        }
-    }
     if (m_peers.live.size() != m_lastMemberCount) {
         m_lastMemberCount = m_peers.live.size();
         m_membersStableSince = now;
     }
-    if (!m_peers.isCoordinator || m_peers.live.empty() || !m_membersStableSince) {
-        return;
+    const proposal_input input = proposalInput(now);
+    std::optional<placement_proposal> proposal;
+    {
+        const std::lock_guard lock(m_mutex);
+        proposal = proposeChange(input, m_leaseManager, bootNow());
     }
-    if (hasUnownedRange(current)) {
-        if (now - *m_membersStableSince >= initialAssignmentDelay) {
-            const auto assign = makeChange([live = m_peers.live](const key_placement &latest) {
-                return assignUnowned(latest, live);
-            });
-            propose(current, assign, "assign");
-        }
-        return;
+    if (proposal) {
+        updateRecord(std::move(proposal->change), proposal->reason, updateTimeout,
+                     [](const placement_update_result &) {});
     }
-    const auto reassignTerminated =
-        makeChange([directory = m_directory, live = m_peers.live](const key_placement &latest) {
-            return reassignLost(
-                latest, [&](const upstream_id &id) { return isTerminated(*directory, id); }, live,
-                milliseconds(0));
-        });
-    if (propose(current, reassignTerminated, "owner-gone")) {
-        return;
+}
+
+proposal_input range_controller::proposalInput(steady_time now) const
+{
+    const auto *record = m_directory->findPlacement(m_service);
+    proposal_input input;
+    input.service = m_service;
+    input.epoch = currentEpoch();
+    if (record != nullptr) {
+        input.record = &record->placement;
+        input.recordEpoch = record->epoch;
     }
-    const auto reassignUnreachable =
-        makeChange([unreachable = m_peers.unreachable, live = m_peers.live,
-                    delay = m_timing.takeoverDelay()](const key_placement &latest) {
-            const auto isUnreachable = [&](const upstream_id &id) {
-                return std::find(unreachable.begin(), unreachable.end(), id) != unreachable.end();
-            };
-            return reassignLost(latest, isUnreachable, live, delay);
-        });
-    propose(current, reassignUnreachable, "owner-unreachable");
+    input.upstream = m_upstream;
+    input.isDraining = m_isDraining;
+    input.isCoordinator = m_peers.isCoordinator;
+    input.areMembersStable =
+        m_membersStableSince && now - *m_membersStableSince >= initialAssignmentDelay;
+    input.live = m_peers.live;
+    input.unreachable = m_peers.unreachable;
+    input.isTerminated = [directory = m_directory](const upstream_id &id) {
+        return hasEnded(*directory, id);
+    };
+    input.takeoverDelay = m_timing.takeoverDelay();
+    return input;
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -3,6 +3,7 @@
 #include "persimmonrail/daemon/background_worker.h"
 #include "persimmonrail/daemon/control_loop.h"
 #include "persimmonrail/fleet/fleet_directory.h"
+#include "persimmonrail/keyspace/placement_proposal.h"
 #include "persimmonrail/keyspace/range_lease_manager.h"
 #include "persimmonrail/keyspace/range_plan.h"
 #include "persimmonrail/proxy/upstream_picker.h"
@@ -83,6 +84,16 @@
     void releaseUnownedRanges();
     void enqueueReleaseAfterGrants(std::function<void()> release);
     void proposePlacementChange();
+    proposal_input proposalInput(steady_time now) const;
+    // Returns the epoch of the store, at least baseEpoch.
+    uint64_t currentEpoch() const;
+    // Returns the placement record of the current epoch; null if none is known.
+    const fleet_directory::versioned_placement *currentRecord() const;
+    void onEpochChanged();
+    void logCarriedOver(const fleet_directory::versioned_placement &record) const;
+    // Renews the lease if the object, which the store contained at `confirmedAt`, is the known
+    // record of the current epoch.
+    void confirmLease(const stored_object &object, boot_time confirmedAt);
     void considerMove(steady_time now);
     void startMove(std::vector<planned_move> moves, std::string_view reason);
     void finishMove(const std::vector<released_range> &releasedRanges);
@@ -91,9 +102,8 @@
     void countUnserved(shard_key key);
     void logUnserved(steady_time now);
     owner_load ownLoad() const;
-    // Returns whether the record needs the change, and starts to write the change if so.
-    bool propose(const key_placement &current, placement_change change, std::string_view reason);
-    // Changes the record on the store worker, and calls `done` on the control thread.
+    // Changes the record of the current epoch on the store worker, and calls `done` on the control
+    // thread.
     void updateRecord(placement_change change, std::string_view reason, milliseconds timeLimit,
                       std::function<void(const placement_update_result &result)> done);
     void onMoveWritten(const std::vector<released_range> &releasedRanges,
@@ -140,6 +150,8 @@
     bool m_isWritePending = false;
     // Whether the release or the write of a move is in progress.
     bool m_isMoving = false;
+    // Epoch of the store in which the move began.
+    uint64_t m_moveEpoch = 0;
     bool m_isConfirmationPending = false;
     bool m_areGrantsPending = false;
     boot_time m_confirmedAt{};
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -33,7 +33,7 @@
         || m_peers.live.empty() || bootNow() - m_confirmedAt > maxConfirmationAge) {
         return;
     }
-    const auto *record = m_directory->findPlacement(m_service);
+    const auto *record = currentRecord();
     if (record == nullptr) {
         return;
     }
@@ -108,6 +108,7 @@
     }
     m_isMoving = true;
     m_moveBeganAt = std::chrono::steady_clock::now();
+    m_moveEpoch = currentEpoch();
     std::vector<key_interval> intervals;
     for (const planned_move &move : moves) {
         intervals.push_back(move.keys);
@@ -159,6 +160,10 @@
     logRange("give", {}, 0, "ended", absl::StrCat(toAbsl(result), ",took_ms:", duration.count()));
     {
         const std::lock_guard lock(m_mutex);
+        if (m_moveEpoch != currentEpoch()) {
+            // The move may have been recorded before the restore.
+            m_leaseManager.abandon(m_leaseManager.moving());
+        }
         m_leaseManager.setMoving({});
     }
     renewGrants();
@@ -166,8 +171,7 @@
 
 void range_controller::finishMove(const std::vector<released_range> &releasedRanges)
 {
-    const auto *record = m_directory->findPlacement(m_service);
-    if (record == nullptr || releasedRanges.empty() || !m_upstream) {
+    if (currentRecord() == nullptr || releasedRanges.empty() || !m_upstream) {
         endMove("not-released");
         return;
     }
@@ -193,7 +197,8 @@
                              std::chrono::steady_clock::now() + unconfirmedWriteTimeout};
     }
     const bool isOutcomeKnown = result.result == write_result::Written
-        || result.result == write_result::Unneeded || result.result == write_result::Superseded;
+        || result.result == write_result::Unneeded || result.result == write_result::Superseded
+        || result.result == write_result::EpochEnded;
     if (!m_unconfirmedMove || isOutcomeKnown) {
         endMove(toString(result.result));
     }
--- a/src/persimmonrail/router/range_release.cpp
+++ b/src/persimmonrail/router/range_release.cpp
@@ -49,16 +49,12 @@
 std::optional<key_placement> recordNewOwners(const key_placement &current, const upstream_id &owner,
                                              const std::vector<released_range> &releasedRanges)
 {
-    std::optional<key_placement> next;
+    key_placement next = current;
     for (const released_range &released : releasedRanges) {
-        const key_interval keys = released.grant.keys;
-        const owned_range &recorded = (next ? *next : current).rangeOf(keys.first);
-        if (recorded.owner == owner && recorded.fence == released.grant.fence
-            && recorded.takeoverDelay.count() == 0 && recorded.keys.contains(keys.last)) {
-            next = moveRange(next ? *next : current, keys, released.newOwner, released.handover);
-        }
+        next = moveReleasedRange(std::move(next), released.grant.keys, owner, released.grant.fence,
+                                 released.newOwner, released.handover);
     }
-    return next;
+    return next == current ? std::nullopt : std::optional(std::move(next));
 }
 
 } // namespace persimmonrail
