Serve open connections between batches of new ones

Requests to them were held to their deadlines, and daemons that were stopping could not finish theirs.

Cause: the thread that polls the connections of a port accepted all that waited before it served any input. On a busy host connections arrive as fast as they are accepted, since peers that get no response open further ones, so no request is read any more. Class: receive livelock, an intake without a bound that starves the work.

Change: at most 16 connections are accepted, and at most 16 inputs handled, before the other kind has its turn.

Tests: "connections are accepted in batches" (the function is new). The test with a storm of connections passes on the code before as well: this machine accepts them faster than they come.

--- a/src/persimmonrail/http/connection_poller.cpp
+++ b/src/persimmonrail/http/connection_poller.cpp
@@ -11,8 +11,9 @@
 namespace persimmonrail {
 namespace {
 
-// Maximum number of events that one wait() reports. The next wait() reports the remaining events.
-constexpr size_t eventsPerWait = 64;
+// Maximum number of events that one wait() reports. The next wait() reports the remaining events,
+// so that a listener waits for few connections at a time.
+constexpr size_t eventsPerWait = 16;
 
 // Returns `descriptor`. Throws std::system_error with the name of the failed function if
 // `descriptor` is negative.
--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -1,5 +1,6 @@
 #include "persimmonrail/http/http_server.h"
 
+#include "persimmonrail/http/accept_batch.h"
 #include "persimmonrail/http/connection_poller.h"
 #include "persimmonrail/http/overload_response.h"
 #include "persimmonrail/http/request_reader.h"
@@ -21,6 +22,9 @@
 namespace {
 
 constexpr int listenBacklog = 1024;
+// Maximum number of connections that are accepted before the open ones are served again. On a busy
+// host, connections may arrive as fast as they can be accepted.
+constexpr int maxAcceptsPerRound = 16;
 constexpr size_t threadStackBytes = 512 * 1024;
 // After the server has shut down its sending direction, bounds the wait until the client closes the
 // connection.
@@ -182,7 +186,7 @@
             m_poller.wait(pollTimeout(), ready);
             for (void *context : ready) {
                 if (context == this) {
-                    acceptConnections();
+                    acceptConnections(maxAcceptsPerRound);
                 } else {
                     onInput(*static_cast<connection *>(context));
                 }
@@ -190,10 +194,11 @@
             retryDeferred();
             const steady_time now = std::chrono::steady_clock::now();
             if (m_acceptRetryAt && now >= *m_acceptRetryAt) {
-                acceptConnections();
+                acceptConnections(maxAcceptsPerRound);
             }
             if (m_isClosing && !m_closedAt) {
-                acceptConnections();
+                // Connections that the kernel has established already must not be reset.
+                acceptConnections(listenBacklog);
                 closeListener(now);
             }
             closeExpiredConnections(now);
@@ -218,14 +223,14 @@
                           needsShortInterval ? shortCheckInterval : idleCheckInterval);
     }
 
-    // Accepts all connections in the backlog of the listener.
-    void acceptConnections()
+    // Accepts connections in the backlog of the listener, at most `maxCount`. The poller reports
+    // the listener again if more are waiting.
+    void acceptConnections(int maxCount)
     {
         m_acceptRetryAt.reset();
         try {
-            while (m_listener.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-                addConnection(m_listener.acceptConnection());
-            }
+            acceptBatch(m_listener, maxCount,
+                        [this](const Poco::Net::StreamSocket &socket) { addConnection(socket); });
         } catch (const Poco::Exception &) {
             // The peer has disconnected, or no descriptor is free. In the latter case, an immediate
             // retry would fail as well.
