Wait for the member entry of a recorded owner

Callers saw 503 no-upstream for keys whose owner had joined just before a restore of the store: the restore lost its member entry, the epoch's first record already named it, and for 150 ms (until the entry written again had come through the relay) each request was rejected at once.

Cause: a record and the member entries that it refers to arrive apart, and a missing entry was taken for a missing owner.

Change: if the recorded owner's entry is missing or of an older incarnation, the request waits for it as for a key that moves, at most 400 ms.

--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -206,7 +206,8 @@
         const upstream_member *member =
             m_request.key ? findOwner(*directory, service) : pickUpstream(*directory, service, now);
         if (member == nullptr) {
-            return notRunResult(proxy_reason::NoUpstream);
+            return notRunResult(isOwnerEntryDue(*directory) ? proxy_reason::OtherUpstream
+                                                            : proxy_reason::NoUpstream);
         }
         m_request.upstream = member->id;
         if (m_request.key && service.picker.isPenalized(member->id, now)) {
@@ -308,6 +309,21 @@
         return &versionedMember->member;
     }
 
+    // Returns whether the directory lacks the member entry of the key's recorded owner. The entry
+    // arrives after the record if the owner has just joined, or if a restore of the store lost it.
+    bool isOwnerEntryDue(const fleet_directory &directory) const
+    {
+        const auto *placement =
+            m_request.key ? directory.findPlacement(m_request.service) : nullptr;
+        if (placement == nullptr) {
+            return false;
+        }
+        const upstream_id &owner = placement->placement.rangeOf(*m_request.key).owner;
+        const auto *known = directory.findMember(owner.name);
+        return !owner.isEmpty()
+            && (known == nullptr || known->member.id.startedAt < owner.startedAt);
+    }
+
     // Returns an upstream that is not draining and has not been tried; null if there is none.
     // Prefers upstreams beside daemons that have responded lately.
     const upstream_member *pickUpstream(const fleet_directory &directory,
