--- a/src/persimmonrail/http/tests/connection_storm_test.cpp
+++ b/src/persimmonrail/http/tests/connection_storm_test.cpp
@@ -89,8 +89,10 @@
 TEST_CASE("connections are accepted in batches", "[http]")
 {
     Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1:0"), 64);
+    constexpr int clientCount = 40;
     std::vector<Poco::Net::StreamSocket> clients;
-    for (int i = 0; i < 40; ++i) {
+    clients.reserve(clientCount);
+    for (int i = 0; i < clientCount; ++i) {
         clients.emplace_back(listener.address());
     }
     int accepted = 0;
@@ -100,7 +102,7 @@
     CHECK(acceptBatch(listener, 16, onConnection));
     CHECK(accepted == 32);
     CHECK_FALSE(acceptBatch(listener, 16, onConnection));
-    CHECK(accepted == 40);
+    CHECK(accepted == clientCount);
 }
 
 // Guards against a server that accepts new connections for as long as more of them come, and
