--- a/src/persimmonrail/keyspace/range_lease_manager.h
+++ b/src/persimmonrail/keyspace/range_lease_manager.h
@@ -51,10 +51,10 @@
 // Invariant: grants are made and renewed only within the lease duration after the store is known to
 // have recorded the local upstream as owner.
 //
-// The placement of each epoch of the store is carried over from that of an older epoch, which may
-// lack the last changes. Until it is known that nobody else holds carried-over keys, only those are
-// granted of which a grant is in force already: whoever held them without a break since the lease
-// was confirmed is their only holder.
+// The first placement of each epoch of the store is carried over from that of an older epoch, which
+// may lack the last changes, so another upstream may hold carried-over keys. Until all grants of
+// older epochs have ended, a carried-over range is granted only while an earlier grant of its keys
+// is in force: the local upstream is then their only holder.
 //
 // Not thread safe.
 class range_lease_manager
--- a/src/persimmonrail/keyspace/range_plan.h
+++ b/src/persimmonrail/keyspace/range_plan.h
@@ -57,8 +57,8 @@
 key_placement carryIntoEpoch(key_placement inherited, uint64_t epoch, milliseconds takeoverDelay);
 
 // Makes `holder` the owner of those of its `held` keys that a pending takeover or a carried-over
-// range gives to another upstream. Grants of the held keys must be in force at the holder, so that
-// nobody else can hold them.
+// range gives to another upstream. Grants of the held keys must be in force at the holder: then no
+// other upstream holds them.
 key_placement reclaimHeld(key_placement placement, const upstream_id &holder,
                           const std::vector<key_interval> &held);
 
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -325,7 +325,7 @@
     }
 
     // Returns an upstream that is not draining and has not been tried; null if there is none.
-    // Prefers upstreams beside daemons that have responded lately.
+    // Prefers upstreams whose daemons have responded recently.
     const upstream_member *pickUpstream(const fleet_directory &directory,
                                         request_proxy::service_state &service,
                                         steady_time now) const
--- a/src/persimmonrail/router/tests/move_interval_test.cpp
+++ b/src/persimmonrail/router/tests/move_interval_test.cpp
@@ -6,7 +6,7 @@
 using namespace std::chrono_literals;
 
 // Guards against a service with many owners whose moves begin faster than slow hosts can write the
-// record: they lost up to 16 writes in a row while nobody served the released keys.
+// record: owners lost up to 16 writes in a row, and their released keys were unserved meanwhile.
 TEST_CASE("the owners of one service together begin at most five moves a second", "[router]")
 {
     for (size_t owners = 1; owners <= 100; ++owners) {
--- a/src/persimmonrail/router/tests/range_controller_restore_test.cpp
+++ b/src/persimmonrail/router/tests/range_controller_restore_test.cpp
@@ -1,3 +1,5 @@
+#include "wait_until.h"
+
 #include "persimmonrail/keyspace/range_plan.h"
 #include "persimmonrail/router/range_controller.h"
 
@@ -5,7 +7,6 @@
 
 #include <algorithm>
 #include <map>
-#include <thread>
 
 using namespace persimmonrail;
 using namespace std::chrono_literals;
@@ -146,15 +147,6 @@
     range_controller m_controller;
 };
 
-bool waitUntil(const std::function<bool()> &condition)
-{
-    const auto deadline = std::chrono::steady_clock::now() + 20s;
-    while (!condition() && std::chrono::steady_clock::now() < deadline) {
-        std::this_thread::sleep_for(2ms);
-    }
-    return condition();
-}
-
 } // namespace
 
 // Guards against an owner that stops serving after a restore of the store, since the record that it
--- a/src/persimmonrail/router/tests/range_controller_test.cpp
+++ b/src/persimmonrail/router/tests/range_controller_test.cpp
@@ -1,10 +1,11 @@
+#include "wait_until.h"
+
 #include "persimmonrail/keyspace/range_plan.h"
 #include "persimmonrail/router/range_controller.h"
 
 #include <catch2/catch.hpp>
 
 #include <atomic>
-#include <thread>
 
 using namespace persimmonrail;
 using namespace std::chrono_literals;
@@ -136,19 +137,11 @@
     range_controller m_controller;
 };
 
-bool waitUntil(const std::function<bool()> &condition)
-{
-    const auto deadline = std::chrono::steady_clock::now() + 20s;
-    while (!condition() && std::chrono::steady_clock::now() < deadline) {
-        std::this_thread::sleep_for(2ms);
-    }
-    return condition();
-}
-
 } // namespace
 
-// Guards against an owner that releases keys, loses five races for the record against other owners,
-// grants the keys again and releases them anew, so that nobody serves them for seconds.
+// Guards against an owner that releases keys, loses five conditional writes of the record to other
+// owners, grants the keys again and then releases them once more: the keys are unserved for
+// seconds.
 TEST_CASE("keys are released once for a move that other owners' writes delay", "[router]")
 {
     controlled_upstream upstream;
