Grant keys with the responses to heartbeats

Cause: on some platforms an upstream takes no calls for its keys; it names what it holds in its heartbeat and takes what it is to hold from the response. The daemon only knew the calls, so no key was served.

Change: heartbeat_grants computes the response from the lease manager, releases keys by leaving them out, and knows when they are released. The daemon finds out from the heartbeat which carrier an upstream uses.

It renews the fences of its ranges where this would keep keys at a leaving upstream.

--- a/src/persimmonrail/keyspace/range_lease_manager.h
+++ b/src/persimmonrail/keyspace/range_lease_manager.h
@@ -21,6 +21,8 @@
     // Time for which a grant is in force at the upstream after its arrival. Lets the upstream keep
     // its keys while its daemon restarts. The platform limits this time.
     milliseconds holdTime{3000};
+    // Longest hold time of any grant: a daemon that stops extends its grants up to this time.
+    milliseconds longestGrant{10000};
     // Greatest clock error of the upstream over a hold time, in percent.
     int maxDriftPercent = 2;
     // Interval between two renewals of a grant.
@@ -32,7 +34,10 @@
     // has lost the store certainly holds no key.
     milliseconds takeoverDelay() const;
     // Returns the longest time for which one grant is in force, with the clock error included.
-    milliseconds maxHold() const;
+    milliseconds maxHold() const { return longestHold(holdTime); }
+    // Returns the longest time for which a grant of `hold` is in force, with the clock error
+    // included.
+    milliseconds longestHold(milliseconds hold) const;
 };
 
 // Keys that one call grants to the upstream.
@@ -71,8 +76,13 @@
     // Renews the lease: the store still contained the known placement at `confirmedAt`.
     void onConfirmed(boot_time confirmedAt);
     // Records the start of this daemon. Its previous incarnation may have sent grants until
-    // `startedAt` to which the upstream did not respond.
+    // `startedAt` to which the upstream did not respond, as long as longestGrant and with any fence
+    // that was recorded by then.
     void recordDaemonStart(boot_time startedAt);
+    // Records that no fence above `highestFence` had been recorded when this daemon started. The
+    // upstream rejects the grants of the previous incarnation for keys that it holds with a higher
+    // fence.
+    void onEarlierFences(uint64_t highestFence);
     // Sets the local upstream; `upstream` is empty if no local upstream may hold keys. Grants of
     // another incarnation are forgotten.
     void setUpstream(const std::optional<upstream_id> &upstream);
@@ -81,7 +91,9 @@
     // daemon sends such grants before it stops, so that the upstream keeps its keys during a
     // restart. The result is 0 or negative if no grant is safe any more.
     milliseconds maxSafeHold(boot_time now) const;
-    // Returns the grants to be made or renewed at `now`.
+    // Returns all grants that the local upstream may hold at `now`.
+    std::vector<range_grant> permittedGrants(boot_time now) const;
+    // Returns the grants to be made or renewed at `now` by calls to the upstream.
     std::vector<range_grant> dueGrants(boot_time now) const;
     // Returns whether a grant of dueGrants() may still be sent at `now`. In the meantime its keys
     // may have been selected for a move or recorded for another owner, or the lease may have
@@ -90,6 +102,12 @@
     // Records that the upstream accepted a grant. `sentAt` is the time at which the call was sent,
     // so the grant ends no earlier at the upstream than the hold time after `sentAt`.
     void onGranted(const range_grant &grant, boot_time sentAt);
+    // Replaces the known grants by the ones that the upstream reported with a heartbeat, which
+    // arrived at `receivedAt`. The remaining hold time of a grant that was not known is unknown.
+    void onHoldingsReported(const std::vector<range_grant> &reported, boot_time receivedAt);
+    // Records that a response to a heartbeat that arrived at `receivedAt` contains the grant. The
+    // hold time counts from the sending of the heartbeat, and the response may be lost.
+    void onGrantOffered(const range_grant &grant, boot_time receivedAt);
     // Records that a grant was sent without a response. The upstream may apply it later, even after
     // a release. The hold time counts from the arrival of the grant, so the grant is harmless once
     // the hold time after its latest arrival has passed.
@@ -138,34 +156,42 @@
     uint64_t placementEpoch() const { return m_placementEpoch; }
     // Returns the time at which the present epoch of the store was first seen.
     boot_time epochSeenAt() const { return m_epochSeenAt; }
-    // Returns the time at which the last grant has certainly ended, or nothing if there is none.
-    std::optional<boot_time> lastGrantEnd() const;
 
 private:
     struct held_grant
     {
         range_grant grant;
         boot_time sentAt{};
+        // Until when the upstream certainly holds the keys. Earlier than the expected end of the
+        // hold if the grant was delivered with a heartbeat.
+        boot_time certainUntil{};
     };
     struct unconfirmed_grant
     {
         key_interval keys;
+        // Highest fence that the grant may have.
+        uint64_t fence = 0;
         // Time at which the grant has ended at the latest, with the clock error included.
         boot_time endsAt{};
     };
     // Returns whether any of the keys is about to be moved.
     bool isMoving(key_interval keys) const;
+    // Returns whether the grant may still take effect on some of the keys: the upstream does not
+    // hold all of them with a higher fence.
+    bool canTakeEffect(const unconfirmed_grant &grant, key_interval keys, boot_time now) const;
     // Returns the parts of an interval that are not about to be moved.
     std::vector<key_interval> excludeMoving(key_interval keys) const;
     // Returns the parts of the range that the local upstream may hold now if the range is recorded
     // for it: all of it, nothing during a pending takeover, or what it holds if it is carried over.
     std::vector<key_interval> grantableKeys(const owned_range &range, boot_time now) const;
-    // Returns the parts of `keys` of which a grant is in force, whatever its fence.
+    // Returns the parts of `keys` of which a grant is certainly in force, whatever its fence.
     std::vector<key_interval> heldKeys(key_interval keys, boot_time now) const;
     // Returns the grant with this fence that contains all of `keys`; null if there is none.
     const held_grant *findHeld(key_interval keys, uint64_t fence) const;
 
     const range_lease_timing m_timing;
+    // Start of this daemon, until the highest fence of its previous incarnation is known.
+    std::optional<boot_time> m_unboundedStart;
     uint64_t m_epoch = 0;
     boot_time m_epochSeenAt{};
     key_placement m_placement;
--- a/src/persimmonrail/keyspace/range_plan.h
+++ b/src/persimmonrail/keyspace/range_plan.h
@@ -62,6 +62,10 @@
 key_placement reclaimHeld(key_placement placement, const upstream_id &holder,
                           const std::vector<key_interval> &held);
 
+// Gives each range of `owner` a new fence, except for pending takeovers and carried-over ranges.
+// Once the owner holds them with the new fences it rejects all earlier grants.
+key_placement renewFences(key_placement placement, const upstream_id &owner);
+
 // Clears the marks of all carried-over ranges. takeoverDelay must have passed since the epoch was
 // first seen, so that all grants of older epochs have ended.
 key_placement clearCarriedOver(key_placement placement);
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -3,6 +3,7 @@
 #include "persimmonrail/daemon/background_worker.h"
 #include "persimmonrail/daemon/control_loop.h"
 #include "persimmonrail/fleet/fleet_directory.h"
+#include "persimmonrail/keyspace/heartbeat_grants.h"
 #include "persimmonrail/keyspace/placement_proposal.h"
 #include "persimmonrail/keyspace/range_lease_manager.h"
 #include "persimmonrail/keyspace/range_plan.h"
@@ -71,11 +72,11 @@
     bool isIdle() const { return !m_isMoving; }
     // Whether no key is recorded for the upstream.
     bool ownsNoKeys() const;
-    // Whether a grant is in force for every range recorded for the upstream, and none is due for
-    // renewal.
-    bool holdsAllOwnedRanges() const;
-    // Renews all grants for as long as is safe, at most `maxHold`, so that the upstream keeps the
-    // keys during a restart of the daemon.
+    // Handles a heartbeat of the local upstream, which takes its grants with the responses to its
+    // heartbeats. Returns what it is to hold, or nothing if its grants stay as they are.
+    std::optional<holdings> onHeartbeat(const holdings_report &report, boot_time receivedAt);
+    // Renews all grants, from now on, for as long as is safe, at most `maxHold`, so that the
+    // upstream keeps the keys during a restart of the daemon.
     void extendGrants(milliseconds maxHold);
 
 private:
@@ -96,6 +97,12 @@
     void confirmLease(const stored_object &object, boot_time confirmedAt);
     void considerMove(steady_time now);
     void startMove(std::vector<planned_move> moves, std::string_view reason);
+    void releaseByCalls(const std::vector<planned_move> &moves);
+    void checkHeartbeatRelease();
+    // Returns the hold time of a grant that is sent now. Must be called with m_mutex held.
+    milliseconds currentHoldTime() const;
+    // Raises the fences of the local upstream's ranges, so that it rejects earlier grants.
+    void renewOwnFences();
     void finishMove(const std::vector<released_range> &releasedRanges);
     // `result` tells how the move ended, for the log.
     void endMove(std::string_view result);
@@ -134,6 +141,9 @@
     // Guards m_leaseManager, which traffic threads read through canServe(), and m_unserved.
     mutable std::mutex m_mutex;
     range_lease_manager m_leaseManager;
+    heartbeat_grants m_heartbeats;
+    // Hold time up to which grants are extended; 0 unless the daemon stops.
+    milliseconds m_extendedHold{0};
     unserved_counts m_unserved;
     steady_time m_unservedLoggedAt{};
     key_rates m_rates;
@@ -150,6 +160,8 @@
     bool m_isWritePending = false;
     // Whether the release or the write of a move is in progress.
     bool m_isMoving = false;
+    // The move whose keys the upstream is to release with its heartbeats; empty otherwise.
+    std::vector<planned_move> m_heartbeatMoves;
     // Epoch of the store in which the move began.
     uint64_t m_moveEpoch = 0;
     bool m_isConfirmationPending = false;
@@ -157,6 +169,8 @@
     boot_time m_confirmedAt{};
     boot_time m_confirmationSentAt{};
     steady_time m_nextWriteAt{};
+    // Whether renewOwnFences() was called; once is enough, since later grants are this daemon's.
+    bool m_hasRenewedFences = false;
     // When the keys of the current move stopped being served.
     steady_time m_moveBeganAt{};
     // When the last move ended.
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -11,6 +11,8 @@
 namespace persimmonrail {
 namespace {
 
+// Longest time for which an update of the record that is not part of a move is tried in one go.
+constexpr milliseconds updateTimeout{1000};
 // Keys are released only if the store responded within this time, since the move must be written to
 // the store.
 constexpr milliseconds maxConfirmationAge{3000};
@@ -104,6 +106,9 @@
         });
     }
     if (moves.empty()) {
+        if (m_isDraining && !m_hasRenewedFences) {
+            renewOwnFences();
+        }
         return;
     }
     m_isMoving = true;
@@ -115,10 +120,39 @@
         logRange("give", move.keys, 0, "begun",
                  absl::StrCat(toAbsl(reason), ",to:", move.target.name));
     }
+    bool usesHeartbeats = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        usesHeartbeats = m_heartbeats.isActive();
+        if (usesHeartbeats) {
+            m_heartbeats.beginRelease(std::move(intervals));
+        } else {
+            m_leaseManager.setMoving(std::move(intervals));
+        }
+    }
+    if (usesHeartbeats) {
+        m_heartbeatMoves = std::move(moves);
+        checkHeartbeatRelease();
+    } else {
+        releaseByCalls(moves);
+    }
+}
+
+void range_controller::renewOwnFences()
+{
+    m_hasRenewedFences = true;
+    const auto change =
+        [owner = *m_upstream](const key_placement &current) -> std::optional<key_placement> {
+        return renewFences(current, owner);
+    };
+    updateRecord(change, "renew-fences", updateTimeout, [](const placement_update_result &) {});
+}
+
+void range_controller::releaseByCalls(const std::vector<planned_move> &moves)
+{
     std::vector<release_request> requests;
     {
         const std::lock_guard lock(m_mutex);
-        m_leaseManager.setMoving(intervals);
         for (const planned_move &move : moves) {
             for (const range_grant &grant : m_leaseManager.grantsWithin(move.keys)) {
                 requests.push_back({grant, move.target});
@@ -150,6 +184,34 @@
         });
 }
 
+// Ends the release of a move if a heartbeat shows that the upstream holds the keys no longer, if
+// all grants have ended, or if running requests keep the keys for too long.
+void range_controller::checkHeartbeatRelease()
+{
+    if (m_heartbeatMoves.empty()) {
+        return;
+    }
+    std::vector<released_range> released;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto state = m_heartbeats.releaseState(bootNow());
+        if (state == heartbeat_grants::release_state::Pending) {
+            return;
+        }
+        if (state == heartbeat_grants::release_state::Released) {
+            std::vector<key_interval> intervals;
+            for (const planned_move &move : m_heartbeatMoves) {
+                intervals.push_back(move.keys);
+            }
+            m_leaseManager.setMoving(std::move(intervals));
+            released = releasedByHeartbeat(m_heartbeatMoves, m_leaseManager.placement(),
+                                           m_heartbeats.handovers());
+        }
+    }
+    m_heartbeatMoves.clear();
+    finishMove(released);
+}
+
 void range_controller::endMove(std::string_view result)
 {
     m_isMoving = false;
@@ -165,6 +227,7 @@
             m_leaseManager.abandon(m_leaseManager.moving());
         }
         m_leaseManager.setMoving({});
+        m_heartbeats.endRelease();
     }
     renewGrants();
 }
--- a/src/persimmonrail/router/range_release.cpp
+++ b/src/persimmonrail/router/range_release.cpp
@@ -1,7 +1,5 @@
 #include "persimmonrail/router/range_release.h"
 
-#include "persimmonrail/keyspace/range_plan.h"
-
 #include <algorithm>
 #include <atomic>
 #include <thread>
@@ -46,6 +44,37 @@
     return outcome;
 }
 
+std::vector<released_range> releasedByHeartbeat(const std::vector<planned_move> &moves,
+                                                const key_placement &placement,
+                                                const std::vector<released_keys> &handovers)
+{
+    std::vector<released_range> released;
+    for (const planned_move &move : moves) {
+        for (const owned_range &range : placement.ranges) {
+            const auto part = intersect(range.keys, move.keys);
+            if (!part) {
+                continue;
+            }
+            std::vector<key_interval> reported;
+            for (const released_keys &entry : handovers) {
+                const auto keys = intersect(*part, entry.keys);
+                if (!keys) {
+                    continue;
+                }
+                // The upstream may report one release several times.
+                for (const key_interval &rest : subtract(*keys, reported)) {
+                    released.push_back({{rest, range.fence, ""}, move.target, entry.handover});
+                }
+                reported.push_back(*keys);
+            }
+            for (const key_interval &keys : subtract(*part, reported)) {
+                released.push_back({{keys, range.fence, ""}, move.target, ""});
+            }
+        }
+    }
+    return released;
+}
+
 std::optional<key_placement> recordNewOwners(const key_placement &current, const upstream_id &owner,
                                              const std::vector<released_range> &releasedRanges)
 {
--- a/src/persimmonrail/router/range_release.h
+++ b/src/persimmonrail/router/range_release.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "persimmonrail/keyspace/heartbeat_grants.h"
+#include "persimmonrail/keyspace/range_plan.h"
 #include "persimmonrail/router/router.h"
 
 #include <optional>
@@ -35,6 +37,13 @@
 release_outcome releaseAll(const grant_api &grants, const std::string &address,
                            const std::vector<release_request> &requests);
 
+// Returns what an upstream has released that holds none of the keys of `moves` any more: the parts
+// of the ranges in `placement`, each with its new owner and the handover that the upstream reported
+// for its keys.
+std::vector<released_range> releasedByHeartbeat(const std::vector<planned_move> &moves,
+                                                const key_placement &placement,
+                                                const std::vector<released_keys> &handovers);
+
 // Records the new owners of released ranges. Skips the ranges that are no longer recorded for
 // `owner` with the fence that was released, since another writer may have changed the record
 // meanwhile. Returns nullopt if none is left.
--- a/src/persimmonrail/router/router.h
+++ b/src/persimmonrail/router/router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "persimmonrail/fleet/upstream_member.h"
+#include "persimmonrail/keyspace/heartbeat_grants.h"
 #include "persimmonrail/keyspace/range_lease_manager.h"
 #include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/proxy/exchange_codec.h"
@@ -11,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace persimmonrail {
@@ -21,6 +23,8 @@
     upstream_report report;
     // The upstream departs and sends no further reports; only report.id is set.
     bool isDeparture = false;
+    // The keys that the upstream holds; nothing if it takes grants by calls only.
+    std::optional<holdings_report> holdings = {};
 };
 
 // Calls to an upstream about the key ranges that it holds. Errors: Aborted if the upstream knows a
@@ -55,6 +59,11 @@
     // Parses a request to the report address. Errors: InvalidArgument.
     std::function<absl::StatusOr<upstream_message>(const std::string &uri, std::string_view body)>
         parseReport;
+    // Encodes the response to a report. `holdings` is what the upstream is to hold; nothing if the
+    // response is to leave its grants as they are.
+    std::function<std::string(const std::optional<holdings> &holdings)> encodeReportResponse;
+    // Size up to which an upstream accepts the response to a report, in bytes.
+    size_t maxReportResponseBytes = 4096;
 };
 
 // A running router daemon. Thread safe.
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -53,6 +53,7 @@
 {
     range_lease_timing timing;
     timing.holdTime = std::min(timing.holdTime, settings.maxHold);
+    timing.longestGrant = settings.maxHold;
     return timing;
 }
 
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -54,7 +54,9 @@
 
     // Upstream.
     void serveReport(server_exchange &exchange);
-    void onUpstreamMessage(const upstream_message &message, steady_time now);
+    // Returns whether the message is from the present incarnation and newer than the ones before.
+    bool onUpstreamMessage(const upstream_message &message, steady_time now);
+    std::string encodeWithinBound(std::optional<holdings> holdings);
     void onUpstreamChanged(std::string_view cause, steady_time now);
     void publishEndedMembers(const fleet_directory &directory);
     void expireUpstreamReports(steady_time now);
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -29,6 +29,7 @@
         exchange.respond(400, "", "text/plain");
         return;
     }
+    const boot_time receivedAt = bootNow();
     const auto message = m_platform.parseReport(exchange.request().getURI(), body);
     if (!message.ok()) {
         m_log.write(log_level::Warn,
@@ -36,12 +37,40 @@
         exchange.respond(400, "{}", "application/json");
         return;
     }
+    if (message->holdings && message->holdings->malformedCount > 0) {
+        m_log.write(log_level::Warn,
+                    absl::StrCat("report holdings malformed=", message->holdings->malformedCount));
+    }
     // The acknowledgement is binding, so the daemon applies the message before it responds.
-    m_loop.postAndWait([this, &message](steady_time now) { onUpstreamMessage(*message, now); });
-    exchange.respond(200, "{}", "application/json");
+    std::optional<holdings> holdings;
+    m_loop.postAndWait([&](steady_time now) {
+        const bool isCurrent = onUpstreamMessage(*message, now);
+        if (isCurrent && message->holdings) {
+            holdings = m_ranges->onHeartbeat(*message->holdings, receivedAt);
+        }
+    });
+    exchange.respond(200, encodeWithinBound(std::move(holdings)), "application/json");
+}
+
+// An upstream ignores a larger response. Ranges that don't fit are left out, the last ones first,
+// so that mostly the same ones are left out each time.
+std::string router::state::encodeWithinBound(std::optional<holdings> holdings)
+{
+    std::string text = m_platform.encodeReportResponse(holdings);
+    size_t leftOut = 0;
+    while (holdings && !holdings->grants.empty()
+           && text.size() > m_platform.maxReportResponseBytes) {
+        holdings->grants.pop_back();
+        ++leftOut;
+        text = m_platform.encodeReportResponse(holdings);
+    }
+    if (leftOut > 0) {
+        m_log.write(log_level::Warn, absl::StrCat("holdings too-long left_out=", leftOut));
+    }
+    return text;
 }
 
-void router::state::onUpstreamMessage(const upstream_message &message, steady_time now)
+bool router::state::onUpstreamMessage(const upstream_message &message, steady_time now)
 {
     const std::optional<upstream_report> before = m_upstream.report();
     const local_upstream::verdict verdict = message.isDeparture
@@ -51,7 +80,7 @@
         m_log.write(log_level::Info,
                     absl::StrCat("report stale upstream=", toString(message.report.id),
                                  " sequence=", message.report.sequence));
-        return;
+        return false;
     }
     if (before && m_upstream.report() && before->id != m_upstream.report()->id) {
         // The earlier incarnation's process has ended; otherwise its address would still be in use.
@@ -60,6 +89,7 @@
     if (verdict == local_upstream::verdict::Changed) {
         onUpstreamChanged(message.isDeparture ? "departure" : "report", now);
     }
+    return true;
 }
 
 upstream_member router::state::ownMember() const
--- a/src/persimmonrail/router/tests/range_release_test.cpp
+++ b/src/persimmonrail/router/tests/range_release_test.cpp
@@ -70,3 +70,35 @@
     CHECK(outcome.released[1].handover.empty());
     CHECK(releaseAll(grants, "127.0.0.1:1", {}).released.empty());
 }
+
+// Guards against a handover that is lost, or given to keys that it doesn't belong to, if an
+// upstream reports its releases in other pieces than the moves have.
+TEST_CASE("what heartbeats report as released gets its new owner and handover", "[router]")
+{
+    const upstream_id a{"a", 1};
+    const upstream_id b{"b", 1};
+    const upstream_id c{"c", 1};
+    const key_placement placement =
+        moveRange(assignUnowned(emptyPlacement("haulbook"), {{a, 9}}), {150, 160}, a, "");
+    const std::vector<planned_move> moves{{{100, 199}, b}, {{300, 399}, c}};
+    const std::vector<released_keys> handovers{
+        {{100, 159}, "first"}, {{100, 159}, "first"}, {{300, 500}, "second"}};
+    const auto released = releasedByHeartbeat(moves, placement, handovers);
+    key_placement next = *recordNewOwners(placement, a, released);
+    CHECK(isValid(next));
+    const auto check = [&next](shard_key key, const upstream_id &owner, const char *handover) {
+        CAPTURE(key);
+        CHECK(next.rangeOf(key).owner == owner);
+        CHECK(next.rangeOf(key).handover == handover);
+    };
+    check(99, a, "");
+    check(100, b, "first");
+    check(155, b, "first");
+    check(160, b, "");
+    check(199, b, "");
+    check(200, a, "");
+    check(300, c, "second");
+    check(399, c, "second");
+    check(400, a, "");
+    CHECK(released.size() == 5);
+}
