Keep the keys of an unconfirmed move aside until its write is decided

Callers would have seen two owners of one key. Cause: after 7 s, counted from the first write, the owner granted the released keys again, while a write without a response, repeated until then or run by a peer, could still record the other owner later.

Change: the write is repeated until the store decides it; the keys are not granted before. All writes expect the same version, so at most one takes effect. Nothing is lost in a long outage, since the lease of the owner ends after the same 7 s.

Measured: "keys of an unconfirmed move are not granted again ..." failed before (the keys were granted twice while the write was open) and passes now; all router tests pass.

--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -177,13 +177,8 @@
     steady_time m_lastMoveEndedAt{};
     std::optional<steady_time> m_membersStableSince;
     size_t m_lastMemberCount = 0;
-    // Released ranges for which the write of the new owner is unconfirmed.
-    struct unconfirmed_move
-    {
-        std::vector<released_range> releasedRanges;
-        steady_time expiresAt;
-    };
-    std::optional<unconfirmed_move> m_unconfirmedMove;
+    // Released ranges for which the write of the new owner is unconfirmed; empty if there are none.
+    std::vector<released_range> m_unconfirmedMove;
     // Declared last, because the workers' threads use the members above until the threads have
     // ended.
     std::unique_ptr<background_worker> m_releaseWorker;
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -23,9 +23,6 @@
 // back costs more than a further try: the owner would serve them without the state that the release
 // handed over, and would release them again.
 constexpr milliseconds moveWriteTimeout{3000};
-// A write without a response may take effect some seconds later. The released keys stay unserved
-// for this long, or until a further write settles which owner the record shows.
-constexpr milliseconds unconfirmedWriteTimeout{7000};
 
 } // namespace
 
@@ -215,7 +212,7 @@
 void range_controller::endMove(std::string_view result)
 {
     m_isMoving = false;
-    m_unconfirmedMove.reset();
+    m_unconfirmedMove.clear();
     m_lastMoveEndedAt = std::chrono::steady_clock::now();
     const auto duration =
         std::chrono::duration_cast<milliseconds>(m_lastMoveEndedAt - m_moveBeganAt);
@@ -253,32 +250,29 @@
     if (result.conflicts > 0) {
         // Another writer changed the record that an earlier unconfirmed write expected, and this
         // update saw the change.
-        m_unconfirmedMove.reset();
+        m_unconfirmedMove.clear();
     }
-    if (result.result == write_result::Unconfirmed && !m_unconfirmedMove) {
-        m_unconfirmedMove = {releasedRanges,
-                             std::chrono::steady_clock::now() + unconfirmedWriteTimeout};
+    if (result.result == write_result::Unconfirmed && m_unconfirmedMove.empty()) {
+        m_unconfirmedMove = releasedRanges;
     }
     const bool isOutcomeKnown = result.result == write_result::Written
         || result.result == write_result::Unneeded || result.result == write_result::Superseded
         || result.result == write_result::EpochEnded;
-    if (!m_unconfirmedMove || isOutcomeKnown) {
+    if (m_unconfirmedMove.empty() || isOutcomeKnown) {
         endMove(toString(result.result));
     }
 }
 
-// Repeats an unconfirmed write. The first of these writes that takes effect makes the others fail,
-// since all expect the same version.
+// Repeats an unconfirmed write until the store decides it, however long that takes, since the write
+// may take effect until then. The first of these writes that takes effect makes the others fail,
+// since all expect the same version. A store that doesn't respond for long ends the lease as well,
+// so granting the keys again meanwhile would gain little time of service.
 void range_controller::retryUnconfirmedMove(steady_time now)
 {
-    if (!m_unconfirmedMove || m_isWritePending || now < m_nextWriteAt) {
+    if (m_unconfirmedMove.empty() || m_isWritePending || now < m_nextWriteAt) {
         return;
     }
-    if (now >= m_unconfirmedMove->expiresAt) {
-        endMove("expired");
-        return;
-    }
-    finishMove(std::vector(m_unconfirmedMove->releasedRanges));
+    finishMove(std::vector(m_unconfirmedMove));
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/router/tests/range_controller_test.cpp
+++ b/src/persimmonrail/router/tests/range_controller_test.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <optional>
+#include <utility>
 
 using namespace persimmonrail;
 using namespace std::chrono_literals;
@@ -28,7 +30,12 @@
     object_api api()
     {
         object_api api;
-        api.get = [this](const std::string &) -> absl::StatusOr<stored_object> { return read(); };
+        api.get = [this](const std::string &) -> absl::StatusOr<stored_object> {
+            if (m_isSilent) {
+                return absl::UnavailableError("down");
+            }
+            return read();
+        };
         api.put = [this](const std::string &, uint64_t expectedVersion, const std::string &value) {
             return write(expectedVersion, value);
         };
@@ -51,10 +58,34 @@
         m_conflictsLeft = conflicts;
     }
 
+    bool hasDelayedWrite()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_delayedWrite.has_value();
+    }
+    // While the store is silent it responds to no read, and executes the first write only when the
+    // silence ends, without a response.
+    void setSilent(bool isSilent)
+    {
+        std::optional<std::pair<uint64_t, std::string>> delayed;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_isSilent = isSilent;
+            delayed = std::exchange(m_delayedWrite, std::nullopt);
+        }
+        if (delayed) {
+            static_cast<void>(write(delayed->first, delayed->second));
+        }
+    }
+
 private:
     absl::StatusOr<uint64_t> write(uint64_t expectedVersion, const std::string &value)
     {
         const std::lock_guard lock(m_mutex);
+        if (m_isSilent) {
+            m_delayedWrite = m_delayedWrite.value_or(std::pair(expectedVersion, value));
+            return absl::UnknownError("no response");
+        }
         if (m_conflictsLeft > 0) {
             --m_conflictsLeft;
             const upstream_id target = m_placement.rangeOf(30000).owner == b ? c : b;
@@ -72,19 +103,25 @@
     key_placement m_placement;
     uint64_t m_version = 1;
     int m_conflictsLeft = 0;
+    std::atomic<bool> m_isSilent{false};
+    std::optional<std::pair<uint64_t, std::string>> m_delayedWrite;
 };
 
 // The controller beside upstream `a`, with its control loop.
 class controlled_upstream
 {
 public:
-    controlled_upstream()
+    // `isFirst` tells that no daemon ran before, so no earlier grant can delay a move.
+    explicit controlled_upstream(bool isFirst = false)
         : m_controller(service, timing(), store.api(), grants(), m_loop, m_log,
                        {[this](const stored_object &object) { apply(object); }})
     {
         m_loop.every(10ms, [this](steady_time now) { m_controller.tick(now); });
         m_loop.start();
-        m_loop.postAndWait([this](steady_time) {
+        m_loop.postAndWait([this, isFirst](steady_time) {
+            if (isFirst) {
+                m_controller.onDirectory(m_builder.build(), bootNow());
+            }
             m_controller.setUpstream(a, "127.0.0.1:1", false);
             m_controller.setPeers({{{a, 9}, {b, 9}, {c, 9}}, {}, {}, false});
             m_builder.applyObject(store.read());
@@ -98,13 +135,17 @@
             [this](steady_time) { m_controller.setUpstream(a, "127.0.0.1:1", true); });
     }
     bool canServe(shard_key key) { return m_controller.canServe(key); }
+    // Performs what is due after `delay`, beside the periodic ticks.
+    void tickAfter(milliseconds delay)
+    {
+        m_loop.postAndWait([&](steady_time now) { m_controller.tick(now + delay); });
+    }
 
     contended_store store;
     std::atomic<int> grantsAfterRelease{0};
     std::atomic<int> releases{0};
 
 private:
-    // A daemon that starts moves no keys for the hold time, so it is short.
     static range_lease_timing timing()
     {
         range_lease_timing timing;
@@ -155,3 +196,22 @@
     CHECK(upstream.grantsAfterRelease == 0);
     CHECK(upstream.store.ownerOf(21000) != a);
 }
+
+// Guards against two owners of one key: an owner that grants released keys again while the write of
+// their new owner may still take effect.
+TEST_CASE("keys of an unconfirmed move are not granted again before the write is decided",
+          "[router]")
+{
+    controlled_upstream upstream(true);
+    REQUIRE(waitUntil([&] { return upstream.canServe(5); }));
+    upstream.store.setSilent(true);
+    upstream.drain();
+    REQUIRE(waitUntil([&] { return upstream.store.hasDelayedWrite(); }));
+    REQUIRE(upstream.releases > 0);
+    for (const milliseconds delay : {1s, 8s, 20s}) {
+        upstream.tickAfter(delay);
+    }
+    upstream.store.setSilent(false);
+    CHECK(waitUntil([&] { return upstream.store.ownerOf(5) != a; }));
+    CHECK(upstream.grantsAfterRelease == 0);
+}
