Renew the leases of owners by the watches of their relays

Cause: each owner read its record every 2 s, so the calls to the store grew with the owners: 40 a second for 80 of them (2 s interval), beside the watches of the relays, which showed the same. On a suspended daemon the time of a list was also counted by the steady clock, which leaves the suspension out, so a lease could be counted from a later time than the call was sent.

Change: a watch shows what the store held when it was sent; a relay passes on the age of that moment, and its followers count it back from their own call. Owners read the record only without such a confirmation for 4 s. Times of calls are boot times throughout.

--- a/src/persimmonrail/feed/change_feed.cpp
+++ b/src/persimmonrail/feed/change_feed.cpp
@@ -9,8 +9,8 @@
 namespace persimmonrail {
 namespace {
 
-// The store responds to a watching daemon about every 5 s, even if nothing changes. A daemon whose
-// next response is 2 s overdue may have lost its connection to the store.
+// The store responds to a watching daemon about every 1.5 s, even if nothing changes. A daemon with
+// several responses overdue may have lost its connection to the store.
 constexpr milliseconds maxConfirmationAge{7000};
 
 } // namespace
@@ -84,15 +84,16 @@
     m_changed.notify_all();
 }
 
-void change_feed::confirm(steady_time now)
+void change_feed::confirm(boot_time confirmedAt)
 {
     const std::lock_guard lock(m_mutex);
-    m_confirmedAt = std::max(m_confirmedAt, now);
+    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
 }
 
-feed_changes change_feed::collectChanges(uint64_t position, uint64_t revision) const
+feed_changes change_feed::collectChanges(uint64_t position, uint64_t revision, boot_time now) const
 {
     feed_changes result;
+    result.changes.age = std::chrono::ceil<milliseconds>(now - m_confirmedAt);
     result.changes.revision = m_revision;
     result.cursor = {m_id, m_position};
     for (const auto &[key, stored] : m_entries) {
@@ -104,7 +105,7 @@
 }
 
 absl::StatusOr<feed_changes> change_feed::changesAfter(const feed_cursor &cursor, uint64_t revision,
-                                                       steady_time now, steady_time until)
+                                                       boot_time now, steady_time until)
 {
     std::unique_lock lock(m_mutex);
     const auto isCursorValid = [&] { return cursor.feed == 0 || cursor.feed == m_id; };
@@ -122,7 +123,8 @@
     if (cursor.feed == 0 && epochOf(revision) < epochOf(m_revision)) {
         return absl::OutOfRangeError("the store was restored from a copy");
     }
-    return cursor.feed == 0 ? collectChanges(0, revision) : collectChanges(cursor.position, 0);
+    return cursor.feed == 0 ? collectChanges(0, revision, now)
+                            : collectChanges(cursor.position, 0, now);
 }
 
 void change_feed::stop()
--- a/src/persimmonrail/feed/change_feed.h
+++ b/src/persimmonrail/feed/change_feed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "persimmonrail/base/boot_clock.h"
 #include "persimmonrail/base/clock.h"
 #include "persimmonrail/objects/object_api.h"
 
@@ -57,18 +58,19 @@
     // Applies a single object that was written or read outside the watch. The revision of the feed
     // stays the same, because earlier changes may still be missing.
     void applyObject(const stored_object &object);
-    // Records that the store responded to this daemon at `now`, so that the feed was up to date at
-    // that time.
-    void confirm(steady_time now);
+    // Records that the store certainly held the feed's content at `confirmedAt`. Must be called
+    // after the content was applied.
+    void confirm(boot_time confirmedAt);
 
-    // Returns the changes after `cursor`. If there are none, waits for one until `until` and
-    // returns no changes if the wait times out. A follower without a cursor receives the objects
-    // newer than `revision` at once. Errors: Unavailable if the store has not responded recently or
-    // stop() was called before; OutOfRange if the cursor belongs to another feed, objects were
-    // removed, or the store was restored from a copy since the follower's list, in which case the
-    // follower must list the store.
+    // Returns the changes after `cursor`, with their age at `now`, when the follower's call
+    // arrived. If there are none, waits for one until `until` and returns no changes if the wait
+    // times out. A follower without a cursor receives the objects newer than `revision` at once.
+    // Errors: Unavailable if the store has not responded recently or stop() was called before;
+    // OutOfRange if the cursor belongs to another feed, objects were removed, or the store was
+    // restored from a copy since the follower's list, in which case the follower must list the
+    // store.
     absl::StatusOr<feed_changes> changesAfter(const feed_cursor &cursor, uint64_t revision,
-                                              steady_time now, steady_time until);
+                                              boot_time now, steady_time until);
     // Ends all waits. Later calls of changesAfter() return Unavailable.
     void stop();
 
@@ -85,7 +87,7 @@
     void put(const stored_object &object);
     void remove(const std::string &key);
     // Returns the objects whose position is above `position` and whose version is above `revision`.
-    feed_changes collectChanges(uint64_t position, uint64_t revision) const;
+    feed_changes collectChanges(uint64_t position, uint64_t revision, boot_time now) const;
 
     std::mutex m_mutex;
     std::condition_variable m_changed;
@@ -94,8 +96,8 @@
     // Number of changes of objects that the feed has applied.
     uint64_t m_position = 0;
     uint64_t m_revision = 0;
-    // When the store last responded to this daemon.
-    steady_time m_confirmedAt{};
+    // When the store certainly held the feed's content.
+    boot_time m_confirmedAt{};
     bool m_isStopped = false;
 };
 
--- a/src/persimmonrail/feed/relayed_watch.cpp
+++ b/src/persimmonrail/feed/relayed_watch.cpp
@@ -67,6 +67,9 @@
                           if (!list.ok()) {
                               return list.status();
                           }
+                          list->age = object.has("age_ms")
+                              ? std::optional(milliseconds(object.getValue<int64_t>("age_ms")))
+                              : std::nullopt;
                           return feed_changes{std::move(*list),
                                               {object.getValue<uint64_t>("feed"),
                                                object.getValue<uint64_t>("position")}};
@@ -150,11 +153,8 @@
         }
         auto changes = m_store.watch(prefix, revision, std::min(wait, m_options.storeWaitTimeout));
         const steady_time now = m_hooks.now();
-        if (changes.ok()) {
-            m_hooks.onStoreResponse(now);
-            if (!changes->objects.empty()) {
-                m_lastChangeAt = now;
-            }
+        if (changes.ok() && !changes->objects.empty()) {
+            m_lastChangeAt = now;
         }
         return changes;
     }
@@ -215,19 +215,25 @@
     return relayed;
 }
 
-std::string serveChanges(change_feed &feed, const std::string &uri, steady_time now)
+std::string serveChanges(change_feed &feed, const std::string &uri, boot_time arrivedAt,
+                         steady_time now)
 {
     const auto query = parseQuery(uri);
     if (!query.ok()) {
         return renderJson(encodeObjectList(query.status()));
     }
-    const auto changes = feed.changesAfter(query->cursor, query->revision, now, now + query->wait);
+    const auto changes =
+        feed.changesAfter(query->cursor, query->revision, arrivedAt, now + query->wait);
     if (!changes.ok()) {
         return renderJson(encodeObjectList(changes.status()));
     }
     Poco::JSON::Object object = encodeObjectList(changes->changes);
     object.set("feed", changes->cursor.feed);
     object.set("position", changes->cursor.position);
+    if (const auto age = changes->changes.age) {
+        // 0 would stand for a response of the store itself.
+        object.set("age_ms", age->count() == 0 ? 1 : age->count());
+    }
     return renderJson(object);
 }
 
--- a/src/persimmonrail/feed/relayed_watch.h
+++ b/src/persimmonrail/feed/relayed_watch.h
@@ -24,10 +24,10 @@
     milliseconds responseTimeout{800};
     // Time after a failed request during which a relay is not asked again.
     milliseconds relayRetryDelay{5000};
-    // Maximum time for which a watch of the store itself waits for a change. The wait is short, so
-    // that a relay soon detects the loss of its connection to the store and other daemons soon
-    // return to a relay.
-    milliseconds storeWaitTimeout{5000};
+    // Maximum time for which a watch of the store itself waits for a change. Each response shows
+    // that what the daemon and its followers know was current when the watch was sent, which renews
+    // their leases, so the wait is short.
+    milliseconds storeWaitTimeout{1500};
     // Minimum time between a response of the store with changes and the next watch of the store.
     // Changes made in this time arrive together in one response.
     milliseconds minStoreWatchInterval{150};
@@ -38,8 +38,6 @@
     // Returns the addresses of the relays' peer ports in the order in which the relays are asked;
     // empty if this daemon watches the store itself.
     std::function<std::vector<std::string>()> relays;
-    // Called after the store itself has responded to a watch without an error.
-    std::function<void(steady_time now)> onStoreResponse;
     // Called when the source of changes differs from the previous one. `source` is the address of a
     // relay's peer port, or "store". `reason` is the error of the last relay that failed, or OK.
     std::function<void(std::string_view source, const absl::Status &reason)> onSourceChanged;
@@ -63,7 +61,9 @@
                             relayed_watch_options options = {});
 
 // Returns the body of the response to a request for changesPath; errors are encoded in the body.
-// `uri` includes the query. Blocks for as long as the query asks, at most 10 s.
-std::string serveChanges(change_feed &feed, const std::string &uri, steady_time now);
+// `uri` includes the query. The call arrived at `arrivedAt`, by the steady clock `now`. Blocks for
+// as long as the query asks, at most 10 s.
+std::string serveChanges(change_feed &feed, const std::string &uri, boot_time arrivedAt,
+                         steady_time now);
 
 } // namespace persimmonrail
--- a/src/persimmonrail/feed/tests/change_feed_test.cpp
+++ b/src/persimmonrail/feed/tests/change_feed_test.cpp
@@ -28,7 +28,7 @@
 
 struct feed_fixture
 {
-    steady_time now = std::chrono::steady_clock::now();
+    boot_time now = std::chrono::hours(1);
     change_feed feed{feedId};
 
     feed_fixture()
@@ -38,7 +38,7 @@
     }
     absl::StatusOr<feed_changes> read(const feed_cursor &cursor, uint64_t revision = 0)
     {
-        return feed.changesAfter(cursor, revision, now, now);
+        return feed.changesAfter(cursor, revision, now, std::chrono::steady_clock::now());
     }
 };
 
@@ -85,7 +85,8 @@
     feed_fixture fixture;
     const auto cursor = fixture.read({}, 10)->cursor;
     std::thread writer([&] { fixture.feed.apply({11, {object("a", 11)}}); });
-    const auto changes = fixture.feed.changesAfter(cursor, 0, fixture.now, fixture.now + 20s);
+    const auto changes =
+        fixture.feed.changesAfter(cursor, 0, fixture.now, std::chrono::steady_clock::now() + 20s);
     writer.join();
     REQUIRE(changes.ok());
     CHECK(changedKeys(*changes) == std::vector<std::string>{"fleet/a"});
@@ -107,6 +108,24 @@
     CHECK(absl::IsUnavailable(fixture.read(cursor).status()));
 }
 
+// Guards against leases that a follower renews by what the store held earlier: the age of the
+// changes must be counted from the arrival of the follower's call, whenever the feed responds.
+TEST_CASE("changes tell how old they are", "[feed]")
+{
+    feed_fixture fixture;
+    const auto cursor = fixture.read({}, 10)->cursor;
+    fixture.now += 1500ms;
+    CHECK(fixture.read(cursor)->changes.age == 1500ms);
+    fixture.now += 1ns;
+    CHECK(fixture.read(cursor)->changes.age == 1501ms);
+    // The store has responded while the call was waiting.
+    fixture.feed.confirm(fixture.now + 200ms);
+    CHECK(fixture.read(cursor)->changes.age == -200ms);
+    // A response that arrives late doesn't make the feed older.
+    fixture.feed.confirm(fixture.now - 3s);
+    CHECK(fixture.read(cursor)->changes.age == -200ms);
+}
+
 TEST_CASE("followers list the store if the feed cannot supply all changes", "[feed]")
 {
     feed_fixture fixture;
@@ -170,7 +189,8 @@
     const object_list restored{makeVersion(2, 8),
                                {object("a", makeVersion(2, 3)), object("b", makeVersion(2, 8))}};
     std::thread writer([&] { fixture.feed.reset(restored); });
-    const auto changes = fixture.feed.changesAfter(cursor, 0, fixture.now, fixture.now + 20s);
+    const auto changes =
+        fixture.feed.changesAfter(cursor, 0, fixture.now, std::chrono::steady_clock::now() + 20s);
     writer.join();
     CHECK(absl::IsOutOfRange(changes.status()));
 }
--- a/src/persimmonrail/feed/tests/relayed_watch_test.cpp
+++ b/src/persimmonrail/feed/tests/relayed_watch_test.cpp
@@ -27,21 +27,20 @@
     std::vector<milliseconds> storeWaits;
     std::vector<milliseconds> pauses;
     absl::StatusOr<object_list> storeResult = object_list{30, {}};
-    int confirmations = 0;
     milliseconds clockOffset{0};
     object_api follower;
 
     relay_fixture()
     {
         relay = std::move(*http_server::listen({}, [this](server_exchange &exchange) {
-            exchange.respond(
-                200,
-                serveChanges(feed, exchange.request().getURI(), std::chrono::steady_clock::now()),
-                "application/json");
+            exchange.respond(200,
+                             serveChanges(feed, exchange.request().getURI(), bootNow(),
+                                          std::chrono::steady_clock::now()),
+                             "application/json");
         }));
         relays = {relay->address()};
         feed.reset({20, {object("a", 20)}});
-        feed.confirm(std::chrono::steady_clock::now());
+        feed.confirm(bootNow() - 1s);
         object_api store;
         store.watch = [this](const std::string &, uint64_t, milliseconds wait) {
             storeWaits.push_back(wait);
@@ -49,7 +48,6 @@
         };
         relayed_watch_hooks hooks;
         hooks.relays = [this] { return relays; };
-        hooks.onStoreResponse = [this](steady_time) { ++confirmations; };
         hooks.onSourceChanged = [this](std::string_view source, const absl::Status &) {
             sources.emplace_back(source);
         };
@@ -94,6 +92,7 @@
         CHECK(changes->revision == version);
         CHECK(changes->objects.size() == 1);
     }
+    CHECK(fixture.watch()->age >= 1000ms);
     CHECK(fixture.storeWaits.empty());
     CHECK(fixture.sources == std::vector<std::string>{fixture.relay->address()});
 }
@@ -107,12 +106,12 @@
     {
         fixture.relays = {"127.0.0.1:1"};
     }
-    CHECK(fixture.watch()->revision == 30);
-    CHECK(fixture.confirmations == 1);
+    const auto changes = fixture.watch();
+    CHECK(changes->revision == 30);
+    CHECK(changes->age == 0ms);
     CHECK(fixture.sources == std::vector<std::string>{"store"});
-    // The wait is short, so that the daemon soon detects a lost connection and returns to its
-    // relay.
-    CHECK(fixture.storeWaits == std::vector<milliseconds>{5000ms});
+    // The wait is short, since each response renews leases.
+    CHECK(fixture.storeWaits == std::vector<milliseconds>{1500ms});
     CHECK(fixture.watch().ok());
     CHECK(fixture.storeWaits.size() == 2);
     relay_fixture other;
@@ -165,7 +164,6 @@
     fixture.relays.clear();
     fixture.storeResult = absl::OutOfRangeError("gone");
     CHECK(absl::IsOutOfRange(fixture.watch().status()));
-    CHECK(fixture.confirmations == 0);
 }
 
 TEST_CASE("malformed requests for changes receive an error response", "[feed]")
@@ -174,7 +172,7 @@
     const std::string query = GENERATE("?feed=x", "?feed=1&position=-1", "?revision=1e9",
                                        "?wait_ms=99999999999999999999999", "?%zz");
     const std::string response =
-        serveChanges(feed, changesPath + query, std::chrono::steady_clock::now());
+        serveChanges(feed, changesPath + query, bootNow(), std::chrono::steady_clock::now());
     CHECK(response.find("\"code\":3") != std::string::npos);
 }
 
--- a/src/persimmonrail/fleet/fleet_directory.cpp
+++ b/src/persimmonrail/fleet/fleet_directory.cpp
@@ -184,18 +184,22 @@
         m_onError(object.key, "the store key has an unknown prefix");
         return;
     }
+    auto &placements = m_directory.m_placements;
+    const auto entry = placements.find(id->service);
+    const bool isNewer = entry == placements.end()
+        || std::tie(entry->second.epoch, entry->second.version)
+            < std::tie(id->epoch, object.version);
     auto placement = parsePlacement(object.value);
     if (!placement.ok() || placement->service != id->service) {
+        if (isNewer && entry != placements.end()) {
+            entry->second.isOutdated = true;
+        }
         m_onError(object.key,
                   placement.ok() ? "the service name differs from the store key"
                                  : placement.status().ToString());
         return;
     }
-    auto &placements = m_directory.m_placements;
-    const auto entry = placements.find(id->service);
-    if (entry == placements.end()
-        || std::tie(entry->second.epoch, entry->second.version)
-            < std::tie(id->epoch, object.version)) {
+    if (isNewer) {
         placements[id->service] = {std::move(*placement), object.version, id->epoch};
     }
 }
--- a/src/persimmonrail/fleet/fleet_directory.h
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -37,6 +37,8 @@
         // fleet_directory::epoch() was inherited from the copy from which the store was restored,
         // or read before the restore.
         uint64_t epoch = baseEpoch;
+        // Whether the store holds a later version that could not be decoded.
+        bool isOutdated = false;
     };
     // A member and the version of its object in the store.
     struct versioned_member
--- a/src/persimmonrail/keyspace/range_lease_manager.h
+++ b/src/persimmonrail/keyspace/range_lease_manager.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "persimmonrail/base/boot_clock.h"
 #include "persimmonrail/keyspace/key_placement.h"
 
 #include <optional>
@@ -8,9 +9,6 @@
 
 namespace persimmonrail {
 
-// Time since the host started. Includes the time for which the process or the host was suspended.
-using boot_time = std::chrono::nanoseconds;
-
 // Durations of leases and grants.
 struct range_lease_timing
 {
--- a/src/persimmonrail/objects/object_api.h
+++ b/src/persimmonrail/objects/object_api.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
     // The list covers every write up to this version.
     uint64_t revision = 0;
     std::vector<stored_object> objects;
+    // How long before the call was sent the store certainly held this content; negative if it held
+    // it later than that. 0 for a response of the store itself, nothing if it is not known.
+    std::optional<milliseconds> age = milliseconds(0);
 };
 
 // The platform's object API as function objects, so that tests can replace them by fakes. The
--- a/src/persimmonrail/router/object_watcher.cpp
+++ b/src/persimmonrail/router/object_watcher.cpp
@@ -37,7 +37,7 @@
 
 absl::Status object_watcher::listOrWatch()
 {
-    const steady_time sentAt = std::chrono::steady_clock::now();
+    const boot_time sentAt = bootNow();
     m_hasWatchResponded = false;
     if (!m_isListed) {
         const auto list = m_api.list(m_prefix);
@@ -53,8 +53,7 @@
     if (absl::IsOutOfRange(changes.status())) {
         m_isListed = false;
         if (m_hooks.onEvent) {
-            const auto waited =
-                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - sentAt);
+            const auto waited = std::chrono::duration_cast<milliseconds>(bootNow() - sentAt);
             m_hooks.onEvent("history-gone waited_ms=" + std::to_string(waited.count()));
         }
         return absl::OkStatus();
--- a/src/persimmonrail/router/object_watcher.h
+++ b/src/persimmonrail/router/object_watcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "persimmonrail/base/boot_clock.h"
 #include "persimmonrail/objects/object_api.h"
 
 #include <atomic>
@@ -29,8 +30,8 @@
     {
         // Called with the full content, which replaces all content seen before. `sentAt` is the
         // time when the call to the store was sent.
-        std::function<void(const object_list &list, steady_time sentAt)> onList;
-        std::function<void(const object_list &changes, steady_time sentAt)> onChanges;
+        std::function<void(const object_list &list, boot_time sentAt)> onList;
+        std::function<void(const object_list &changes, boot_time sentAt)> onChanges;
         // Called when a watch ends because the store no longer has the history, which is not an
         // error. Optional.
         std::function<void(std::string_view event)> onEvent;
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -5,7 +5,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <ctime>
 #include <thread>
 #include <utility>
 
@@ -15,9 +14,11 @@
 // Unowned keys are assigned only after membership was unchanged for this long, since all upstreams
 // of a site start together.
 constexpr milliseconds initialAssignmentDelay{1500};
-// Interval between two reads that confirm the record. Several reads fit into the lifetime of a
-// confirmation, so that one lost response does not matter.
-constexpr milliseconds confirmInterval{2000};
+// Age of the last confirmation from which the owner reads the record itself. Confirmations come
+// with the changes of the fleet at a higher rate, unless the relay fails. Several reads fit into
+// the rest of the lease, so that one lost response does not matter.
+constexpr milliseconds maxRelayedAge{4000};
+constexpr milliseconds confirmRetryInterval{500};
 constexpr milliseconds writeRetryDelay{300};
 constexpr milliseconds unservedLogInterval{1000};
 // Weight of one sample in the exponentially weighted moving average. One sample is taken per tick,
@@ -28,13 +29,6 @@
 
 } // namespace
 
-boot_time bootNow()
-{
-    timespec time{};
-    ::clock_gettime(CLOCK_BOOTTIME, &time);
-    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-}
-
 range_controller::range_controller(std::string service, range_lease_timing timing, object_api store,
                                    grant_api grants, control_loop &loop, decision_log &log,
                                    hooks hooks)
@@ -74,7 +68,7 @@
 }
 
 void range_controller::onDirectory(const std::shared_ptr<const fleet_directory> &directory,
-                                   boot_time confirmedAt)
+                                   const std::optional<store_confirmation> &confirmation)
 {
     const bool changed = directory != m_directory;
     const uint64_t epochBefore = currentEpoch();
@@ -89,9 +83,13 @@
         m_leaseManager.onEpoch(currentEpoch(), bootNow());
         if (record != nullptr) {
             isNewRecord = m_leaseManager.placementEpoch() != record->epoch;
+            const bool isConfirmed = confirmation && !record->isOutdated
+                && record->version <= confirmation->revision
+                && record->epoch == std::max(baseEpoch, epochOf(confirmation->revision));
+            const boot_time confirmedAt = isConfirmed ? confirmation->at : boot_time{};
             m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
             m_leaseManager.onPlacement(record->placement, confirmedAt, bootNow());
-        } else if (m_directory->findPlacement(m_service) == nullptr && confirmedAt.count() > 0) {
+        } else if (m_directory->findPlacement(m_service) == nullptr && confirmation) {
             m_leaseManager.onEarlierFences(0);
         }
     }
@@ -392,8 +390,8 @@
 void range_controller::confirmPlacement()
 {
     const boot_time now = bootNow();
-    if (m_isConfirmationPending || now - m_confirmedAt < confirmInterval
-        || now - m_confirmationSentAt < confirmInterval / 4 || ownsNoKeys()) {
+    if (m_isConfirmationPending || now - m_confirmedAt < maxRelayedAge
+        || now - m_confirmationSentAt < confirmRetryInterval || ownsNoKeys()) {
         return;
     }
     m_isConfirmationPending = true;
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -22,8 +22,13 @@
 
 namespace persimmonrail {
 
-// Returns the time since boot, including the time that the host was suspended.
-boot_time bootNow();
+// A moment at which the store certainly held all writes up to a revision, and none after it to the
+// objects that the daemon knows.
+struct store_confirmation
+{
+    uint64_t revision = 0;
+    boot_time at{};
+};
 
 // Controls the key ranges of the local upstream: grants, renewals, releases and changes of the
 // recorded owners. All functions must be called on the control thread, except for canServe() and
@@ -41,9 +46,10 @@
                      grant_api grants, control_loop &loop, decision_log &log, hooks hooks);
     ~range_controller();
 
-    // Applies a new directory. The store certainly held this content at `confirmedAt`.
+    // Applies a new directory. `confirmation` tells when the store certainly held its content, as
+    // far as it is no newer than the confirmed revision; nothing if that is unknown.
     void onDirectory(const std::shared_ptr<const fleet_directory> &directory,
-                     boot_time confirmedAt);
+                     const std::optional<store_confirmation> &confirmation);
     // Sets the local upstream; nullopt while there is none.
     void setUpstream(const std::optional<upstream_id> &upstream, const std::string &address,
                      bool isDraining);
@@ -96,6 +102,9 @@
     // record of the current epoch.
     void confirmLease(const stored_object &object, boot_time confirmedAt);
     void considerMove(steady_time now);
+    // Returns the live upstreams, with the local one, that are not recorded as leaving.
+    std::vector<range_candidate> moveCandidates() const;
+    bool isRecordedAsLeaving(const upstream_id &id) const;
     void startMove(std::vector<planned_move> moves, std::string_view reason);
     void releaseByCalls(const std::vector<planned_move> &moves);
     void checkHeartbeatRelease();
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -15,7 +15,7 @@
 constexpr milliseconds updateTimeout{1000};
 // Keys are released only if the store responded within this time, since the move must be written to
 // the store.
-constexpr milliseconds maxConfirmationAge{3000};
+constexpr milliseconds maxConfirmationAge{4500};
 // Least time between two moves, for whatever reason.
 constexpr milliseconds moveInterval{1000};
 constexpr double overloadUtilization = 1.0;
@@ -36,12 +36,9 @@
     if (record == nullptr) {
         return;
     }
-    std::vector<range_candidate> others;
-    for (const range_candidate &candidate : m_peers.live) {
-        if (candidate.id != *m_upstream) {
-            others.push_back(candidate);
-        }
-    }
+    const std::vector<range_candidate> candidates = moveCandidates();
+    std::vector<range_candidate> others = candidates;
+    std::erase_if(others, [this](const auto &candidate) { return candidate.id == *m_upstream; });
     if (others.empty()) {
         return;
     }
@@ -61,7 +58,7 @@
         }
         return;
     }
-    const auto share = chooseMoveToEmptyOwner(record->placement, *m_upstream, m_peers.live);
+    const auto share = chooseMoveToEmptyOwner(record->placement, *m_upstream, candidates);
     if (share) {
         startMove({*share}, "newcomer");
         return;
@@ -71,13 +68,32 @@
     if (now - m_lastMoveEndedAt < minMoveInterval(m_peers.live.size(), isOverloaded)) {
         return;
     }
+    std::vector<owner_load> loads = m_peers.loads;
+    std::erase_if(loads, [this](const owner_load &other) { return isRecordedAsLeaving(other.id); });
     auto moves = chooseMoves(
-        ownIntervals(), [this](shard_key key) { return m_rates.rate(key); }, load, m_peers.loads);
+        ownIntervals(), [this](shard_key key) { return m_rates.rate(key); }, load, loads);
     if (!moves.empty()) {
         startMove(std::move(moves), "load");
     }
 }
 
+// The view of the peers may be older than the directory by the interval between two polls.
+std::vector<range_candidate> range_controller::moveCandidates() const
+{
+    std::vector<range_candidate> candidates = m_peers.live;
+    std::erase_if(candidates, [this](const range_candidate &candidate) {
+        return isRecordedAsLeaving(candidate.id);
+    });
+    return candidates;
+}
+
+bool range_controller::isRecordedAsLeaving(const upstream_id &id) const
+{
+    const auto *known = m_directory->findMember(id.name);
+    return known != nullptr && known->member.id == id
+        && (known->member.isDraining || known->member.isTerminated);
+}
+
 // A full queue rejects the requests that it can't hold, so the queue's length alone understates the
 // load.
 owner_load range_controller::ownLoad() const
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -268,10 +268,10 @@
         return;
     }
     if (std::string_view(exchange.request().getURI()).starts_with(changesPath)) {
-        exchange.respond(
-            200,
-            serveChanges(m_feed, exchange.request().getURI(), std::chrono::steady_clock::now()),
-            "application/json");
+        exchange.respond(200,
+                         serveChanges(m_feed, exchange.request().getURI(), bootNow(),
+                                      std::chrono::steady_clock::now()),
+                         "application/json");
         return;
     }
     m_proxy->servePeer(exchange);
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -47,8 +47,8 @@
     // Store.
     void onDesiredState(const object_list &objects);
     void logRoutes(const route_table &routes);
-    void onFleetObjects(const object_list &objects, bool isFullList, steady_time sentAt);
-    void publishDirectory(boot_time confirmedAt);
+    void onFleetObjects(const object_list &objects, bool isFullList, boot_time sentAt);
+    void publishDirectory(const std::optional<store_confirmation> &confirmation);
     void onStoreReachabilityChange(std::string_view watchName, bool isReachable,
                                    const absl::Status &status);
 
--- a/src/persimmonrail/router/router_state_store.cpp
+++ b/src/persimmonrail/router/router_state_store.cpp
@@ -19,7 +19,7 @@
     watchOptions.maxWatchWait = m_platform.maxWatchWait;
     object_watcher::hooks desiredStateHooks;
     desiredStateHooks.onList = desiredStateHooks.onChanges =
-        [this](const object_list &objects, steady_time) { onDesiredState(objects); };
+        [this](const object_list &objects, boot_time) { onDesiredState(objects); };
     desiredStateHooks.onEvent = [this](std::string_view event) {
         logEvent("watch", absl::StrCat("prefix=desired-state event=", toAbsl(event)));
     };
@@ -29,7 +29,7 @@
     m_desiredStateWatcher = std::make_unique<object_watcher>(m_store, m_platform.desiredStatePrefix,
                                                              desiredStateHooks, watchOptions);
     object_watcher::hooks fleetHooks;
-    fleetHooks.onList = [this](const object_list &objects, steady_time sentAt) {
+    fleetHooks.onList = [this](const object_list &objects, boot_time sentAt) {
         m_feed.reset(objects);
         if (relayAddresses().empty()) {
             m_feed.confirm(sentAt);
@@ -37,8 +37,12 @@
         m_loop.post(
             [this, objects, sentAt](steady_time) { onFleetObjects(objects, true, sentAt); });
     };
-    fleetHooks.onChanges = [this](const object_list &objects, steady_time sentAt) {
+    fleetHooks.onChanges = [this](const object_list &objects, boot_time sentAt) {
         m_feed.apply(objects);
+        // Daemons whose views differ may follow each other, so only the store confirms a feed.
+        if (objects.age == milliseconds(0)) {
+            m_feed.confirm(sentAt);
+        }
         m_loop.post(
             [this, objects, sentAt](steady_time) { onFleetObjects(objects, false, sentAt); });
     };
@@ -91,7 +95,6 @@
 {
     relayed_watch_hooks hooks;
     hooks.relays = [this] { return relayAddresses(); };
-    hooks.onStoreResponse = [this](steady_time now) { m_feed.confirm(now); };
     hooks.onSourceChanged = [this](std::string_view source, const absl::Status &reason) {
         logEvent("follow", absl::StrCat("source=", toAbsl(source), " reason=", reason.ToString()));
     };
@@ -164,7 +167,7 @@
     }
 }
 
-void router::state::onFleetObjects(const object_list &objects, bool isFullList, steady_time sentAt)
+void router::state::onFleetObjects(const object_list &objects, bool isFullList, boot_time sentAt)
 {
     if (isFullList) {
         m_builder.reset(objects);
@@ -175,11 +178,12 @@
         const std::lock_guard lock(m_mutex);
         m_isDirectoryListed = true;
     }
-    const auto age = std::chrono::steady_clock::now() - sentAt;
-    publishDirectory(isFullList ? bootNow() - age : boot_time{});
+    publishDirectory(
+        objects.age ? std::optional(store_confirmation{objects.revision, sentAt - *objects.age})
+                    : std::nullopt);
 }
 
-void router::state::publishDirectory(boot_time confirmedAt)
+void router::state::publishDirectory(const std::optional<store_confirmation> &confirmation)
 {
     const auto directory = m_builder.build();
     uint64_t previousEpoch = 0;
@@ -192,7 +196,7 @@
         logEvent("store-epoch",
                  absl::StrCat("epoch=", directory->epoch(), " previous=", previousEpoch));
     }
-    m_ranges->onDirectory(directory, confirmedAt);
+    m_ranges->onDirectory(directory, confirmation);
 }
 
 void router::state::onStoreReachabilityChange(std::string_view watchName, bool isReachable,
--- a/src/persimmonrail/router/tests/object_watcher_test.cpp
+++ b/src/persimmonrail/router/tests/object_watcher_test.cpp
@@ -75,10 +75,10 @@
                      absl::UnavailableError("cut")};
     {
         object_watcher::hooks hooks;
-        hooks.onList = [&](const object_list &list, steady_time) {
+        hooks.onList = [&](const object_list &list, boot_time) {
             store.recordEvent("list " + std::to_string(list.revision));
         };
-        hooks.onChanges = [&](const object_list &changes, steady_time) {
+        hooks.onChanges = [&](const object_list &changes, boot_time) {
             store.recordEvent("changes " + std::to_string(changes.revision));
         };
         hooks.onReachabilityChange = [&](bool isReachable, const absl::Status &) {
--- a/src/persimmonrail/router/tests/range_controller_restore_test.cpp
+++ b/src/persimmonrail/router/tests/range_controller_restore_test.cpp
@@ -101,7 +101,8 @@
     {
         m_loop.postAndWait([this, &list](steady_time) {
             m_builder.reset(list);
-            m_controller.onDirectory(m_builder.build(), bootNow());
+            m_controller.onDirectory(m_builder.build(),
+                                     store_confirmation{m_builder.build()->revision(), bootNow()});
         });
     }
     bool canServe(shard_key key) { return m_controller.canServe(key); }
--- a/src/persimmonrail/router/tests/range_controller_test.cpp
+++ b/src/persimmonrail/router/tests/range_controller_test.cpp
@@ -1,6 +1,7 @@
 #include "wait_until.h"
 
 #include "persimmonrail/keyspace/range_plan.h"
+#include "persimmonrail/objects/object_version.h"
 #include "persimmonrail/router/range_controller.h"
 
 #include <catch2/catch.hpp>
@@ -23,8 +24,8 @@
 class contended_store
 {
 public:
-    contended_store()
-        : m_placement(assignUnowned(emptyPlacement(service), {{a, 9}, {b, 9}, {c, 9}}))
+    explicit contended_store(std::vector<range_candidate> owners = {{a, 9}, {b, 9}, {c, 9}})
+        : m_placement(assignUnowned(emptyPlacement(service), std::move(owners)))
     { }
 
     object_api api()
@@ -112,20 +113,22 @@
 {
 public:
     // `isFirst` tells that no daemon ran before, so no earlier grant can delay a move.
-    explicit controlled_upstream(bool isFirst = false)
-        : m_controller(service, timing(), store.api(), grants(), m_loop, m_log,
+    explicit controlled_upstream(bool isFirst = false,
+                                 std::vector<range_candidate> owners = {{a, 9}, {b, 9}, {c, 9}})
+        : store(std::move(owners))
+        , m_controller(service, timing(), store.api(), grants(), m_loop, m_log,
                        {[this](const stored_object &object) { apply(object); }})
     {
         m_loop.every(10ms, [this](steady_time now) { m_controller.tick(now); });
         m_loop.start();
         m_loop.postAndWait([this, isFirst](steady_time) {
             if (isFirst) {
-                m_controller.onDirectory(m_builder.build(), bootNow());
+                m_controller.onDirectory(m_builder.build(), store_confirmation{1, bootNow()});
             }
             m_controller.setUpstream(a, "127.0.0.1:1", false);
             m_controller.setPeers({{{a, 9}, {b, 9}, {c, 9}}, {}, {}, false});
             m_builder.applyObject(store.read());
-            m_controller.onDirectory(m_builder.build(), bootNow());
+            m_controller.onDirectory(m_builder.build(), store_confirmation{1, bootNow()});
         });
     }
     ~controlled_upstream() { m_loop.stop(); }
@@ -134,6 +137,14 @@
         m_loop.postAndWait(
             [this](steady_time) { m_controller.setUpstream(a, "127.0.0.1:1", true); });
     }
+    // Records upstream `b` as a member of the fleet.
+    void recordMember(bool isDraining, uint64_t version)
+    {
+        const upstream_member member{b, service, "z", "127.0.0.1:2", 9, isDraining};
+        m_loop.postAndWait([&](steady_time) {
+            apply({memberKey(b.name), version, false, encodeMember(member)});
+        });
+    }
     bool canServe(shard_key key) { return m_controller.canServe(key); }
     // Performs what is due after `delay`, beside the periodic ticks.
     void tickAfter(milliseconds delay)
@@ -178,6 +189,56 @@
     range_controller m_controller;
 };
 
+// The controller beside upstream `a`, which performs nothing by itself.
+class uncontrolled_upstream
+{
+public:
+    explicit uncontrolled_upstream(const store_confirmation &confirmation)
+        : m_controller(service, {}, {}, grants(), m_loop, m_log, {})
+    {
+        m_loop.start();
+        m_loop.postAndWait(
+            [this](steady_time) { m_controller.setUpstream(a, "127.0.0.1:1", false); });
+        m_builder.applyObject(contended_store().read());
+        show(confirmation);
+        m_loop.postAndWait([](steady_time) {});
+    }
+    ~uncontrolled_upstream() { m_loop.stop(); }
+    void show(const std::optional<store_confirmation> &confirmation)
+    {
+        m_loop.postAndWait(
+            [&](steady_time) { m_controller.onDirectory(m_builder.build(), confirmation); });
+    }
+    // Makes the store hold a record that can't be decoded.
+    void showMalformedRecord(uint64_t version)
+    {
+        m_builder.applyObject({placementKey(service), version, false, "?"});
+    }
+    // A response to a heartbeat lists what the upstream is to hold only within the lease.
+    bool hasLease()
+    {
+        bool hasLease = false;
+        m_loop.postAndWait(
+            [&](steady_time) { hasLease = m_controller.onHeartbeat({}, bootNow()).has_value(); });
+        return hasLease;
+    }
+
+private:
+    static grant_api grants()
+    {
+        grant_api api;
+        api.grant = [](const std::string &, const range_grant &, milliseconds) {
+            return absl::UnavailableError("the upstream takes no calls");
+        };
+        return api;
+    }
+
+    control_loop m_loop;
+    decision_log m_log{{log_level::Off, "", 0, false}};
+    fleet_directory_builder m_builder{[](const std::string &, std::string_view) {}};
+    range_controller m_controller;
+};
+
 } // namespace
 
 // Guards against an owner that releases keys, loses five conditional writes of the record to other
@@ -215,3 +276,57 @@
     CHECK(waitUntil([&] { return upstream.store.ownerOf(5) != a; }));
     CHECK(upstream.grantsAfterRelease == 0);
 }
+
+// Guards against a lease that is renewed by a response that doesn't show the record of the owner:
+// one that is older than the record, of another epoch of the store, or followed by another record.
+TEST_CASE("only what shows the present record renews the lease of its owner", "[router]")
+{
+    const boot_time longAgo = bootNow() - range_lease_timing().leaseDuration;
+    uncontrolled_upstream upstream(store_confirmation{1, longAgo});
+    REQUIRE_FALSE(upstream.hasLease());
+    SECTION("a response up to the record's version")
+    {
+        upstream.show(store_confirmation{1, bootNow()});
+        CHECK(upstream.hasLease());
+    }
+    SECTION("a later response")
+    {
+        upstream.show(store_confirmation{7, bootNow()});
+        CHECK(upstream.hasLease());
+    }
+    SECTION("a response from before the record")
+    {
+        upstream.show(store_confirmation{0, bootNow()});
+        CHECK_FALSE(upstream.hasLease());
+    }
+    SECTION("a response of unknown age")
+    {
+        upstream.show(std::nullopt);
+        CHECK_FALSE(upstream.hasLease());
+    }
+    SECTION("a response of a later epoch")
+    {
+        upstream.show(store_confirmation{makeVersion(2, 7), bootNow()});
+        CHECK_FALSE(upstream.hasLease());
+    }
+    SECTION("a later record that can't be decoded")
+    {
+        upstream.showMalformedRecord(5);
+        upstream.show(store_confirmation{7, bootNow()});
+        CHECK_FALSE(upstream.hasLease());
+    }
+}
+
+// Guards against keys that an owner moves to an upstream that is about to leave, which has to move
+// them once more: what peers reported is older than what the fleet's directory shows.
+TEST_CASE("no keys are moved to an upstream that is recorded as leaving", "[router]")
+{
+    controlled_upstream upstream(true, {{a, 18}, {c, 9}});
+    upstream.recordMember(true, 2);
+    REQUIRE(waitUntil([&] { return upstream.canServe(5); }));
+    upstream.tickAfter(2s);
+    upstream.tickAfter(4s);
+    CHECK(upstream.releases == 0);
+    upstream.recordMember(false, 3);
+    CHECK(waitUntil([&] { return upstream.store.ownerOf(40000) == b; }));
+}
