Reject requests that a stopping daemon reads after its port has closed

Cause: a request on a connection that was accepted before the port closed was served like any other, however late it was read.

Measured: "a daemon that is about to end rejects further requests of callers" failed before (the request was sent on); all proxy tests pass now.

--- a/src/persimmonrail/keyspace/tests/heartbeat_grants_test.cpp
+++ b/src/persimmonrail/keyspace/tests/heartbeat_grants_test.cpp
@@ -35,7 +35,7 @@
     std::optional<holdings> beat(milliseconds pause = beatInterval)
     {
         now += pause;
-        const auto response =
+        auto response =
             grants.onHeartbeat({held, std::exchange(released, {}), 0}, timing.holdTime, now);
         if (response) {
             held = response->grants;
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -93,6 +93,9 @@
         if (fields.isMalformed || fields.requestId.empty()) {
             return notRunResult(proxy_reason::MalformedRequest);
         }
+        if (m_proxy.m_hooks.isClosed()) {
+            return notRunResult(proxy_reason::Stopping);
+        }
         m_request.service = chooseTrafficShare(*m_route, m_proxy.randomBits()).service;
         const service_rule *rule = m_table->findService(m_request.service);
         if (rule != nullptr && rule->isKeyed) {
--- a/src/persimmonrail/proxy/request_proxy.h
+++ b/src/persimmonrail/proxy/request_proxy.h
@@ -56,6 +56,9 @@
     std::function<std::shared_ptr<const fleet_directory>()> directory;
     // Returns whether the daemon is stopping; responses then close their connections.
     std::function<bool()> isStopping;
+    // Whether requests of callers that arrive now are rejected, since the process may end before
+    // their responses. Connections that were accepted earlier may still bring such requests.
+    std::function<bool()> isClosed;
     // Returns the time by which a stopping daemon must have responded to all requests, since its
     // process ends soon afterwards; steady_time::max() while the daemon is not stopping.
     std::function<steady_time()> shutdownDeadline;
--- a/src/persimmonrail/proxy/tests/request_proxy_test.cpp
+++ b/src/persimmonrail/proxy/tests/request_proxy_test.cpp
@@ -18,6 +18,7 @@
 struct proxy_site
 {
     std::atomic<int> upstreamRequests{0};
+    std::atomic<bool> isClosed{false};
     std::promise<void> served;
     decision_log log{{log_level::Off, "", 100, false}};
     metrics values;
@@ -64,6 +65,7 @@
             return builder.build();
         };
         hooks.isStopping = [] { return false; };
+        hooks.isClosed = [this] { return isClosed.load(); };
         hooks.shutdownDeadline = [] { return steady_time::max(); };
         hooks.makeRandom = [] { return [] { return uint64_t{1}; }; };
         proxy = std::make_unique<request_proxy>(request_proxy_options(), hooks, codec, *dispatcher,
@@ -106,6 +108,17 @@
     CHECK(site.upstreamRequests == (isClosedFirst ? 0 : 1));
 }
 
+// Guards against a request that a stopping daemon reads late, on a connection that was accepted
+// before its port closed, sends to an upstream and then abandons at its own end.
+TEST_CASE("a daemon that is about to end rejects further requests of callers", "[relay]")
+{
+    proxy_site site;
+    site.isClosed = true;
+    site.serve("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", false);
+    CHECK(site.upstreamRequests == 0);
+    CHECK(site.values.renderText().find("stopping") != std::string::npos);
+}
+
 // All 22 upstreams of a service are full. Guards against hosts that spend their CPU time on
 // rejecting each request 22 times.
 TEST_CASE("a request is sent to few overloaded upstreams", "[relay]")
--- a/src/persimmonrail/proxy/tests/slow_peer_test.cpp
+++ b/src/persimmonrail/proxy/tests/slow_peer_test.cpp
@@ -140,6 +140,7 @@
             return builder.build();
         };
         hooks.isStopping = [this] { return m_options.isStopping || m_isStopping; };
+        hooks.isClosed = [] { return false; };
         hooks.shutdownDeadline = [this] { return m_shutdownDeadline.load(); };
         hooks.makeRandom = [] { return [] { return uint64_t{1}; }; };
         return hooks;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -247,6 +247,7 @@
         return m_directory;
     };
     hooks.isStopping = [this] { return m_isStopping.load(); };
+    hooks.isClosed = [this] { return m_isDispatchClosed.load(); };
     hooks.shutdownDeadline = [this] { return m_shutdownDeadline.load(); };
     hooks.makeRandom = makeRandomSource;
     return hooks;
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -87,7 +87,8 @@
     std::atomic<steady_time> m_shutdownDeadline{steady_time::max()};
     // The fleet's objects, for daemons that follow this daemon.
     change_feed m_feed;
-    // Set during the shutdown, when the daemon stops dispatching requests to its upstream.
+    // Set during the shutdown, when the daemon stops dispatching requests to its upstream and
+    // accepting requests from callers.
     std::atomic<bool> m_isDispatchClosed{false};
 
     // Control state, used only on the control thread.
