End a move whose upstream ends before it has released the keys

Cause: the daemon looked for the end of a release by heartbeat only while it had an upstream, so after the end of the upstream a move stayed open and the daemon wrote no change of the record until the next incarnation. Found by reading the change; no run showed it.

Change: the release is looked at in each tick; without the upstream's grants it is over.

Measured: "a move ends with its upstream, before a heartbeat shows the release" failed before and passes now; all router tests pass.

--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -241,6 +241,7 @@
 void range_controller::tick(steady_time now)
 {
     logUnserved(now);
+    checkHeartbeatRelease();
     if (!m_upstream) {
         // Another daemon, or the upstream's next incarnation, acts for the keys that the upstream
         // owned.
@@ -248,7 +249,6 @@
         return;
     }
     m_rates.update(now);
-    checkHeartbeatRelease();
     retryUnconfirmedMove(now);
     renewGrants();
     releaseUnownedRanges();
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -180,7 +180,8 @@
     steady_time m_nextWriteAt{};
     // Whether renewOwnFences() was called; once is enough, since later grants are this daemon's.
     bool m_hasRenewedFences = false;
-    // When the keys of the current move stopped being served.
+    // When the current move began. Its keys are served no longer from then on, or from the response
+    // to the next heartbeat.
     steady_time m_moveBeganAt{};
     // When the last move ended.
     steady_time m_lastMoveEndedAt{};
--- a/src/persimmonrail/router/tests/range_controller_test.cpp
+++ b/src/persimmonrail/router/tests/range_controller_test.cpp
@@ -214,6 +214,27 @@
     {
         m_builder.applyObject({placementKey(service), version, false, "?"});
     }
+    void leave()
+    {
+        m_loop.postAndWait([this](steady_time now) {
+            m_controller.setPeers({{{a, 9}, {b, 9}}, {}, {}, false});
+            m_controller.setUpstream(a, "127.0.0.1:1", true);
+            m_controller.tick(now);
+        });
+    }
+    void end()
+    {
+        m_loop.postAndWait([this](steady_time now) {
+            m_controller.setUpstream(std::nullopt, "", true);
+            m_controller.tick(now);
+        });
+    }
+    bool isMoving()
+    {
+        bool isMoving = false;
+        m_loop.postAndWait([&](steady_time) { isMoving = !m_controller.isIdle(); });
+        return isMoving;
+    }
     // A response to a heartbeat lists what the upstream is to hold only within the lease.
     bool hasLease()
     {
@@ -330,3 +351,15 @@
     upstream.recordMember(false, 3);
     CHECK(waitUntil([&] { return upstream.store.ownerOf(40000) == b; }));
 }
+
+// Guards against a daemon that changes no record any more, since it waits for a heartbeat of an
+// upstream that has ended.
+TEST_CASE("a move ends with its upstream, before a heartbeat shows the release", "[router]")
+{
+    uncontrolled_upstream upstream(store_confirmation{1, bootNow()});
+    REQUIRE(upstream.hasLease());
+    upstream.leave();
+    CHECK(upstream.isMoving());
+    upstream.end();
+    CHECK_FALSE(upstream.isMoving());
+}
