Log which requests lose their connections with a crashed upstream

The dispatcher now computes the fingerprint of each request and reports dispatches to crash_quarantine, which only records; nothing is rejected yet.

- the lines of a request that lost its connection carry fingerprint:...
- upstream-crash id=... suspects=..., and persimmonrail_upstream_crashes_total
- fingerprinted_body moves from gateway to requests, since both paths use it

--- a/src/persimmonrail/gateway/local_attempt.cpp
+++ b/src/persimmonrail/gateway/local_attempt.cpp
@@ -1,7 +1,7 @@
 #include "persimmonrail/gateway/local_attempt.h"
 
-#include "persimmonrail/gateway/fingerprinted_body.h"
 #include "persimmonrail/gateway/forwarder.h"
+#include "persimmonrail/requests/fingerprinted_body.h"
 
 namespace persimmonrail {
 namespace {
@@ -11,6 +11,30 @@
     return std::chrono::steady_clock::now();
 }
 
+attempt_result rejectionFor(const fingerprinted_body::admission &checked)
+{
+    using verdict = fingerprinted_body::admission::verdict;
+    switch (checked.decision) {
+    case verdict::MalformedBody:
+        return notRunResult("malformed-request-body");
+    case verdict::IncompleteBody:
+        return notRunResult("incomplete-request-body");
+    default:
+        attempt_result result = notRunResult(quarantinedReason);
+        result.retryAfter = checked.rejectionTime;
+        return result;
+    }
+}
+
+crash_quarantine::run_end runEndOf(const dispatch_result &dispatched)
+{
+    const bool wasConnectionLost = dispatched.outcome == request_outcome::Unknown
+        && (dispatched.reason == toString(exchange_state::NoResponse)
+            || dispatched.reason == toString(exchange_state::Truncated));
+    return wasConnectionLost ? crash_quarantine::run_end::ConnectionLost
+                             : crash_quarantine::run_end::Regular;
+}
+
 } // namespace
 
 local_attempt::local_attempt(const gateway_hooks &hooks, upstream_client &upstreamClient,
@@ -76,12 +100,13 @@
     if (m_hooks.rejectsNewRequests(currentTime())) {
         return notRunResult("draining");
     }
-    fingerprinted_body body(m_hooks.quarantine, m_exchange, m_request.target.service,
-                            m_request.keyHash.value_or(0));
-    if (const auto rejection = body.checkQuarantine(m_request.deadline, currentTime())) {
-        attempt_result result = notRunResult(rejection->reason);
-        result.retryAfter = rejection->retryAfter;
-        return result;
+    const auto &head = m_exchange.request();
+    fingerprinted_body body(m_hooks.quarantine, m_exchange,
+                            {m_request.target.service, head.getMethod(), head.getURI(),
+                             m_request.keyHash.value_or(0)});
+    if (const auto checked = body.checkQuarantine(m_request.deadline, currentTime());
+        checked.decision != fingerprinted_body::admission::verdict::Accepted) {
+        return rejectionFor(checked);
     }
     const admission_result admitted = m_hooks.admit(
         {m_request.target.service, m_request.rankIndex, m_request.subsidiary, m_request.deadline},
@@ -104,7 +129,7 @@
     const steady_time dispatchedAt = currentTime();
     const dispatch_result dispatched = m_upstreamClient.dispatch(request, sink, dispatchedAt);
     const steady_time endedAt = currentTime();
-    body.recordEnd(dispatched, endedAt);
+    body.recordEnd(runEndOf(dispatched), endedAt);
     std::get<std::unique_ptr<admission_ticket>>(admitted)->finish(
         dispatched.outcome, dispatched.reason, endedAt - dispatchedAt, endedAt);
     return toAttemptResult(dispatched, isRetryable(dispatched.reason));
--- a/src/persimmonrail/gateway/local_attempt.h
+++ b/src/persimmonrail/gateway/local_attempt.h
@@ -8,6 +8,9 @@
 
 namespace persimmonrail {
 
+// Reason of the rejection of a request whose fingerprint is quarantined.
+inline constexpr char quarantinedReason[] = "quarantined";
+
 // One attempt to run a request on the local upstream. Not thread safe; used by the thread of the
 // request's connection.
 class local_attempt
--- a/src/persimmonrail/gateway/routed_request.cpp
+++ b/src/persimmonrail/gateway/routed_request.cpp
@@ -3,7 +3,6 @@
 #include "persimmonrail/base/header_names.h"
 #include "persimmonrail/gateway/caller_sink.h"
 #include "persimmonrail/gateway/error_response.h"
-#include "persimmonrail/gateway/fingerprinted_body.h"
 #include "persimmonrail/gateway/local_attempt.h"
 
 #include <absl/strings/numbers.h>
@@ -238,7 +237,7 @@
         // Any instance may run the request, so another one may have a free slot. A quarantined
         // request must not crash the next upstream.
         result.canRetry = result.outcome == request_outcome::NotRun
-            && result.reason != fingerprinted_body::quarantinedReason;
+            && result.reason != quarantinedReason;
         if (!prepareRetry(result)) {
             return result;
         }
--- a/src/persimmonrail/proxy/proxy_types.h
+++ b/src/persimmonrail/proxy/proxy_types.h
@@ -60,6 +60,9 @@
     bool hasReachedUpstream = false;
     // Checks of probes that had no response yet.
     int unansweredProbes = 0;
+    // Fingerprint of a request whose connection to the local upstream was lost; nullopt if it was
+    // not lost, or unknown.
+    std::optional<uint64_t> lostFingerprint;
     // Queue of the upstream after the attempt; nullopt if unknown.
     std::optional<queue_report> queue;
 };
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -1,5 +1,6 @@
 #include "persimmonrail/proxy/request_proxy.h"
 
+#include "persimmonrail/base/key_hash.h"
 #include "persimmonrail/base/text.h"
 #include "persimmonrail/gateway/caller_sink.h"
 #include "persimmonrail/proxy/peer_fields.h"
@@ -32,6 +33,12 @@
         || reason == proxy_reason::KeyNotHeld || reason == proxy_reason::Draining;
 }
 
+// Tells which request lost its connection to the local upstream, since it may have crashed it.
+std::string lostFingerprintText(const proxy_result &result)
+{
+    return result.lostFingerprint ? ",fingerprint:" + hashToString(*result.lostFingerprint) : "";
+}
+
 // Counts a request in flight during its lifetime.
 class in_flight_guard
 {
@@ -358,7 +365,8 @@
         const std::string reason = absl::StrCat(
             toAbsl(toString(result.reason)), ",status:", result.status,
             ",unanswered_probes:", result.unansweredProbes,
-            ",took_us:", std::chrono::duration_cast<std::chrono::microseconds>(took).count());
+            ",took_us:", std::chrono::duration_cast<std::chrono::microseconds>(took).count(),
+            lostFingerprintText(result));
         entry.reason = reason;
         m_proxy.m_log.write(entry);
     }
@@ -551,7 +559,9 @@
         entry.service = request->service;
         entry.instance = request->upstream.name;
         entry.outcome = toString(result.outcome);
-        entry.reason = toString(result.reason);
+        const std::string reason =
+            absl::StrCat(toAbsl(toString(result.reason)), lostFingerprintText(result));
+        entry.reason = reason;
         m_log.write(entry);
     }
 }
--- a/src/persimmonrail/proxy/tests/request_proxy_test.cpp
+++ b/src/persimmonrail/proxy/tests/request_proxy_test.cpp
@@ -24,6 +24,7 @@
     metrics values;
     std::unique_ptr<http_server> peer;
     std::unique_ptr<http_server> callers;
+    crash_quarantine quarantine;
     std::unique_ptr<upstream_dispatcher> dispatcher;
     std::unique_ptr<request_proxy> proxy;
 
@@ -47,7 +48,7 @@
         };
         upstream_dispatcher_hooks dispatcherHooks;
         dispatcherHooks.local = [] { return local_upstream_state(); };
-        dispatcher = std::make_unique<upstream_dispatcher>(codec, dispatcherHooks);
+        dispatcher = std::make_unique<upstream_dispatcher>(codec, dispatcherHooks, quarantine);
         request_proxy_hooks hooks;
         hooks.routes = [] {
             return std::make_shared<route_table>(
--- a/src/persimmonrail/proxy/tests/slow_peer_test.cpp
+++ b/src/persimmonrail/proxy/tests/slow_peer_test.cpp
@@ -40,7 +40,7 @@
         , m_peer(listen([this](server_exchange &exchange) { servePeer(exchange); },
                         options.maxPeerConnections))
         , m_peerAddress(m_peer->address())
-        , m_dispatcher(makeCodec(), makeDispatcherHooks())
+        , m_dispatcher(makeCodec(), makeDispatcherHooks(), m_quarantine)
         , m_proxy({}, makeProxyHooks(), makeCodec(), m_dispatcher, m_log, m_metrics)
         , m_callers(listen([this](server_exchange &exchange) { m_proxy.serveCaller(exchange); }))
     { }
@@ -155,6 +155,7 @@
     metrics m_metrics;
     std::unique_ptr<http_server> m_peer;
     const std::string m_peerAddress;
+    crash_quarantine m_quarantine;
     upstream_dispatcher m_dispatcher;
     request_proxy m_proxy;
     std::unique_ptr<http_server> m_callers;
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -39,11 +39,29 @@
     }
 }
 
+// Returns the fingerprint of the request without its body. The same path of two hosts may stand for
+// different requests.
+fingerprint_builder headFingerprint(const proxied_request &request)
+{
+    return {request.service, request.message.getMethod(),
+            request.message.get("Host", "") + request.message.getURI(), request.key.value_or(0)};
+}
+
+// A connection that ended before its response suggests that the upstream has crashed.
+crash_quarantine::run_end runEndOf(exchange_state state)
+{
+    return state == exchange_state::NoResponse || state == exchange_state::Truncated
+        ? crash_quarantine::run_end::ConnectionLost
+        : crash_quarantine::run_end::Regular;
+}
+
 } // namespace
 
-upstream_dispatcher::upstream_dispatcher(exchange_codec codec, upstream_dispatcher_hooks hooks)
+upstream_dispatcher::upstream_dispatcher(exchange_codec codec, upstream_dispatcher_hooks hooks,
+                                         crash_quarantine &quarantine)
     : m_codec(std::move(codec))
     , m_hooks(std::move(hooks))
+    , m_quarantine(quarantine)
     , m_pool(std::make_shared<connection_pool>(
           connection_pool_options{64, 128, upstreamIdleTimeout, upstreamFreshTime}))
     , m_client(m_pool)
@@ -90,17 +108,19 @@
     if (const auto *rejected = std::get_if<slot_queue::rejection>(&acquired)) {
         return notRunResult(proxy_reason::Overload, rejected->retryAfter);
     }
+    fingerprinted_body body(&m_quarantine, exchange, headFingerprint(request));
     releasing_sink releasing(std::move(std::get<std::unique_ptr<slot_permit>>(acquired)), sink);
     // The state of the upstream or the owner of the key may have changed while the request waited.
     const local_upstream_state target = m_hooks.local();
     const proxy_reason reason = rejectionReason(request, target);
-    return reason == proxy_reason::None ? sendToUpstream(request, target, exchange, releasing)
+    return reason == proxy_reason::None ? sendToUpstream(request, target, exchange, body, releasing)
                                         : notRunResult(reason);
 }
 
 proxy_result upstream_dispatcher::sendToUpstream(const proxied_request &request,
                                                  const local_upstream_state &target,
-                                                 server_exchange &exchange, response_sink &sink)
+                                                 server_exchange &exchange,
+                                                 fingerprinted_body &body, response_sink &sink)
 {
     if (exchange.connection().waitUntilClosed(std::chrono::steady_clock::now())) {
         proxy_result disconnected = notRunResult(proxy_reason::CallerDisconnected);
@@ -115,7 +135,7 @@
     call.address = target.address;
     call.message = request.message;
     m_codec.setUpstreamFields(call.message, {target.id.name, left, request.callerService});
-    call.body = exchange.framing().type == body_framing::kind::None ? nullptr : &exchange;
+    call.body = exchange.framing().type == body_framing::kind::None ? nullptr : &body;
     call.repeatable = request.repeatable;
     call.deadline = request.deadline;
     call.caller = &exchange.connection();
@@ -128,8 +148,14 @@
         kind = m_codec.classifyResponse(head, request.requestId);
         return kind == response_kind::Genuine;
     };
+    body.recordDispatch();
     const exchange_result exchanged = m_client.exchange(call, sink);
+    const crash_quarantine::run_end runEnd = runEndOf(exchanged.state);
+    body.recordEnd(runEnd, std::chrono::steady_clock::now());
     proxy_result result;
+    if (runEnd == crash_quarantine::run_end::ConnectionLost) {
+        result.lostFingerprint = body.fingerprint();
+    }
     result.hasReachedUpstream = exchanged.hasSentBytes;
     result.responseStarted = exchanged.responseStarted;
     result.callerDisconnected =
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -4,6 +4,7 @@
 #include "persimmonrail/proxy/blocking_slot_queue.h"
 #include "persimmonrail/proxy/exchange_codec.h"
 #include "persimmonrail/proxy/proxy_types.h"
+#include "persimmonrail/requests/fingerprinted_body.h"
 
 #include <functional>
 #include <memory>
@@ -45,7 +46,9 @@
 class upstream_dispatcher
 {
 public:
-    upstream_dispatcher(exchange_codec codec, upstream_dispatcher_hooks hooks);
+    // `quarantine` must outlive the object.
+    upstream_dispatcher(exchange_codec codec, upstream_dispatcher_hooks hooks,
+                        crash_quarantine &quarantine);
 
     // Waits for a slot, sends the request to the upstream and passes the response on to `sink`.
     // `exchange` supplies the request body and is watched for the requester's disconnection.
@@ -65,12 +68,14 @@
     // Returns why the request can't be dispatched now; None if it can.
     proxy_reason rejectionReason(const proxied_request &request,
                                  const local_upstream_state &target) const;
-    // Sends a request that has a slot.
+    // Sends a request that has a slot. `body` supplies the body of `exchange`.
     proxy_result sendToUpstream(const proxied_request &request, const local_upstream_state &target,
-                                server_exchange &exchange, response_sink &sink);
+                                server_exchange &exchange, fingerprinted_body &body,
+                                response_sink &sink);
 
     const exchange_codec m_codec;
     const upstream_dispatcher_hooks m_hooks;
+    crash_quarantine &m_quarantine;
     blocking_slot_queue m_slotQueue;
     std::shared_ptr<connection_pool> m_pool;
     http_client m_client;
--- a/src/persimmonrail/requests/crash_quarantine.cpp
+++ b/src/persimmonrail/requests/crash_quarantine.cpp
@@ -114,7 +114,7 @@
     }
 }
 
-void crash_quarantine::recordCrash(steady_time now)
+size_t crash_quarantine::recordCrash(steady_time now)
 {
     const std::lock_guard lock(m_mutex);
     m_lostRequests.remove_if([&](const lost_request &lost) {
@@ -142,6 +142,7 @@
             addStrikeParts(fingerprint, strikeShare, now);
         }
     }
+    return count;
 }
 
 void crash_quarantine::addStrikeParts(uint64_t fingerprint, uint32_t parts, steady_time now)
--- a/src/persimmonrail/requests/crash_quarantine.h
+++ b/src/persimmonrail/requests/crash_quarantine.h
@@ -108,8 +108,8 @@
     // Records a crash of the upstream: the upstream has restarted under another boot id, or its
     // announcement has expired. Requests that lost their connections within the last
     // connectionLossWindow are suspects. Requests that still run become suspects if they lose their
-    // connections within connectionLossWindow from now.
-    void recordCrash(steady_time now);
+    // connections within connectionLossWindow from now. Returns the number of suspects.
+    size_t recordCrash(steady_time now);
 
     // Returns at most `limit` entries to send to another daemon, those with the most strikes first.
     std::vector<entry> entries(size_t limit, steady_time now) const;
--- a/src/persimmonrail/gateway/fingerprinted_body.cpp
+++ b/src/persimmonrail/requests/fingerprinted_body.cpp
@@ -1,14 +1,13 @@
-#include "persimmonrail/gateway/fingerprinted_body.h"
+#include "persimmonrail/requests/fingerprinted_body.h"
 
 namespace persimmonrail {
 
 fingerprinted_body::fingerprinted_body(crash_quarantine *quarantine, server_exchange &exchange,
-                                       std::string service, uint64_t keyHash)
+                                       const fingerprint_builder &head)
     : m_quarantine(quarantine)
     , m_exchange(exchange)
-    , m_service(std::move(service))
-    , m_keyHash(keyHash)
-    , m_builder(startFingerprint())
+    , m_head(head)
+    , m_builder(head)
 { }
 
 fingerprinted_body::~fingerprinted_body()
@@ -18,32 +17,25 @@
     }
 }
 
-fingerprint_builder fingerprinted_body::startFingerprint() const
-{
-    const auto &request = m_exchange.request();
-    return {m_service, request.getMethod(), request.getURI(), m_keyHash};
-}
-
-std::optional<admission_rejection> fingerprinted_body::checkQuarantine(steady_time deadline,
-                                                                       steady_time now)
+fingerprinted_body::admission fingerprinted_body::checkQuarantine(steady_time deadline,
+                                                                  steady_time now)
 {
+    using verdict = admission::verdict;
     if (m_quarantine == nullptr || !m_quarantine->rejectsAny(now)) {
-        return std::nullopt;
+        return {};
     }
-    fingerprint_builder builder = startFingerprint();
+    fingerprint_builder builder = m_head;
     if (framing().type != body_framing::kind::None) {
         std::string_view firstBytes;
         const io_status status = m_exchange.peek(fingerprintBodyBytes, firstBytes, deadline);
         if (status != io_status::Ok) {
-            return admission_rejection{status == io_status::Malformed ? "malformed-request-body"
-                                                                      : "incomplete-request-body"};
+            return {status == io_status::Malformed ? verdict::MalformedBody
+                                                   : verdict::IncompleteBody};
         }
         builder.addBody(firstBytes);
     }
     const auto remaining = m_quarantine->remainingRejectionTime(builder.value(), now);
-    return remaining
-        ? std::optional(admission_rejection{std::string(quarantinedReason), *remaining})
-        : std::nullopt;
+    return remaining ? admission{verdict::Quarantined, *remaining} : admission{};
 }
 
 void fingerprinted_body::recordDispatch()
@@ -53,16 +45,10 @@
     }
 }
 
-void fingerprinted_body::recordEnd(const dispatch_result &result, steady_time now)
+void fingerprinted_body::recordEnd(crash_quarantine::run_end endKind, steady_time now)
 {
     if (m_run) {
-        const bool wasConnectionLost = result.outcome == request_outcome::Unknown
-            && (result.reason == toString(exchange_state::NoResponse)
-                || result.reason == toString(exchange_state::Truncated));
-        m_quarantine->end(*m_run, fingerprint(),
-                          wasConnectionLost ? crash_quarantine::run_end::ConnectionLost
-                                            : crash_quarantine::run_end::Regular,
-                          now);
+        m_quarantine->end(*m_run, fingerprint(), endKind, now);
         m_run.reset();
     }
 }
@@ -87,7 +73,7 @@
         // request.
         return false;
     }
-    m_builder = startFingerprint();
+    m_builder = m_head;
     m_bodyBytes = 0;
     m_bodyEnded = false;
     return true;
--- a/src/persimmonrail/gateway/fingerprinted_body.h
+++ b/src/persimmonrail/requests/fingerprinted_body.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include "persimmonrail/gateway/gateway_hooks.h"
 #include "persimmonrail/http/http_server.h"
-#include "persimmonrail/upstream/upstream_client.h"
+#include "persimmonrail/requests/crash_quarantine.h"
 
 #include <optional>
-#include <string>
 
 namespace persimmonrail {
 
@@ -14,40 +12,50 @@
 class fingerprinted_body : public body_source
 {
 public:
-    // Reason of the rejection of a request whose fingerprint is quarantined.
-    static constexpr std::string_view quarantinedReason = "quarantined";
+    // Result of checkQuarantine().
+    struct admission
+    {
+        enum class verdict {
+            Accepted,
+            // Requests with this fingerprint are rejected for `rejectionTime`.
+            Quarantined,
+            // The framing of the body is invalid.
+            MalformedBody,
+            // The body did not arrive by the deadline, or the requester closed the connection.
+            IncompleteBody,
+        };
+        verdict decision = verdict::Accepted;
+        milliseconds rejectionTime{0};
+    };
 
-    // If `quarantine` is null, the object only passes the body on. `quarantine` and `exchange` must
-    // outlive it.
-    fingerprinted_body(crash_quarantine *quarantine, server_exchange &exchange, std::string service,
-                       uint64_t keyHash);
+    // `head` has the fingerprint of the request without its body. If `quarantine` is null, the
+    // object only passes the body on. `quarantine` and `exchange` must outlive it.
+    fingerprinted_body(crash_quarantine *quarantine, server_exchange &exchange,
+                       const fingerprint_builder &head);
     fingerprinted_body(const fingerprinted_body &) = delete;
     fingerprinted_body &operator=(const fingerprinted_body &) = delete;
     ~fingerprinted_body() override;
 
-    // Returns a rejection if the request must not be dispatched, nullopt otherwise. If any
-    // fingerprint is quarantined, reads ahead in the body until `deadline` at most; a malformed or
-    // incomplete body is rejected too.
-    std::optional<admission_rejection> checkQuarantine(steady_time deadline, steady_time now);
+    // Returns whether the request may be dispatched. If any fingerprint is quarantined, reads ahead
+    // in the body until `deadline` at most.
+    admission checkQuarantine(steady_time deadline, steady_time now);
     // Reports the start of the dispatch to the quarantine.
     void recordDispatch();
     // Reports the end of the dispatch. If this function is not called, the destructor reports a
     // regular end.
-    void recordEnd(const dispatch_result &result, steady_time now);
+    void recordEnd(crash_quarantine::run_end endKind, steady_time now);
+    // Returns the fingerprint; nullopt until the whole body or its first fingerprintBodyBytes have
+    // been read.
+    std::optional<uint64_t> fingerprint() const;
 
     body_framing framing() const override { return m_exchange.framing(); }
     io_status read(std::string &piece, steady_time until) override;
     bool rewind() override;
 
 private:
-    fingerprint_builder startFingerprint() const;
-    // Returns nullopt until the whole body or its first fingerprintBodyBytes have been read.
-    std::optional<uint64_t> fingerprint() const;
-
     crash_quarantine *const m_quarantine;
     server_exchange &m_exchange;
-    const std::string m_service;
-    const uint64_t m_keyHash;
+    const fingerprint_builder m_head;
     fingerprint_builder m_builder;
     uint64_t m_bodyBytes = 0;
     bool m_bodyEnded = false;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -78,7 +78,8 @@
                                                   range_controller::hooks{onObject});
     m_publisher = std::make_unique<member_publisher>(m_store, m_loop, m_log, onObject);
     m_peers = std::make_unique<peer_monitor>(m_loop);
-    m_dispatcher = std::make_unique<upstream_dispatcher>(m_platform.codec, makeDispatcherHooks());
+    m_dispatcher = std::make_unique<upstream_dispatcher>(m_platform.codec, makeDispatcherHooks(),
+                                                         m_quarantine);
     request_proxy_options options;
     options.callerService = m_settings.service;
     options.availabilityZone = m_settings.availabilityZone;
@@ -172,6 +173,8 @@
         const std::lock_guard lock(m_mutex);
         return static_cast<double>(revisionOf(m_directory->revision()));
     });
+    m_metrics.addGauge("persimmonrail_quarantine_entries",
+                       [this] { return static_cast<double>(m_quarantine.size()); });
     m_metrics.addGauge("persimmonrail_store_epoch", [this] {
         const std::lock_guard lock(m_mutex);
         return static_cast<double>(m_directory->epoch());
@@ -214,9 +217,15 @@
     hooks.countKeyRequest = [this](shard_key key) { m_ranges->countKeyRequest(key); };
     hooks.onConnectionRefused = [this](const upstream_id &id) {
         m_loop.post([this, id](steady_time now) {
-            if (m_upstream.report() && m_upstream.report()->id == id
-                && m_upstream.onConnectionRefused(now) == local_upstream::verdict::Changed) {
+            if (!m_upstream.report() || m_upstream.report()->id != id) {
+                return;
+            }
+            const upstream_phase before = m_upstream.phase();
+            if (m_upstream.onConnectionRefused(now) == local_upstream::verdict::Changed) {
                 onUpstreamChanged("connection-refused", now);
+                if (before != upstream_phase::Draining) {
+                    onUpstreamCrash(id, now);
+                }
             }
         });
     };
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -58,6 +58,8 @@
     bool onUpstreamMessage(const upstream_message &message, steady_time now);
     std::string encodeWithinBound(std::optional<holdings> holdings);
     void onUpstreamChanged(std::string_view cause, steady_time now);
+    // Handles the end of an incarnation of the local upstream that had not announced it.
+    void onUpstreamCrash(const upstream_id &id, steady_time now);
     void publishEndedMembers(const fleet_directory &directory);
     void expireUpstreamReports(steady_time now);
     upstream_member ownMember() const;
@@ -85,6 +87,8 @@
     std::atomic<bool> m_isStopping{false};
     // Time by which all requests must have got a response; the maximum while not stopping.
     std::atomic<steady_time> m_shutdownDeadline{steady_time::max()};
+    // Requests that were in flight when an upstream crashed.
+    crash_quarantine m_quarantine;
     // The fleet's objects, for daemons that follow this daemon.
     change_feed m_feed;
     // Set during the shutdown, when the daemon stops dispatching requests to its upstream and
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -73,6 +73,7 @@
 bool router::state::onUpstreamMessage(const upstream_message &message, steady_time now)
 {
     const std::optional<upstream_report> before = m_upstream.report();
+    const upstream_phase phaseBefore = m_upstream.phase();
     const local_upstream::verdict verdict = message.isDeparture
         ? m_upstream.onShutdownAnnounced(message.report.id, now)
         : m_upstream.onReport(message.report, now);
@@ -85,6 +86,9 @@
     if (before && m_upstream.report() && before->id != m_upstream.report()->id) {
         // The earlier incarnation's process has ended; otherwise its address would still be in use.
         m_dispatcher->closeIdleConnections(before->address);
+        if (phaseBefore == upstream_phase::Ready || phaseBefore == upstream_phase::Silent) {
+            onUpstreamCrash(before->id, now);
+        }
     }
     if (verdict == local_upstream::verdict::Changed) {
         onUpstreamChanged(message.isDeparture ? "departure" : "report", now);
@@ -134,6 +138,14 @@
                           m_settings.upstreamAddress, !m_upstream.acceptsRequests());
 }
 
+void router::state::onUpstreamCrash(const upstream_id &id, steady_time now)
+{
+    const size_t suspects = m_quarantine.recordCrash(now);
+    m_metrics.count("persimmonrail_upstream_crashes_total");
+    m_log.write(log_level::Warn,
+                absl::StrCat("upstream-crash id=", toString(id), " suspects=", suspects));
+}
+
 // A host has one upstream. Once another incarnation reports, the members that this daemon published
 // before its restart have ended, even if their last messages were lost.
 void router::state::publishEndedMembers(const fleet_directory &directory)
