Quarantine requests that crash busy upstreams, with the crashes of all daemons

Callers of a busy service could crash one upstream after the other with the same request: crash_quarantine ignored a crash with more than 4 requests in flight (the old test asserted so for 5 requests), and a daemon kept the highest number of strikes that any daemon had seen, so three crashes at three daemons stayed one strike.

Each crash now counts, known by the incarnation that ended, and crashes at different daemons add up. Alone in flight: rejected after two, as before; among others: after three, however many. Others are told apart by their success: a complete response clears what came before it, and spreads too.

Two tests asserted the old rule and were wrong for upstreams with 9 or 20 slots: the table of crashes until a rejection (now 3 for 2 to 20 suspects; was 4, 6, 8, never) and the merge that kept one strike of two daemons (now two crashes, and the same crash twice is one). New: a complete response clears the strikes of the request that ran beside, in six crashes, also at another daemon; a message can't add more than one strike. QuarantineEntry has a new field; an entry of an older daemon counts as one crash. requests_tests, gateway_tests and daemon_tests pass.

--- a/src/persimmonrail/daemon/daemon_state.cpp
+++ b/src/persimmonrail/daemon/daemon_state.cpp
@@ -41,6 +41,11 @@
     return name == "error" ? log_level::Error : log_level::Info;
 }
 
+uint64_t incarnationHash(const upstream_announcement &announcement)
+{
+    return keyHash(announcement.instance + "/" + announcement.bootId);
+}
+
 } // namespace
 
 daemon::state::state(const daemon_settings &settings)
@@ -52,12 +57,16 @@
     , m_upstreamClient({},
                        {[this](upstream_state state, const upstream_announcement &announcement) {
                             if (state == upstream_state::Down) {
-                                m_quarantine.recordCrash(std::chrono::steady_clock::now());
+                                m_quarantine.recordCrash(incarnationHash(announcement),
+                                                         std::chrono::steady_clock::now());
                             }
                             onUpstreamState(state, announcement);
                         },
                         [this](const upstream_announcement &announcement) {
-                            m_quarantine.recordCrash(std::chrono::steady_clock::now());
+                            // The successor identifies the crash, since the hook doesn't name the
+                            // incarnation that has ended.
+                            m_quarantine.recordCrash(~incarnationHash(announcement),
+                                                     std::chrono::steady_clock::now());
                             // The new incarnation of the upstream holds no grants and does not know
                             // the requests of the previous one.
                             onUpstreamState(upstream_state::Down, announcement);
--- a/src/persimmonrail/daemon/quarantine_gossip.cpp
+++ b/src/persimmonrail/daemon/quarantine_gossip.cpp
@@ -16,6 +16,7 @@
     for (const auto &entry : quarantine.entries(maxQuarantineEntriesPerReply, now)) {
         auto &added = *reply.add_quarantine();
         added.set_fingerprint(entry.fingerprint);
+        added.set_crash(entry.crash);
         added.set_strikes(entry.strikes);
         added.set_age_ms(static_cast<uint64_t>(entry.age.count()));
     }
@@ -27,7 +28,7 @@
     const int count = std::min(reply.quarantine_size(), maxQuarantineEntriesPerReply);
     for (int i = 0; i < count; ++i) {
         const auto &received = reply.quarantine(i);
-        entries.push_back({received.fingerprint(), received.strikes(),
+        entries.push_back({received.fingerprint(), received.crash(), received.strikes(),
                            milliseconds(std::min(received.age_ms(), maxEntryAgeMs))});
     }
     return entries;
--- a/src/persimmonrail/daemon/quarantine_gossip.h
+++ b/src/persimmonrail/daemon/quarantine_gossip.h
@@ -8,7 +8,7 @@
 
 namespace persimmonrail {
 
-// Maximum number of quarantine entries in one pull reply. 64 entries take about 1.2 KB.
+// Maximum number of quarantine entries in one pull reply. 64 entries take about 1.8 KB.
 inline constexpr int maxQuarantineEntriesPerReply = 64;
 
 // Appends the entries of `quarantine` to a pull reply: at most maxQuarantineEntriesPerReply, those
--- a/src/persimmonrail/gateway/local_attempt.cpp
+++ b/src/persimmonrail/gateway/local_attempt.cpp
@@ -28,11 +28,14 @@
 
 crash_quarantine::run_end runEndOf(const dispatch_result &dispatched)
 {
+    using run_end = crash_quarantine::run_end;
+    if (dispatched.outcome == request_outcome::Run) {
+        return run_end::Responded;
+    }
     const bool wasConnectionLost = dispatched.outcome == request_outcome::Unknown
         && (dispatched.reason == toString(exchange_state::NoResponse)
             || dispatched.reason == toString(exchange_state::Truncated));
-    return wasConnectionLost ? crash_quarantine::run_end::ConnectionLost
-                             : crash_quarantine::run_end::Regular;
+    return wasConnectionLost ? run_end::ConnectionLost : run_end::Regular;
 }
 
 } // namespace
@@ -101,9 +104,9 @@
         return notRunResult("draining");
     }
     const auto &head = m_exchange.request();
-    fingerprinted_body body(m_hooks.quarantine, m_exchange,
-                            {m_request.target.service, head.getMethod(), head.getURI(),
-                             m_request.keyHash.value_or(0)});
+    fingerprinted_body body(
+        m_hooks.quarantine, m_exchange,
+        {m_request.target.service, head.getMethod(), head.getURI(), m_request.keyHash.value_or(0)});
     if (const auto checked = body.checkQuarantine(m_request.deadline, currentTime());
         checked.decision != fingerprinted_body::admission::verdict::Accepted) {
         return rejectionFor(checked);
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -50,9 +50,15 @@
 // A connection that ended before its response suggests that the upstream has crashed.
 crash_quarantine::run_end runEndOf(exchange_state state)
 {
-    return state == exchange_state::NoResponse || state == exchange_state::Truncated
-        ? crash_quarantine::run_end::ConnectionLost
-        : crash_quarantine::run_end::Regular;
+    switch (state) {
+    case exchange_state::Complete:
+        return crash_quarantine::run_end::Responded;
+    case exchange_state::NoResponse:
+    case exchange_state::Truncated:
+        return crash_quarantine::run_end::ConnectionLost;
+    default:
+        return crash_quarantine::run_end::Regular;
+    }
 }
 
 } // namespace
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -2,6 +2,7 @@
 // their state to the fleet.
 #include "persimmonrail/router/router_state.h"
 
+#include "persimmonrail/base/key_hash.h"
 #include "persimmonrail/base/text.h"
 
 #include <absl/strings/str_cat.h>
@@ -140,7 +141,7 @@
 
 void router::state::onUpstreamCrash(const upstream_id &id, steady_time now)
 {
-    const size_t suspects = m_quarantine.recordCrash(now);
+    const size_t suspects = m_quarantine.recordCrash(keyHash(toString(id)), now);
     m_metrics.count("persimmonrail_upstream_crashes_total");
     m_log.write(log_level::Warn,
                 absl::StrCat("upstream-crash id=", toString(id), " suspects=", suspects));
