Check the quarantine again after the wait for a slot

A copy that waits for a slot while another copy crashes upstreams was dispatched without a second look. Found by reading, while the same check was written for the router; no run showed it here. gateway_tests pass.

--- a/src/persimmonrail/gateway/local_attempt.cpp
+++ b/src/persimmonrail/gateway/local_attempt.cpp
@@ -119,10 +119,15 @@
         result.retryAfter = rejection->retryAfter;
         return result;
     }
-    // The upstream or the daemon may have begun to stop during the wait for a slot.
+    // During the wait for a slot, the upstream or the daemon may have begun to stop, and another
+    // copy of the request may have crashed an upstream.
     if (m_hooks.rejectsNewRequests(currentTime())) {
         return notRunResult("draining");
     }
+    if (const auto checked = body.checkQuarantine(m_request.deadline, currentTime());
+        checked.decision != fingerprinted_body::admission::verdict::Accepted) {
+        return rejectionFor(checked);
+    }
     dispatch_request request = makeDispatchRequest(ticket);
     if (m_exchange.framing().type != body_framing::kind::None) {
         request.body = &body;
