Quarantine requests that crash upstreams on the router's path

Cause: the quarantine existed only on the gateway's path; the router dispatched each copy anew, at whichever daemon. The class of the fault: a protection built on one path and missing on the other.

- upstream_dispatcher rejects a quarantined request before it waits for a slot and after, at once, with the outcome not-run and the time for which it stays rejected as Retry-After
- the daemons of a service share their evidence through fleet/quarantine.<service>.
Between peers it would not arrive: while all upstreams of a service are down, its daemons exchange no status.
A daemon that starts has it too
- after a lost connection, the daemon connects once: a refusal shows the crash at once, not at the next request; an accepted connection replaces the lost one

--- a/src/persimmonrail/fleet/fleet_directory.cpp
+++ b/src/persimmonrail/fleet/fleet_directory.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view memberPrefix = "fleet/member.";
+constexpr std::string_view quarantinePrefix = "fleet/quarantine.";
 constexpr std::string_view basePlacementPrefix = "fleet/keys.";
 // Placement records of epochs after the base epoch: "fleet/epoch.EPOCH.keys.SERVICE".
 constexpr std::string_view epochPrefix = "fleet/epoch.";
@@ -83,6 +84,13 @@
     return entry == m_placements.end() ? nullptr : &entry->second;
 }
 
+const fleet_directory::versioned_quarantine *
+fleet_directory::findQuarantine(std::string_view service) const
+{
+    const auto entry = m_quarantines.find(service);
+    return entry == m_quarantines.end() ? nullptr : &entry->second;
+}
+
 bool hasEnded(const fleet_directory &directory, const upstream_id &id)
 {
     const auto *known = directory.findMember(id.name);
@@ -117,6 +125,7 @@
     };
     std::erase_if(m_directory.m_members, isSuperseded);
     std::erase_if(m_directory.m_placements, isSuperseded);
+    std::erase_if(m_directory.m_quarantines, isSuperseded);
     for (const stored_object &object : list.objects) {
         put(object);
     }
@@ -155,6 +164,8 @@
     }
     if (object.key.starts_with(memberPrefix)) {
         putMember(object);
+    } else if (object.key.starts_with(quarantinePrefix)) {
+        putQuarantine(object);
     } else {
         putPlacement(object);
     }
@@ -204,6 +215,20 @@
     }
 }
 
+// The version of a record that can't be decoded is kept, so that the next write replaces it.
+void fleet_directory_builder::putQuarantine(const stored_object &object)
+{
+    auto &known = m_directory.m_quarantines[object.key.substr(quarantinePrefix.size())];
+    if (known.version >= object.version) {
+        return;
+    }
+    auto record = parseQuarantineRecord(object.value);
+    if (!record.ok()) {
+        m_onError(object.key, record.status().ToString());
+    }
+    known = {record.ok() ? std::move(*record) : quarantine_record(), object.version};
+}
+
 void fleet_directory_builder::erase(const std::string &key, uint64_t version)
 {
     m_directory.m_epoch = std::max(m_directory.m_epoch, epochOf(version));
@@ -215,6 +240,13 @@
         }
         return;
     }
+    if (keyView.starts_with(quarantinePrefix)) {
+        const auto entry = m_directory.m_quarantines.find(keyView.substr(quarantinePrefix.size()));
+        if (entry != m_directory.m_quarantines.end() && entry->second.version < version) {
+            m_directory.m_quarantines.erase(entry);
+        }
+        return;
+    }
     const auto id = parsePlacementKey(key);
     if (!id) {
         return;
--- a/src/persimmonrail/fleet/fleet_directory.h
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "persimmonrail/fleet/quarantine_record.h"
 #include "persimmonrail/fleet/upstream_member.h"
 #include "persimmonrail/keyspace/key_placement.h"
 #include "persimmonrail/objects/object_api.h"
@@ -14,7 +15,8 @@
 
 namespace persimmonrail {
 
-// Prefix of the store keys of all members and key placements, so that one watch covers all of them.
+// Prefix of the store keys of all members, key placements and quarantine records, so that one watch
+// covers all of them.
 inline constexpr char fleetPrefix[] = "fleet/";
 // Returns the store key of an upstream's member entry.
 std::string memberKey(const std::string &upstream);
@@ -23,8 +25,8 @@
 // that is in use after it, although the restored store gives the expected revision out again.
 std::string placementKey(const std::string &service, uint64_t epoch = baseEpoch);
 
-// Members and key placements of the fleet at one revision of the store. A directory does not change
-// once it is built, so threads may share it.
+// Members, key placements and quarantine records of the fleet at one revision of the store. A
+// directory does not change once it is built, so threads may share it.
 class fleet_directory
 {
 public:
@@ -46,6 +48,13 @@
         upstream_member member;
         uint64_t version = 0;
     };
+    // The quarantine record of a service and the version of its object in the store. A record that
+    // could not be decoded is empty.
+    struct versioned_quarantine
+    {
+        quarantine_record record;
+        uint64_t version = 0;
+    };
 
     // Returns the revision of the store up to which the directory holds all changes.
     uint64_t revision() const { return m_revision; }
@@ -59,6 +68,8 @@
     // Returns the key placement of a service, or null if there is none. If there are records of
     // several epochs, returns that of the highest epoch.
     const versioned_placement *findPlacement(std::string_view service) const;
+    // Returns the quarantine record of a service, or null if there is none.
+    const versioned_quarantine *findQuarantine(std::string_view service) const;
     // Returns all members by upstream name, including terminated ones.
     const std::map<std::string, versioned_member, std::less<>> &members() const
     {
@@ -71,6 +82,7 @@
     uint64_t m_epoch = 0;
     std::map<std::string, versioned_member, std::less<>> m_members;
     std::map<std::string, versioned_placement, std::less<>> m_placements;
+    std::map<std::string, versioned_quarantine, std::less<>> m_quarantines;
 };
 
 // Returns whether the directory shows that this incarnation of an upstream has ended: its own entry
@@ -112,6 +124,7 @@
     void put(const stored_object &object);
     void putMember(const stored_object &object);
     void putPlacement(const stored_object &object);
+    void putQuarantine(const stored_object &object);
     // Removes the entry of a deleted object if the entry is older than `version`.
     void erase(const std::string &key, uint64_t version);
     void advanceRevision(uint64_t revision);
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -16,6 +16,7 @@
 // Requests with less time left are not sent. The upstream is on the same host, so a connection is
 // made at once or not at all.
 constexpr milliseconds minTimeLeft{2};
+constexpr milliseconds listeningCheckTimeout{100};
 
 milliseconds timeLeft(const proxied_request &request, steady_time now)
 {
@@ -96,6 +97,10 @@
         reason != proxy_reason::None) {
         return notRunResult(reason);
     }
+    fingerprinted_body body(&m_quarantine, exchange, headFingerprint(request));
+    if (const auto rejected = checkQuarantine(request, body)) {
+        return *rejected;
+    }
     if (request.key) {
         m_hooks.countKeyRequest(*request.key);
     }
@@ -114,15 +119,53 @@
     if (const auto *rejected = std::get_if<slot_queue::rejection>(&acquired)) {
         return notRunResult(proxy_reason::Overload, rejected->retryAfter);
     }
-    fingerprinted_body body(&m_quarantine, exchange, headFingerprint(request));
     releasing_sink releasing(std::move(std::get<std::unique_ptr<slot_permit>>(acquired)), sink);
-    // The state of the upstream or the owner of the key may have changed while the request waited.
+    // While the request waited, another copy of it may have crashed an upstream, and the state of
+    // the upstream or the owner of the key may have changed.
+    if (const auto rejected = checkQuarantine(request, body)) {
+        return *rejected;
+    }
     const local_upstream_state target = m_hooks.local();
     const proxy_reason reason = rejectionReason(request, target);
     return reason == proxy_reason::None ? sendToUpstream(request, target, exchange, body, releasing)
                                         : notRunResult(reason);
 }
 
+std::optional<proxy_result> upstream_dispatcher::checkQuarantine(const proxied_request &request,
+                                                                 fingerprinted_body &body)
+{
+    using verdict = fingerprinted_body::admission::verdict;
+    const fingerprinted_body::admission checked =
+        body.checkQuarantine(request.deadline, std::chrono::steady_clock::now());
+    switch (checked.decision) {
+    case verdict::Accepted:
+        return std::nullopt;
+    case verdict::Quarantined:
+        return notRunResult(proxy_reason::Quarantined, checked.rejectionTime);
+    case verdict::MalformedBody:
+        return notRunResult(proxy_reason::MalformedRequest);
+    case verdict::IncompleteBody:
+        return notRunResult(proxy_reason::DeadlineBeforeSend);
+    }
+    return std::nullopt;
+}
+
+void upstream_dispatcher::checkListening(const local_upstream_state &target)
+{
+    if (m_isCheckingListening.exchange(true)) {
+        return;
+    }
+    const steady_time now = std::chrono::steady_clock::now();
+    auto connected = m_pool->connect(target.address, now + listeningCheckTimeout);
+    if (connected.ok()) {
+        // The next request uses the connection in place of the lost one.
+        m_pool->release(std::move(*connected), now);
+    } else if (absl::IsFailedPrecondition(connected.status())) {
+        m_hooks.onConnectionRefused(target.id);
+    }
+    m_isCheckingListening = false;
+}
+
 proxy_result upstream_dispatcher::sendToUpstream(const proxied_request &request,
                                                  const local_upstream_state &target,
                                                  server_exchange &exchange,
@@ -161,6 +204,7 @@
     proxy_result result;
     if (runEnd == crash_quarantine::run_end::ConnectionLost) {
         result.lostFingerprint = body.fingerprint();
+        checkListening(target);
     }
     result.hasReachedUpstream = exchanged.hasSentBytes;
     result.responseStarted = exchanged.responseStarted;
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -6,8 +6,10 @@
 #include "persimmonrail/proxy/proxy_types.h"
 #include "persimmonrail/requests/fingerprinted_body.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace persimmonrail {
@@ -68,6 +70,12 @@
     // Returns why the request can't be dispatched now; None if it can.
     proxy_reason rejectionReason(const proxied_request &request,
                                  const local_upstream_state &target) const;
+    // Returns the rejection of a request whose fingerprint is quarantined or whose body can't be
+    // read; nullopt if the request may be dispatched.
+    static std::optional<proxy_result> checkQuarantine(const proxied_request &request,
+                                                       fingerprinted_body &body);
+    // Finds out whether the upstream still listens, after a connection to it was lost.
+    void checkListening(const local_upstream_state &target);
     // Sends a request that has a slot. `body` supplies the body of `exchange`.
     proxy_result sendToUpstream(const proxied_request &request, const local_upstream_state &target,
                                 server_exchange &exchange, fingerprinted_body &body,
@@ -79,6 +87,8 @@
     blocking_slot_queue m_slotQueue;
     std::shared_ptr<connection_pool> m_pool;
     http_client m_client;
+    // Whether a thread runs checkListening(). A crash ends many connections at once.
+    std::atomic<bool> m_isCheckingListening{false};
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/requests/crash_quarantine.cpp
+++ b/src/persimmonrail/requests/crash_quarantine.cpp
@@ -177,13 +177,14 @@
     }
 }
 
-// Fingerprints without strikes need no record: they are not rejected.
+// Fingerprints without strikes need no record, since they are not rejected, and one response after
+// the newest strike is enough.
 void crash_quarantine::recordResponse(uint64_t fingerprint, steady_time respondedAt)
 {
     const auto it = m_records.find(fingerprint);
-    if (it != m_records.end()) {
-        auto &latest = it->second.respondedAt;
-        latest = latest ? std::max(*latest, respondedAt) : respondedAt;
+    if (it != m_records.end()
+        && (!it->second.respondedAt || *it->second.respondedAt < newestStrike(it->second))) {
+        it->second.respondedAt = respondedAt;
     }
 }
 
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -77,6 +77,8 @@
                                                   m_store, m_platform.grants, m_loop, m_log,
                                                   range_controller::hooks{onObject});
     m_publisher = std::make_unique<member_publisher>(m_store, m_loop, m_log, onObject);
+    m_quarantinePublisher = std::make_unique<quarantine_publisher>(
+        m_settings.service, m_quarantine, m_store, m_loop, m_log, onObject);
     m_peers = std::make_unique<peer_monitor>(m_loop);
     m_dispatcher = std::make_unique<upstream_dispatcher>(m_platform.codec, makeDispatcherHooks(),
                                                          m_quarantine);
@@ -199,6 +201,7 @@
         }
         publishEndedMembers(*directory);
         m_publisher->tick(*directory, now);
+        publishQuarantine(now);
         const service_rule *rule =
             routes != nullptr ? routes->findService(m_settings.service) : nullptr;
         if (rule != nullptr && rule->isKeyed) {
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -6,6 +6,7 @@
 #include "persimmonrail/router/member_publisher.h"
 #include "persimmonrail/router/object_watcher.h"
 #include "persimmonrail/router/peer_monitor.h"
+#include "persimmonrail/router/quarantine_publisher.h"
 #include "persimmonrail/router/range_controller.h"
 #include "persimmonrail/router/router.h"
 #include "persimmonrail/router/store_proxy.h"
@@ -60,6 +61,8 @@
     void onUpstreamChanged(std::string_view cause, steady_time now);
     // Handles the end of an incarnation of the local upstream that had not announced it.
     void onUpstreamCrash(const upstream_id &id, steady_time now);
+    // Writes new evidence about crashing requests to the store, if there is any.
+    void publishQuarantine(steady_time now);
     void publishEndedMembers(const fleet_directory &directory);
     void expireUpstreamReports(steady_time now);
     upstream_member ownMember() const;
@@ -115,6 +118,7 @@
 
     std::unique_ptr<range_controller> m_ranges;
     std::unique_ptr<member_publisher> m_publisher;
+    std::unique_ptr<quarantine_publisher> m_quarantinePublisher;
     std::unique_ptr<peer_monitor> m_peers;
     std::unique_ptr<upstream_dispatcher> m_dispatcher;
     std::unique_ptr<request_proxy> m_proxy;
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -145,6 +145,17 @@
     m_metrics.count("persimmonrail_upstream_crashes_total");
     m_log.write(log_level::Warn,
                 absl::StrCat("upstream-crash id=", toString(id), " suspects=", suspects));
+    publishQuarantine(now);
+}
+
+void router::state::publishQuarantine(steady_time now)
+{
+    std::shared_ptr<const fleet_directory> directory;
+    {
+        const std::lock_guard lock(m_mutex);
+        directory = m_directory;
+    }
+    m_quarantinePublisher->tick(*directory, now, std::chrono::system_clock::now());
 }
 
 // A host has one upstream. Once another incarnation reports, the members that this daemon published
