Answer requests from before SIGTERM before the process ends

Cause: only requests that arrive during the stop got the shutdown deadline. The dispatcher is now told when the process ends: what still waits is rejected as not-run then, what is in progress gets its unknown outcome.

"requests from before a stop get a response before the process ends" fails with stopAt() made empty (no response within 5 s) and passes now; proxy_tests and platform_tests pass.

--- a/src/persimmonrail/proxy/blocking_slot_queue.cpp
+++ b/src/persimmonrail/proxy/blocking_slot_queue.cpp
@@ -34,6 +34,8 @@
     std::mutex mutex;
     slot_queue queue;
     std::map<uint64_t, waiter *> waiters;
+    // When all requests that still wait are rejected.
+    steady_time end = steady_time::max();
 };
 
 namespace {
@@ -87,16 +89,28 @@
     state::waiter self;
     m_state->waiters.emplace(*id, &self);
     m_state->startWaiters(now);
-    const bool hasStarted =
-        self.changed.wait_until(lock, request.deadline, [&self] { return self.hasStarted; });
+    // The end may be set while the thread waits.
+    while (!self.hasStarted
+           && std::chrono::steady_clock::now() < std::min(request.deadline, m_state->end)) {
+        self.changed.wait_until(lock, std::min(request.deadline, m_state->end));
+    }
     m_state->waiters.erase(*id);
-    if (!hasStarted) {
+    if (!self.hasStarted) {
         m_state->queue.cancel(*id);
         return rejected;
     }
     return std::make_unique<permit<state>>(m_state, *id);
 }
 
+void blocking_slot_queue::stopAt(steady_time end)
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->end = end;
+    for (const auto &[id, waiting] : m_state->waiters) {
+        waiting->changed.notify_one();
+    }
+}
+
 queue_report blocking_slot_queue::report() const
 {
     const std::lock_guard lock(m_state->mutex);
--- a/src/persimmonrail/proxy/blocking_slot_queue.h
+++ b/src/persimmonrail/proxy/blocking_slot_queue.h
@@ -33,6 +33,9 @@
     // Waits until the request may start. Returns a rejection if the queue does not accept the
     // request or its deadline passes first.
     slot_result acquire(const slot_request &request, steady_time now);
+    // Sets the time at which all requests that still wait are rejected, because the process ends
+    // soon afterwards.
+    void stopAt(steady_time end);
     // Returns the current state of the queue.
     queue_report report() const;
 
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -17,6 +17,8 @@
 // made at once or not at all.
 constexpr milliseconds minTimeLeft{2};
 constexpr milliseconds listeningCheckTimeout{100};
+// How often a request in progress looks whether the process stops.
+constexpr milliseconds stopCheckInterval{250};
 
 milliseconds timeLeft(const proxied_request &request, steady_time now)
 {
@@ -30,6 +32,8 @@
         return proxy_reason::DeadlineExceeded;
     case exchange_state::Unresponsive:
         return proxy_reason::SilentConnection;
+    case exchange_state::Abandoned:
+        return proxy_reason::Stopping;
     case exchange_state::Truncated:
         return proxy_reason::BrokenResponse;
     case exchange_state::CallerDisconnected:
@@ -74,6 +78,12 @@
     , m_client(m_pool)
 { }
 
+void upstream_dispatcher::stopAt(steady_time end)
+{
+    m_end = end;
+    m_slotQueue.stopAt(end);
+}
+
 proxy_reason upstream_dispatcher::rejectionReason(const proxied_request &request,
                                                   const local_upstream_state &target) const
 {
@@ -117,7 +127,9 @@
                                    request.objectiveEnd, request.deadline};
     slot_result acquired = m_slotQueue.acquire(slotRequest, arrived);
     if (const auto *rejected = std::get_if<slot_queue::rejection>(&acquired)) {
-        return notRunResult(proxy_reason::Overload, rejected->retryAfter);
+        const bool hasEnded = std::chrono::steady_clock::now() >= m_end.load();
+        return notRunResult(hasEnded ? proxy_reason::Stopping : proxy_reason::Overload,
+                            rejected->retryAfter);
     }
     releasing_sink releasing(std::move(std::get<std::unique_ptr<slot_permit>>(acquired)), sink);
     // While the request waited, another copy of it may have crashed an upstream, and the state of
@@ -187,6 +199,9 @@
     call.body = exchange.framing().type == body_framing::kind::None ? nullptr : &body;
     call.repeatable = request.repeatable;
     call.deadline = request.deadline;
+    call.abandonTime = [this] { return m_end.load(); };
+    call.progressTimeout = stopCheckInterval;
+    call.probe = [] { return false; };
     call.caller = &exchange.connection();
     call.acceptsUnframed = true;
     response_kind kind = response_kind::Genuine;
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -61,6 +61,9 @@
     queue_report queue() const { return m_slotQueue.report(); }
     // Sets the number of requests that the upstream may run at the same time.
     void setSlots(int slots) { m_slotQueue.setSlots(slots); }
+    // Sets the time at which all requests, also those in progress, get a response, because the
+    // process ends soon afterwards.
+    void stopAt(steady_time end);
     // Returns the state of the upstream that takes requests now.
     local_upstream_state local() const { return m_hooks.local(); }
     // Closes idle connections to an address, since another process may listen there.
@@ -84,6 +87,8 @@
     const exchange_codec m_codec;
     const upstream_dispatcher_hooks m_hooks;
     crash_quarantine &m_quarantine;
+    // As set by stopAt().
+    std::atomic<steady_time> m_end{steady_time::max()};
     blocking_slot_queue m_slotQueue;
     std::shared_ptr<connection_pool> m_pool;
     http_client m_client;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -338,6 +338,7 @@
     const steady_time startedAt = std::chrono::steady_clock::now();
     const steady_time deadline = startedAt + m_settings.gracePeriod - exitMargin;
     m_shutdownDeadline = deadline - lastResponseTime;
+    m_dispatcher->stopAt(deadline - lastResponseTime);
     m_isStopping = true;
     m_feed.stop();
     logEvent("stop", absl::StrCat("in_flight=", m_proxy->inFlight()));
