--- a/src/persimmonrail/upstream/upstream_client.cpp
+++ b/src/persimmonrail/upstream/upstream_client.cpp
@@ -322,6 +322,10 @@
     exchange.probe = [this, &announcement] {
         return respondsOnNewConnection(announcement->address);
     };
+    // An upstream that does not return the request id can't be told from one that responds late.
+    exchange.matchesRequest = [&request](const Poco::Net::HTTPResponse &head) {
+        return head.get(requestIdHeader, request.requestId) == request.requestId;
+    };
     exchange.acceptsResponse = [](const Poco::Net::HTTPResponse &head) {
         return !isRejection(head);
     };
