--- a/src/persimmonrail/http/tests/http_client_test.cpp
+++ b/src/persimmonrail/http/tests/http_client_test.cpp
@@ -106,7 +106,7 @@
         body_framing framing() const override { return {body_framing::kind::Length, 1}; }
         io_status read(std::string &piece, steady_time) override
         {
-            piece = m_wasRead ? "" : "x";
+            piece.assign(m_wasRead ? 0 : 1, 'x');
             m_wasRead = true;
             return io_status::Ok;
         }
