--- a/src/persimmonrail/upstream/tests/upstream_client_test.cpp
+++ b/src/persimmonrail/upstream/tests/upstream_client_test.cpp
@@ -122,9 +122,10 @@
     }
     void grant(uint64_t term)
     {
-        REQUIRE(
-            upstreamClient.pushGrants({{"standin/a", term, {0, 10}}}, testTimeout, currentTime())
-                .ok());
+        const absl::Status pushed =
+            upstreamClient.pushGrants({{"standin/a", term, {0, 10}}}, testTimeout, currentTime());
+        CAPTURE(pushed.ToString());
+        REQUIRE(pushed.ok());
     }
     dispatch_result run(const dispatch_request &request)
     {
