--- a/src/persimmonrail/requests/crash_quarantine.h
+++ b/src/persimmonrail/requests/crash_quarantine.h
@@ -117,11 +117,10 @@
     // Records the end of a request. `fingerprint` is absent if the connection was lost before
     // enough of the body was sent to compute the fingerprint. An unknown `run` is ignored.
     void end(run_id run, std::optional<uint64_t> fingerprint, run_end endKind, steady_time now);
-    // Records a crash of the upstream: the upstream has restarted under another boot id, or its
-    // announcement has expired. `crash` identifies the incarnation that has ended. Requests that
-    // lost their connections within the last connectionLossWindow are suspects. Requests that still
-    // run become suspects if they lose their connections within connectionLossWindow from now.
-    // Returns the number of suspects.
+    // Records a crash of the upstream, that is, an end that the upstream had not announced. `crash`
+    // identifies the incarnation that has ended. Requests that lost their connections within the
+    // last connectionLossWindow are suspects. Requests that still run become suspects if they lose
+    // their connections within connectionLossWindow from now. Returns the number of suspects.
     size_t recordCrash(uint64_t crash, steady_time now);
 
     // Returns at most `limit` entries to send to another daemon, those of the fingerprints with the
