--- a/review/site/site.cpp
+++ b/review/site/site.cpp
@@ -620,6 +620,8 @@
         const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(out, STDOUT_FILENO);
         dup2(out, STDERR_FILENO);
+        // The daemon gets no sockets of the stand-ins.
+        close_range(STDERR_FILENO + 1, ~0U, 0);
         execve(program.c_str(), arguments, environment);
         _exit(127);
     }
@@ -642,6 +644,15 @@
     startDaemon();
 }
 
+void machine::stopAndRestartDaemon()
+{
+    m_record.write(absl::StrCat("daemon ", m_name, " gets SIGTERM"));
+    kill(m_pid, SIGTERM);
+    waitpid(m_pid, nullptr, 0);
+    m_record.write(absl::StrCat("daemon ", m_name, " has ended"));
+    startDaemon();
+}
+
 bool machine::isReady() const
 {
     http_client client(std::make_shared<connection_pool>());
--- a/review/site/site.h
+++ b/review/site/site.h
@@ -225,6 +225,8 @@
     void startDaemon();
     // Kills the daemon and starts it again at once.
     void killAndRestartDaemon();
+    // Stops the daemon by SIGTERM and starts it again when it has ended.
+    void stopAndRestartDaemon();
     bool isReady() const;
     const std::string &caller() const { return m_caller; }
     const std::string &control() const { return m_control; }
