Give no two incarnations of an upstream the same fence, and release the keys of an ended one

Cause: a grant names no upstream; whichever process listens takes it. A refused grant changed nothing, and the end of an incarnation was published without a look at what its successor had taken.

Change: grants go over one connection at a time, which ends at one process, and its number is part of the fence (grant_fence.h, grant_connection). The end of an incarnation is published once its keys were superseded and released at its address (range_controller::releaseEnded). A renewal that is refused a connection shows the end.

--- a/src/persimmonrail/fleet/fleet_directory.cpp
+++ b/src/persimmonrail/fleet/fleet_directory.cpp
@@ -99,6 +99,20 @@
             || (known->member.id == id && known->member.isTerminated));
 }
 
+std::vector<upstream_id> earlierIncarnationsAt(const fleet_directory &directory,
+                                               std::string_view peerAddress,
+                                               const upstream_id &present)
+{
+    std::vector<upstream_id> earlier;
+    for (const auto &[name, entry] : directory.members()) {
+        if (entry.member.peerAddress == peerAddress && !entry.member.isTerminated
+            && entry.member.id.startedAt < present.startedAt) {
+            earlier.push_back(entry.member.id);
+        }
+    }
+    return earlier;
+}
+
 std::vector<upstream_member> endedMembersAt(const fleet_directory &directory,
                                             std::string_view peerAddress,
                                             const upstream_id &present)
--- a/src/persimmonrail/fleet/fleet_directory.h
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -90,6 +90,12 @@
 // store shows that was restored from an older copy, tells nothing about it.
 bool hasEnded(const fleet_directory &directory, const upstream_id &id);
 
+// Returns the incarnations at `peerAddress` that started before `present` and that the directory does
+// not show as terminated, also those with the same name.
+std::vector<upstream_id> earlierIncarnationsAt(const fleet_directory &directory,
+                                               std::string_view peerAddress,
+                                               const upstream_id &present);
+
 // Returns the members at `peerAddress` that have another name than `present` and that the directory
 // does not show as terminated. The returned entries are marked as draining and terminated: a host
 // runs only one upstream at a time, so the upstreams that ran beside the same daemon before
--- a/src/persimmonrail/http/connection_pool.cpp
+++ b/src/persimmonrail/http/connection_pool.cpp
@@ -57,6 +57,13 @@
                                                                      bool repeatable,
                                                                      steady_time now,
                                                                      steady_time until)
+{
+    auto open = acquireOpen(address, repeatable, now);
+    return open.ok() ? std::move(open) : connect(address, until);
+}
+
+absl::StatusOr<connection_pool::connection>
+connection_pool::acquireOpen(const std::string &address, bool repeatable, steady_time now)
 {
     const steady_time idleSince =
         now - (repeatable ? m_options.idleTimeout : m_options.nonRepeatableIdleTimeout);
@@ -67,7 +74,7 @@
             return connection{address, std::move(stream), true};
         }
     }
-    return connect(address, until);
+    return absl::NotFoundError("no open connection");
 }
 
 absl::StatusOr<connection_pool::connection> connection_pool::connect(const std::string &address,
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -414,6 +414,28 @@
     : m_pool(std::move(pool))
 { }
 
+absl::Status http_client::connect(const std::string &address, steady_time until)
+{
+    m_pool->closeIdle(address);
+    auto connection = m_pool->connect(address, until);
+    if (connection.ok()) {
+        m_pool->release(std::move(*connection), std::chrono::steady_clock::now());
+    }
+    return connection.status();
+}
+
+absl::StatusOr<connection_pool::connection>
+http_client::acquire(const client_request &request, bool needsNewConnection) const
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    if (request.needsIdleConnection) {
+        return m_pool->acquireOpen(request.address, true, now);
+    }
+    return needsNewConnection
+        ? m_pool->connect(request.address, request.deadline)
+        : m_pool->acquire(request.address, request.repeatable, now, request.deadline);
+}
+
 exchange_result http_client::exchange(const client_request &request, response_sink &sink)
 {
     bool needsNewConnection = false;
@@ -428,10 +450,7 @@
         return result;
     };
     for (;;) {
-        auto connection = needsNewConnection
-            ? m_pool->connect(request.address, request.deadline)
-            : m_pool->acquire(request.address, request.repeatable, std::chrono::steady_clock::now(),
-                              request.deadline);
+        auto connection = acquire(request, needsNewConnection);
         if (!connection.ok()) {
             exchange_result result;
             result.state = exchange_state::NotSent;
@@ -445,7 +464,8 @@
         const bool wasClosedBeforeResponse = !current.hasReceivedHead()
             && (result.state == exchange_state::NotSent
                 || result.state == exchange_state::NoResponse);
-        const bool canResend = !result.hasSentBytes || request.repeatable;
+        const bool canResend =
+            !request.needsIdleConnection && (!result.hasSentBytes || request.repeatable);
         if (connection->reused && wasClosedBeforeResponse && canResend && !result.leaseEnding
             && !result.deadlinePassed && (request.body == nullptr || request.body->rewind())) {
             m_pool->closeIdle(request.address);
--- a/src/persimmonrail/http/http_client.h
+++ b/src/persimmonrail/http/http_client.h
@@ -57,6 +57,9 @@
     // established before `until` or within `connectTimeout`.
     absl::StatusOr<connection> acquire(const std::string &address, bool repeatable, steady_time now,
                                        steady_time until);
+    // Returns an idle connection that its peer has not closed. Errors: NotFound if there is none.
+    absl::StatusOr<connection> acquireOpen(const std::string &address, bool repeatable,
+                                           steady_time now);
     // Establishes a new connection, with the errors of acquire().
     absl::StatusOr<connection> connect(const std::string &address, steady_time until);
     // Returns a connection to the pool after a complete exchange. The pool closes the connection
@@ -163,6 +166,8 @@
     bool expectContinue = false;
     // Whether the request may be sent again after bytes of it were sent.
     bool repeatable = false;
+    // Sends the request only on an idle connection of the pool, and never again on another one.
+    bool needsIdleConnection = false;
     // End of the whole exchange.
     steady_time deadline;
     // The client does not start to send the request at or after the time that this function
@@ -225,10 +230,16 @@
 public:
     http_client(std::shared_ptr<connection_pool> pool);
 
+    // Opens a connection to the address, in place of the idle ones, for later requests. Errors:
+    // those of connection_pool::acquire().
+    absl::Status connect(const std::string &address, steady_time until);
     // Sends a request, passes the response to `sink`, and returns when the exchange has ended.
     exchange_result exchange(const client_request &request, response_sink &sink);
 
 private:
+    absl::StatusOr<connection_pool::connection> acquire(const client_request &request,
+                                                        bool needsNewConnection) const;
+
     std::shared_ptr<connection_pool> m_pool;
 };
 
--- a/src/persimmonrail/keyspace/placement_proposal.cpp
+++ b/src/persimmonrail/keyspace/placement_proposal.cpp
@@ -53,6 +53,11 @@
                                                    const key_placement &current, boot_time now)
 {
     const upstream_id id = *input.upstream;
+    if (leases.needsNewFences()) {
+        return proposeIfNeeded(current, "renew-fences", [id](const key_placement &latest) {
+            return renewFences(latest, id);
+        });
+    }
     if (!input.isDraining) {
         auto reclaim =
             proposeIfNeeded(current, "reclaim",
--- a/src/persimmonrail/keyspace/range_lease_manager.cpp
+++ b/src/persimmonrail/keyspace/range_lease_manager.cpp
@@ -1,7 +1,10 @@
 #include "persimmonrail/keyspace/range_lease_manager.h"
 
+#include "persimmonrail/keyspace/grant_fence.h"
+
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace persimmonrail {
 
@@ -79,6 +82,34 @@
     return m_upstream && range.owner == *m_upstream;
 }
 
+bool range_lease_manager::needsNewFences(const upstream_id &owner) const
+{
+    return std::any_of(
+        m_placement.ranges.begin(), m_placement.ranges.end(),
+        [&](const owned_range &range) { return range.owner == owner && needsNewFence(range); });
+}
+
+std::vector<range_grant> range_lease_manager::lastGrantsOf(const upstream_id &ended) const
+{
+    std::vector<range_grant> grants;
+    for (const owned_range &range : m_placement.ranges) {
+        if (range.owner == ended) {
+            for (const key_interval &keys : excludeMoving(range.keys)) {
+                grants.push_back({keys, range.fence, "", releaseConnection});
+            }
+        }
+    }
+    return grants;
+}
+
+bool range_lease_manager::canSupersede(const range_grant &grant, boot_time now) const
+{
+    const owned_range &range = m_placement.rangeOf(grant.keys.first);
+    return hasLease(now) && m_placementEpoch == m_epoch && !isMoving(grant.keys)
+        && range.fence == grant.fence && range.keys.contains(grant.keys)
+        && range.takeoverDelay.count() == 0 && !needsNewFence(range);
+}
+
 bool range_lease_manager::isMoving(key_interval keys) const
 {
     return std::any_of(m_moving.begin(), m_moving.end(),
@@ -105,6 +136,9 @@
 std::vector<key_interval> range_lease_manager::grantableKeys(const owned_range &range,
                                                              boot_time now) const
 {
+    if (needsNewFence(range)) {
+        return {};
+    }
     if (range.takeoverDelay.count() == 0) {
         return {range.keys};
     }
@@ -116,7 +150,7 @@
     std::vector<range_grant> within;
     for (const held_grant &held : m_held) {
         if (const auto part = intersect(held.grant.keys, keys)) {
-            within.push_back({*part, held.grant.fence, ""});
+            within.push_back({*part, held.grant.fence, "", held.grant.connection});
         }
     }
     return within;
@@ -222,13 +256,14 @@
     std::erase_if(m_unconfirmed,
                   [sentAt](const unconfirmed_grant &known) { return known.endsAt <= sentAt; });
     const boot_time endsAt = sentAt + maxGrantTransit + m_timing.longestHold(holdTime);
-    m_unconfirmed.push_back({grant.keys, grant.fence, endsAt});
+    m_unconfirmed.push_back({grant.keys, grant.fence, grant.connection, endsAt});
 }
 
 void range_lease_manager::recordDaemonStart(boot_time startedAt)
 {
-    onGrantUnconfirmed({key_interval(), std::numeric_limits<uint64_t>::max(), ""},
-                       m_timing.longestGrant, startedAt);
+    onGrantUnconfirmed(
+        {key_interval(), std::numeric_limits<uint64_t>::max(), "", maxGrantConnection},
+        m_timing.longestGrant, startedAt);
     m_unboundedStart = startedAt;
 }
 
@@ -249,7 +284,8 @@
     }
     std::vector<key_interval> fenced;
     for (const held_grant &held : m_held) {
-        if (held.grant.fence > grant.fence) {
+        if (std::tie(held.grant.fence, held.grant.connection)
+            > std::tie(grant.fence, grant.connection)) {
             fenced.push_back(held.grant.keys);
         }
     }
--- a/src/persimmonrail/keyspace/range_lease_manager.h
+++ b/src/persimmonrail/keyspace/range_lease_manager.h
@@ -42,8 +42,12 @@
 struct range_grant
 {
     key_interval keys;
+    // The recorded fence of the keys.
     uint64_t fence = 0;
     std::string handover;
+    // Number of the connection on which the grant was sent (grant_fence.h); 0 if it was not sent
+    // on a connection to the upstream.
+    uint32_t connection = 0;
 
     bool operator==(const range_grant &) const = default;
 };
@@ -81,6 +85,19 @@
     // upstream rejects the grants of the previous incarnation for keys that it holds with a higher
     // fence.
     void onEarlierFences(uint64_t highestFence);
+    // Makes the owned ranges need fences above all that are recorded now before they are granted
+    // again.
+    void requireNewFences() { m_supersededFence = m_placement.highestFence; }
+    // Returns whether ranges of the local upstream need new fences before they can be granted.
+    bool needsNewFences() const { return m_upstream && needsNewFences(*m_upstream); }
+    // The same for the ranges of any incarnation of the local upstream.
+    bool needsNewFences(const upstream_id &owner) const;
+    // Returns grants of the keys that are recorded for an incarnation that has ended, with fences
+    // above all that were sent for it. Keys that are being moved are left out: they are released.
+    std::vector<range_grant> lastGrantsOf(const upstream_id &ended) const;
+    // Returns whether no other upstream can hold the keys of a grant of lastGrantsOf(), so that it
+    // may be sent, in order to supersede grants that have not taken effect yet.
+    bool canSupersede(const range_grant &grant, boot_time now) const;
     // Sets the local upstream; `upstream` is empty if no local upstream may hold keys. Grants of
     // another incarnation are forgotten.
     void setUpstream(const std::optional<upstream_id> &upstream);
@@ -167,8 +184,9 @@
     struct unconfirmed_grant
     {
         key_interval keys;
-        // Highest fence that the grant may have.
+        // Highest fence that the grant may have, and number of its connection.
         uint64_t fence = 0;
+        uint32_t connection = 0;
         // Time at which the grant has ended at the latest, with the clock error included.
         boot_time endsAt{};
     };
@@ -179,8 +197,14 @@
     bool canTakeEffect(const unconfirmed_grant &grant, key_interval keys, boot_time now) const;
     // Returns the parts of an interval that are not about to be moved.
     std::vector<key_interval> excludeMoving(key_interval keys) const;
+    // Returns whether the range may not be granted under its recorded fence.
+    bool needsNewFence(const owned_range &range) const
+    {
+        return range.takeoverDelay.count() == 0 && range.fence <= m_supersededFence;
+    }
     // Returns the parts of the range that the local upstream may hold now if the range is recorded
-    // for it: all of it, nothing during a pending takeover, or what it holds if it is carried over.
+    // for it: all of it, nothing during a pending takeover or without a usable fence, or what it
+    // holds if it is carried over.
     std::vector<key_interval> grantableKeys(const owned_range &range, boot_time now) const;
     // Returns the parts of `keys` of which a grant is certainly in force, whatever its fence.
     std::vector<key_interval> heldKeys(key_interval keys, boot_time now) const;
@@ -190,6 +214,8 @@
     const range_lease_timing m_timing;
     // Start of this daemon, until the highest fence of its previous incarnation is known.
     std::optional<boot_time> m_unboundedStart;
+    // Ranges with this fence or a lower one are not granted; 0 if there are none.
+    uint64_t m_supersededFence = 0;
     uint64_t m_epoch = 0;
     boot_time m_epochSeenAt{};
     key_placement m_placement;
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -1,6 +1,7 @@
 #include "persimmonrail/router/range_controller.h"
 
 #include "persimmonrail/base/text.h"
+#include "persimmonrail/keyspace/grant_fence.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -20,6 +21,7 @@
 constexpr milliseconds maxRelayedAge{4000};
 constexpr milliseconds confirmRetryInterval{500};
 constexpr milliseconds writeRetryDelay{300};
+constexpr milliseconds releaseRetryDelay{50};
 constexpr milliseconds unservedLogInterval{1000};
 // Weight of one sample in the exponentially weighted moving average. One sample is taken per tick,
 // so the last second makes up most of the average.
@@ -42,6 +44,7 @@
     , m_leaseManager(timing)
     , m_heartbeats(m_leaseManager, timing)
     , m_random(std::random_device()())
+    , m_grantConnection(m_grants)
     , m_releaseWorker(std::make_unique<background_worker>())
     , m_grantWorker(std::make_unique<background_worker>())
     , m_storeWorker(std::make_unique<background_worker>())
@@ -49,7 +52,10 @@
     m_leaseManager.recordDaemonStart(bootNow());
 }
 
-range_controller::~range_controller() = default;
+range_controller::~range_controller()
+{
+    m_isStopping = true;
+}
 
 void range_controller::logRange(std::string_view kind, key_interval keys, uint64_t fence,
                                 std::string_view outcome, std::string_view reason) const
@@ -151,6 +157,9 @@
     m_upstream = upstream;
     m_address = address;
     m_isDraining = isDraining;
+    if (isReplaced) {
+        m_grantWorker->enqueue([this] { m_grantConnection.close(); });
+    }
     const std::lock_guard lock(m_mutex);
     if (isReplaced) {
         m_heartbeats.onUpstreamReplaced();
@@ -158,6 +167,94 @@
     m_leaseManager.setUpstream(upstream);
 }
 
+bool range_controller::releaseEnded(const upstream_id &ended)
+{
+    if (m_endedReleases.contains(ended)) {
+        return false;
+    }
+    std::vector<range_grant> grants;
+    bool needsNewFences = false;
+    if (currentRecord() != nullptr) {
+        const std::lock_guard lock(m_mutex);
+        grants = m_leaseManager.lastGrantsOf(ended);
+        needsNewFences = m_leaseManager.needsNewFences(ended);
+    }
+    if (grants.empty()) {
+        m_releasedEnded.erase(ended);
+        return true;
+    }
+    if (m_releasedEnded.contains(ended)) {
+        return true;
+    }
+    if (needsNewFences) {
+        renewFencesOf(ended);
+        return false;
+    }
+    m_endedReleases.insert(ended);
+    // On the grant worker, after all grants that may reach another process than they were meant for.
+    const boot_time until = bootNow() + m_timing.longestHold(m_timing.longestGrant);
+    m_grantWorker->enqueue([this, grants = std::move(grants), ended, address = m_address, until] {
+        releaseUntil(grants, address, until);
+        m_loop.post([this, ended](steady_time) {
+            m_endedReleases.erase(ended);
+            m_releasedEnded.insert(ended);
+            logRange("release", {}, 0, "ended", absl::StrCat("upstream:", toString(ended)));
+        });
+    });
+    return false;
+}
+
+void range_controller::renewFencesOf(const upstream_id &owner)
+{
+    if (m_isWritePending || std::chrono::steady_clock::now() < m_nextWriteAt) {
+        return;
+    }
+    const auto change = [owner](const key_placement &current) -> std::optional<key_placement> {
+        key_placement next = renewFences(current, owner);
+        return next == current ? std::nullopt : std::optional(std::move(next));
+    };
+    updateRecord(change, "renew-fences", updateTimeout, [](const placement_update_result &) {});
+}
+
+void range_controller::releaseUntil(const std::vector<range_grant> &grants,
+                                    const std::string &address, boot_time until)
+{
+    std::vector<release_request> releases;
+    for (const range_grant &grant : grants) {
+        releases.push_back({grant, {}});
+    }
+    while (!m_isStopping && bootNow() < until) {
+        const bool areSuperseded = supersedeGrants(grants, address);
+        if (releaseAll(m_grants, address, releases).failures.empty() && areSuperseded) {
+            break;
+        }
+        std::this_thread::sleep_for(releaseRetryDelay);
+    }
+    m_grantConnection.close();
+}
+
+// A process rejects grants that it has not applied yet once it has been sent one with a higher
+// fence.
+bool range_controller::supersedeGrants(const std::vector<range_grant> &grants,
+                                       const std::string &address)
+{
+    if (const absl::Status connected = m_grants.connect(address); !connected.ok()) {
+        return absl::IsFailedPrecondition(connected);
+    }
+    bool areSuperseded = true;
+    for (const range_grant &grant : grants) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (!m_leaseManager.canSupersede(grant, bootNow())) {
+                continue;
+            }
+        }
+        const absl::Status status = m_grants.grant(address, grant, m_timing.holdTime);
+        areSuperseded = areSuperseded && (status.ok() || absl::IsAborted(status));
+    }
+    return areSuperseded;
+}
+
 void range_controller::setPeers(peer_view peers)
 {
     m_peers = std::move(peers);
@@ -283,36 +380,60 @@
 void range_controller::sendGrant(const range_grant &grant, milliseconds holdTime)
 {
     m_grantWorker->enqueue([this, grant, holdTime, address = m_address, id = *m_upstream] {
-        const boot_time sentAt = bootNow();
-        {
+        const auto canSend = [&](boot_time now) {
             const std::lock_guard lock(m_mutex);
-            if (!m_leaseManager.canSend(grant, sentAt)) {
-                return;
-            }
+            return m_leaseManager.canSend(grant, now);
+        };
+        const grant_connection::attempt attempt =
+            m_grantConnection.send(address, grant, holdTime, canSend);
+        if (absl::IsCancelled(attempt.status)) {
+            return;
         }
-        const absl::Status status = m_grants.grant(address, grant, holdTime);
-        {
-            const std::lock_guard lock(m_mutex);
-            if (status.ok()) {
-                m_leaseManager.onGranted(grant, sentAt);
-            } else if (absl::IsAborted(status)) {
-                m_leaseManager.onGrantRejected(grant);
-            } else if (!absl::IsUnavailable(status) && !absl::IsFailedPrecondition(status)) {
-                m_leaseManager.onGrantUnconfirmed(grant, holdTime, sentAt);
+        recordGrantAttempt(attempt, holdTime);
+        m_loop.post([this, attempt, id](steady_time) {
+            logGrantAttempt(attempt);
+            if (absl::IsFailedPrecondition(attempt.status)) {
+                m_hooks.onConnectionRefused(id);
             }
-        }
-        if (!status.ok()) {
-            m_loop.post([this, grant, status](steady_time) {
-                logRange("grant", grant.keys, grant.fence, "failed", status.ToString());
-            });
-        } else if (m_log.isEnabled(log_level::Debug)) {
-            m_loop.post([this, grant](steady_time) {
-                logRange("grant", grant.keys, grant.fence, "granted", "");
-            });
-        }
+        });
     });
 }
 
+// Must be called on the grant worker.
+void range_controller::recordGrantAttempt(const grant_connection::attempt &attempt,
+                                          milliseconds holdTime)
+{
+    const std::lock_guard lock(m_mutex);
+    switch (attempt.status.code()) {
+    case absl::StatusCode::kOk:
+        m_leaseManager.onGranted(attempt.grant, attempt.sentAt);
+        break;
+    case absl::StatusCode::kAborted:
+        m_leaseManager.onGrantRejected(attempt.grant);
+        break;
+    case absl::StatusCode::kResourceExhausted:
+        m_leaseManager.requireNewFences();
+        m_grantConnection.restartNumbers();
+        break;
+    case absl::StatusCode::kUnavailable:
+    case absl::StatusCode::kFailedPrecondition:
+        break;
+    default:
+        m_leaseManager.onGrantUnconfirmed(attempt.grant, holdTime, attempt.sentAt);
+    }
+}
+
+void range_controller::logGrantAttempt(const grant_connection::attempt &attempt) const
+{
+    const range_grant &grant = attempt.grant;
+    if (!attempt.status.ok()) {
+        logRange("grant", grant.keys, grant.fence, "failed", attempt.status.ToString());
+    } else if (m_log.isEnabled(log_level::Debug)) {
+        logRange("grant", grant.keys, grant.fence, "granted",
+                 absl::StrCat("connection:", grant.connection));
+    }
+}
+
 void range_controller::extendGrants(milliseconds maxHold)
 {
     std::vector<range_grant> held;
@@ -369,7 +490,8 @@
     for (const range_grant &grant : due) {
         logRange("release", grant.keys, grant.fence, "sent", "recorded for another owner");
         enqueueReleaseAfterGrants([this, grant, address = m_address] {
-            const auto handover = m_grants.release(address, grant.keys, grant.fence);
+            const auto handover = m_grants.release(
+                address, grant.keys, fenceOnConnection(grant.fence, grant.connection));
             if (!handover.ok()) {
                 m_log.write(log_level::Warn,
                             absl::StrCat("release failed: ", handover.status().ToString()));
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -8,15 +8,18 @@
 #include "persimmonrail/keyspace/range_lease_manager.h"
 #include "persimmonrail/keyspace/range_plan.h"
 #include "persimmonrail/proxy/upstream_picker.h"
+#include "persimmonrail/router/grant_connection.h"
 #include "persimmonrail/router/key_rates.h"
 #include "persimmonrail/router/placement_update.h"
 #include "persimmonrail/router/range_release.h"
 #include "persimmonrail/telemetry/decision_log.h"
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +43,8 @@
     {
         // Applies an object that was written or read to the directory.
         std::function<void(const stored_object &object)> onObject;
+        // Called when the upstream's address refuses a connection, so its process has ended.
+        std::function<void(const upstream_id &id)> onConnectionRefused = {};
     };
     // The referenced objects must outlive the controller.
     range_controller(std::string service, range_lease_timing timing, object_api store,
@@ -53,6 +58,12 @@
     // Sets the local upstream; nullopt while there is none.
     void setUpstream(const std::optional<upstream_id> &upstream, const std::string &address,
                      bool isDraining);
+    // Makes sure that no process at the local upstream's address holds keys that are recorded for
+    // `ended`, an incarnation that has ended there: the next one may have taken a grant that was
+    // meant for it. Returns true once that is so, and until then releases the keys. Others may be
+    // told of the end only afterwards, since they are given the keys at once. Must be called
+    // repeatedly until it returns true.
+    bool releaseEnded(const upstream_id &ended);
     // What this daemon knows of the upstreams of its service: the live ones that accept keys, with
     // the local one; the loads that peers reported; and the ones that can't be reached.
     struct peer_view
@@ -88,6 +99,16 @@
 private:
     void renewGrants();
     void sendGrant(const range_grant &grant, milliseconds holdTime);
+    void recordGrantAttempt(const grant_connection::attempt &attempt, milliseconds holdTime);
+    void logGrantAttempt(const grant_connection::attempt &attempt) const;
+    // Writes new fences for the recorded ranges of an incarnation of the local upstream.
+    void renewFencesOf(const upstream_id &owner);
+    // Supersedes and releases grants at the address, until that has taken effect or the grants have
+    // ended at `until`. Must be called on the grant worker.
+    void releaseUntil(const std::vector<range_grant> &grants, const std::string &address,
+                      boot_time until);
+    // Returns whether no earlier grant can take effect any more.
+    bool supersedeGrants(const std::vector<range_grant> &grants, const std::string &address);
     void releaseUnownedRanges();
     void enqueueReleaseAfterGrants(std::function<void()> release);
     void proposePlacementChange();
@@ -110,8 +131,6 @@
     void checkHeartbeatRelease();
     // Returns the hold time of a grant that is sent now. Must be called with m_mutex held.
     milliseconds currentHoldTime() const;
-    // Raises the fences of the local upstream's ranges, so that it rejects earlier grants.
-    void renewOwnFences();
     void finishMove(const std::vector<released_range> &releasedRanges);
     // `result` tells how the move ended, for the log.
     void endMove(std::string_view result);
@@ -158,6 +177,8 @@
     key_rates m_rates;
     // Used only by the store worker.
     std::mt19937_64 m_random;
+    // Used only by the grant worker.
+    grant_connection m_grantConnection;
     std::shared_ptr<const fleet_directory> m_directory = std::make_shared<fleet_directory>();
     std::optional<upstream_id> m_upstream;
     std::string m_address;
@@ -175,11 +196,14 @@
     uint64_t m_moveEpoch = 0;
     bool m_isConfirmationPending = false;
     bool m_areGrantsPending = false;
+    std::atomic<bool> m_isStopping{false};
+    // Incarnations that have ended, while releaseEnded() releases their keys, and after that until
+    // no key is recorded for them.
+    std::set<upstream_id> m_endedReleases;
+    std::set<upstream_id> m_releasedEnded;
     boot_time m_confirmedAt{};
     boot_time m_confirmationSentAt{};
     steady_time m_nextWriteAt{};
-    // Whether renewOwnFences() was called; once is enough, since later grants are this daemon's.
-    bool m_hasRenewedFences = false;
     // When the current move began. Its keys are served no longer from then on, or from the response
     // to the next heartbeat.
     steady_time m_moveBeganAt{};
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -11,8 +11,6 @@
 namespace persimmonrail {
 namespace {
 
-// Longest time for which an update of the record that is not part of a move is tried in one go.
-constexpr milliseconds updateTimeout{1000};
 // Keys are released only if the store responded within this time, since the move must be written to
 // the store.
 constexpr milliseconds maxConfirmationAge{4500};
@@ -119,9 +117,6 @@
         });
     }
     if (moves.empty()) {
-        if (m_isDraining && !m_hasRenewedFences) {
-            renewOwnFences();
-        }
         return;
     }
     m_isMoving = true;
@@ -151,16 +146,6 @@
     }
 }
 
-void range_controller::renewOwnFences()
-{
-    m_hasRenewedFences = true;
-    const auto change =
-        [owner = *m_upstream](const key_placement &current) -> std::optional<key_placement> {
-        return renewFences(current, owner);
-    };
-    updateRecord(change, "renew-fences", updateTimeout, [](const placement_update_result &) {});
-}
-
 void range_controller::releaseByCalls(const std::vector<planned_move> &moves)
 {
     std::vector<release_request> requests;
--- a/src/persimmonrail/router/range_release.cpp
+++ b/src/persimmonrail/router/range_release.cpp
@@ -1,5 +1,7 @@
 #include "persimmonrail/router/range_release.h"
 
+#include "persimmonrail/keyspace/grant_fence.h"
+
 #include <algorithm>
 #include <atomic>
 #include <thread>
@@ -19,7 +21,9 @@
     std::atomic<size_t> next{0};
     const auto releaseRemaining = [&] {
         for (size_t i = next++; i < requests.size(); i = next++) {
-            handovers[i] = grants.release(address, requests[i].grant.keys, requests[i].grant.fence);
+            const range_grant &grant = requests[i].grant;
+            handovers[i] = grants.release(address, grant.keys,
+                                          fenceOnConnection(grant.fence, grant.connection));
         }
     };
     std::vector<std::thread> threads;
@@ -63,12 +67,14 @@
                 }
                 // The upstream may report one release several times.
                 for (const key_interval &rest : subtract(*keys, reported)) {
-                    released.push_back({{rest, range.fence, ""}, move.target, entry.handover});
+                    const range_grant grant{rest, range.fence, ""};
+                    released.push_back({grant, move.target, entry.handover});
                 }
                 reported.push_back(*keys);
             }
             for (const key_interval &keys : subtract(*part, reported)) {
-                released.push_back({{keys, range.fence, ""}, move.target, ""});
+                const range_grant grant{keys, range.fence, ""};
+                released.push_back({grant, move.target, ""});
             }
         }
     }
--- a/src/persimmonrail/router/router.h
+++ b/src/persimmonrail/router/router.h
@@ -29,13 +29,19 @@
 
 // Calls to an upstream about the key ranges that it holds. Errors: Aborted if the upstream knows a
 // higher fence, FailedPrecondition if no process listens at the address, Unavailable or Unknown
-// otherwise.
+// otherwise. connect() and grant() are called on one thread at a time.
 struct grant_api
 {
+    // Opens the connection to the address that the next grants use, in place of the one before.
+    std::function<absl::Status(const std::string &address)> connect;
+    // Sends a grant on the connection that connect() has opened, and on no other. The fence is
+    // fenceOnConnection(). Also returns NotFound if the connection was closed before anything was
+    // sent.
     std::function<absl::Status(const std::string &address, const range_grant &grant,
                                milliseconds holdTime)>
         grant;
-    // Waits until the running requests on the keys have ended, and returns the handover.
+    // Ends the grants of the keys up to a fence of fenceOnConnection(). Waits until the running
+    // requests on the keys have ended, and returns the handover.
     std::function<absl::StatusOr<std::string>(const std::string &address, key_interval keys,
                                               uint64_t fence)>
         release;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -73,9 +73,10 @@
     , m_directory(std::make_shared<fleet_directory>())
 {
     const auto onObject = [this](const stored_object &object) { applyObject(object); };
-    m_ranges = std::make_unique<range_controller>(m_settings.service, leaseTiming(m_settings),
-                                                  m_store, m_platform.grants, m_loop, m_log,
-                                                  range_controller::hooks{onObject});
+    m_ranges = std::make_unique<range_controller>(
+        m_settings.service, leaseTiming(m_settings), m_store, m_platform.grants, m_loop, m_log,
+        range_controller::hooks{onObject,
+                                [this](const upstream_id &id) { onConnectionRefused(id); }});
     m_publisher = std::make_unique<member_publisher>(m_store, m_loop, m_log, onObject);
     m_quarantinePublisher = std::make_unique<quarantine_publisher>(
         m_settings.service, m_quarantine, m_store, m_loop, m_log, onObject);
@@ -199,8 +200,7 @@
         if (!isListed) {
             return;
         }
-        publishEndedMembers(*directory);
-        m_publisher->tick(*directory, now);
+        publishMembers(*directory, now);
         publishQuarantine(now);
         const service_rule *rule =
             routes != nullptr ? routes->findService(m_settings.service) : nullptr;
@@ -219,18 +219,7 @@
     hooks.canServe = [this](shard_key key) { return m_ranges->canServe(key); };
     hooks.countKeyRequest = [this](shard_key key) { m_ranges->countKeyRequest(key); };
     hooks.onConnectionRefused = [this](const upstream_id &id) {
-        m_loop.post([this, id](steady_time now) {
-            if (!m_upstream.report() || m_upstream.report()->id != id) {
-                return;
-            }
-            const upstream_phase before = m_upstream.phase();
-            if (m_upstream.onConnectionRefused(now) == local_upstream::verdict::Changed) {
-                onUpstreamChanged("connection-refused", now);
-                if (before != upstream_phase::Draining) {
-                    onUpstreamCrash(id, now);
-                }
-            }
-        });
+        m_loop.post([this, id](steady_time) { onConnectionRefused(id); });
     };
     hooks.onResponse = [this](const upstream_id &id) {
         m_loop.post([this, id](steady_time now) {
@@ -350,7 +339,7 @@
                 const std::lock_guard lock(m_mutex);
                 directory = m_directory;
             }
-            m_publisher->tick(*directory, now);
+            publishMembers(*directory, now);
         }
     });
     const auto waitUntil = [&](steady_time until, const std::function<bool()> &condition) {
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -59,10 +59,15 @@
     bool onUpstreamMessage(const upstream_message &message, steady_time now);
     std::string encodeWithinBound(std::optional<holdings> holdings);
     void onUpstreamChanged(std::string_view cause, steady_time now);
+    // Handles a refused connection to the address of this incarnation of the local upstream.
+    void onConnectionRefused(const upstream_id &id);
     // Handles the end of an incarnation of the local upstream that had not announced it.
     void onUpstreamCrash(const upstream_id &id, steady_time now);
     // Writes new evidence about crashing requests to the store, if there is any.
     void publishQuarantine(steady_time now);
+    void publishMembers(const fleet_directory &directory, steady_time now);
+    // Returns the incarnations of the local upstream that have ended and are not published so.
+    std::vector<upstream_id> endedIncarnations(const fleet_directory &directory) const;
     void publishEndedMembers(const fleet_directory &directory);
     void expireUpstreamReports(steady_time now);
     upstream_member ownMember() const;
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -139,6 +139,21 @@
                           m_settings.upstreamAddress, !m_upstream.acceptsRequests());
 }
 
+void router::state::onConnectionRefused(const upstream_id &id)
+{
+    if (!m_upstream.report() || m_upstream.report()->id != id) {
+        return;
+    }
+    const steady_time now = std::chrono::steady_clock::now();
+    const upstream_phase before = m_upstream.phase();
+    if (m_upstream.onConnectionRefused(now) == local_upstream::verdict::Changed) {
+        onUpstreamChanged("connection-refused", now);
+        if (before != upstream_phase::Draining) {
+            onUpstreamCrash(id, now);
+        }
+    }
+}
+
 void router::state::onUpstreamCrash(const upstream_id &id, steady_time now)
 {
     const size_t suspects = m_quarantine.recordCrash(keyHash(toString(id)), now);
@@ -158,6 +173,35 @@
     m_quarantinePublisher->tick(*directory, now, std::chrono::system_clock::now());
 }
 
+// The other daemons give the keys of an upstream that has ended to others at once, so they learn of
+// its end, also by the entry of its successor, only when no process can hold the keys.
+void router::state::publishMembers(const fleet_directory &directory, steady_time now)
+{
+    bool areReleased = true;
+    for (const upstream_id &id : endedIncarnations(directory)) {
+        areReleased = m_ranges->releaseEnded(id) && areReleased;
+    }
+    if (areReleased) {
+        publishEndedMembers(directory);
+        m_publisher->tick(directory, now);
+    }
+}
+
+std::vector<upstream_id>
+router::state::endedIncarnations(const fleet_directory &directory) const
+{
+    if (!m_upstream.report()) {
+        return {};
+    }
+    const upstream_id &present = m_upstream.report()->id;
+    std::vector<upstream_id> ended =
+        earlierIncarnationsAt(directory, m_settings.peerAddress, present);
+    if (m_upstream.phase() == upstream_phase::Absent) {
+        ended.push_back(present);
+    }
+    return ended;
+}
+
 // A host has one upstream. Once another incarnation reports, the members that this daemon published
 // before its restart have ended, even if their last messages were lost.
 void router::state::publishEndedMembers(const fleet_directory &directory)
--- a/src/persimmonrail/router/tests/range_controller_restore_test.cpp
+++ b/src/persimmonrail/router/tests/range_controller_restore_test.cpp
@@ -126,6 +126,7 @@
     grant_api grants()
     {
         grant_api api;
+        api.connect = [](const std::string &) { return absl::OkStatus(); };
         api.grant = [this](const std::string &, const range_grant &grant, milliseconds) {
             const std::lock_guard lock(m_mutex);
             m_grants.push_back(grant);
--- a/src/persimmonrail/router/tests/range_controller_test.cpp
+++ b/src/persimmonrail/router/tests/range_controller_test.cpp
@@ -167,6 +167,7 @@
     grant_api grants()
     {
         grant_api api;
+        api.connect = [](const std::string &) { return absl::OkStatus(); };
         api.grant = [this](const std::string &, const range_grant &, milliseconds) {
             grantsAfterRelease += releases > 0 ? 1 : 0;
             return absl::OkStatus();
@@ -248,6 +249,7 @@
     static grant_api grants()
     {
         grant_api api;
+        api.connect = [](const std::string &) { return absl::OkStatus(); };
         api.grant = [](const std::string &, const range_grant &, milliseconds) {
             return absl::UnavailableError("the upstream takes no calls");
         };
