Ignore heartbeats that name another service or address than the settings

Cause: the daemon checked the types of a heartbeat, not whether it is about the upstream beside it; a later start time made each heartbeat of the true upstream stale.

Change: such a report gets 400, is logged and changes nothing.

--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -55,6 +55,9 @@
 
     // Upstream.
     void serveReport(server_exchange &exchange);
+    // Returns whether the message is about the upstream that the settings name. A departure names
+    // only an id, which is compared with that of the present incarnation.
+    bool isFromLocalUpstream(const upstream_message &message) const;
     // Returns whether the message is from the present incarnation and newer than the ones before.
     bool onUpstreamMessage(const upstream_message &message, steady_time now);
     std::string encodeWithinBound(std::optional<holdings> holdings);
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -38,6 +38,15 @@
         exchange.respond(400, "{}", "application/json");
         return;
     }
+    if (!isFromLocalUpstream(*message)) {
+        m_log.write(log_level::Warn,
+                    absl::StrCat("report ignored reason=other-upstream upstream=",
+                                 toString(message->report.id),
+                                 " service=", message->report.service,
+                                 " address=", message->report.address));
+        exchange.respond(400, "{}", "application/json");
+        return;
+    }
     if (message->holdings && message->holdings->malformedCount > 0) {
         m_log.write(log_level::Warn,
                     absl::StrCat("report holdings malformed=", message->holdings->malformedCount));
@@ -53,6 +62,15 @@
     exchange.respond(200, encodeWithinBound(std::move(holdings)), "application/json");
 }
 
+// The settings name the service and the address of the only upstream on this host, so a report that
+// names others is not about that upstream.
+bool router::state::isFromLocalUpstream(const upstream_message &message) const
+{
+    return message.isDeparture
+        || (message.report.service == m_settings.service
+            && message.report.address == m_settings.upstreamAddress);
+}
+
 // An upstream ignores a larger response. Ranges that don't fit are left out, the last ones first,
 // so that mostly the same ones are left out each time.
 std::string router::state::encodeWithinBound(std::optional<holdings> holdings)
