Let a daemon that starts grant keys only under fences from after its start

A daemon was killed after it had released keys and before the write of their owner had an answer; its successor granted them again, and the write took effect later.

Cause: what a process is about to do is only in its memory. The successor read a record that still named its upstream, and granted under the recorded fence.

Change: a daemon that starts first writes new fences for the ranges of its upstream (onEarlierFences, needsNewFences). The write changes the version of the record, so that a write from before fails. An upstream that takes grants with its heartbeats keeps what it reports meanwhile.

Costs one conditional write per start; no wait.

--- a/src/persimmonrail/keyspace/range_lease_manager.cpp
+++ b/src/persimmonrail/keyspace/range_lease_manager.cpp
@@ -84,9 +84,11 @@
 
 bool range_lease_manager::needsNewFences(const upstream_id &owner) const
 {
-    return std::any_of(
-        m_placement.ranges.begin(), m_placement.ranges.end(),
-        [&](const owned_range &range) { return range.owner == owner && needsNewFence(range); });
+    return areFencesKnown()
+        && std::any_of(m_placement.ranges.begin(), m_placement.ranges.end(),
+                       [&](const owned_range &range) {
+                           return range.owner == owner && needsNewFence(range);
+                       });
 }
 
 std::vector<range_grant> range_lease_manager::lastGrantsOf(const upstream_id &ended) const
@@ -133,11 +135,25 @@
     return heldKeys;
 }
 
+std::vector<key_interval> range_lease_manager::reportedKeys(const owned_range &range,
+                                                            boot_time now) const
+{
+    std::vector<key_interval> reported;
+    for (const held_grant &held : m_held) {
+        const auto part = intersect(held.grant.keys, range.keys);
+        if (part && held.grant.connection == 0 && held.grant.fence == range.fence
+            && now < held.certainUntil) {
+            reported.push_back(*part);
+        }
+    }
+    return reported;
+}
+
 std::vector<key_interval> range_lease_manager::grantableKeys(const owned_range &range,
                                                              boot_time now) const
 {
     if (needsNewFence(range)) {
-        return {};
+        return reportedKeys(range, now);
     }
     if (range.takeoverDelay.count() == 0) {
         return {range.keys};
@@ -270,6 +286,7 @@
 void range_lease_manager::onEarlierFences(uint64_t highestFence)
 {
     m_unboundedStart.reset();
+    m_supersededFence = std::max(m_supersededFence, highestFence);
     for (unconfirmed_grant &grant : m_unconfirmed) {
         grant.fence = std::min(grant.fence, highestFence);
     }
--- a/src/persimmonrail/keyspace/range_lease_manager.h
+++ b/src/persimmonrail/keyspace/range_lease_manager.h
@@ -81,9 +81,11 @@
     // `startedAt` to which the upstream did not respond, as long as longestGrant and with any fence
     // that was recorded by then.
     void recordDaemonStart(boot_time startedAt);
-    // Records that no fence above `highestFence` had been recorded when this daemon started. The
-    // upstream rejects the grants of the previous incarnation for keys that it holds with a higher
-    // fence.
+    // Records that no fence above `highestFence` had been recorded when this daemon started, so
+    // that no range is granted under such a fence. The previous incarnation may have released keys
+    // and sent the write of a move that takes effect later: the write of a new fence makes it
+    // impossible. The upstream rejects grants of the previous incarnation for keys that it holds
+    // with a new fence.
     void onEarlierFences(uint64_t highestFence);
     // Makes the owned ranges need fences above all that are recorded now before they are granted
     // again.
@@ -98,6 +100,8 @@
     // Returns whether no other upstream can hold the keys of a grant of lastGrantsOf(), so that it
     // may be sent, in order to supersede grants that have not taken effect yet.
     bool canSupersede(const range_grant &grant, boot_time now) const;
+    // Returns whether the fences are known under which ranges may be granted.
+    bool areFencesKnown() const { return !m_unboundedStart; }
     // Sets the local upstream; `upstream` is empty if no local upstream may hold keys. Grants of
     // another incarnation are forgotten.
     void setUpstream(const std::optional<upstream_id> &upstream);
@@ -200,12 +204,16 @@
     // Returns whether the range may not be granted under its recorded fence.
     bool needsNewFence(const owned_range &range) const
     {
-        return range.takeoverDelay.count() == 0 && range.fence <= m_supersededFence;
+        return range.takeoverDelay.count() == 0
+            && (!areFencesKnown() || range.fence <= m_supersededFence);
     }
     // Returns the parts of the range that the local upstream may hold now if the range is recorded
-    // for it: all of it, nothing during a pending takeover or without a usable fence, or what it
-    // holds if it is carried over.
+    // for it: all of it, nothing during a pending takeover, what it holds if it is carried over, or
+    // what it has reported if the range needs a new fence.
     std::vector<key_interval> grantableKeys(const owned_range &range, boot_time now) const;
+    // Returns the parts of the range that the upstream reports to hold under the recorded fence. An
+    // earlier process of the daemon can't have moved keys that it had not released.
+    std::vector<key_interval> reportedKeys(const owned_range &range, boot_time now) const;
     // Returns the parts of `keys` of which a grant is certainly in force, whatever its fence.
     std::vector<key_interval> heldKeys(key_interval keys, boot_time now) const;
     // Returns the grant with this fence that contains all of `keys`; null if there is none.
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -1,5 +1,7 @@
 #include "test_placements.h"
 
+#include "persimmonrail/keyspace/grant_fence.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -340,6 +342,64 @@
     CHECK(manager.canMove({7, 7}, start + longest + 1s));
 }
 
+// Guards against OWNER: the process before may have released keys that are recorded for the
+// upstream and sent the write of their move, which takes effect later.
+TEST_CASE("a restarted daemon grants keys only under fences from after its start", "[keyspace]")
+{
+    range_lease_manager manager;
+    manager.setUpstream(a);
+    manager.recordDaemonStart(start);
+    SECTION("before it knows the fences that were recorded")
+    {
+        manager.onPlacement(twoOwners(), start - 1s, start);
+        CHECK(manager.permittedGrants(start).empty());
+        CHECK_FALSE(manager.needsNewFences());
+    }
+    SECTION("before it has written new ones")
+    {
+        manager.onPlacement(twoOwners(), start, start);
+        CHECK(manager.permittedGrants(start).empty());
+        CHECK(manager.needsNewFences());
+    }
+    SECTION("after it has written new ones")
+    {
+        manager.onPlacement(twoOwners(), start, start);
+        manager.onPlacement(renewFences(twoOwners(), a), start, start);
+        CHECK_FALSE(manager.permittedGrants(start).empty());
+        CHECK_FALSE(manager.needsNewFences());
+    }
+}
+
+// Guards against OWNER: grants for an upstream that has ended take effect at the next process at
+// its address, after they were released.
+TEST_CASE("the last grants of an ended upstream supersede all earlier ones", "[keyspace]")
+{
+    range_lease_manager manager;
+    manager.setUpstream(a);
+    manager.onPlacement(twoOwners(), start, start);
+    const std::vector<range_grant> last = manager.lastGrantsOf(a);
+    REQUIRE(last.size() == 1);
+    CHECK(last[0].connection > maxGrantConnection);
+    CHECK(manager.canSupersede(last[0], start));
+    SECTION("not once others may have taken the keys over")
+    {
+        CHECK_FALSE(manager.canSupersede(last[0], start + range_lease_timing().leaseDuration));
+    }
+    SECTION("not while the keys are being moved")
+    {
+        manager.setMoving({{0, 9}});
+        CHECK_FALSE(manager.canSupersede(last[0], start));
+        REQUIRE(manager.lastGrantsOf(a).size() == 1);
+        CHECK(manager.lastGrantsOf(a)[0].keys.first == 10);
+    }
+    SECTION("not once they are recorded for another owner")
+    {
+        manager.onPlacement(moveRange(twoOwners(), last[0].keys, b, ""), start, start);
+        CHECK_FALSE(manager.canSupersede(last[0], start));
+        CHECK(manager.lastGrantsOf(a).empty());
+    }
+}
+
 // Guards against keys that stay at a leaving upstream because its daemon has just restarted.
 TEST_CASE("a restarted daemon moves keys that the upstream holds with a fence of its own",
           "[keyspace]")
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -176,6 +176,9 @@
     bool needsNewFences = false;
     if (currentRecord() != nullptr) {
         const std::lock_guard lock(m_mutex);
+        if (!m_leaseManager.areFencesKnown()) {
+            return false;
+        }
         grants = m_leaseManager.lastGrantsOf(ended);
         needsNewFences = m_leaseManager.needsNewFences(ended);
     }
@@ -191,7 +194,8 @@
         return false;
     }
     m_endedReleases.insert(ended);
-    // On the grant worker, after all grants that may reach another process than they were meant for.
+    // On the grant worker, after all grants that may reach another process than they were meant
+    // for.
     const boot_time until = bootNow() + m_timing.longestHold(m_timing.longestGrant);
     m_grantWorker->enqueue([this, grants = std::move(grants), ended, address = m_address, until] {
         releaseUntil(grants, address, until);
--- a/src/persimmonrail/router/tests/range_controller_test.cpp
+++ b/src/persimmonrail/router/tests/range_controller_test.cpp
@@ -59,6 +59,17 @@
         m_conflictsLeft = conflicts;
     }
 
+    // Executes a move of the key to `c` by a process that knew the record's first version and ended
+    // before it got a response. Returns whether it took effect.
+    bool executeLateMove(shard_key key)
+    {
+        key_placement moved;
+        {
+            const std::lock_guard lock(m_mutex);
+            moved = moveRange(m_placement, {key, key}, c, "late");
+        }
+        return write(firstVersion, encodePlacement(moved)).ok();
+    }
     bool hasDelayedWrite()
     {
         const std::lock_guard lock(m_mutex);
@@ -100,9 +111,10 @@
         return ++m_version;
     }
 
+    static constexpr uint64_t firstVersion = 1;
     std::mutex m_mutex;
     key_placement m_placement;
-    uint64_t m_version = 1;
+    uint64_t m_version = firstVersion;
     int m_conflictsLeft = 0;
     std::atomic<bool> m_isSilent{false};
     std::optional<std::pair<uint64_t, std::string>> m_delayedWrite;
@@ -200,6 +212,8 @@
         m_loop.start();
         m_loop.postAndWait(
             [this](steady_time) { m_controller.setUpstream(a, "127.0.0.1:1", false); });
+        // No daemon ran before, so the recorded fences are this daemon's.
+        show(store_confirmation{1, bootNow()});
         m_builder.applyObject(contended_store().read());
         show(confirmation);
         m_loop.postAndWait([](steady_time) {});
@@ -300,6 +314,16 @@
     CHECK(upstream.grantsAfterRelease == 0);
 }
 
+// Guards against OWNER: a daemon that starts grants keys which its killed predecessor has released,
+// and the predecessor's write of their new owner takes effect later.
+TEST_CASE("no late move of an earlier process takes effect once keys are granted", "[router]")
+{
+    controlled_upstream upstream;
+    REQUIRE(waitUntil([&] { return upstream.canServe(5); }));
+    CHECK_FALSE(upstream.store.executeLateMove(5));
+    CHECK(upstream.store.ownerOf(5) == a);
+}
+
 // Guards against a lease that is renewed by a response that doesn't show the record of the owner:
 // one that is older than the record, of another epoch of the store, or followed by another record.
 TEST_CASE("only what shows the present record renews the lease of its owner", "[router]")
