Ask the directory whether the incarnation of a heartbeat has ended

A delayed heartbeat of an earlier incarnation came first, and the running one was published as ended.

Cause: the new process compared the heartbeat with nothing, and every other member at the address counted as an earlier one.

Change: a report of an incarnation that the directory shows as ended, or that another one at the same address followed, is ignored; one that came before the directory was known is forgotten when it is. Only members that did not start later are published as ended.

--- a/src/persimmonrail/fleet/fleet_directory.cpp
+++ b/src/persimmonrail/fleet/fleet_directory.cpp
@@ -99,6 +99,17 @@
             || (known->member.id == id && known->member.isTerminated));
 }
 
+bool isSuperseded(const fleet_directory &directory, std::string_view peerAddress,
+                  const upstream_id &id)
+{
+    return hasEnded(directory, id)
+        || std::any_of(
+               directory.members().begin(), directory.members().end(), [&](const auto &entry) {
+                   const upstream_member &member = entry.second.member;
+                   return member.peerAddress == peerAddress && member.id.startedAt > id.startedAt;
+               });
+}
+
 std::vector<upstream_id> earlierIncarnationsAt(const fleet_directory &directory,
                                                std::string_view peerAddress,
                                                const upstream_id &present)
@@ -106,7 +117,7 @@
     std::vector<upstream_id> earlier;
     for (const auto &[name, entry] : directory.members()) {
         if (entry.member.peerAddress == peerAddress && !entry.member.isTerminated
-            && entry.member.id.startedAt < present.startedAt) {
+            && entry.member.id != present && entry.member.id.startedAt <= present.startedAt) {
             earlier.push_back(entry.member.id);
         }
     }
@@ -120,7 +131,7 @@
     std::vector<upstream_member> earlier;
     for (const auto &[name, entry] : directory.members()) {
         if (entry.member.peerAddress == peerAddress && name != present.name
-            && !entry.member.isTerminated) {
+            && entry.member.id.startedAt <= present.startedAt && !entry.member.isTerminated) {
             earlier.push_back(entry.member);
             earlier.back().isDraining = earlier.back().isTerminated = true;
         }
--- a/src/persimmonrail/fleet/fleet_directory.h
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -90,16 +90,21 @@
 // store shows that was restored from an older copy, tells nothing about it.
 bool hasEnded(const fleet_directory &directory, const upstream_id &id);
 
-// Returns the incarnations at `peerAddress` that started before `present` and that the directory does
-// not show as terminated, also those with the same name.
+// Returns the other incarnations at `peerAddress` that did not start after `present` and that the
+// directory does not show as terminated, also those with the same name.
 std::vector<upstream_id> earlierIncarnationsAt(const fleet_directory &directory,
                                                std::string_view peerAddress,
                                                const upstream_id &present);
 
-// Returns the members at `peerAddress` that have another name than `present` and that the directory
-// does not show as terminated. The returned entries are marked as draining and terminated: a host
-// runs only one upstream at a time, so the upstreams that ran beside the same daemon before
-// `present` have ended.
+// Returns whether the directory shows that an incarnation at `peerAddress` has ended: its own entry
+// says so, or one that started later was there. A message from it was held up on its way.
+bool isSuperseded(const fleet_directory &directory, std::string_view peerAddress,
+                  const upstream_id &id);
+
+// Returns the members at `peerAddress` that did not start after `present`, have another name and
+// are not shown as terminated by the directory. The returned entries are marked as draining and
+// terminated: a host runs only one upstream at a time, so the upstreams that ran beside the same
+// daemon before `present` have ended.
 std::vector<upstream_member> endedMembersAt(const fleet_directory &directory,
                                             std::string_view peerAddress,
                                             const upstream_id &present);
--- a/src/persimmonrail/fleet/local_upstream.cpp
+++ b/src/persimmonrail/fleet/local_upstream.cpp
@@ -74,6 +74,12 @@
     return verdict::Changed;
 }
 
+void local_upstream::forget()
+{
+    m_report.reset();
+    m_phase = upstream_phase::Absent;
+}
+
 void local_upstream::onResponse(steady_time now)
 {
     m_lastResponseAt = std::max(m_lastResponseAt, now);
--- a/src/persimmonrail/fleet/local_upstream.h
+++ b/src/persimmonrail/fleet/local_upstream.h
@@ -54,6 +54,9 @@
     // Handles a refused connection to the upstream's address, which shows that its process has
     // ended.
     verdict onConnectionRefused(steady_time now);
+    // Forgets an incarnation of which only late messages have arrived, so that the next report of
+    // any other one is accepted.
+    void forget();
     // Handles a response to a request. An unresponsive upstream becomes ready again, since only its
     // reports are delayed.
     void onResponse(steady_time now);
--- a/src/persimmonrail/fleet/tests/fleet_test.cpp
+++ b/src/persimmonrail/fleet/tests/fleet_test.cpp
@@ -342,3 +342,39 @@
         CHECK_FALSE(hasEnded(*builder.build(), {"b", startedAt}));
     }
 }
+
+// Guards against OWNER: a restarted daemon takes a late heartbeat of an earlier incarnation for
+// that of the running one, which is then published as ended.
+TEST_CASE("a later member at the peer address tells that an upstream has ended", "[fleet]")
+{
+    struct row
+    {
+        std::string name;
+        int64_t startedAt;
+        bool isTerminated;
+        std::string peerAddress;
+        bool isSuperseded;
+        size_t endedCount;
+    };
+    const std::string address = "127.0.0.1:9000";
+    const std::vector<row> rows = {
+        {"later", 6, false, address, true, 0},
+        {"later, ended as well", 6, true, address, true, 0},
+        {"earlier", 4, false, address, false, 1},
+        {"earlier, ended", 4, true, address, false, 0},
+        {"later on another host", 6, false, "127.0.0.2:9000", false, 0},
+    };
+    const upstream_id present{"i-1", 5};
+    for (const row &row : rows) {
+        CAPTURE(row.name);
+        fleet_directory_builder builder([](const std::string &, std::string_view) {});
+        upstream_member other = member("i-2");
+        other.id.startedAt = row.startedAt;
+        other.isTerminated = row.isTerminated;
+        other.peerAddress = row.peerAddress;
+        builder.applyObject({memberKey("i-2"), 1, false, encodeMember(other)});
+        CHECK(isSuperseded(*builder.build(), address, present) == row.isSuperseded);
+        CHECK(endedMembersAt(*builder.build(), address, present).size() == row.endedCount);
+        CHECK(earlierIncarnationsAt(*builder.build(), address, present).size() == row.endedCount);
+    }
+}
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -61,6 +61,9 @@
     // Returns whether the message is from the present incarnation and newer than the ones before.
     bool onUpstreamMessage(const upstream_message &message, steady_time now);
     std::string encodeWithinBound(std::optional<holdings> holdings);
+    // Returns whether the directory shows that this incarnation beside this daemon has ended.
+    bool isKnownToHaveEnded(const upstream_id &id) const;
+    void forgetSupersededUpstream();
     void onUpstreamChanged(std::string_view cause, steady_time now);
     // Handles a refused connection to the address of this incarnation of the local upstream.
     void onConnectionRefused(const upstream_id &id);
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -41,8 +41,7 @@
     if (!isFromLocalUpstream(*message)) {
         m_log.write(log_level::Warn,
                     absl::StrCat("report ignored reason=other-upstream upstream=",
-                                 toString(message->report.id),
-                                 " service=", message->report.service,
+                                 toString(message->report.id), " service=", message->report.service,
                                  " address=", message->report.address));
         exchange.respond(400, "{}", "application/json");
         return;
@@ -91,6 +90,11 @@
 
 bool router::state::onUpstreamMessage(const upstream_message &message, steady_time now)
 {
+    if (!message.isDeparture && isKnownToHaveEnded(message.report.id)) {
+        m_log.write(log_level::Info,
+                    absl::StrCat("report late upstream=", toString(message.report.id)));
+        return false;
+    }
     const std::optional<upstream_report> before = m_upstream.report();
     const upstream_phase phaseBefore = m_upstream.phase();
     const local_upstream::verdict verdict = message.isDeparture
@@ -115,6 +119,29 @@
     return true;
 }
 
+// A daemon that has restarted doesn't know the incarnations from before, but the directory does.
+bool router::state::isKnownToHaveEnded(const upstream_id &id) const
+{
+    const std::lock_guard lock(m_mutex);
+    return isSuperseded(*m_directory, m_settings.peerAddress, id);
+}
+
+// Forgets an incarnation whose late report arrived before the directory showed that it has ended.
+void router::state::forgetSupersededUpstream()
+{
+    if (m_upstream.phase() == upstream_phase::Absent
+        || !isKnownToHaveEnded(m_upstream.report()->id)) {
+        return;
+    }
+    logEvent("upstream", absl::StrCat("id=", toString(m_upstream.report()->id), " superseded"));
+    m_publisher->stopPublishing(m_upstream.report()->id.name);
+    m_upstream.forget();
+    m_ranges->setUpstream(std::nullopt, m_settings.upstreamAddress, true);
+    const std::lock_guard lock(m_mutex);
+    m_target = {};
+    m_target.rejectReason = proxy_reason::UpstreamUnreachable;
+}
+
 upstream_member router::state::ownMember() const
 {
     const upstream_report &report = *m_upstream.report();
@@ -195,6 +222,7 @@
 // its end, also by the entry of its successor, only when no process can hold the keys.
 void router::state::publishMembers(const fleet_directory &directory, steady_time now)
 {
+    forgetSupersededUpstream();
     bool areReleased = true;
     for (const upstream_id &id : endedIncarnations(directory)) {
         areReleased = m_ranges->releaseEnded(id) && areReleased;
@@ -205,8 +233,7 @@
     }
 }
 
-std::vector<upstream_id>
-router::state::endedIncarnations(const fleet_directory &directory) const
+std::vector<upstream_id> router::state::endedIncarnations(const fleet_directory &directory) const
 {
     if (!m_upstream.report()) {
         return {};
