Check the second sending of a request where the first one is checked

A request whose connection was lost was sent again by the HTTP client after the drain timeout.

Cause: the second sending was a decision of the client, past the gate, the quarantine and any budget.

Change: the client asks mayResend; the dispatcher answers with its checks and a small budget.

Measured: upstream_dispatcher_test ("a request is sent again ...") fails without the change: three sendings where two are allowed.

--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -424,8 +424,8 @@
     return connection.status();
 }
 
-absl::StatusOr<connection_pool::connection>
-http_client::acquire(const client_request &request, bool needsNewConnection) const
+absl::StatusOr<connection_pool::connection> http_client::acquire(const client_request &request,
+                                                                 bool needsNewConnection) const
 {
     const steady_time now = std::chrono::steady_clock::now();
     if (request.needsIdleConnection) {
@@ -467,7 +467,8 @@
         const bool canResend =
             !request.needsIdleConnection && (!result.hasSentBytes || request.repeatable);
         if (connection->reused && wasClosedBeforeResponse && canResend && !result.leaseEnding
-            && !result.deadlinePassed && (request.body == nullptr || request.body->rewind())) {
+            && !result.deadlinePassed && (!request.mayResend || request.mayResend())
+            && (request.body == nullptr || request.body->rewind())) {
             m_pool->closeIdle(request.address);
             needsNewConnection = true;
             wasSentEarlier = result.hasSentBytes;
--- a/src/persimmonrail/http/http_client.h
+++ b/src/persimmonrail/http/http_client.h
@@ -166,6 +166,9 @@
     bool expectContinue = false;
     // Whether the request may be sent again after bytes of it were sent.
     bool repeatable = false;
+    // Asked before the request is sent a second time, on a new connection. With an empty function
+    // it may be.
+    std::function<bool()> mayResend;
     // Sends the request only on an idle connection of the pool, and never again on another one.
     bool needsIdleConnection = false;
     // End of the whole exchange.
@@ -224,7 +227,8 @@
 
 // HTTP/1.1 client that streams the bodies of requests and responses. If a reused connection closes
 // before a response head arrives, the client sends the request once more over a new connection,
-// provided that the request is repeatable or no byte of it was sent. Thread safe.
+// provided that the request is repeatable or no byte of it was sent, and that `mayResend` allows
+// it. Thread safe.
 class http_client
 {
 public:
--- a/src/persimmonrail/proxy/tests/upstream_dispatcher_test.cpp
+++ b/src/persimmonrail/proxy/tests/upstream_dispatcher_test.cpp
@@ -1,6 +1,6 @@
-#include "persimmonrail/proxy/upstream_dispatcher.h"
+#include "dispatcher_site.h"
 
-#include "persimmonrail/proxy/peer_client.h"
+#include "standins/scripted_server.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,92 +11,23 @@
 
 namespace {
 
-// A dispatcher with an upstream that has one slot and responds after 20 s, and a server that sends
-// each request to the dispatcher.
-class dispatcher_site
+// An upstream that responds after 20 s.
+class slow_upstream
 {
 public:
-    dispatcher_site()
-        : m_upstream(std::move(*http_server::listen({},
-                                                    [this](server_exchange &exchange) {
-                                                        ++m_running;
-                                                        exchange.connection().waitUntilClosed(
-                                                            std::chrono::steady_clock::now() + 20s);
-                                                        --m_running;
-                                                    })))
-        , m_dispatcher(makeCodec(), makeHooks(), m_quarantine)
-    {
-        m_dispatcher.setSlots(1);
-        m_server = std::move(
-            *http_server::listen({}, [this](server_exchange &exchange) { serve(exchange); }));
-    }
-    ~dispatcher_site() { m_server.reset(); }
-
-    upstream_dispatcher &dispatcher() { return m_dispatcher; }
+    slow_upstream()
+        : m_server(std::move(*http_server::listen({}, [this](server_exchange &exchange) {
+            ++m_running;
+            exchange.connection().waitUntilClosed(std::chrono::steady_clock::now() + 20s);
+            --m_running;
+        })))
+    { }
+    ~slow_upstream() { m_server.reset(); }
+    const std::string &address() const { return m_server->address(); }
     int running() const { return m_running; }
-    // Sends a request and returns the status of the response; 0 if there was none.
-    std::future<int> send()
-    {
-        return std::async(std::launch::async, [address = m_server->address()] {
-            http_client client(std::make_shared<connection_pool>());
-            const auto response = simpleRequest(client, address, "GET", "/", "",
-                                                std::chrono::steady_clock::now() + 20s);
-            return response.ok() ? response->status : 0;
-        });
-    }
-    // Returns the reasons for which requests were not served.
-    std::vector<proxy_reason> reasons()
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_reasons;
-    }
 
 private:
-    static exchange_codec makeCodec()
-    {
-        exchange_codec codec;
-        codec.setUpstreamFields = [](Poco::Net::HTTPRequest &, const upstream_fields &) {};
-        codec.classifyResponse = [](const Poco::Net::HTTPResponse &, const std::string &) {
-            return response_kind::Genuine;
-        };
-        return codec;
-    }
-    upstream_dispatcher_hooks makeHooks() const
-    {
-        upstream_dispatcher_hooks hooks;
-        hooks.local = [this] {
-            return local_upstream_state{{"i-1", 1}, "ledger", m_upstream->address()};
-        };
-        hooks.onConnectionRefused = hooks.onResponse = [](const upstream_id &) {};
-        return hooks;
-    }
-    void serve(server_exchange &exchange)
-    {
-        const steady_time now = std::chrono::steady_clock::now();
-        proxied_request request;
-        request.message = exchange.request();
-        request.service = "ledger";
-        request.route = "r";
-        request.upstream = {"i-1", 1};
-        request.repeatable = true;
-        request.objective = 15s;
-        request.objectiveEnd = now + 15s;
-        request.deadline = now + 15s;
-        proxy_sink sink(exchange, {});
-        const proxy_result result = m_dispatcher.dispatch(request, exchange, sink);
-        {
-            const std::lock_guard lock(m_mutex);
-            m_reasons.push_back(result.reason);
-        }
-        respondToPeer(exchange, result);
-    }
-
     std::atomic<int> m_running{0};
-    std::mutex m_mutex;
-    std::vector<proxy_reason> m_reasons;
-    std::unique_ptr<http_server> m_upstream;
-    crash_quarantine m_quarantine;
-    upstream_dispatcher m_dispatcher;
     std::unique_ptr<http_server> m_server;
 };
 
@@ -115,9 +46,10 @@
 // end with the process and never get a response.
 TEST_CASE("requests from before a stop get a response before the process ends", "[relay]")
 {
-    dispatcher_site site;
+    slow_upstream upstream;
+    dispatcher_site site(upstream.address());
     auto running = site.send();
-    REQUIRE(waitFor([&] { return site.running() == 1; }));
+    REQUIRE(waitFor([&] { return upstream.running() == 1; }));
     auto waiting = site.send();
     REQUIRE(waitFor([&] { return site.dispatcher().queue().waiting == 1; }));
     site.dispatcher().stopAt(std::chrono::steady_clock::now() + 300ms);
@@ -128,3 +60,38 @@
     CHECK(running.get() == 502);
     CHECK(site.reasons() == std::vector<proxy_reason>(2, proxy_reason::Stopping));
 }
+
+// Guards against DRAIN: a request whose response is lost with its connection is sent once more,
+// after the drain timeout of an upstream that leaves meanwhile.
+TEST_CASE("a request is sent again only if the upstream still takes it", "[relay]")
+{
+    const auto [reason, sendings] = GENERATE(table<proxy_reason, int>({
+        {proxy_reason::None, 3},
+        {proxy_reason::Draining, 2},
+        {proxy_reason::UpstreamUnreachable, 2},
+        {proxy_reason::Stopping, 2},
+    }));
+    CAPTURE(reason);
+    std::atomic<int> received{0};
+    std::promise<void> isSecondReceived;
+    std::promise<void> mayClose;
+    scripted_server upstream([&](Poco::Net::StreamSocket &socket, int connection) {
+        while (!readHeadText(socket).empty()) {
+            ++received;
+            if (connection == 0 && received == 2) {
+                isSecondReceived.set_value();
+                mayClose.get_future().wait();
+                return;
+            }
+            sendText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    dispatcher_site site(upstream.address());
+    REQUIRE(site.send().get() == 200);
+    auto second = site.send();
+    isSecondReceived.get_future().wait();
+    site.setRejectReason(reason);
+    mayClose.set_value();
+    CHECK(second.get() == (reason == proxy_reason::None ? 200 : 502));
+    CHECK(received == sendings);
+}
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -20,6 +20,9 @@
 // How often a request in progress looks whether the process stops. Well below the grace period, and
 // longer than most requests, since each look wakes a thread.
 constexpr milliseconds stopCheckInterval{1000};
+// Budget for sending requests again after a reused connection was closed. Small beside that of the
+// daemons that route the requests, since both count at the upstream.
+constexpr retry_budget_options resendBudget{0.05, 1.0, 2.0};
 
 milliseconds timeLeft(const proxied_request &request, steady_time now)
 {
@@ -77,6 +80,7 @@
     , m_pool(std::make_shared<connection_pool>(
           connection_pool_options{64, 128, upstreamIdleTimeout, upstreamFreshTime}))
     , m_client(m_pool)
+    , m_resends(std::chrono::steady_clock::now(), resendBudget)
 { }
 
 void upstream_dispatcher::stopAt(steady_time end)
@@ -179,6 +183,12 @@
     m_isCheckingListening = false;
 }
 
+bool upstream_dispatcher::mayResend(const proxied_request &request, fingerprinted_body &body)
+{
+    return rejectionReason(request, m_hooks.local()) == proxy_reason::None
+        && !checkQuarantine(request, body) && m_resends.tryRetry(std::chrono::steady_clock::now());
+}
+
 proxy_result upstream_dispatcher::sendToUpstream(const proxied_request &request,
                                                  const local_upstream_state &target,
                                                  server_exchange &exchange,
@@ -199,6 +209,7 @@
     m_codec.setUpstreamFields(call.message, {target.id.name, left, request.callerService});
     call.body = exchange.framing().type == body_framing::kind::None ? nullptr : &body;
     call.repeatable = request.repeatable;
+    call.mayResend = [&] { return mayResend(request, body); };
     call.deadline = request.deadline;
     call.abandonTime = [this] { return m_end.load(); };
     call.progressTimeout = stopCheckInterval;
@@ -214,6 +225,7 @@
         return kind == response_kind::Genuine;
     };
     body.recordDispatch();
+    m_resends.recordFirstAttempt(std::chrono::steady_clock::now());
     const exchange_result exchanged = m_client.exchange(call, sink);
     const crash_quarantine::run_end runEnd = runEndOf(exchanged.state);
     body.recordEnd(runEnd, std::chrono::steady_clock::now());
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -5,6 +5,7 @@
 #include "persimmonrail/proxy/exchange_codec.h"
 #include "persimmonrail/proxy/proxy_types.h"
 #include "persimmonrail/requests/fingerprinted_body.h"
+#include "persimmonrail/routing/retry_budget.h"
 
 #include <atomic>
 #include <functional>
@@ -79,6 +80,9 @@
                                                        fingerprinted_body &body);
     // Finds out whether the upstream still listens, after a connection to it was lost.
     void checkListening(const local_upstream_state &target);
+    // Returns whether a request may be sent to the upstream once more: the upstream still takes it,
+    // and the budget allows it.
+    bool mayResend(const proxied_request &request, fingerprinted_body &body);
     // Sends a request that has a slot. `body` supplies the body of `exchange`.
     proxy_result sendToUpstream(const proxied_request &request, const local_upstream_state &target,
                                 server_exchange &exchange, fingerprinted_body &body,
@@ -92,6 +96,8 @@
     blocking_slot_queue m_slotQueue;
     std::shared_ptr<connection_pool> m_pool;
     http_client m_client;
+    // Limits the requests that are sent again because a connection was closed.
+    retry_budget m_resends;
     // Whether a thread runs checkListening(). A crash ends many connections at once.
     std::atomic<bool> m_isCheckingListening{false};
 };
