Simulate crashes of upstreams, kills in the middle of a move and late heartbeats

Change: upstreams crash silently or refusing, start again and report later; grants reach whichever process is at the address; daemons are killed at a late write; late heartbeats come first after a start; each running upstream has to be a member in the end.

--- a/src/persimmonrail/router/tests/restore_simulation_test.cpp
+++ b/src/persimmonrail/router/tests/restore_simulation_test.cpp
@@ -1,8 +1,9 @@
-// Simulates the ownership of keys while the store is restored from older copies: daemons, upstreams
-// that keep grants, a store that executes writes late, and the time are all simulated. The
-// decisions are those of range_lease_manager, placement_proposal, range_plan and placement_write;
-// the simulated daemon does what range_controller does with them.
+// Simulates the ownership of keys while the store is restored from older copies and while upstreams
+// and daemons crash: daemons, upstreams that keep grants, a store that executes writes late, and
+// the time are all simulated. The decisions are those of range_lease_manager, placement_proposal,
+// range_plan and placement_write; the simulated daemon does what range_controller does with them.
 #include "persimmonrail/base/text.h"
+#include "persimmonrail/keyspace/grant_fence.h"
 #include "persimmonrail/keyspace/placement_proposal.h"
 #include "persimmonrail/objects/object_version.h"
 #include "persimmonrail/router/placement_write.h"
@@ -16,6 +17,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 
 using namespace persimmonrail;
 using namespace std::chrono_literals;
@@ -51,6 +53,16 @@
     bool abandonMoves = false;
     // The record of a new epoch keeps the previous owners of pending takeovers, who may reclaim.
     bool unknownPreviousOwner = false;
+    // Grants on a new connection have the fence of those on the one before.
+    bool connectionFences = false;
+    // The end of an incarnation is published before its keys are released.
+    bool releaseEnded = false;
+    // Releases do not supersede the grants that have no response.
+    bool supersedeEnded = false;
+    // A daemon that starts grants keys under the fences that it finds recorded.
+    bool fencesOfStart = false;
+    // A daemon that starts takes the first heartbeat for that of the running incarnation.
+    bool lateHeartbeats = false;
 };
 
 struct store_record
@@ -66,6 +78,8 @@
     std::map<uint64_t, store_record> records;
     // Start time of the newest known incarnation of each upstream.
     std::array<int64_t, daemonCount> startedAt{};
+    // Start time of an incarnation that was published as ended without a newer one; 0 for none.
+    std::array<int64_t, daemonCount> endedAt{};
 };
 
 struct cell_hold
@@ -78,6 +92,12 @@
 struct simulated_upstream
 {
     int64_t startedAt = 1;
+    // Down from a crash until the next incarnation starts.
+    bool isUp = true;
+    // Whether calls to the address get no response while the upstream is down, instead of being
+    // refused.
+    bool isDark = false;
+    boot_time nextHeartbeatAt{};
     std::array<cell_hold, cellCount> cells;
 };
 
@@ -113,6 +133,17 @@
     uint64_t recordEpoch = baseEpoch;
     uint64_t recordVersion = 0;
     std::array<int64_t, daemonCount> startedAt{};
+    std::array<int64_t, daemonCount> endedAt{};
+    // Start time of the incarnation of the local upstream that heartbeats have shown; 0 for none.
+    int64_t knownStart = 0;
+    // Whether a refused connection has shown that the known incarnation has ended.
+    bool isUpstreamAbsent = false;
+    // The incarnation at which the connection for grants ends, and the connection's number.
+    int64_t connectedTo = 0;
+    uint32_t connection = 0;
+    // Incarnations whose keys are being released, and those whose keys were released.
+    std::set<int64_t> releasing;
+    std::set<int64_t> released;
     bool isWritePending = false;
     boot_time nextWriteAt{};
     boot_time lastReadAt{};
@@ -157,6 +188,7 @@
         }
         if (m_violation.empty()) {
             checkAllHeld();
+            checkMembers();
         }
         return m_violation;
     }
@@ -195,10 +227,12 @@
             m_violation = violation;
         }
     }
-    upstream_id idOf(size_t index) const
+    static upstream_id idOf(size_t index, int64_t startedAt)
     {
-        return {std::string(1, static_cast<char>('a' + index)), m_upstreams[index].startedAt};
+        return {std::string(1, static_cast<char>('a' + index)), startedAt};
     }
+    // Returns the incarnation that the daemon knows.
+    upstream_id idOf(size_t index) const { return idOf(index, m_daemons[index].knownStart); }
 
     // Checks.
     void checkHolders()
@@ -208,7 +242,8 @@
             for (size_t i = 0; i < daemonCount; ++i) {
                 const cell_hold &hold = m_upstreams[i].cells[cell];
                 if (m_now < hold.endsAt) {
-                    holders.push_back(absl::StrCat(toString(idOf(i)), ":", hold.fence));
+                    holders.push_back(
+                        absl::StrCat(toString(idOf(i, m_upstreams[i].startedAt)), ":", hold.fence));
                 }
             }
             if (holders.size() > 1) {
@@ -229,6 +264,17 @@
         }
     }
 
+    // Returns whether the fleet knows each running upstream as present.
+    void checkMembers()
+    {
+        for (size_t i = 0; i < daemonCount; ++i) {
+            if (m_content.startedAt[i] != m_upstreams[i].startedAt
+                || m_content.endedAt[i] == m_upstreams[i].startedAt) {
+                fail(absl::StrCat("upstream ", i, " is not a member"));
+            }
+        }
+    }
+
     // Upstreams.
     bool applyGrant(size_t index, int64_t startedAt, const range_grant &grant,
                     milliseconds holdTime, boot_time arrivedAt)
@@ -236,30 +282,40 @@
         simulated_upstream &upstream = m_upstreams[index];
         // The clock of the upstream may run 2% slow.
         const boot_time endsAt = arrivedAt + holdTime * 102 / 100;
-        if (upstream.startedAt != startedAt || endsAt <= m_now) {
+        const uint64_t fence = fenceOnConnection(grant.fence, grant.connection);
+        if (upstream.startedAt != startedAt || !upstream.isUp || endsAt <= m_now) {
             return false;
         }
         for (const size_t cell : cellsOf(grant.keys)) {
-            if (grant.fence < upstream.cells[cell].highestFence) {
+            if (fence < upstream.cells[cell].highestFence) {
                 return false;
             }
         }
         for (const size_t cell : cellsOf(grant.keys)) {
             cell_hold &hold = upstream.cells[cell];
-            const bool isTaken = m_now >= hold.endsAt || hold.fence != grant.fence;
-            for (size_t other = 0; isTaken && other < daemonCount; ++other) {
-                if (other != index && m_highestFence[other][cell] >= grant.fence) {
-                    fail(absl::StrCat("cell ", cell, " is taken by ", toString(idOf(index)),
-                                      " with fence ", grant.fence, ", not above ",
-                                      m_highestFence[other][cell]));
-                }
+            const bool isTaken = m_now >= hold.endsAt || hold.fence != fence;
+            const uint64_t highest = highestFenceElsewhere(cell, idOf(index, startedAt));
+            if (isTaken && highest >= fence) {
+                fail(absl::StrCat("cell ", cell, " is taken by ", toString(idOf(index, startedAt)),
+                                  " with fence ", fence, ", not above ", highest));
             }
-            hold.fence = hold.highestFence = grant.fence;
+            hold.fence = hold.highestFence = fence;
             hold.endsAt = std::max(hold.endsAt, endsAt);
-            m_highestFence[index][cell] = std::max(m_highestFence[index][cell], grant.fence);
+            uint64_t &own = m_highestFences[cell][idOf(index, startedAt)];
+            own = std::max(own, fence);
         }
         return true;
     }
+    // Returns the highest fence with which any other incarnation held the cell.
+    uint64_t highestFenceElsewhere(size_t cell, const upstream_id &holder) const
+    {
+        uint64_t highest = 0;
+        for (const auto &[other, fence] : m_highestFences[cell]) {
+            highest = other == holder ? highest : std::max(highest, fence);
+        }
+        return highest;
+    }
+    // `fence` is that of the calls: it contains the number of the connection.
     void release(size_t index, key_interval keys, uint64_t fence)
     {
         for (const size_t cell : cellsOf(keys)) {
@@ -340,6 +396,10 @@
                     if (fate == 1 && isStoreReachable(daemon)) {
                         applyWrite(write);
                     } else if (fate == 2) {
+                        if (daemon.isUp && daemon.generation == generation && percent(30)
+                            && m_now < startTime + disruptionsEnd) {
+                            killDaemon(daemon);
+                        }
                         // The call was held up and is executed once the store is back.
                         after(milliseconds(between(50, 4000)),
                               [this, write] { applyWrite(write); });
@@ -406,13 +466,20 @@
         ++daemon.generation;
         daemon.isUp = true;
         daemon.leases = std::make_unique<range_lease_manager>();
-        daemon.leases->recordDaemonStart(m_now);
-        daemon.leases->setUpstream(idOf(daemon.index));
+        if (!m_disabled.fencesOfStart) {
+            daemon.leases->recordDaemonStart(m_now);
+        }
+        daemon.knownStart = 0;
+        daemon.isUpstreamAbsent = false;
+        daemon.connectedTo = 0;
+        daemon.connection = 0;
+        daemon.releasing.clear();
+        daemon.released.clear();
         daemon.epoch = baseEpoch;
         daemon.record.reset();
         daemon.recordEpoch = baseEpoch;
         daemon.recordVersion = 0;
-        daemon.startedAt = {};
+        daemon.startedAt = daemon.endedAt = {};
         daemon.isWritePending = false;
         daemon.move.reset();
         daemon.lastReadAt = {};
@@ -439,6 +506,7 @@
         }
         daemon.epoch = seen.epoch;
         daemon.startedAt = seen.content.startedAt;
+        daemon.endedAt = seen.content.endedAt;
         const auto newest = std::find_if(seen.content.records.rbegin(), seen.content.records.rend(),
                                          [](const auto &r) { return r.second.revision > 0; });
         uint64_t seenVersion = 0;
@@ -453,10 +521,11 @@
         }
         daemon.leases->onEpoch(daemon.epoch, m_now);
         if (daemon.record && daemon.recordEpoch == daemon.epoch) {
-            daemon.leases->onPlacement(*daemon.record, boot_time{}, m_now);
-            if (confirmedAt && seenVersion == daemon.recordVersion) {
-                daemon.leases->onConfirmed(*confirmedAt);
-            }
+            const bool isConfirmed = confirmedAt && seenVersion == daemon.recordVersion;
+            daemon.leases->onPlacement(*daemon.record, isConfirmed ? *confirmedAt : boot_time{},
+                                       m_now);
+        } else if (!daemon.record && confirmedAt) {
+            daemon.leases->onEarlierFences(0);
         }
     }
     void tick(simulated_daemon &daemon)
@@ -465,7 +534,7 @@
         for (const range_grant &grant : daemon.leases->dueReleases(m_now)) {
             if (!daemon.move) {
                 daemon.leases->onReleased(grant.keys, grant.fence);
-                release(daemon.index, grant.keys, grant.fence);
+                release(daemon.index, grant.keys, fenceOnConnection(grant.fence, grant.connection));
             }
         }
         if (m_now - daemon.lastReadAt >= readInterval) {
@@ -477,11 +546,8 @@
             });
         }
         relay(daemon);
-        if (isStoreReachable(daemon)
-            && m_content.startedAt[daemon.index] != m_upstreams[daemon.index].startedAt) {
-            m_content.startedAt[daemon.index] = m_upstreams[daemon.index].startedAt;
-            ++m_content.revision;
-        }
+        heartbeat(daemon);
+        publish(daemon);
         propose(daemon);
         considerMove(daemon);
     }
@@ -497,19 +563,149 @@
         seen.content.records[peer.recordEpoch] = {revisionOf(peer.recordVersion), *peer.record};
         observe(daemon, seen, std::nullopt);
     }
+    // Upstreams.
+    void heartbeat(simulated_daemon &daemon)
+    {
+        simulated_upstream &upstream = m_upstreams[daemon.index];
+        if (!upstream.isUp || m_now < upstream.nextHeartbeatAt) {
+            return;
+        }
+        upstream.nextHeartbeatAt = m_now + 900ms;
+        if (daemon.knownStart == 0 && upstream.startedAt > 1 && percent(20)) {
+            // The first heartbeat after the daemon's start is a late one of an earlier incarnation.
+            onHeartbeat(daemon, upstream.startedAt - 1);
+            return;
+        }
+        onHeartbeat(daemon, upstream.startedAt);
+    }
+    void onHeartbeat(simulated_daemon &daemon, int64_t startedAt)
+    {
+        const int64_t published = daemon.startedAt[daemon.index];
+        const bool isLate =
+            startedAt < daemon.knownStart || (!m_disabled.lateHeartbeats && startedAt < published);
+        if (isLate || startedAt == daemon.knownStart) {
+            return;
+        }
+        note(absl::StrCat("daemon ", daemon.index, " takes upstream ", startedAt));
+        daemon.knownStart = startedAt;
+        daemon.isUpstreamAbsent = false;
+        daemon.connectedTo = 0;
+        daemon.leases->setUpstream(idOf(daemon.index));
+    }
+    // Publishes the state of the local upstream, once no process holds the keys of those that have
+    // ended.
+    void publish(simulated_daemon &daemon)
+    {
+        const size_t index = daemon.index;
+        if (!m_disabled.lateHeartbeats && daemon.knownStart < daemon.startedAt[index]) {
+            // The heartbeat came before the directory showed that it is late.
+            daemon.knownStart = 0;
+            daemon.leases->setUpstream(std::nullopt);
+        }
+        if (!isStoreReachable(daemon) || daemon.knownStart == 0 || daemon.startedAt[index] == 0) {
+            return;
+        }
+        const int64_t published = m_content.startedAt[index];
+        const bool isReplaced = published != 0 && published != daemon.knownStart;
+        const bool isEnded = daemon.isUpstreamAbsent && m_content.endedAt[index] != published;
+        if (published == daemon.knownStart && !isEnded) {
+            return;
+        }
+        if (!m_disabled.releaseEnded && published != 0 && !isReleased(daemon, published)) {
+            return;
+        }
+        // Only a daemon that has taken a late heartbeat publishes the end of a later incarnation.
+        const bool endsPublished =
+            isReplaced ? published > daemon.knownStart : published == daemon.knownStart;
+        if (endsPublished) {
+            m_content.endedAt[index] = published;
+        } else {
+            m_content.startedAt[index] = daemon.knownStart;
+        }
+        ++m_content.revision;
+    }
+    // Does what range_controller::releaseEnded() does.
+    bool isReleased(simulated_daemon &daemon, int64_t ended)
+    {
+        const upstream_id id = idOf(daemon.index, ended);
+        if (daemon.releasing.contains(ended)) {
+            return false;
+        }
+        if (!daemon.record || daemon.recordEpoch != daemon.epoch
+            || daemon.leases->lastGrantsOf(id).empty() || daemon.released.contains(ended)) {
+            return true;
+        }
+        if (daemon.leases->needsNewFences(id)) {
+            renewFencesOf(daemon, id);
+            return false;
+        }
+        daemon.releasing.insert(ended);
+        after(milliseconds(between(1, 20) * 10),
+              [this, &daemon, id, generation = daemon.generation] {
+                  if (daemon.generation != generation || !daemon.isUp) {
+                      return;
+                  }
+                  releaseEnded(daemon, daemon.leases->lastGrantsOf(id));
+                  daemon.releasing.erase(id.startedAt);
+                  daemon.released.insert(id.startedAt);
+              });
+        return false;
+    }
+    void releaseEnded(simulated_daemon &daemon, const std::vector<range_grant> &grants)
+    {
+        simulated_upstream &upstream = m_upstreams[daemon.index];
+        for (const range_grant &grant : grants) {
+            if (!m_disabled.supersedeEnded && daemon.leases->canSupersede(grant, m_now)) {
+                applyGrant(daemon.index, upstream.startedAt, grant, range_lease_timing().holdTime,
+                           m_now);
+            }
+            release(daemon.index, grant.keys, fenceOnConnection(grant.fence, grant.connection));
+        }
+        daemon.connectedTo = 0;
+    }
+    void renewFencesOf(simulated_daemon &daemon, const upstream_id &owner)
+    {
+        if (daemon.isWritePending || daemon.move || m_now < daemon.nextWriteAt) {
+            return;
+        }
+        write(daemon,
+              {renewFences(*daemon.record, owner), daemon.recordVersion, "renew-fences",
+               daemon.epoch},
+              [](write_result) {});
+    }
+    // Connects to whichever process listens at the address. Returns whether there is one.
+    bool connect(simulated_daemon &daemon)
+    {
+        const simulated_upstream &upstream = m_upstreams[daemon.index];
+        if (upstream.isUp && daemon.connectedTo == upstream.startedAt) {
+            return true;
+        }
+        daemon.connectedTo = 0;
+        if (!upstream.isUp) {
+            if (!upstream.isDark && !daemon.isUpstreamAbsent) {
+                daemon.isUpstreamAbsent = true;
+                daemon.leases->setUpstream(std::nullopt);
+            }
+            return false;
+        }
+        daemon.connectedTo = upstream.startedAt;
+        daemon.connection += m_disabled.connectionFences ? 0 : 1;
+        return true;
+    }
     void renewGrants(simulated_daemon &daemon)
     {
         for (const range_grant &grant : daemon.leases->dueGrants(m_now)) {
             sendGrant(daemon, grant, range_lease_timing().holdTime);
         }
     }
-    void sendGrant(simulated_daemon &daemon, const range_grant &grant, milliseconds holdTime)
+    void sendGrant(simulated_daemon &daemon, range_grant grant, milliseconds holdTime)
     {
-        if (!daemon.leases->canSend(grant, m_now)) {
+        if (!daemon.leases->canSend(grant, m_now) || !connect(daemon)) {
             return;
         }
         const size_t index = daemon.index;
-        const int64_t startedAt = daemon.leases ? idOf(index).startedAt : 0;
+        const int64_t startedAt = daemon.connectedTo;
+        grant.connection = daemon.connection;
         if (!percent(10)) {
             if (applyGrant(index, startedAt, grant, holdTime, m_now)) {
                 daemon.leases->onGranted(grant, m_now);
@@ -538,19 +734,25 @@
         input.epoch = daemon.epoch;
         input.record = daemon.record ? &*daemon.record : nullptr;
         input.recordEpoch = daemon.recordEpoch;
-        input.upstream = idOf(daemon.index);
+        if (daemon.knownStart != 0 && !daemon.isUpstreamAbsent) {
+            input.upstream = idOf(daemon.index);
+        }
         input.isCoordinator = m_now >= daemon.cutFromPeersUntil;
         input.areMembersStable = m_now >= startTime + 1500ms;
         for (size_t i = 0; i < daemonCount; ++i) {
+            if (daemon.startedAt[i] == daemon.endedAt[i]) {
+                continue;
+            }
             if (i == daemon.index || !isUnreachable(i)) {
                 input.isCoordinator = input.isCoordinator && i >= daemon.index;
-                input.live.push_back({idOf(i), 4});
+                input.live.push_back({idOf(i, daemon.startedAt[i]), 4});
             } else {
-                input.unreachable.push_back(idOf(i));
+                input.unreachable.push_back(idOf(i, daemon.startedAt[i]));
             }
         }
         input.isTerminated = [&daemon](const upstream_id &id) {
-            return daemon.startedAt[static_cast<size_t>(id.name[0] - 'a')] > id.startedAt;
+            const auto index = static_cast<size_t>(id.name[0] - 'a');
+            return daemon.startedAt[index] > id.startedAt || daemon.endedAt[index] == id.startedAt;
         };
         input.takeoverDelay = range_lease_timing().takeoverDelay();
         return input;
@@ -579,8 +781,11 @@
     void disableMechanisms(key_placement &placement, const proposal_input &input) const
     {
         for (owned_range &range : placement.ranges) {
+            if (!m_disabled.unknownPreviousOwner || input.record == nullptr) {
+                break;
+            }
             const owned_range &inherited = input.record->rangeOf(range.keys.first);
-            if (m_disabled.unknownPreviousOwner && inherited.takeoverDelay.count() > 0) {
+            if (inherited.takeoverDelay.count() > 0) {
                 range.previousOwner = inherited.previousOwner;
             }
         }
@@ -611,16 +816,22 @@
         const size_t target = between(0, daemonCount - 1);
         const auto held = daemon.leases->grantsWithin({cell * cellSize, (cell + 1) * cellSize - 1});
         if (target == daemon.index || isUnreachable(target) || held.empty()
+            || daemon.startedAt[target] == daemon.endedAt[target] || !isServing(daemon)
             || !daemon.leases->canMove(held[0].keys, m_now)) {
             return;
         }
         const key_interval keys = held[0].keys;
-        daemon.move = pending_move{keys, held[0].fence, idOf(target), daemon.epoch, false, {}};
+        daemon.move = pending_move{
+            keys, held[0].fence, idOf(target, daemon.startedAt[target]), daemon.epoch, false, {}};
         daemon.leases->setMoving({keys});
-        release(daemon.index, keys, held[0].fence);
+        release(daemon.index, keys, fenceOnConnection(held[0].fence, held[0].connection));
         daemon.leases->onReleased(keys, held[0].fence);
         finishMove(daemon);
     }
+    static bool isServing(const simulated_daemon &daemon)
+    {
+        return daemon.knownStart != 0 && !daemon.isUpstreamAbsent;
+    }
     void endMove(simulated_daemon &daemon)
     {
         if (!m_disabled.abandonMoves && daemon.move->epoch != daemon.epoch) {
@@ -714,7 +925,7 @@
                 at([this, &daemon] { restartDaemon(daemon); });
                 break;
             default:
-                at([this, &daemon] { restartUpstream(daemon); });
+                at([this, &daemon] { crashUpstream(daemon); });
             }
         }
     }
@@ -729,16 +940,34 @@
             note(absl::StrCat("daemon ", daemon.index, " starts"));
         });
     }
-    void restartUpstream(simulated_daemon &daemon)
+    // Kills the daemon, which starts again at once.
+    void killDaemon(simulated_daemon &daemon)
+    {
+        stopDaemon(daemon, false);
+        after(milliseconds(between(200, 1000)), [this, &daemon] {
+            startDaemon(daemon);
+            note(absl::StrCat("daemon ", daemon.index, " starts"));
+        });
+    }
+    // The next incarnation sends its first heartbeat up to one period after its start.
+    void crashUpstream(simulated_daemon &daemon)
     {
         simulated_upstream &upstream = m_upstreams[daemon.index];
+        if (!upstream.isUp) {
+            return;
+        }
         const int64_t startedAt = upstream.startedAt + 1;
         upstream = {};
         upstream.startedAt = startedAt;
-        if (daemon.isUp) {
-            daemon.leases->setUpstream(idOf(daemon.index));
-        }
-        note(absl::StrCat("upstream ", daemon.index, " restarts"));
+        upstream.isUp = false;
+        upstream.isDark = percent(50);
+        note(absl::StrCat("upstream ", daemon.index, " crashes"));
+        after(milliseconds(percent(50) ? between(0, 300) : between(300, 3000)),
+              [this, &upstream, index = daemon.index] {
+                  upstream.isUp = true;
+                  upstream.nextHeartbeatAt = m_now + milliseconds(between(0, 900));
+                  note(absl::StrCat("upstream ", index, " starts"));
+              });
     }
 
     std::mt19937_64 m_random;
@@ -752,8 +981,8 @@
     boot_time m_storeDownUntil{};
     std::array<simulated_daemon, daemonCount> m_daemons;
     std::array<simulated_upstream, daemonCount> m_upstreams;
-    // Highest fence with which any incarnation of the upstream held the cell.
-    std::array<std::array<uint64_t, cellCount>, daemonCount> m_highestFence{};
+    // Highest fence with which each incarnation of an upstream held the cell.
+    std::array<std::map<upstream_id, uint64_t>, cellCount> m_highestFences;
     std::string m_violation;
     std::vector<std::string> m_log;
 };
@@ -802,7 +1031,12 @@
         {"carried-over keys wait", {.carriedOverDelay = true}, "two holders"},
         {"fences rise with the epoch", {.fencesOfEpoch = true}, "not above"},
         {"previous owners are unknown", {.unknownPreviousOwner = true}, "two holders"},
-        {"moves before the restore are abandoned", {.abandonMoves = true}, "not above", 300},
+        {"moves before the restore are abandoned", {.abandonMoves = true}, "not above", 200},
+        {"no incarnation gets a fence of another", {.connectionFences = true}, "not above"},
+        {"keys of the ended are released", {.releaseEnded = true}, "two holders"},
+        {"late grants are superseded", {.supersedeEnded = true}, "two holders", 200},
+        {"a start needs new fences", {.fencesOfStart = true}, "two holders", 380},
+        {"late heartbeats end no upstream", {.lateHeartbeats = true}, "not a member"},
     };
     for (const row &row : rows) {
         bool isDetected = false;
