--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -97,6 +97,9 @@
     void extendGrants(milliseconds maxHold);
 
 private:
+    // Longest time for which an update of the record that is not part of a move is tried in one go.
+    static constexpr milliseconds updateTimeout{1000};
+
     void renewGrants();
     void sendGrant(const range_grant &grant, milliseconds holdTime);
     void recordGrantAttempt(const grant_connection::attempt &attempt, milliseconds holdTime);
