--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -20,8 +20,8 @@
 // How often a request in progress looks whether the process stops. Well below the grace period, and
 // longer than most requests, since each look wakes a thread.
 constexpr milliseconds stopCheckInterval{1000};
-// Budget for sending requests again after a reused connection was closed. Small beside that of the
-// daemons that route the requests, since both count at the upstream.
+// Budget for sending requests again after a reused connection was closed. It adds to the budgets of
+// the daemons that route the requests, since the upstream counts all repeats.
 constexpr retry_budget_options resendBudget{0.05, 1.0, 2.0};
 
 milliseconds timeLeft(const proxied_request &request, steady_time now)
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -63,6 +63,7 @@
     std::string encodeWithinBound(std::optional<holdings> holdings);
     // Returns whether the directory shows that this incarnation beside this daemon has ended.
     bool isKnownToHaveEnded(const upstream_id &id) const;
+    // Forgets the local upstream if the directory shows that it has ended.
     void forgetSupersededUpstream();
     void onUpstreamChanged(std::string_view cause, steady_time now);
     // Handles a refused connection to the address of this incarnation of the local upstream.
@@ -71,6 +72,7 @@
     void onUpstreamCrash(const upstream_id &id, steady_time now);
     // Writes new evidence about crashing requests to the store, if there is any.
     void publishQuarantine(steady_time now);
+    // Publishes the local upstream and the ends of earlier ones, once their keys are released.
     void publishMembers(const fleet_directory &directory, steady_time now);
     // Returns the incarnations of the local upstream that have ended and are not published so.
     std::vector<upstream_id> endedIncarnations(const fleet_directory &directory) const;
