Reject requests that list a field of the daemon in Connection

Callers could take a field away that the daemon had read: with "Connection: Request-Id" the upstream ran the request without an id (UNASKED) and the caller got 502; with "Connection: Shard-Key" a keyed request reached the upstream without its key (503); with "Connection: Host" the upstream got its own address as the host. The same held for a second spelling: Caller_Service was passed on beside Caller-Service.

Cause: an intermediary removes the fields that Connection lists, and removeConnectionFields() did so for every name, after the daemon had read the field.

Change: guarded_fields holds the fields that a daemon reads or sets in one direction. A request that lists one of them, repeats one that is read or spells one with '_' is malformed: 400, not run. Other listed fields are removed as before.

--- a/src/persimmonrail/http/http_body.cpp
+++ b/src/persimmonrail/http/http_body.cpp
@@ -1,5 +1,7 @@
 #include "persimmonrail/http/http_stream.h"
 
+#include "persimmonrail/http/guarded_fields.h"
+
 #include <Poco/String.h>
 
 #include <absl/strings/ascii.h>
@@ -250,10 +252,11 @@
 io_status requestFraming(const Poco::Net::HTTPRequest &request, body_framing &framing)
 {
     framing = {};
-    const auto hosts = std::count_if(request.begin(), request.end(), [](const auto &field) {
-        return Poco::icompare(field.first, Poco::Net::HTTPRequest::HOST) == 0;
-    });
-    return hosts == 1 ? parseFramingFields(request, framing) : io_status::Malformed;
+    static const guarded_fields fields{
+        {Poco::Net::HTTPRequest::HOST, Poco::Net::HTTPMessage::CONTENT_LENGTH}, {}, "", false};
+    return request.has(Poco::Net::HTTPRequest::HOST) && checkGuardedFields(request, fields).ok()
+        ? parseFramingFields(request, framing)
+        : io_status::Malformed;
 }
 
 io_status responseFraming(const Poco::Net::HTTPResponse &response, const std::string &method,
