Reject responses whose fields the caller may read otherwise

Callers got a success without Server-Signature (MIXED) if an upstream listed it in Connection, and two ids or signatures where an upstream sent two. A success with Not-Executed was reported as "not run", which is retried and promised to the caller, although its status tells of a run. A 503, 429 or 408 without signature and without Not-Executed was passed on: to the caller it promises that the request has not run, which nobody has said.

Cause: each field was read by itself, the first line of it, and before the listed fields were removed; statuses were checked for successes only.

Change: the HTTP client checks the fields that the reader of a response names (client_request::responseFields) and ends the exchange as AmbiguousResponse: a broken response with unknown outcome, which is no evidence of a crash.

--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -286,10 +286,17 @@
             return failIo(status,
                           m_hasSentBytes ? exchange_state::NoResponse : exchange_state::NotSent);
         }
-        return (parseResponse(text, m_result.head) == io_status::Ok
-                && responseFraming(m_result.head, m_request.message.getMethod(), m_responseFraming)
-                    == io_status::Ok)
-            || fail(exchange_state::Truncated, "malformed response head");
+        if (parseResponse(text, m_result.head) != io_status::Ok
+            || responseFraming(m_result.head, m_request.message.getMethod(), m_responseFraming)
+                != io_status::Ok) {
+            return fail(exchange_state::Truncated, "malformed response head");
+        }
+        if (m_request.responseFields == nullptr) {
+            return true;
+        }
+        const absl::Status checked = checkGuardedFields(m_result.head, *m_request.responseFields);
+        return checked.ok()
+            || fail(exchange_state::AmbiguousResponse, std::string(checked.message()));
     }
 
     bool acceptHead()
@@ -396,6 +403,8 @@
         return "no-answer";
     case exchange_state::Truncated:
         return "truncated-answer";
+    case exchange_state::AmbiguousResponse:
+        return "ambiguous-answer";
     case exchange_state::TimedOut:
         return "deadline-exceeded";
     case exchange_state::Unresponsive:
--- a/src/persimmonrail/http/http_client.h
+++ b/src/persimmonrail/http/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "persimmonrail/http/guarded_fields.h"
 #include "persimmonrail/http/http_stream.h"
 
 #include <absl/status/statusor.h>
@@ -137,6 +138,8 @@
     NoResponse,
     // The response is malformed, ended before the end that its framing states, or has no framing.
     Truncated,
+    // Readers may differ about one of `responseFields`.
+    AmbiguousResponse,
     // The deadline passed.
     TimedOut,
     // The connection made no progress, while a new connection to the same address responded.
@@ -193,6 +196,8 @@
     // Only for upstreams known to respond in this way: a truncated response can't be distinguished
     // from a complete one if its connection is closed gracefully.
     bool acceptsUnframed = false;
+    // Fields of the response that the daemon reads. With null, none are checked.
+    const guarded_fields *responseFields = nullptr;
     // Returns whether a response belongs to this request. A response that does not is a surplus
     // response to an earlier request on the connection; the client skips it and does not reuse the
     // connection. With an empty function, every response matches.
--- a/src/persimmonrail/proxy/exchange_codec.h
+++ b/src/persimmonrail/proxy/exchange_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "persimmonrail/base/clock.h"
+#include "persimmonrail/http/guarded_fields.h"
 #include "persimmonrail/keyspace/key_placement.h"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -62,6 +63,8 @@
     // Classifies the head of a response to the request with this ID.
     std::function<response_kind(const Poco::Net::HTTPResponse &head, const std::string &requestId)>
         classifyResponse;
+    // Fields that classifyResponse, or the caller, reads in a response of the upstream.
+    guarded_fields responseFields;
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -39,6 +39,7 @@
     case exchange_state::Abandoned:
         return proxy_reason::Stopping;
     case exchange_state::Truncated:
+    case exchange_state::AmbiguousResponse:
         return proxy_reason::BrokenResponse;
     case exchange_state::CallerDisconnected:
     case exchange_state::MalformedRequestBody:
@@ -216,6 +217,7 @@
     call.probe = [] { return false; };
     call.caller = &exchange.connection();
     call.acceptsUnframed = true;
+    call.responseFields = &m_codec.responseFields;
     response_kind kind = response_kind::Genuine;
     call.matchesRequest = [&](const Poco::Net::HTTPResponse &head) {
         return m_codec.classifyResponse(head, request.requestId) != response_kind::Mismatched;
