Read all options of Connection to decide whether a connection stays open

A request could be lost on a connection that the other side closes: "Connection: close, X", or "close" in a second line, counted as "keep open". A request that may not be repeated then ended with 502.

Cause: Poco's getKeepAlive() compares the whole first line with "close".

Change: keepsConnectionOpen() looks for the option in each line, for requests, responses and the connections to the platform.

--- a/src/persimmonrail/http/http_body.cpp
+++ b/src/persimmonrail/http/http_body.cpp
@@ -5,6 +5,7 @@
 #include <Poco/String.h>
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
@@ -282,6 +283,24 @@
     }
 }
 
+bool keepsConnectionOpen(const Poco::Net::HTTPMessage &message)
+{
+    bool isOpen = message.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
+    for (const auto &[name, value] : message) {
+        if (Poco::icompare(name, Poco::Net::HTTPMessage::CONNECTION) != 0) {
+            continue;
+        }
+        for (absl::string_view option : absl::StrSplit(value, ',')) {
+            option = absl::StripAsciiWhitespace(option);
+            if (absl::EqualsIgnoreCase(option, "close")) {
+                return false;
+            }
+            isOpen = isOpen || absl::EqualsIgnoreCase(option, "keep-alive");
+        }
+    }
+    return isOpen;
+}
+
 void removeConnectionFields(Poco::Net::HTTPMessage &message)
 {
     std::vector<std::string> names = {
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -307,7 +307,7 @@
             }
             m_isReusable = false;
         }
-        m_isReusable = m_isReusable && m_result.head.getKeepAlive();
+        m_isReusable = m_isReusable && keepsConnectionOpen(m_result.head);
         m_declined = m_request.acceptsResponse && !m_request.acceptsResponse(m_result.head);
         removeConnectionFields(m_result.head);
         return true;
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -155,6 +155,9 @@
                           body_framing &framing);
 // Replaces the framing fields of a message.
 void setFraming(Poco::Net::HTTPMessage &message, const body_framing &framing);
+// Returns whether the sender keeps the connection open after the message: no line of Connection
+// lists the option "close".
+bool keepsConnectionOpen(const Poco::Net::HTTPMessage &message);
 // Removes the header fields that apply to a single connection only (RFC 9110, section 7.6.1).
 void removeConnectionFields(Poco::Net::HTTPMessage &message);
 
--- a/src/persimmonrail/http/server_exchange.cpp
+++ b/src/persimmonrail/http/server_exchange.cpp
@@ -11,7 +11,7 @@
     , m_request(request)
     , m_reader(stream, framing)
     , m_idleTimeout(idleTimeout)
-    , m_keepAlive(m_request.getKeepAlive())
+    , m_keepAlive(keepsConnectionOpen(m_request))
 { }
 
 io_status server_exchange::read(std::string &piece, steady_time until)
--- a/src/persimmonrail/objects/http_connection_pool.cpp
+++ b/src/persimmonrail/objects/http_connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "persimmonrail/objects/http_connection_pool.h"
 
+#include "persimmonrail/http/http_stream.h"
+
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
@@ -137,7 +139,7 @@
         if (!body.ok()) {
             return body.status();
         }
-        if (response.getKeepAlive()) {
+        if (keepsConnectionOpen(response)) {
             release(std::move(connection));
         }
         return http_response{response.getStatus(), *std::move(body)};
