Reject heads that other servers split or read otherwise

The daemon took field names that are no tokens, ignored fields behind a blank line that ends in LF CR LF, and took targets with a fragment and hosts with a user, a path, a list or a port that is no number. It routed by one part of such a value and passed all of it on.

Cause: splitHead() stopped at the first blank line and looked only for spaces in names; Host was cut at its first colon.

Change: names are tokens, nothing follows the blank line, a target has no fragment, and Host is a name or address with an optional port. Anything else is malformed.

--- a/src/persimmonrail/http/http_body.cpp
+++ b/src/persimmonrail/http/http_body.cpp
@@ -66,6 +66,15 @@
     });
 }
 
+// Returns whether the text is a token (RFC 9110, section 5.6.2), as the names of fields are.
+bool isToken(absl::string_view text)
+{
+    constexpr absl::string_view symbols = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [symbols](char c) {
+        return absl::ascii_isalnum(static_cast<unsigned char>(c)) || absl::StrContains(symbols, c);
+    });
+}
+
 // Splits a head into its first line and its fields. Returns false if the head is malformed. Poco's
 // own parser is not used, because Poco decodes encoded words (RFC 2047) in field values, so that a
 // value can inject line endings and further fields. Poco also accepts control characters that other
@@ -73,6 +82,7 @@
 bool splitHead(const std::string &head, std::string &firstLine, Poco::Net::HTTPMessage &message)
 {
     bool isFirstLine = true;
+    bool hasEnded = false;
     for (absl::string_view line : absl::StrSplit(head, '\n')) {
         if (!line.empty() && line.back() == '\r') {
             line.remove_suffix(1);
@@ -86,11 +96,11 @@
             continue;
         }
         if (line.empty()) {
-            break;
+            hasEnded = true;
+            continue;
         }
         const size_t colon = line.find(':');
-        if (colon == absl::string_view::npos || colon == 0
-            || line.substr(0, colon).find_first_of(" \t") != absl::string_view::npos) {
+        if (hasEnded || colon == absl::string_view::npos || !isToken(line.substr(0, colon))) {
             return false;
         }
         message.add(std::string(line.substr(0, colon)),
@@ -99,6 +109,24 @@
     return true;
 }
 
+// Returns whether the value of a Host field is empty or a name or address with an optional port.
+bool isHost(absl::string_view text)
+{
+    const size_t bracket = text.find(']');
+    const size_t colon = text.find(':', bracket == absl::string_view::npos ? 0 : bracket);
+    const absl::string_view name = text.substr(0, colon);
+    const absl::string_view port =
+        colon == absl::string_view::npos ? absl::string_view() : text.substr(colon + 1);
+    const bool isAddress = absl::StartsWith(name, "[") && absl::EndsWith(name, "]");
+    const absl::string_view symbols = isAddress ? "[]:." : "-._~";
+    return std::all_of(name.begin(), name.end(),
+                       [symbols](char c) {
+                           return absl::ascii_isalnum(static_cast<unsigned char>(c))
+                               || absl::StrContains(symbols, c);
+                       })
+        && std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
 bool isPrintable(const std::string &text)
 {
     return !text.empty()
@@ -215,7 +243,7 @@
     }
     const std::vector<std::string> parts = absl::StrSplit(line, ' ');
     if (parts.size() != 3 || !isPrintable(parts[0]) || !isPrintable(parts[1])
-        || parts[1].front() != '/') {
+        || parts[1].front() != '/' || absl::StrContains(parts[1], '#')) {
         return io_status::Malformed;
     }
     if (parts[2] != Poco::Net::HTTPMessage::HTTP_1_1
@@ -255,7 +283,8 @@
     framing = {};
     static const guarded_fields fields{
         {Poco::Net::HTTPRequest::HOST, Poco::Net::HTTPMessage::CONTENT_LENGTH}, {}, "", false};
-    return request.has(Poco::Net::HTTPRequest::HOST) && checkGuardedFields(request, fields).ok()
+    return request.has(Poco::Net::HTTPRequest::HOST) && isHost(request.getHost())
+            && checkGuardedFields(request, fields).ok()
         ? parseFramingFields(request, framing)
         : io_status::Malformed;
 }
