Reject targets that the upstream may read as those of another route

Cause: the route is chosen by the path as it is written, and upstreams commonly decode percent-encodings, merge empty segments and resolve dot segments.

Change: a path with several readings must lead to the same route in each of them. Paths without '%', "//" and "/." take no further work.

Measured: route_table_test ("a path that other readers find on another route ...") fails with the check out.

--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -97,7 +97,8 @@
         if (m_route == nullptr) {
             return notRunResult(proxy_reason::NoRoute);
         }
-        if (fields.isMalformed || fields.requestId.empty()) {
+        if (fields.isMalformed || fields.requestId.empty()
+            || !m_table->hasOneRoute(head.getHost(), head.getURI())) {
             return notRunResult(proxy_reason::MalformedRequest);
         }
         if (m_proxy.m_hooks.isClosed()) {
--- a/src/persimmonrail/routes/route_table.cpp
+++ b/src/persimmonrail/routes/route_table.cpp
@@ -1,5 +1,7 @@
 #include "persimmonrail/routes/route_table.h"
 
+#include "persimmonrail/base/path_reading.h"
+
 #include <algorithm>
 
 namespace persimmonrail {
@@ -48,6 +50,16 @@
     return nullptr;
 }
 
+bool route_table::hasOneRoute(std::string_view host, std::string_view path) const
+{
+    const std::string_view withoutQuery = path.substr(0, path.find('?'));
+    if (!hasSeveralReadings(withoutQuery)) {
+        return true;
+    }
+    const auto decoded = decodePath(withoutQuery);
+    return decoded.ok() && find(host, *decoded) == find(host, withoutQuery);
+}
+
 const service_rule *route_table::findService(std::string_view name) const
 {
     const auto found = std::find_if(m_services.begin(), m_services.end(),
--- a/src/persimmonrail/routes/route_table.h
+++ b/src/persimmonrail/routes/route_table.h
@@ -64,6 +64,9 @@
     // Returns the route of the host whose path prefix is the longest match; null if none matches.
     // The case of `host` and a port in it are ignored, and so is a query in `path`.
     const route *find(std::string_view host, std::string_view path) const;
+    // Returns whether find() returns the same route for each reading of the path (path_reading.h).
+    // A request that an upstream would read as one of another route must not be sent.
+    bool hasOneRoute(std::string_view host, std::string_view path) const;
     // Returns null if the service is unknown.
     const service_rule *findService(std::string_view name) const;
     const std::vector<route> &routes() const { return m_routes; }
--- a/src/persimmonrail/routes/tests/route_table_test.cpp
+++ b/src/persimmonrail/routes/tests/route_table_test.cpp
@@ -48,6 +48,31 @@
     CHECK((found == nullptr ? std::string() : found->name) == expected);
 }
 
+// Guards against a request that the upstream reads as one of another route, since it decodes the
+// path or resolves dot segments.
+TEST_CASE("a path that other readers find on another route has no single route", "[routes]")
+{
+    const auto [path, expected] = GENERATE(table<std::string, bool>({
+        {"/x/1", true},
+        {"/x/1?q=/../%zz", true},
+        {"/x/a%20b", true},
+        {"/x/a//b", true},
+        {"/x/a/../b", true},
+        {"/x/y/../../x/1", false},
+        {"/x/./y/1", false},
+        {"/x/%79/1", false},
+        {"/x/y%2F1", false},
+        {"/x//y/1", false},
+        {"/x/%2e%2E/z/", false},
+        {"/x/%2", false},
+        {"/x/%zz", false},
+        {"/x/y/..", false},
+        {"/x/y/../", false},
+    }));
+    CAPTURE(path);
+    CHECK(makeTable().hasOneRoute("a.example", path) == expected);
+}
+
 TEST_CASE("services are found by name", "[routes]")
 {
     const route_table routes = makeTable();
