Check the fields of requests and responses between daemons

A request on the port between daemons could be admitted by one key or id and run by another, since the daemon read Persimmonrail-Key and Persimmonrail-Request-Id and the upstream Shard-Key and Request-Id. A field sent twice was taken by its first line, and a deadline of 2^63 ms overflowed the clock.

Cause: readPeerRequest() took each field by itself, without a range for times.

Responses of daemons are checked alike. By reading; our own daemons send no such request, and the port isn't authenticated (docs/OPERATIONS.md).

--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -31,6 +31,8 @@
 // Large responses are sent in chunks of this size, so that a small response waits for at most one
 // chunk.
 constexpr size_t pacedChunkBytes = 16 * 1024;
+// Maximum time, in either direction, that a field of another daemon may state.
+constexpr milliseconds maxFieldTime{24 * 3600 * 1000};
 // Shorter delays do not justify a wake-up; a fast link needs none.
 constexpr milliseconds minPacingDelay{2};
 
@@ -72,6 +74,27 @@
     }
 }
 
+// Reads a time in milliseconds. Returns false if it is missing or longer than maxFieldTime, in
+// either direction.
+bool parseTimeField(const Poco::Net::HTTPMessage &message, const char *name, milliseconds &time)
+{
+    int64_t value = 0;
+    if (!absl::SimpleAtoi(message.get(name, ""), &value) || value > maxFieldTime.count()
+        || value < -maxFieldTime.count()) {
+        return false;
+    }
+    time = milliseconds(value);
+    return true;
+}
+
+// Returns whether the fields that the upstream reads have the values of the request.
+bool hasFieldsOfCaller(const proxied_request &request, const exchange_codec &codec)
+{
+    const caller_fields fields = codec.readCallerFields(request.message);
+    return !fields.isMalformed && fields.requestId == request.requestId
+        && (!request.key || fields.key == request.key);
+}
+
 template <typename Number>
 bool parseNumberField(const Poco::Net::HTTPMessage &message, const char *name, Number &value)
 {
@@ -142,6 +165,7 @@
     call.acceptsResponse = [](const Poco::Net::HTTPResponse &head) {
         return head.get(outcomeHeader, "") == toString(request_outcome::Run);
     };
+    call.responseFields = &peerFields();
     call.progressTimeout = progressTimeout;
     call.abandonTime = m_shutdownDeadline;
     proxy_result result;
@@ -192,6 +216,7 @@
         result.reason = reasonAfterProbe(probed);
         break;
     case exchange_state::Truncated:
+    case exchange_state::AmbiguousResponse:
         result.reason = proxy_reason::BrokenResponse;
         break;
     case exchange_state::CallerDisconnected:
@@ -206,8 +231,11 @@
 }
 
 absl::StatusOr<proxied_request> readPeerRequest(const Poco::Net::HTTPRequest &message,
-                                                steady_time now)
+                                                const exchange_codec &codec, steady_time now)
 {
+    if (const absl::Status status = checkGuardedFields(message, peerFields()); !status.ok()) {
+        return status;
+    }
     proxied_request request;
     request.message = message;
     request.requestId = message.get(requestIdHeader, "");
@@ -216,20 +244,18 @@
     request.callerService = message.get(callerServiceHeader, "");
     request.repeatable = message.get(repeatableHeader, "") == "1";
     request.route = message.get(routeHeader, "");
-    int64_t objective = 0;
-    int64_t deadlineLeft = 0;
-    int64_t objectiveLeft = 0;
+    milliseconds deadlineLeft{0};
+    milliseconds objectiveLeft{0};
     if (request.requestId.empty() || request.service.empty() || request.upstream.isEmpty()
         || !parseNumberField(message, upstreamStartHeader, request.upstream.startedAt)
         || !parseNumberField(message, rankHeader, request.rank) || request.rank < 0
-        || !parseNumberField(message, objectiveHeader, objective)
-        || !parseNumberField(message, deadlineHeader, deadlineLeft)
-        || !parseNumberField(message, objectiveLeftHeader, objectiveLeft)) {
+        || !parseTimeField(message, objectiveHeader, request.objective)
+        || !parseTimeField(message, deadlineHeader, deadlineLeft)
+        || !parseTimeField(message, objectiveLeftHeader, objectiveLeft)) {
         return absl::InvalidArgumentError("a header field is missing or malformed");
     }
-    request.objective = milliseconds(objective);
-    request.deadline = now + milliseconds(deadlineLeft);
-    request.objectiveEnd = now + milliseconds(objectiveLeft);
+    request.deadline = now + deadlineLeft;
+    request.objectiveEnd = now + objectiveLeft;
     if (message.has(shardKeyHeader)) {
         shard_key key = 0;
         if (!parseNumberField(message, shardKeyHeader, key) || key > lastKey) {
@@ -237,6 +263,9 @@
         }
         request.key = key;
     }
+    if (!hasFieldsOfCaller(request, codec)) {
+        return absl::InvalidArgumentError("the fields of the caller have other values");
+    }
     removePersimmonrailFields(request.message);
     removeConnectionFields(request.message);
     return request;
--- a/src/persimmonrail/proxy/peer_client.h
+++ b/src/persimmonrail/proxy/peer_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "persimmonrail/http/http_server.h"
+#include "persimmonrail/proxy/exchange_codec.h"
 #include "persimmonrail/proxy/large_response_queue.h"
 #include "persimmonrail/proxy/link_pacer.h"
 #include "persimmonrail/proxy/peer_liveness.h"
@@ -46,9 +47,10 @@
 };
 
 // Decodes a request that forward() has sent, and removes the fields that forward() has set. Times
-// left in the fields count from `now`. Returns InvalidArgument if a field is missing or malformed.
+// left in the fields count from `now`. Returns InvalidArgument if a field is missing, repeated, out
+// of its range or says otherwise than the caller's fields, which the upstream reads.
 absl::StatusOr<proxied_request> readPeerRequest(const Poco::Net::HTTPRequest &message,
-                                                steady_time now);
+                                                const exchange_codec &codec, steady_time now);
 // Responds to another daemon's request for which there is no upstream response to pass on.
 void respondToPeer(server_exchange &exchange, const proxy_result &result);
 
--- a/src/persimmonrail/proxy/peer_fields.h
+++ b/src/persimmonrail/proxy/peer_fields.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "persimmonrail/base/header_names.h"
+#include "persimmonrail/http/guarded_fields.h"
 
 namespace persimmonrail {
 
@@ -22,4 +23,11 @@
 // Time after which a rejected request may be retried, in milliseconds.
 inline constexpr char retryAfterHeader[] = "Persimmonrail-Retry-After-Ms";
 
+// The fields of this header and of header_names.h, in requests and responses between daemons.
+inline const guarded_fields &peerFields()
+{
+    static const guarded_fields fields{{}, {}, "Persimmonrail-", true};
+    return fields;
+}
+
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -532,7 +532,7 @@
         // Otherwise the peer could send a request on the connection while the process exits.
         exchange.closeAfterResponse();
     }
-    auto request = readPeerRequest(exchange.request(), clockNow());
+    auto request = readPeerRequest(exchange.request(), m_codec, clockNow());
     if (!request.ok()) {
         m_log.write(log_level::Warn,
                     absl::StrCat("rejected a request from a peer: ", request.status().message()));
