persimmonraild: reject requests that take fields of the daemon away

With "Connection: Persimmonrail-Term, Persimmonrail-Partition" a caller made the daemon send its request without the fence to the upstream. Two Idempotency-Key lines were passed on, of which the daemon had read the first. A path with an encoded letter, slash or an empty segment could be read by the upstream as one of another operation, which may not be repeated, or of another key.

Cause: the HTTP client removes the fields that Connection lists after the daemon has set its own; the operation and the key are found in the path as it is written.

Change: the fields are checked where a request of a caller or a daemon is read, and those of responses by the client (gateway_fields, upstream_client). A path with several readings must lead to the same operation in each, and the segments up to the key are neither empty nor hold an encoded slash. Of two Retry-After lines neither counts.

Measured: gateway_test fails with the check of callers' fields or of the segments out.

--- a/src/persimmonrail/gateway/forwarder.cpp
+++ b/src/persimmonrail/gateway/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "persimmonrail/gateway/forwarder.h"
 
 #include "persimmonrail/base/header_names.h"
+#include "persimmonrail/gateway/gateway_fields.h"
 
 #include <algorithm>
 
@@ -89,6 +90,7 @@
 forward_result forwarder::forward(client_request request, response_sink &sink)
 {
     request.acceptsResponse = reportsRun;
+    request.responseFields = &forwardedFields();
     // A body that is too large to be buffered for another attempt is sent only after the peer has
     // accepted the request.
     if (request.body != nullptr) {
--- a/src/persimmonrail/gateway/request_target.cpp
+++ b/src/persimmonrail/gateway/request_target.cpp
@@ -2,11 +2,13 @@
 
 #include "persimmonrail/base/key_hash.h"
 #include "persimmonrail/base/text.h"
+#include "persimmonrail/http/guarded_fields.h"
 
 #include <Poco/Exception.h>
 #include <Poco/String.h>
 #include <Poco/URI.h>
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_split.h>
 
 #include <cctype>
@@ -103,11 +105,19 @@
     case key_source::PathSegment: {
         const std::vector<std::string> segments = absl::StrSplit(target.path.substr(1), '/');
         if (rule.segment >= 0 && static_cast<size_t>(rule.segment) < segments.size()) {
-            auto decoded = decode(segments[rule.segment]);
-            if (!decoded.ok()) {
-                return decoded.status();
+            const auto end = segments.begin() + rule.segment + 1;
+            for (auto segment = segments.begin(); segment != end; ++segment) {
+                const auto decoded = decode(*segment);
+                if (!decoded.ok()) {
+                    return decoded.status();
+                }
+                // Another reader may leave out the segment, or split it.
+                if (decoded->empty() || absl::StrContains(*decoded, "/")) {
+                    return absl::InvalidArgumentError(
+                        "a segment up to the key is empty or has an encoded slash");
+                }
+                values = {*decoded};
             }
-            values.push_back(*std::move(decoded));
         }
         break;
     }
@@ -120,6 +130,10 @@
         break;
     }
     case key_source::Header:
+        if (const absl::Status checked = checkGuardedFields(request, {{rule.name}, {}, "", false});
+            !checked.ok()) {
+            return checked;
+        }
         values = headerValues(rule.name, request);
         break;
     }
--- a/src/persimmonrail/gateway/routed_request.cpp
+++ b/src/persimmonrail/gateway/routed_request.cpp
@@ -1,8 +1,10 @@
 #include "persimmonrail/gateway/routed_request.h"
 
 #include "persimmonrail/base/header_names.h"
+#include "persimmonrail/base/path_reading.h"
 #include "persimmonrail/gateway/caller_sink.h"
 #include "persimmonrail/gateway/error_response.h"
+#include "persimmonrail/gateway/gateway_fields.h"
 #include "persimmonrail/gateway/local_attempt.h"
 
 #include <absl/strings/numbers.h>
@@ -61,6 +63,9 @@
 
 std::optional<attempt_result> routed_request::resolveOperation()
 {
+    if (!checkGuardedFields(m_request.message, callerFields()).ok()) {
+        return notRunResult("malformed-request", 400);
+    }
     const std::string deadlineField = m_request.message.get(deadlineHeader, "");
     readSubsidiary();
     removePersimmonrailFields(m_request.message);
@@ -83,6 +88,9 @@
     if (operation == nullptr) {
         return notRunResult("unknown-operation", 404);
     }
+    if (!hasOneOperation(*operation)) {
+        return notRunResult("invalid-path", 400);
+    }
     m_request.rank = operation->rank;
     m_request.rankIndex = m_document->rankIndex(m_request.rank);
     m_request.repeatable = operation->repeatable;
@@ -99,6 +107,17 @@
     return std::nullopt;
 }
 
+bool routed_request::hasOneOperation(const operation_rule &operation) const
+{
+    const std::string &path = m_request.target.path;
+    if (!hasSeveralReadings(path)) {
+        return true;
+    }
+    const auto decoded = decodePath(path);
+    return decoded.ok()
+        && m_document->findOperation(m_request.message.getMethod(), *decoded) == &operation;
+}
+
 void routed_request::readSubsidiary()
 {
     m_request.subsidiary =
@@ -331,7 +350,8 @@
     uint64_t hashValue = 0;
     int64_t remainingMs = 0;
     auto target = parseTarget(m_request.message.getURI());
-    if (!target.ok() || m_request.id.empty()
+    if (!target.ok() || !checkGuardedFields(m_request.message, forwardedFields()).ok()
+        || m_request.id.empty()
         || !absl::SimpleAtoi(m_request.message.get(deadlineHeader, ""), &remainingMs)
         || remainingMs < 0 || remainingMs > maxDeadlineMs
         || (!hash.empty() && !absl::SimpleHexAtoi(hash, &hashValue))) {
--- a/src/persimmonrail/gateway/routed_request.h
+++ b/src/persimmonrail/gateway/routed_request.h
@@ -30,6 +30,8 @@
     // otherwise.
     std::optional<attempt_result> resolveOperation();
     std::optional<attempt_result> resolveKey();
+    // Returns whether the path belongs to this operation in each reading (path_reading.h).
+    bool hasOneOperation(const operation_rule &operation) const;
     // Reads the header Persimmonrail-Subsidiary, cut to a maximum length.
     void readSubsidiary();
     // Attempts a request that has a key hash in rounds: first under a lease of this daemon, then on
--- a/src/persimmonrail/gateway/tests/gateway_test.cpp
+++ b/src/persimmonrail/gateway/tests/gateway_test.cpp
@@ -1,6 +1,7 @@
 #include "test_fleet.h"
 
 #include "persimmonrail/base/header_names.h"
+#include "standins/raw_client.h"
 #include "standins/scripted_server.h"
 
 #include <absl/strings/str_cat.h>
@@ -112,6 +113,16 @@
          431,
          "header-too-large"},
         {"GET", "/standin/records/k", {"Transfer-Encoding: gzip"}, 400, "malformed-request"},
+        {"GET", "/standin/%72ecords/k", {}, 404, "unknown-operation"},
+        {"GET", "/standin/records%2Fk", {}, 404, "unknown-operation"},
+        {"GET", "/standin/records/a%2Fb", {}, 400, "invalid-key"},
+        {"GET", "/standin/records//k", {}, 400, "invalid-key"},
+        {"GET", "/standin/records/k", {"Persimmonrail_Rank: crew"}, 400, "malformed-request"},
+        {"GET",
+         "/standin/records/k",
+         {"Persimmonrail-Deadline-Ms: 1000", "Persimmonrail-Deadline-Ms: 9000"},
+         400,
+         "malformed-request"},
     };
     for (const auto &row : table) {
         CAPTURE(row.method, row.uri, row.reason);
@@ -509,3 +520,29 @@
     ingress.callerServer.reset();
     CHECK(attempts == std::vector<std::string>{"photos-1 not-run", "photos-2 run"});
 }
+
+// Guards against a request that runs without a field that the daemon has set or read: the caller
+// lists the field in Connection, and the daemon removes it.
+TEST_CASE("a request that lists a field of the daemon in Connection does not run", "[gateway]")
+{
+    test_fleet fleet;
+    auto &owner = fleet.add("owner");
+    owner.holdsLease = true;
+    auto &other = fleet.add("other", "");
+    fleet.setPlacement("owner");
+    const std::string name =
+        GENERATE("Idempotency-Key", "idempotency-key", "Persimmonrail-Term",
+                 "Persimmonrail-Partition", "Persimmonrail-Key-Hash", "Persimmonrail-Deadline-Ms",
+                 "persimmonrail-request-id", "Persimmonrail-Rank", "Host");
+    CAPTURE(name);
+    for (const auto *ingress : {&owner, &other}) {
+        const raw_response response = exchangeRaw(
+            ingress->callerServer->address(),
+            absl::StrCat("POST /standin/records/k HTTP/1.1\r\nHost: h\r\n", idempotencyField,
+                         "\r\nConnection: keep-alive, ", name, "\r\nContent-Length: 0\r\n\r\n"),
+            testTimeout);
+        CHECK(response.status == 400);
+        CHECK(response.head.get(outcomeHeader, "") == "not-run");
+    }
+    CHECK(runCount(owner) == 0);
+}
--- a/src/persimmonrail/http/delivery_result.cpp
+++ b/src/persimmonrail/http/delivery_result.cpp
@@ -1,5 +1,7 @@
 #include "persimmonrail/http/delivery_result.h"
 
+#include "persimmonrail/http/guarded_fields.h"
+
 #include <absl/strings/numbers.h>
 
 #include <algorithm>
@@ -10,7 +12,8 @@
 milliseconds parseRetryAfter(const Poco::Net::HTTPResponse &head)
 {
     int seconds = 0;
-    return absl::SimpleAtoi(head.get("Retry-After", "0"), &seconds)
+    const bool isRepeated = !checkGuardedFields(head, {{"Retry-After"}, {}, "", false}).ok();
+    return !isRepeated && absl::SimpleAtoi(head.get("Retry-After", "0"), &seconds)
         ? milliseconds(std::clamp(seconds, 0, 3600) * 1000)
         : milliseconds(0);
 }
--- a/src/persimmonrail/upstream/upstream_client.cpp
+++ b/src/persimmonrail/upstream/upstream_client.cpp
@@ -16,6 +16,13 @@
 // Below the number of connections that upstreams accept, which is at least 90.
 constexpr size_t maxIdleConnections = 64;
 
+// Fields of the upstream's responses that this client or a caller reads.
+const guarded_fields &responseFields()
+{
+    static const guarded_fields fields{{}, {}, "Persimmonrail-", true};
+    return fields;
+}
+
 // Returns whether the response states that the upstream did not run the request.
 bool isRejection(const Poco::Net::HTTPResponse &head)
 {
@@ -322,6 +329,7 @@
     exchange.probe = [this, &announcement] {
         return respondsOnNewConnection(announcement->address);
     };
+    exchange.responseFields = &responseFields();
     // An upstream that does not return the request id can't be told from one that responds late.
     exchange.matchesRequest = [&request](const Poco::Net::HTTPResponse &head) {
         return head.get(requestIdHeader, request.requestId) == request.requestId;
