Reject JSON texts that readers may take otherwise

A heartbeat, deregistration, desired state or record with a repeated member counted with the last value, while another reader may take the first.

Change: all readers use parseStrictJsonObject(), which also bounds the nesting at 32. By reading; no writer of such texts was seen.

--- a/src/persimmonrail/base/json_text.cpp
+++ b/src/persimmonrail/base/json_text.cpp
@@ -1,10 +1,81 @@
 #include "persimmonrail/base/json_text.h"
 
+#include <Poco/JSON/JSONException.h>
+#include <Poco/JSON/ParseHandler.h>
+#include <Poco/JSON/Parser.h>
+
 #include <absl/strings/numbers.h>
 
+#include <set>
 #include <sstream>
+#include <vector>
 
 namespace persimmonrail {
+namespace {
+
+constexpr size_t maxJsonDepth = 32;
+
+// Builds the value, and throws on a repeated member. Poco's own handler keeps the last one.
+class unique_member_handler : public Poco::JSON::ParseHandler
+{
+public:
+    // With `ambiguousElements`, the positions of objects directly below the outermost one are added
+    // to it if they have a repeated member.
+    explicit unique_member_handler(std::set<size_t> *ambiguousElements)
+        : m_ambiguousElements(ambiguousElements)
+    { }
+
+    void startObject() override
+    {
+        ParseHandler::startObject();
+        m_elementCount += m_members.size() == 1 ? 1 : 0;
+        m_members.emplace_back();
+    }
+    void endObject() override
+    {
+        ParseHandler::endObject();
+        m_members.pop_back();
+    }
+    void key(const std::string &name) override
+    {
+        ParseHandler::key(name);
+        if (m_members.back().insert(name).second) {
+            return;
+        }
+        if (m_ambiguousElements == nullptr || m_members.size() == 1) {
+            throw Poco::JSON::JSONException(absl::StrCat("member '", name, "' is repeated"));
+        }
+        m_ambiguousElements->insert(m_elementCount - 1);
+    }
+
+private:
+    std::set<size_t> *const m_ambiguousElements;
+    // Number of objects so far whose parent is the outermost object.
+    size_t m_elementCount = 0;
+    // Names of the members so far, of each object whose end has not been read yet.
+    std::vector<std::set<std::string>> m_members;
+};
+
+Poco::JSON::Object::Ptr parseObject(std::string_view text, std::set<size_t> *ambiguousElements)
+{
+    Poco::JSON::Parser parser(new unique_member_handler(ambiguousElements));
+    parser.setDepth(maxJsonDepth);
+    return parser.parse(std::string(text)).extract<Poco::JSON::Object::Ptr>();
+}
+
+} // namespace
+
+Poco::JSON::Object::Ptr parseStrictJsonObject(std::string_view text)
+{
+    return parseObject(text, nullptr);
+}
+
+json_list parseStrictJsonList(std::string_view text)
+{
+    json_list list;
+    list.object = parseObject(text, &list.ambiguousElements);
+    return list;
+}
 
 absl::StatusOr<uint64_t> parseHex64(const std::string &text)
 {
--- a/src/persimmonrail/base/json_text.h
+++ b/src/persimmonrail/base/json_text.h
@@ -2,12 +2,12 @@
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 
 #include <absl/status/statusor.h>
 #include <absl/strings/str_cat.h>
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -21,17 +21,32 @@
 // Returns the object as JSON text.
 std::string renderJson(const Poco::JSON::Object &object);
 
+// Parses a text that is one JSON object. Throws a Poco::Exception if the text is anything else, has
+// a repeated member, of which readers may take the first or the last, or is nested more than 32
+// deep.
+Poco::JSON::Object::Ptr parseStrictJsonObject(std::string_view text);
+
+// A JSON object with a list of objects.
+struct json_list
+{
+    Poco::JSON::Object::Ptr object;
+    // Positions, among the objects of the list, of those with a repeated member.
+    std::set<size_t> ambiguousElements;
+};
+
+// Parses a text like parseStrictJsonObject(), but only records a repeated member within an element
+// of the list, so that one malformed element does not hide the others.
+json_list parseStrictJsonList(std::string_view text);
+
 // Parses `text` as a JSON object and returns decode(object), which is an absl::StatusOr. Errors:
-// those of `decode`; InvalidArgument if the text is not a JSON object or a field has a type
-// other than the one that `decode` extracts. `what` names the decoded object in the error message.
+// those of `decode`; InvalidArgument if parseStrictJsonObject() throws or a field has a type other
+// than the one that `decode` extracts. `what` names the decoded object in the error message.
 template <typename Decode>
 auto decodeJson(std::string_view text, const char *what, const Decode &decode)
     -> decltype(decode(Poco::JSON::Object()))
 {
     try {
-        Poco::JSON::Parser parser;
-        const auto object = parser.parse(std::string(text)).extract<Poco::JSON::Object::Ptr>();
-        return decode(*object);
+        return decode(*parseStrictJsonObject(text));
     } catch (const Poco::Exception &error) {
         return absl::InvalidArgumentError(
             absl::StrCat("invalid ", what, ": ", error.displayText()));
--- a/src/persimmonrail/base/tests/base_test.cpp
+++ b/src/persimmonrail/base/tests/base_test.cpp
@@ -1,4 +1,5 @@
 #include "persimmonrail/base/instance_id.h"
+#include "persimmonrail/base/json_text.h"
 #include "persimmonrail/base/key_hash.h"
 
 #include <catch2/catch.hpp>
@@ -58,3 +59,38 @@
     CHECK(generateIncarnation() != 0);
     CHECK(generateIncarnation() != generateIncarnation());
 }
+
+// Guards against a record that one reader takes by the first line of a member and another by the
+// last.
+TEST_CASE("JSON texts that readers may read otherwise are rejected", "[base]")
+{
+    const auto [text, isAccepted] = GENERATE(table<std::string, bool>({
+        {R"({"a":1,"b":{"a":2}})", true},
+        {R"({"a":[{"b":1},{"b":2}]})", true},
+        {R"({"a":1,"a":1})", false},
+        {R"({"a":{"b":1,"c":[],"b":1}})", false},
+        {R"({"a":[{"b":1,"b":2}]})", false},
+        {R"({"a":1} {"a":2})", false},
+        {R"({"a":1}x)", false},
+        {R"({"a":1)", false},
+        {R"([1])", false},
+        {"", false},
+        {R"({"a":)" + std::string(31, '[') + std::string(31, ']') + "}", true},
+        {R"({"a":)" + std::string(32, '[') + std::string(32, ']') + "}", false},
+        {std::string(100'000, '['), false},
+    }));
+    CAPTURE(text);
+    const auto decoded = decodeJson(
+        text, "test", [](const Poco::JSON::Object &) { return absl::StatusOr<bool>(true); });
+    CHECK(decoded.ok() == isAccepted);
+}
+
+// Guards against one malformed object that hides the valid objects of a list.
+TEST_CASE("a repeated member of an element does not hide the other elements", "[base]")
+{
+    const json_list list = parseStrictJsonList(
+        R"({"items":[{"a":1},{"a":1,"a":2},{"a":{"b":1,"b":2}},{"a":{"b":1}}],"more":false})");
+    CHECK(list.ambiguousElements == std::set<size_t>{1, 2});
+    CHECK(list.object->getArray("items")->size() == 4);
+    CHECK_THROWS_AS(parseStrictJsonList(R"({"items":[],"items":[{"a":1}]})"), Poco::Exception);
+}
--- a/src/persimmonrail/objects/http_object_api.cpp
+++ b/src/persimmonrail/objects/http_object_api.cpp
@@ -1,11 +1,11 @@
 #include "persimmonrail/objects/http_object_api.h"
 
+#include "persimmonrail/base/json_text.h"
 #include "persimmonrail/base/socket_address.h"
 #include "persimmonrail/objects/http_connection_pool.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 #include <Poco/URI.h>
 
 #include <absl/strings/str_cat.h>
@@ -72,8 +72,7 @@
 absl::StatusOr<Value> decodeResponse(const http_response &response, const Decode &decode)
 {
     try {
-        Poco::JSON::Parser parser;
-        return decode(*parser.parse(response.body).extract<Object::Ptr>());
+        return decode(*parseStrictJsonObject(response.body));
     } catch (const Poco::Exception &error) {
         return malformedResponse(error.displayText());
     } catch (const std::exception &error) {
--- a/src/persimmonrail/upstream/announcement.cpp
+++ b/src/persimmonrail/upstream/announcement.cpp
@@ -1,10 +1,10 @@
 #include "persimmonrail/upstream/announcement.h"
 
+#include "persimmonrail/base/json_text.h"
 #include "persimmonrail/base/socket_address.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 
 #include <charconv>
 #include <sstream>
@@ -17,15 +17,10 @@
 absl::StatusOr<Poco::JSON::Object::Ptr> parseObject(std::string_view json)
 {
     try {
-        Poco::JSON::Parser parser;
-        const auto value = parser.parse(std::string(json));
-        if (value.type() == typeid(Poco::JSON::Object::Ptr)) {
-            return value.extract<Poco::JSON::Object::Ptr>();
-        }
+        return parseStrictJsonObject(json);
     } catch (const Poco::Exception &error) {
-        return absl::InvalidArgumentError("not JSON: " + error.displayText());
+        return absl::InvalidArgumentError("not a JSON object: " + error.displayText());
     }
-    return absl::InvalidArgumentError("not a JSON object");
 }
 
 // Parses exactly 16 hexadecimal digits. Returns false if the text is anything else.
--- a/src/persimmonrail/upstream/upstream_client.cpp
+++ b/src/persimmonrail/upstream/upstream_client.cpp
@@ -1,10 +1,10 @@
 #include "persimmonrail/upstream/upstream_client.h"
 
 #include "persimmonrail/base/header_names.h"
+#include "persimmonrail/base/json_text.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 
 #include <absl/strings/str_cat.h>
 
@@ -34,11 +34,7 @@
 std::optional<double> parseLoad(const std::string &text)
 {
     try {
-        Poco::JSON::Parser parser;
-        const auto value = parser.parse(text);
-        if (value.type() == typeid(Poco::JSON::Object::Ptr)) {
-            return value.extract<Poco::JSON::Object::Ptr>()->getValue<double>("load");
-        }
+        return parseStrictJsonObject(text)->getValue<double>("load");
     } catch (const Poco::Exception &) {
         // An unreadable load is treated as absent, because the load is only a hint.
     }
