Check types and ranges of JSON members

A service named {} was the service "{}".

Times of quarantine records and ages of relayed lists are bounded, since larger ones overflow the clock. By reading; no writer of such texts was seen.

--- a/src/persimmonrail/base/json_text.cpp
+++ b/src/persimmonrail/base/json_text.cpp
@@ -56,6 +56,11 @@
     std::vector<std::set<std::string>> m_members;
 };
 
+Poco::JSON::JSONException wrongType(const std::string &name, const char *expected)
+{
+    return Poco::JSON::JSONException(absl::StrCat("member '", name, "' is no ", expected));
+}
+
 Poco::JSON::Object::Ptr parseObject(std::string_view text, std::set<size_t> *ambiguousElements)
 {
     Poco::JSON::Parser parser(new unique_member_handler(ambiguousElements));
@@ -70,6 +75,56 @@
     return parseObject(text, nullptr);
 }
 
+std::string textMember(const Poco::JSON::Object &object, const std::string &name)
+{
+    const Poco::Dynamic::Var value = object.get(name);
+    if (!value.isString()) {
+        throw wrongType(name, "string");
+    }
+    return value.extract<std::string>();
+}
+
+std::string textMemberOr(const Poco::JSON::Object &object, const std::string &name,
+                         const std::string &fallback)
+{
+    return object.has(name) ? textMember(object, name) : fallback;
+}
+
+bool flagMember(const Poco::JSON::Object &object, const std::string &name)
+{
+    const Poco::Dynamic::Var value = object.get(name);
+    if (!value.isBoolean()) {
+        throw wrongType(name, "boolean");
+    }
+    return value.extract<bool>();
+}
+
+bool flagMemberOr(const Poco::JSON::Object &object, const std::string &name, bool fallback)
+{
+    return object.has(name) ? flagMember(object, name) : fallback;
+}
+
+double numberMemberOr(const Poco::JSON::Object &object, const std::string &name, double fallback)
+{
+    if (!object.has(name)) {
+        return fallback;
+    }
+    const Poco::Dynamic::Var value = object.get(name);
+    if (!value.isNumeric() || value.isBoolean()) {
+        throw wrongType(name, "number");
+    }
+    return value.convert<double>();
+}
+
+Poco::Dynamic::Var integerValue(const Poco::JSON::Object &object, const std::string &name)
+{
+    Poco::Dynamic::Var value = object.get(name);
+    if (value.isEmpty() || !value.isInteger() || value.isBoolean()) {
+        throw wrongType(name, "integer");
+    }
+    return value;
+}
+
 json_list parseStrictJsonList(std::string_view text)
 {
     json_list list;
--- a/src/persimmonrail/base/json_text.h
+++ b/src/persimmonrail/base/json_text.h
@@ -26,6 +26,28 @@
 // deep.
 Poco::JSON::Object::Ptr parseStrictJsonObject(std::string_view text);
 
+// Return a member of an object, or the fallback if the object has no such member. Throw a
+// Poco::Exception if the member is missing, is of another type or past the range of the result. The
+// functions of Poco convert between types.
+std::string textMember(const Poco::JSON::Object &object, const std::string &name);
+std::string textMemberOr(const Poco::JSON::Object &object, const std::string &name,
+                         const std::string &fallback);
+bool flagMember(const Poco::JSON::Object &object, const std::string &name);
+bool flagMemberOr(const Poco::JSON::Object &object, const std::string &name, bool fallback);
+double numberMemberOr(const Poco::JSON::Object &object, const std::string &name, double fallback);
+// Returns the member as an integer of the width that the parser chose.
+Poco::Dynamic::Var integerValue(const Poco::JSON::Object &object, const std::string &name);
+template <typename Integer>
+Integer integerMember(const Poco::JSON::Object &object, const std::string &name)
+{
+    return integerValue(object, name).convert<Integer>();
+}
+template <typename Integer>
+Integer integerMemberOr(const Poco::JSON::Object &object, const std::string &name, Integer fallback)
+{
+    return object.has(name) ? integerMember<Integer>(object, name) : fallback;
+}
+
 // A JSON object with a list of objects.
 struct json_list
 {
--- a/src/persimmonrail/feed/relayed_watch.cpp
+++ b/src/persimmonrail/feed/relayed_watch.cpp
@@ -21,6 +21,8 @@
 constexpr size_t membersPerRelay = 64;
 // Limit of the wait that a follower can request.
 constexpr milliseconds maxWait{10000};
+// Older states tell no more than one of this age.
+constexpr milliseconds maxAge{3'600'000};
 constexpr milliseconds connectTimeout{400};
 constexpr milliseconds idleTimeout{5000};
 
@@ -32,6 +34,13 @@
     milliseconds wait{0};
 };
 
+// Throws a Poco::Exception if the member is missing, negative or of another type.
+milliseconds parseAge(const Poco::JSON::Object &object)
+{
+    const auto age = std::min<uint64_t>(integerMember<uint64_t>(object, "age_ms"), maxAge.count());
+    return milliseconds(static_cast<int64_t>(age));
+}
+
 std::string encodeQuery(const changes_query &query)
 {
     return absl::StrCat(changesPath, "?feed=", query.cursor.feed,
@@ -45,9 +54,10 @@
     std::map<std::string, uint64_t> parameters;
     try {
         for (const auto &[name, value] : Poco::URI(uri).getQueryParameters()) {
-            if (!absl::SimpleAtoi(value, &parameters[name])) {
+            const bool isRepeated = parameters.contains(name);
+            if (isRepeated || !absl::SimpleAtoi(value, &parameters[name])) {
                 return absl::InvalidArgumentError(
-                    absl::StrCat(name, " must be an unsigned integer"));
+                    absl::StrCat(name, " must be one unsigned integer"));
             }
         }
     } catch (const Poco::Exception &error) {
@@ -61,19 +71,17 @@
 
 absl::StatusOr<feed_changes> parseChanges(const std::string &text)
 {
-    return decodeJson(text, "changes",
-                      [](const Poco::JSON::Object &object) -> absl::StatusOr<feed_changes> {
-                          auto list = decodeObjectList(object);
-                          if (!list.ok()) {
-                              return list.status();
-                          }
-                          list->age = object.has("age_ms")
-                              ? std::optional(milliseconds(object.getValue<int64_t>("age_ms")))
-                              : std::nullopt;
-                          return feed_changes{std::move(*list),
-                                              {object.getValue<uint64_t>("feed"),
-                                               object.getValue<uint64_t>("position")}};
-                      });
+    return decodeJson(
+        text, "changes", [](const Poco::JSON::Object &object) -> absl::StatusOr<feed_changes> {
+            auto list = decodeObjectList(object);
+            if (!list.ok()) {
+                return list.status();
+            }
+            list->age = object.has("age_ms") ? std::optional(parseAge(object)) : std::nullopt;
+            return feed_changes{std::move(*list),
+                                {integerMember<uint64_t>(object, "feed"),
+                                 integerMember<uint64_t>(object, "position")}};
+        });
 }
 
 // Watches the store through a relay or directly. Used by one thread at a time.
--- a/src/persimmonrail/fleet/quarantine_record.cpp
+++ b/src/persimmonrail/fleet/quarantine_record.cpp
@@ -12,6 +12,8 @@
 
 // The time of a response is derived anew from its age each time, which is exact to milliseconds.
 constexpr milliseconds responseTimeTolerance{1000};
+// Latest time of a row, in milliseconds since 1970; later ones overflow the clock's nanoseconds.
+constexpr int64_t maxTimeMs = 9'000'000'000'000;
 
 bool isRecorded(const quarantine_record &record, const crash_quarantine::entry &entry,
                 wall_time now)
@@ -70,8 +72,12 @@
                 if (!fingerprint.ok() || !crash.ok()) {
                     return absl::InvalidArgumentError("a row has a malformed hash");
                 }
+                const auto crashedAt = row->getElement<int64_t>(3);
+                if (crashedAt < 0 || crashedAt > maxTimeMs) {
+                    return absl::InvalidArgumentError("a row has a time past its range");
+                }
                 record.items.push_back({*fingerprint, *crash, row->getElement<uint32_t>(2),
-                                        wall_time(milliseconds(row->getElement<int64_t>(3)))});
+                                        wall_time(milliseconds(crashedAt))});
             }
             return record;
         });
--- a/src/persimmonrail/fleet/upstream_member.cpp
+++ b/src/persimmonrail/fleet/upstream_member.cpp
@@ -38,17 +38,17 @@
     return decodeJson(
         json, "member", [](const Poco::JSON::Object &object) -> absl::StatusOr<upstream_member> {
             upstream_member member;
-            member.id.name = object.getValue<std::string>("upstream");
-            member.id.startedAt = object.getValue<int64_t>("started_at_ms");
-            member.service = object.getValue<std::string>("service");
-            member.availabilityZone = object.getValue<std::string>("availability_zone");
-            member.peerAddress = object.getValue<std::string>("peer_address");
-            member.slots = object.getValue<int>("slots");
+            member.id.name = textMember(object, "upstream");
+            member.id.startedAt = integerMember<int64_t>(object, "started_at_ms");
+            member.service = textMember(object, "service");
+            member.availabilityZone = textMember(object, "availability_zone");
+            member.peerAddress = textMember(object, "peer_address");
+            member.slots = integerMember<int>(object, "slots");
             // Daemons of earlier versions do not write these two fields.
-            member.host.processors = object.optValue<double>("processors", 0);
-            member.host.linkMbps = object.optValue<double>("link_mbps", 0);
-            member.isDraining = object.getValue<bool>("leaving");
-            member.isTerminated = object.getValue<bool>("gone");
+            member.host.processors = numberMemberOr(object, "processors", 0);
+            member.host.linkMbps = numberMemberOr(object, "link_mbps", 0);
+            member.isDraining = flagMember(object, "leaving");
+            member.isTerminated = flagMember(object, "gone");
             if (member.id.isEmpty() || member.service.empty() || member.slots < 1) {
                 return absl::InvalidArgumentError(
                     "the member must have a name, a service and at least 1 slot");
--- a/src/persimmonrail/keyspace/key_placement.cpp
+++ b/src/persimmonrail/keyspace/key_placement.cpp
@@ -210,15 +210,15 @@
 absl::StatusOr<key_placement> decodePlacement(const Poco::JSON::Object &object)
 {
     key_placement placement;
-    placement.service = object.getValue<std::string>("service");
-    placement.highestFence = object.getValue<uint64_t>("highest_fence");
+    placement.service = textMember(object, "service");
+    placement.highestFence = integerMember<uint64_t>(object, "highest_fence");
     std::vector<std::string> texts;
     const Poco::JSON::Array::Ptr table = object.getArray("texts");
     for (size_t i = 0; table && i < table->size(); ++i) {
         texts.push_back(table->getElement<std::string>(static_cast<unsigned>(i)));
     }
     shard_key first = 0;
-    const std::string ranges = object.getValue<std::string>("ranges");
+    const std::string ranges = textMember(object, "ranges");
     for (const absl::string_view text : absl::StrSplit(ranges, ';')) {
         auto range = parseRange(text, first, texts);
         if (!range.ok()) {
--- a/src/persimmonrail/objects/object_list_codec.cpp
+++ b/src/persimmonrail/objects/object_list_codec.cpp
@@ -1,5 +1,7 @@
 #include "persimmonrail/objects/object_list_codec.h"
 
+#include "persimmonrail/base/json_text.h"
+
 #include <Poco/JSON/Array.h>
 
 namespace persimmonrail {
@@ -29,22 +31,21 @@
 
 absl::StatusOr<object_list> decodeObjectList(const Poco::JSON::Object &object)
 {
-    const int code = object.getValue<int>("code");
+    const int code = integerMember<int>(object, "code");
     if (code != 0) {
-        return absl::Status(static_cast<absl::StatusCode>(code),
-                            object.getValue<std::string>("message"));
+        return absl::Status(static_cast<absl::StatusCode>(code), textMember(object, "message"));
     }
     object_list list;
-    list.revision = object.getValue<uint64_t>("revision");
+    list.revision = integerMember<uint64_t>(object, "revision");
     const Poco::JSON::Array::Ptr objects = object.getArray("objects");
     for (size_t i = 0; objects && i < objects->size(); ++i) {
         const Poco::JSON::Object::Ptr entry = objects->getObject(i);
         if (!entry) {
             return absl::InvalidArgumentError("an entry of 'objects' is not a JSON object");
         }
-        list.objects.push_back({entry->getValue<std::string>("key"),
-                                entry->getValue<uint64_t>("version"), false,
-                                entry->getValue<std::string>("value")});
+        list.objects.push_back({textMember(*entry, "key"),
+                                integerMember<uint64_t>(*entry, "version"), false,
+                                textMember(*entry, "value")});
     }
     return list;
 }
--- a/src/persimmonrail/ownership/placement_record.cpp
+++ b/src/persimmonrail/ownership/placement_record.cpp
@@ -84,12 +84,12 @@
 absl::StatusOr<placement_record> decodeObject(const Object &object)
 {
     placement_record record;
-    record.partition = object.getValue<std::string>("partition");
-    const auto first = parseHex64(object.getValue<std::string>("first"));
-    const auto last = parseHex64(object.getValue<std::string>("last"));
-    const auto term = parseHex64(object.getValue<std::string>("term"));
-    auto owner = parseInstance(object.getValue<std::string>("owner"));
-    auto nextOwner = parseInstance(object.optValue<std::string>("next_owner", ""));
+    record.partition = textMember(object, "partition");
+    const auto first = parseHex64(textMember(object, "first"));
+    const auto last = parseHex64(textMember(object, "last"));
+    const auto term = parseHex64(textMember(object, "term"));
+    auto owner = parseInstance(textMember(object, "owner"));
+    auto nextOwner = parseInstance(textMemberOr(object, "next_owner", ""));
     auto witnesses = parseInstances(object, "witnesses");
     auto previousWitnesses = parseInstances(object, "previous_witnesses");
     auto standbys = parseInstances(object, "standbys");
--- a/src/persimmonrail/router/store_proxy.cpp
+++ b/src/persimmonrail/router/store_proxy.cpp
@@ -31,13 +31,12 @@
 
 absl::StatusOr<store_call> decodeCall(std::string_view text)
 {
-    return decodeJson(text, "store call",
-                      [](const Poco::JSON::Object &object) -> absl::StatusOr<store_call> {
-                          return store_call{object.getValue<std::string>("operation"),
-                                            object.getValue<std::string>("key"),
-                                            object.getValue<uint64_t>("version"),
-                                            object.getValue<std::string>("value")};
-                      });
+    return decodeJson(
+        text, "store call", [](const Poco::JSON::Object &object) -> absl::StatusOr<store_call> {
+            return store_call{textMember(object, "operation"), textMember(object, "key"),
+                              integerMember<uint64_t>(object, "version"),
+                              textMember(object, "value")};
+        });
 }
 
 std::string encodeResponse(const absl::StatusOr<object_list> &result)
--- a/src/persimmonrail/sync/fleet_view.cpp
+++ b/src/persimmonrail/sync/fleet_view.cpp
@@ -15,14 +15,14 @@
 absl::StatusOr<member_record> decodeObject(const Object &object)
 {
     member_record member;
-    member.id.name = object.getValue<std::string>("name");
-    const auto incarnation = parseHex64(object.getValue<std::string>("incarnation"));
-    member.region = object.getValue<std::string>("region");
-    member.availabilityZone = object.getValue<std::string>("availability_zone");
-    member.service = object.optValue<std::string>("service", "");
-    member.peerAddress = object.getValue<std::string>("peer_address");
-    member.controlAddress = object.getValue<std::string>("control_address");
-    member.slots = object.optValue<int>("slots", 0);
+    member.id.name = textMember(object, "name");
+    const auto incarnation = parseHex64(textMember(object, "incarnation"));
+    member.region = textMember(object, "region");
+    member.availabilityZone = textMember(object, "availability_zone");
+    member.service = textMemberOr(object, "service", "");
+    member.peerAddress = textMember(object, "peer_address");
+    member.controlAddress = textMember(object, "control_address");
+    member.slots = integerMemberOr<int>(object, "slots", 0);
     if (!incarnation.ok()) {
         return incarnation.status();
     }
--- a/src/persimmonrail/upstream/announcement.cpp
+++ b/src/persimmonrail/upstream/announcement.cpp
@@ -51,7 +51,7 @@
     try {
         const auto text = [&](const char *name) {
             field = name;
-            return (*object)->getValue<std::string>(name);
+            return textMember(**object, name);
         };
         result.service = text("service");
         result.instance = text("instance");
@@ -62,11 +62,11 @@
                                               + std::string(checked.status().message()));
         }
         field = "slots";
-        result.slots = (*object)->getValue<int>("slots");
+        result.slots = integerMember<int>(**object, "slots");
         field = "draining";
-        result.draining = (*object)->optValue("draining", false);
+        result.draining = flagMemberOr(**object, "draining", false);
         field = "checks_grants";
-        result.checksGrants = (*object)->optValue("checks_grants", false);
+        result.checksGrants = flagMemberOr(**object, "checks_grants", false);
     } catch (const Poco::Exception &error) {
         return absl::InvalidArgumentError(field + ": " + error.displayText());
     }
@@ -122,7 +122,7 @@
     }
     std::vector<upstream_grant> grants;
     try {
-        validMs = (*object)->getValue<int64_t>("valid_ms");
+        validMs = integerMember<int64_t>(**object, "valid_ms");
         const Poco::JSON::Array::Ptr list = (*object)->getArray("grants");
         if (list.isNull()) {
             return absl::InvalidArgumentError("grants: missing");
@@ -130,14 +130,13 @@
         for (unsigned i = 0; i < list->size(); ++i) {
             const Poco::JSON::Object::Ptr entry = list->getObject(i);
             upstream_grant grant;
-            if (entry.isNull()
-                || !parseHash(entry->getValue<std::string>("lower"), grant.range.first)
-                || !parseHash(entry->getValue<std::string>("upper"), grant.range.last)) {
+            if (entry.isNull() || !parseHash(textMember(*entry, "lower"), grant.range.first)
+                || !parseHash(textMember(*entry, "upper"), grant.range.last)) {
                 return absl::InvalidArgumentError("grants[" + std::to_string(i)
                                                   + "]: invalid hash bounds");
             }
-            grant.partition = entry->getValue<std::string>("partition");
-            grant.term = entry->getValue<uint64_t>("term");
+            grant.partition = textMember(*entry, "partition");
+            grant.term = integerMember<uint64_t>(*entry, "term");
             grants.push_back(std::move(grant));
         }
     } catch (const Poco::Exception &error) {
