Give the dispatchers of a service a share of its retry budget

A service with few requests on many hosts could go over the shared retry budget (BUDGET) if connections were lost all the time: each dispatcher allowed itself one resend a second, whatever the number of hosts and the budget of the settings.

Cause: the limits were constants, and the rate of one a second was chosen for a test.

Change: the dispatchers share a quarter of the budget; the slack is divided by the number of members of the service, half as burst and half as rate, and recomputed when the directory changes. One retry is always in the burst, so that a single lost connection costs no request.

Measured: routing_test, with 1 to 80 holders that want to retry every 10 ms.

--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -20,9 +20,8 @@
 // How often a request in progress looks whether the process stops. Well below the grace period, and
 // longer than most requests, since each look wakes a thread.
 constexpr milliseconds stopCheckInterval{1000};
-// Budget for sending requests again after a reused connection was closed. It adds to the budgets of
-// the daemons that route the requests, since the upstream counts all repeats.
-constexpr retry_budget_options resendBudget{0.05, 1.0, 2.0};
+// Until setResendBudget() is called, one request may be sent again.
+constexpr retry_budget_options initialResendBudget{0.0, 1.0, 1.0};
 
 milliseconds timeLeft(const proxied_request &request, steady_time now)
 {
@@ -81,7 +80,7 @@
     , m_pool(std::make_shared<connection_pool>(
           connection_pool_options{64, 128, upstreamIdleTimeout, upstreamFreshTime}))
     , m_client(m_pool)
-    , m_resends(std::chrono::steady_clock::now(), resendBudget)
+    , m_resends(std::chrono::steady_clock::now(), initialResendBudget)
 { }
 
 void upstream_dispatcher::stopAt(steady_time end)
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -62,6 +62,11 @@
     queue_report queue() const { return m_slotQueue.report(); }
     // Sets the number of requests that the upstream may run at the same time.
     void setSlots(int slots) { m_slotQueue.setSlots(slots); }
+    // Limits the requests that are sent again after a reused connection was closed.
+    void setResendBudget(const retry_budget_options &options, steady_time now)
+    {
+        m_resends.setOptions(options, now);
+    }
     // Sets the time at which all requests, also those in progress, get a response, because the
     // process ends soon afterwards.
     void stopAt(steady_time end);
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -34,6 +34,10 @@
 // Longer than the time for which other daemons keep idle connections, so that the other daemon
 // closes the connection first.
 constexpr milliseconds peerIdleTimeout{6000};
+// Parts of the shared retry budget: for the daemons that route requests, and for those that send
+// them to their upstream again. The rest is a margin.
+constexpr double routedShareOfRetries = 0.6;
+constexpr double resentShareOfRetries = 0.25;
 constexpr milliseconds storeProxyBodyTimeout{2000};
 // Values in the store have at most 1 MB.
 constexpr size_t maxStoreProxyBodyBytes = 2 * 1024 * 1024;
@@ -88,7 +92,7 @@
     options.availabilityZone = m_settings.availabilityZone;
     // Daemons share the retry budget without knowing each other's retries, so each daemon allows
     // itself a share of its own requests and a small constant rate.
-    options.retries = {m_settings.retryRatio * 0.6, 0.2, 2.0};
+    options.retries = {m_settings.retryRatio * routedShareOfRetries, 0.2, 2.0};
     options.linkBytesPerSecond = m_settings.linkMbps * 1e6 / 8;
     m_proxy = std::make_unique<request_proxy>(options, makeProxyHooks(), m_platform.codec,
                                               *m_dispatcher, m_log, m_metrics);
@@ -212,6 +216,16 @@
     m_loop.every(peer_monitor_options().pollInterval, [this](steady_time now) { pollPeers(now); });
 }
 
+// An upstream counts what its daemon sends again like what other daemons retry.
+void router::state::shareResendBudget(const fleet_directory &directory, steady_time now)
+{
+    const shared_retry_budget budget{
+        m_settings.retryRatio, static_cast<double>(m_settings.retrySlack), m_settings.retryWindow};
+    m_dispatcher->setResendBudget(shareRetryBudget(budget, resentShareOfRetries,
+                                                   directory.membersOf(m_settings.service).size()),
+                                  now);
+}
+
 upstream_dispatcher_hooks router::state::makeDispatcherHooks()
 {
     upstream_dispatcher_hooks hooks;
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -72,6 +72,8 @@
     void onUpstreamCrash(const upstream_id &id, steady_time now);
     // Writes new evidence about crashing requests to the store, if there is any.
     void publishQuarantine(steady_time now);
+    // Gives the dispatcher its share of the retry budget of the local service.
+    void shareResendBudget(const fleet_directory &directory, steady_time now);
     // Publishes the local upstream and the ends of earlier ones, once their keys are released.
     void publishMembers(const fleet_directory &directory, steady_time now);
     // Returns the incarnations of the local upstream that have ended and are not published so.
--- a/src/persimmonrail/router/router_state_store.cpp
+++ b/src/persimmonrail/router/router_state_store.cpp
@@ -196,6 +196,7 @@
         logEvent("store-epoch",
                  absl::StrCat("epoch=", directory->epoch(), " previous=", previousEpoch));
     }
+    shareResendBudget(*directory, std::chrono::steady_clock::now());
     m_quarantinePublisher->onDirectory(*directory, std::chrono::steady_clock::now(),
                                        std::chrono::system_clock::now());
     m_ranges->onDirectory(directory, confirmation);
--- a/src/persimmonrail/routing/retry_budget.cpp
+++ b/src/persimmonrail/routing/retry_budget.cpp
@@ -4,12 +4,33 @@
 
 namespace persimmonrail {
 
+retry_budget_options shareRetryBudget(const shared_retry_budget &budget, double part,
+                                      size_t holders)
+{
+    const double seconds = std::chrono::duration<double>(budget.window).count();
+    const double halfOfShare =
+        budget.slack * part / static_cast<double>(std::max<size_t>(holders, 1)) / 2;
+    retry_budget_options options;
+    options.ratio = budget.ratio * part;
+    options.minRetriesPerSecond = seconds > 0 ? halfOfShare / seconds : 0;
+    options.maxBurst = std::max(1.0, halfOfShare);
+    return options;
+}
+
 retry_budget::retry_budget(steady_time now, retry_budget_options options)
     : m_options(options)
     , m_availableRetries(options.minRetriesPerSecond)
     , m_refilledAt(now)
 { }
 
+void retry_budget::setOptions(const retry_budget_options &options, steady_time now)
+{
+    const std::lock_guard lock(m_mutex);
+    refill(now);
+    m_options = options;
+    m_availableRetries = std::min(m_availableRetries, options.maxBurst);
+}
+
 void retry_budget::recordFirstAttempt(steady_time now)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/persimmonrail/routing/retry_budget.h
+++ b/src/persimmonrail/routing/retry_budget.h
@@ -17,6 +17,21 @@
     double maxBurst = 50.0;
 };
 
+// Retries that all daemons together may make for one service within any window: `ratio` times the
+// first attempts in it, plus `slack`.
+struct shared_retry_budget
+{
+    double ratio = 0;
+    double slack = 0;
+    milliseconds window{10000};
+};
+
+// Returns the limits of one of `holders` daemons that share this part of the budget without knowing
+// each other's retries. In a window, one uses its burst and its rate, which are a half of its share
+// of the slack each. The burst allows at least one retry.
+retry_budget_options shareRetryBudget(const shared_retry_budget &budget, double part,
+                                      size_t holders);
+
 // Token bucket that limits retries to a share of first attempts, so that retries cannot amplify an
 // overload.
 //
@@ -26,6 +41,8 @@
 public:
     retry_budget(steady_time now, retry_budget_options options = {});
 
+    // Replaces the limits. Unused retries beyond the new burst are lost.
+    void setOptions(const retry_budget_options &options, steady_time now);
     // Adds the retries that one first attempt allows.
     void recordFirstAttempt(steady_time now);
     // Consumes one retry of the budget. Returns false if none is available.
@@ -35,8 +52,8 @@
     // Adds the retries allowed for the time since the last refill.
     void refill(steady_time now);
 
-    const retry_budget_options m_options;
     std::mutex m_mutex;
+    retry_budget_options m_options;
     double m_availableRetries;
     steady_time m_refilledAt;
 };
--- a/src/persimmonrail/routing/tests/routing_test.cpp
+++ b/src/persimmonrail/routing/tests/routing_test.cpp
@@ -160,3 +160,41 @@
     CHECK(limit.headerValue(start) == "1");
     CHECK(limit.headerValue(start + 600us) == "0");
 }
+
+// Guards against BUDGET: many hosts that lose connections all the time and send requests again,
+// each within limits that together are more than all may retry.
+TEST_CASE("the holders of a retry budget stay within their part of it")
+{
+    const auto [holders, slack, rate] = GENERATE(
+        table<size_t, double, int>({{1, 60, 100}, {5, 160, 30}, {80, 430, 2}, {25, 160, 0}}));
+    CAPTURE(holders, slack, rate);
+    const shared_retry_budget budget{0.2, slack, 10'000ms};
+    constexpr double part = 0.25;
+    constexpr int seconds = 10;
+    int retries = 0;
+    for (size_t i = 0; i < holders; ++i) {
+        retry_budget own(start - 1h, shareRetryBudget(budget, part, holders));
+        for (int step = 0; step < 100 * seconds; ++step) {
+            const steady_time now = start + step * 10ms;
+            for (int first = step * rate / 100; first < (step + 1) * rate / 100; ++first) {
+                own.recordFirstAttempt(now);
+            }
+            retries += own.tryRetry(now) ? 1 : 0;
+        }
+    }
+    const double firstAttempts = static_cast<double>(holders) * rate * seconds;
+    CHECK(retries <= part * (0.2 * firstAttempts + slack) + 1);
+    CHECK(retries >= part * (0.2 * firstAttempts + slack) * 0.7 - static_cast<double>(holders));
+}
+
+TEST_CASE("new limits of a retry budget take effect at once")
+{
+    retry_budget budget(start, {0.1, 0.0, 50});
+    for (int i = 0; i < 500; ++i) {
+        budget.recordFirstAttempt(start);
+    }
+    budget.setOptions({0.1, 0.0, 2}, start);
+    CHECK(budget.tryRetry(start));
+    CHECK(budget.tryRetry(start));
+    CHECK_FALSE(budget.tryRetry(start));
+}
