Test paths that another reader takes for another operation

gateway_test had no row that needs the check of hasOneOperation(): with it taken out, all rows passed.

Measured: the new row is 400 invalid-path.

--- a/src/persimmonrail/gateway/tests/gateway_test.cpp
+++ b/src/persimmonrail/gateway/tests/gateway_test.cpp
@@ -115,6 +115,7 @@
         {"GET", "/standin/records/k", {"Transfer-Encoding: gzip"}, 400, "malformed-request"},
         {"GET", "/standin/%72ecords/k", {}, 404, "unknown-operation"},
         {"GET", "/standin/records%2Fk", {}, 404, "unknown-operation"},
+        {"GET", "/standin/records/%63losing", {}, 400, "invalid-path"},
         {"GET", "/standin/records/a%2Fb", {}, 400, "invalid-key"},
         {"GET", "/standin/records//k", {}, 400, "invalid-key"},
         {"GET", "/standin/records/k", {"Persimmonrail_Rank: crew"}, 400, "malformed-request"},
--- a/src/persimmonrail/gateway/tests/test_fleet.cpp
+++ b/src/persimmonrail/gateway/tests/test_fleet.cpp
@@ -45,6 +45,7 @@
     result->ranks = {{"urgent", milliseconds(10), 1, 0}, {"bulk", milliseconds(100), 1, 0}};
     // The last field tells whether the operation is repeatable.
     result->operations = {
+        {"close", "GET", "/records/closing", "urgent", m_timeout, false},
         {"write", "PUT", "/records", "urgent", m_timeout, true},
         {"read", "GET", "/records", "bulk", m_timeout, true},
         {"credit", "POST", "/records", "urgent", m_timeout, false},
