--- a/src/persimmonrail/http/guarded_fields.cpp
+++ b/src/persimmonrail/http/guarded_fields.cpp
@@ -80,7 +80,7 @@
     uint64_t seen = 0;
     for (const auto &[name, value] : message) {
         if (isSameField(name, connectionField)) {
-            if (const absl::Status status = checkConnectionOptions(value, fields); !status.ok()) {
+            if (absl::Status status = checkConnectionOptions(value, fields); !status.ok()) {
                 return status;
             }
             continue;
