--- a/src/persimmonrail/feed/tests/relayed_watch_test.cpp
+++ b/src/persimmonrail/feed/tests/relayed_watch_test.cpp
@@ -97,6 +97,19 @@
     CHECK(fixture.sources == std::vector<std::string>{fixture.relay->address()});
 }
 
+// Guards against a follower that leaves its relay, and calls the store, because the store responded
+// to the relay after the follower had asked.
+TEST_CASE("a state that is newer than the request comes from the relay", "[feed]")
+{
+    relay_fixture fixture;
+    fixture.feed.confirm(bootNow() + 1s);
+    const auto changes = fixture.watch();
+    REQUIRE(changes.ok());
+    REQUIRE(changes->age);
+    CHECK(*changes->age < 0ms);
+    CHECK(fixture.storeWaits.empty());
+}
+
 TEST_CASE("a follower whose relay fails watches the store and returns to a relay later", "[feed]")
 {
     relay_fixture fixture;
