--- a/src/persimmonrail/http/tests/guarded_fields_test.cpp
+++ b/src/persimmonrail/http/tests/guarded_fields_test.cpp
@@ -10,7 +10,7 @@
 
 using header_lines = std::vector<std::pair<std::string, std::string>>;
 
-const guarded_fields fields{{"Request-Id", "Shard-Key"}, {"Caller-Service"}, "Own-", true};
+const guarded_fields fields{{"Request-Id", "Route-Key"}, {"Caller-Service"}, "Own-", true};
 
 struct guarded_case
 {
@@ -25,8 +25,8 @@
 TEST_CASE("a message is rejected if readers may differ about a guarded field", "[http]")
 {
     const auto row = GENERATE(values<guarded_case>({
-        {"one line of each", {{"Request-Id", "1"}, {"Shard-Key", "2"}, {"Own-A", "3"}}, true},
-        {"letter case", {{"request-ID", "1"}, {"SHARD-KEY", "2"}}, true},
+        {"one line of each", {{"Request-Id", "1"}, {"Route-Key", "2"}, {"Own-A", "3"}}, true},
+        {"letter case", {{"request-ID", "1"}, {"ROUTE-KEY", "2"}}, true},
         {"field set by the daemon repeated",
          {{"Caller-Service", "a"}, {"caller-service", "b"}},
          true},
@@ -35,13 +35,13 @@
          true},
         {"field that is read repeated", {{"Request-Id", "1"}, {"Request-Id", "1"}}, false},
         {"repeated in another case",
-         {{"Shard-Key", "1"}, {"Accept", "a"}, {"shard-key", "2"}},
+         {{"Route-Key", "1"}, {"Accept", "a"}, {"route-key", "2"}},
          false},
         {"prefixed field repeated", {{"Own-A", "1"}, {"own-a", "2"}}, false},
         {"spelled with an underscore", {{"Request_Id", "1"}}, false},
         {"field that is set spelled with an underscore", {{"Caller_Service", "a"}}, false},
         {"field that is read listed", {{"Request-Id", "1"}, {"Connection", "Request-Id"}}, false},
-        {"listed in another case", {{"Connection", "close, shard-KEY"}}, false},
+        {"listed in another case", {{"Connection", "close, route-KEY"}}, false},
         {"field that is set listed", {{"Connection", "Caller-Service"}}, false},
         {"prefixed field listed", {{"Connection", "x,\tOwn-B ,y"}}, false},
         {"listed in a second line", {{"Connection", "close"}, {"connection", "Request-Id"}}, false},
