Count requests for keys that were not served in time, by cause

Rejections between daemons now state the state of the key, responses how the time was spent (Persimmonrail-Key-State, Persimmonrail-Time-Spent; older daemons ignore both), and the daemon of the caller sums the losses by cause and owner: persimmonrail_keyed_lost_total, and a line keyed-loss each second with the keys and since when. A control thread that runs 0.2 s late or more is logged.

No decision changed.

--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -193,6 +193,8 @@
     result.outcome = exchanged.hasSentBytes ? request_outcome::Unknown : request_outcome::NotRun;
     result.hasReachedUpstream = exchanged.hasSentBytes;
     result.queue = parseQueueReport(exchanged.head.get(queueHeader, ""));
+    result.keyState = parseKeyState(exchanged.head.get(keyStateHeader, ""));
+    result.timeSpent = parseTimeSpent(exchanged.head.get(timeSpentHeader, ""));
     switch (exchanged.state) {
     case exchange_state::Complete:
         result.outcome = request_outcome::Run;
@@ -283,6 +285,9 @@
     if (result.queue) {
         head.set(queueHeader, encodeQueueReport(*result.queue));
     }
+    if (result.keyState) {
+        head.set(keyStateHeader, std::string(toString(*result.keyState)));
+    }
     exchange.respond(head, "");
 }
 
--- a/src/persimmonrail/proxy/peer_fields.h
+++ b/src/persimmonrail/proxy/peer_fields.h
@@ -20,6 +20,10 @@
 inline constexpr char objectiveLeftHeader[] = "Persimmonrail-Target-Left-Ms";
 // "running,waiting,limit,meanServiceTime" of the upstream's queue, the last in microseconds.
 inline constexpr char queueHeader[] = "Persimmonrail-Queue";
+// key_state of the key of a rejected request.
+inline constexpr char keyStateHeader[] = "Persimmonrail-Key-State";
+// Times of a request that the upstream ran, as encodeTimeSpent() writes them.
+inline constexpr char timeSpentHeader[] = "Persimmonrail-Time-Spent";
 // Time after which a rejected request may be retried, in milliseconds.
 inline constexpr char retryAfterHeader[] = "Persimmonrail-Retry-After-Ms";
 
--- a/src/persimmonrail/proxy/proxy_types.h
+++ b/src/persimmonrail/proxy/proxy_types.h
@@ -4,6 +4,8 @@
 #include "persimmonrail/base/request_outcome.h"
 #include "persimmonrail/fleet/upstream_member.h"
 #include "persimmonrail/keyspace/key_placement.h"
+#include "persimmonrail/keyspace/key_state.h"
+#include "persimmonrail/proxy/keyed_loss.h"
 #include "persimmonrail/proxy/link_pacer.h"
 #include "persimmonrail/proxy/proxy_reason.h"
 #include "persimmonrail/proxy/upstream_picker.h"
@@ -65,8 +67,30 @@
     std::optional<uint64_t> lostFingerprint;
     // Queue of the upstream after the attempt; nullopt if unknown.
     std::optional<queue_report> queue;
+    // State of the request's key at the daemon beside the upstream; nullopt if unknown.
+    std::optional<key_state> keyState;
+    // Times of a request that the upstream ran; nullopt if unknown.
+    std::optional<time_spent> timeSpent;
 };
 
+// Moments of a request at the daemon beside the upstream.
+struct dispatch_times
+{
+    steady_time arrivedAt{};
+    // When the request got its slot; the arrival until then.
+    steady_time startedAt{};
+};
+
+// Returns how the time of a request was spent whose response began at `respondedAt`.
+inline time_spent spentUntil(const dispatch_times &times, steady_time respondedAt)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::microseconds;
+    return {duration_cast<microseconds>(times.startedAt - times.arrivedAt),
+            duration_cast<microseconds>(respondedAt - times.startedAt),
+            duration_cast<microseconds>(respondedAt - times.arrivedAt)};
+}
+
 // Returns the result of a request that did not run for this reason.
 inline proxy_result notRunResult(proxy_reason reason, milliseconds retryAfter = milliseconds(0))
 {
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -141,6 +141,10 @@
                 m_isRetryBudgetSpent = true;
                 return result;
             }
+            if (result.reason != proxy_reason::None && now != m_startedAt) {
+                m_earlierCause = causeOfFailure(result.reason, result.keyState);
+            }
+            m_lastAttemptAt = now;
             const proxy_result attempted = attemptOnce(service, now);
             if (attempted.reason != proxy_reason::NoUpstream || sentAttempts == 0) {
                 // If an earlier attempt may have run, the caller must not be told that the request
@@ -240,8 +244,10 @@
         proxy_result result;
         if (isLocal) {
             proxy_sink sink(m_exchange, {});
-            result = m_proxy.m_dispatcher.dispatch(m_request, m_exchange, sink);
+            dispatch_times times;
+            result = m_proxy.m_dispatcher.dispatch(m_request, m_exchange, sink, times);
             result.queue = m_proxy.m_dispatcher.queue();
+            result.timeSpent = spentUntil(times, clockNow());
         } else if (!m_proxy.m_peers.liveness().tryBegin(member->peerAddress, sentAt)) {
             result = notRunResult(proxy_reason::PeerSilent);
         } else {
@@ -372,10 +378,31 @@
         m_proxy.m_log.write(entry);
     }
 
+    // Counts a request for a key that was not served within its objective, by cause.
+    void recordLoss(const proxy_result &result, steady_time now)
+    {
+        const bool wasServed = result.outcome == request_outcome::Run;
+        if (!m_request.key || (wasServed && now <= m_request.objectiveEnd)) {
+            return;
+        }
+        const loss_cause cause = wasServed
+            ? causeOfDelay({m_lastAttemptAt - m_startedAt, m_earlierCause, now - m_lastAttemptAt,
+                            result.timeSpent})
+            : causeOfFailure(result.reason, result.keyState);
+        m_proxy.m_losses.record({m_request.service, cause, m_request.upstream.name,
+                                 *m_request.key, wasServed},
+                                now);
+        m_proxy.m_metrics.count(
+            "persimmonrail_keyed_lost_total",
+            absl::StrCat("cause=\"", toAbsl(toString(cause)), "\",outcome=\"",
+                         wasServed ? "late" : "not-served", "\""));
+    }
+
     // Records the metrics of the request, and responds and logs if it failed.
     void finish(const proxy_result &result)
     {
         const steady_time now = clockNow();
+        recordLoss(result, now);
         const std::string rank = std::to_string(m_request.rank);
         m_proxy.m_metrics.recordLatency(m_request.service, rank, result.outcome, now - m_startedAt);
         if (result.outcome == request_outcome::Run || result.responseStarted
@@ -430,6 +457,9 @@
     const route *m_route = nullptr;
     proxied_request m_request;
     std::vector<upstream_id> m_tried;
+    // When the last attempt began, and why the one before failed.
+    steady_time m_lastAttemptAt = m_startedAt;
+    loss_cause m_earlierCause = loss_cause::Other;
     // Attempts that other daemons rejected because their upstream is overloaded.
     int m_overloadRejections = 0;
     bool m_hasUnknownOutcome = false;
@@ -541,13 +571,15 @@
     }
     request->deadline = std::min(request->deadline, m_hooks.shutdownDeadline());
     const peer_request_guard inFlightGuard(*this, request->requestId);
-    const auto decorate = [this](Poco::Net::HTTPResponse &head) {
+    dispatch_times times;
+    const auto decorate = [this, &times](Poco::Net::HTTPResponse &head) {
         head.set(outcomeHeader, std::string(toString(request_outcome::Run)));
+        head.set(timeSpentHeader, encodeTimeSpent(spentUntil(times, clockNow())));
         head.set(queueHeader, encodeQueueReport(m_dispatcher.queue()));
     };
     proxy_sink sink(exchange, decorate, &m_outboundLink, request->route);
     request->linkEstimate = m_outboundLink.pacer.estimateFor(request->route, clockNow());
-    proxy_result result = m_dispatcher.dispatch(*request, exchange, sink);
+    proxy_result result = m_dispatcher.dispatch(*request, exchange, sink, times);
     if (result.outcome != request_outcome::Run && !result.responseStarted
         && !result.callerDisconnected) {
         result.queue = m_dispatcher.queue();
--- a/src/persimmonrail/proxy/request_proxy.h
+++ b/src/persimmonrail/proxy/request_proxy.h
@@ -3,6 +3,7 @@
 #include "persimmonrail/base/random_source.h"
 #include "persimmonrail/fleet/fleet_directory.h"
 #include "persimmonrail/http/http_server.h"
+#include "persimmonrail/proxy/keyed_loss.h"
 #include "persimmonrail/proxy/overload_throttle.h"
 #include "persimmonrail/proxy/peer_client.h"
 #include "persimmonrail/proxy/upstream_dispatcher.h"
@@ -19,6 +20,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace persimmonrail {
 
@@ -81,6 +83,9 @@
     void servePeer(server_exchange &exchange);
     // Returns the number of requests that are being served.
     int inFlight() const { return m_inFlight; }
+    // Returns the requests for keys that were not served in time since the last call, by cause and
+    // owner.
+    std::vector<loss_summary> takeLosses(steady_time now) { return m_losses.takeSummaries(now); }
 
 private:
     friend class proxied_call;
@@ -109,6 +114,7 @@
     decision_log &m_log;
     metrics &m_metrics;
     peer_client m_peers;
+    keyed_loss_ledger m_losses;
     // Shared by large responses to other daemons.
     outbound_link m_outboundLink;
     std::atomic<int> m_inFlight{0};
--- a/src/persimmonrail/proxy/tests/dispatcher_site.h
+++ b/src/persimmonrail/proxy/tests/dispatcher_site.h
@@ -81,7 +81,8 @@
         request.objectiveEnd = now + request.objective;
         request.deadline = now + request.objective;
         proxy_sink sink(exchange, {});
-        const proxy_result result = m_dispatcher.dispatch(request, exchange, sink);
+        dispatch_times times;
+        const proxy_result result = m_dispatcher.dispatch(request, exchange, sink, times);
         {
             const std::lock_guard lock(m_mutex);
             m_reasons.push_back(result.reason);
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -89,28 +89,37 @@
     m_slotQueue.stopAt(end);
 }
 
-proxy_reason upstream_dispatcher::rejectionReason(const proxied_request &request,
-                                                  const local_upstream_state &target) const
+std::optional<proxy_result>
+upstream_dispatcher::checkTarget(const proxied_request &request,
+                                 const local_upstream_state &target) const
 {
     if (target.id != request.upstream || target.service != request.service) {
-        return proxy_reason::OtherUpstream;
+        return notRunResult(proxy_reason::OtherUpstream);
     }
     const proxy_reason rejectReason = request.key ? target.keyedRejectReason : target.rejectReason;
     if (rejectReason != proxy_reason::None) {
-        return rejectReason;
+        return notRunResult(rejectReason);
     }
-    if (request.key && !m_hooks.canServe(*request.key)) {
-        return proxy_reason::NotOwner;
+    if (!request.key) {
+        return std::nullopt;
+    }
+    const key_state state = m_hooks.keyState(*request.key);
+    if (state == key_state::Served) {
+        return std::nullopt;
     }
-    return proxy_reason::None;
+    proxy_result rejected = notRunResult(proxy_reason::NotOwner);
+    rejected.keyState = state;
+    return rejected;
 }
 
 proxy_result upstream_dispatcher::dispatch(const proxied_request &request,
-                                           server_exchange &exchange, response_sink &sink)
+                                           server_exchange &exchange, response_sink &sink,
+                                           dispatch_times &times)
 {
-    if (const proxy_reason reason = rejectionReason(request, m_hooks.local());
-        reason != proxy_reason::None) {
-        return notRunResult(reason);
+    const steady_time arrived = std::chrono::steady_clock::now();
+    times = {arrived, arrived};
+    if (const auto rejected = checkTarget(request, m_hooks.local())) {
+        return *rejected;
     }
     fingerprinted_body body(&m_quarantine, exchange, headFingerprint(request));
     if (const auto rejected = checkQuarantine(request, body)) {
@@ -119,7 +128,6 @@
     if (request.key) {
         m_hooks.countKeyRequest(*request.key);
     }
-    const steady_time arrived = std::chrono::steady_clock::now();
     const steady_time expectedEnd = arrived + m_slotQueue.report().meanServiceTime
         + request.linkEstimate.queueDelay + request.linkEstimate.sendTime;
     // While responses queue for the link, a response that would be late would only delay the others
@@ -136,6 +144,7 @@
         return notRunResult(hasEnded ? proxy_reason::Stopping : proxy_reason::Overload,
                             rejected->retryAfter);
     }
+    times.startedAt = std::chrono::steady_clock::now();
     releasing_sink releasing(std::move(std::get<std::unique_ptr<slot_permit>>(acquired)), sink);
     // While the request waited, another copy of it may have crashed an upstream, and the state of
     // the upstream or the owner of the key may have changed.
@@ -143,9 +152,10 @@
         return *rejected;
     }
     const local_upstream_state target = m_hooks.local();
-    const proxy_reason reason = rejectionReason(request, target);
-    return reason == proxy_reason::None ? sendToUpstream(request, target, exchange, body, releasing)
-                                        : notRunResult(reason);
+    if (const auto rejected = checkTarget(request, target)) {
+        return *rejected;
+    }
+    return sendToUpstream(request, target, exchange, body, releasing);
 }
 
 std::optional<proxy_result> upstream_dispatcher::checkQuarantine(const proxied_request &request,
@@ -185,7 +195,7 @@
 
 bool upstream_dispatcher::mayResend(const proxied_request &request, fingerprinted_body &body)
 {
-    return rejectionReason(request, m_hooks.local()) == proxy_reason::None
+    return !checkTarget(request, m_hooks.local())
         && !checkQuarantine(request, body) && m_resends.tryRetry(std::chrono::steady_clock::now());
 }
 
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -34,8 +34,8 @@
 {
     // Returns the current state of the local upstream.
     std::function<local_upstream_state()> local;
-    // Returns whether the upstream owns the key now.
-    std::function<bool(shard_key key)> canServe;
+    // Returns whether the upstream may serve the key now.
+    std::function<key_state(shard_key key)> keyState;
     // Counts a request for the key, for the balancing of key ranges.
     std::function<void(shard_key key)> countKeyRequest;
     // Called when a connection is refused, which means that no process listens at the address.
@@ -55,9 +55,10 @@
 
     // Waits for a slot, sends the request to the upstream and passes the response on to `sink`.
     // `exchange` supplies the request body and is watched for the requester's disconnection.
-    // Rejects the request if it is for another upstream or the upstream can't take it.
+    // Rejects the request if it is for another upstream or the upstream can't take it. Sets `times`
+    // before the response begins.
     proxy_result dispatch(const proxied_request &request, server_exchange &exchange,
-                          response_sink &sink);
+                          response_sink &sink, dispatch_times &times);
     // Returns the state of the queue for the upstream.
     queue_report queue() const { return m_slotQueue.report(); }
     // Sets the number of requests that the upstream may run at the same time.
@@ -76,9 +77,9 @@
     void closeIdleConnections(const std::string &address) { m_pool->closeIdle(address); }
 
 private:
-    // Returns why the request can't be dispatched now; None if it can.
-    proxy_reason rejectionReason(const proxied_request &request,
-                                 const local_upstream_state &target) const;
+    // Returns the rejection of a request that can't be dispatched now; nullopt if it can.
+    std::optional<proxy_result> checkTarget(const proxied_request &request,
+                                            const local_upstream_state &target) const;
     // Returns the rejection of a request whose fingerprint is quarantined or whose body can't be
     // read; nullopt if the request may be dispatched.
     static std::optional<proxy_result> checkQuarantine(const proxied_request &request,
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -177,31 +177,31 @@
     m_utilization += (utilization - m_utilization) * utilizationSmoothingWeight;
 }
 
-bool range_controller::canServe(shard_key key)
+key_state range_controller::stateOf(shard_key key)
 {
     const std::lock_guard lock(m_mutex);
-    const bool isServable = m_leaseManager.canServe(key, bootNow());
-    if (!isServable) {
-        countUnserved(key);
+    if (m_leaseManager.canServe(key, bootNow())) {
+        return key_state::Served;
     }
-    return isServable;
+    const key_state state = unservedState(key);
+    m_unserved.moving += state == key_state::Moving ? 1 : 0;
+    m_unserved.notRecorded += state == key_state::NotRecorded ? 1 : 0;
+    m_unserved.notGranted += state == key_state::NotGranted ? 1 : 0;
+    return state;
 }
 
-// Must be called with m_mutex held.
-void range_controller::countUnserved(shard_key key)
+key_state range_controller::unservedState(shard_key key) const
 {
     const auto &moving = m_leaseManager.moving();
     const auto &ranges = m_leaseManager.placement().ranges;
     const auto hasKey = [key](key_interval keys) { return keys.contains(key); };
     if (std::any_of(moving.begin(), moving.end(), hasKey)) {
-        ++m_unserved.moving;
-    } else if (std::any_of(ranges.begin(), ranges.end(), [&](const owned_range &range) {
-                   return range.keys.contains(key) && m_leaseManager.isOwn(range);
-               })) {
-        ++m_unserved.notGranted;
-    } else {
-        ++m_unserved.notRecorded;
+        return key_state::Moving;
     }
+    const bool isOwn = std::any_of(ranges.begin(), ranges.end(), [&](const owned_range &range) {
+        return range.keys.contains(key) && m_leaseManager.isOwn(range);
+    });
+    return isOwn ? key_state::NotGranted : key_state::NotRecorded;
 }
 
 void range_controller::logUnserved(steady_time now)
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -4,6 +4,7 @@
 #include "persimmonrail/daemon/control_loop.h"
 #include "persimmonrail/fleet/fleet_directory.h"
 #include "persimmonrail/keyspace/heartbeat_grants.h"
+#include "persimmonrail/keyspace/key_state.h"
 #include "persimmonrail/keyspace/placement_proposal.h"
 #include "persimmonrail/keyspace/range_lease_manager.h"
 #include "persimmonrail/keyspace/range_plan.h"
@@ -34,8 +35,8 @@
 };
 
 // Controls the key ranges of the local upstream: grants, renewals, releases and changes of the
-// recorded owners. All functions must be called on the control thread, except for canServe() and
-// countKeyRequest(), which are thread safe. Blocking calls run on workers.
+// recorded owners. All functions must be called on the control thread, except for stateOf(),
+// canServe() and countKeyRequest(), which are thread safe. Blocking calls run on workers.
 class range_controller
 {
 public:
@@ -82,8 +83,10 @@
     // Performs all actions that are due. Must be called about every 100 ms.
     void tick(steady_time now);
 
-    // Whether the local upstream may serve requests for this key now.
-    bool canServe(shard_key key);
+    // Returns whether the local upstream may serve requests for this key now, and counts the request
+    // if it may not.
+    key_state stateOf(shard_key key);
+    bool canServe(shard_key key) { return stateOf(key) == key_state::Served; }
     // Counts one request for this key, for the rates from which moves are chosen.
     void countKeyRequest(shard_key key) { m_rates.count(key); }
     bool isIdle() const { return !m_isMoving; }
@@ -137,7 +140,8 @@
     void finishMove(const std::vector<released_range> &releasedRanges);
     // `result` tells how the move ended, for the log.
     void endMove(std::string_view result);
-    void countUnserved(shard_key key);
+    // Returns why a key is not served. Must be called with m_mutex held.
+    key_state unservedState(shard_key key) const;
     void logUnserved(steady_time now);
     owner_load ownLoad() const;
     // Changes the record of the current epoch on the store worker, and calls `done` on the control
@@ -164,9 +168,7 @@
     struct unserved_counts
     {
         uint64_t moving = 0;
-        // Recorded for another upstream, or for none.
         uint64_t notRecorded = 0;
-        // Recorded for the local upstream, without a grant in force.
         uint64_t notGranted = 0;
     };
     // Guards m_leaseManager, which traffic threads read through canServe(), and m_unserved.
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -15,6 +15,9 @@
 constexpr uint64_t maxLogLinesPerSecond = 500;
 constexpr milliseconds rangeTickInterval{100};
 constexpr milliseconds upstreamCheckInterval{250};
+constexpr milliseconds lossLogInterval{1000};
+// Lags of the control thread below this are not logged.
+constexpr milliseconds minLoggedLag{200};
 // Callers check readiness once a second and notice within two checks that the daemon is stopping.
 // Other daemons reuse no connection that has been idle for 2 s, so by then they keep none to this
 // daemon.
@@ -190,7 +193,9 @@
 
 void router::state::schedulePeriodicTasks()
 {
+    m_loop.every(lossLogInterval, [this](steady_time now) { logLosses(now); });
     m_loop.every(rangeTickInterval, [this](steady_time now) {
+        recordLag(now);
         m_ranges->setLocalQueue(m_dispatcher->queue());
         std::shared_ptr<const route_table> routes;
         std::shared_ptr<const fleet_directory> directory;
@@ -230,7 +235,7 @@
 {
     upstream_dispatcher_hooks hooks;
     hooks.local = [this] { return localUpstreamState(); };
-    hooks.canServe = [this](shard_key key) { return m_ranges->canServe(key); };
+    hooks.keyState = [this](shard_key key) { return m_ranges->stateOf(key); };
     hooks.countKeyRequest = [this](shard_key key) { m_ranges->countKeyRequest(key); };
     hooks.onConnectionRefused = [this](const upstream_id &id) {
         m_loop.post([this, id](steady_time) { onConnectionRefused(id); });
@@ -326,6 +331,33 @@
     m_log.write(log_level::Info, absl::StrCat(toAbsl(event), " ", toAbsl(detail)));
 }
 
+void router::state::logLosses(steady_time now)
+{
+    for (const loss_summary &sum : m_proxy->takeLosses(now)) {
+        m_log.write(log_level::Info,
+                    absl::StrCat("keyed-loss service=", sum.service,
+                                 " cause=", toAbsl(toString(sum.cause)), " owner=", sum.owner,
+                                 " not_served=", sum.notServed, " late=", sum.late,
+                                 " keys=", sum.firstKey, "-", sum.lastKeySeen,
+                                 " for_ms=", sum.duration.count()));
+    }
+    if (m_longestLag >= minLoggedLag) {
+        logEvent("control-lag", absl::StrCat("longest_ms=", m_longestLag.count()));
+    }
+    m_longestLag = milliseconds(0);
+}
+
+void router::state::recordLag(steady_time now)
+{
+    const bool isFirst = m_lastRangeTickAt == steady_time{};
+    const auto lag = std::chrono::duration_cast<milliseconds>(now - m_lastRangeTickAt)
+        - rangeTickInterval;
+    m_lastRangeTickAt = now;
+    if (!isFirst) {
+        m_longestLag = std::max(m_longestLag, lag);
+    }
+}
+
 void router::state::reload(const router_settings &settings)
 {
     const bool needsRestart = settings.callerAddress != m_settings.callerAddress
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -94,6 +94,10 @@
     request_proxy_hooks makeProxyHooks();
     upstream_dispatcher_hooks makeDispatcherHooks();
     void logEvent(std::string_view event, std::string_view detail);
+    // Logs the requests for keys that were not served in time, by cause and owner.
+    void logLosses(steady_time now);
+    // Records how late the control thread ran a task that is due at fixed intervals.
+    void recordLag(steady_time now);
 
     const router_settings m_settings;
     const router_platform m_platform;
@@ -118,6 +122,9 @@
     local_upstream m_upstream;
     // When each unreachable peer was last marked, by upstream name.
     std::map<std::string, steady_time> m_unreachableMarkedAt;
+    steady_time m_lastRangeTickAt{};
+    // Longest lag of the control thread since the last log line.
+    milliseconds m_longestLag{0};
 
     // Published for traffic threads, guarded by m_mutex.
     mutable std::mutex m_mutex;
