Let a change of the record by any daemon serve all that have just started

What a start needs is that the record has changed since its first read, whoever changed it: then no write of the process before, which expects an older version, can take effect. The highest fence of the changed record is above all that this process knew, and below that of each later owner, so the daemon grants its keys with it (range_lease_manager::grantFence). Records and calls are as before; daemons of the release before renew their own fences beside it.

--- a/src/persimmonrail/keyspace/placement_proposal.cpp
+++ b/src/persimmonrail/keyspace/placement_proposal.cpp
@@ -54,9 +54,11 @@
 {
     const upstream_id id = *input.upstream;
     if (leases.needsNewFences()) {
-        return proposeIfNeeded(current, "renew-fences", [id](const key_placement &latest) {
-            return renewFences(latest, id);
-        });
+        return proposeIfNeeded(
+            current, "renew-fences",
+            [id, superseded = leases.supersededFence()](const key_placement &latest) {
+                return renewFences(latest, id, superseded);
+            });
     }
     if (!input.isDraining) {
         auto reclaim =
--- a/src/persimmonrail/keyspace/range_lease_manager.cpp
+++ b/src/persimmonrail/keyspace/range_lease_manager.cpp
@@ -46,6 +46,10 @@
     }
     m_placement = placement;
     m_placementEpoch = m_epoch;
+    if (areFencesKnown() && m_replacementFence <= m_supersededFence
+        && placement.highestFence > m_supersededFence) {
+        m_replacementFence = placement.highestFence;
+    }
     onConfirmed(confirmedAt);
     std::vector<std::pair<uint64_t, boot_time>> pending;
     for (const owned_range &range : m_placement.ranges) {
@@ -82,6 +86,12 @@
     return m_upstream && range.owner == *m_upstream;
 }
 
+uint64_t range_lease_manager::grantFence(const owned_range &range) const
+{
+    const bool isReplaced = range.takeoverDelay.count() == 0 && range.fence <= m_supersededFence;
+    return isReplaced ? std::max(range.fence, m_replacementFence) : range.fence;
+}
+
 bool range_lease_manager::needsNewFences(const upstream_id &owner) const
 {
     return areFencesKnown()
@@ -97,7 +107,7 @@
     for (const owned_range &range : m_placement.ranges) {
         if (range.owner == ended) {
             for (const key_interval &keys : excludeMoving(range.keys)) {
-                grants.push_back({keys, range.fence, "", releaseConnection});
+                grants.push_back({keys, grantFence(range), "", releaseConnection});
             }
         }
     }
@@ -108,7 +118,7 @@
 {
     const owned_range &range = m_placement.rangeOf(grant.keys.first);
     return hasLease(now) && m_placementEpoch == m_epoch && !isMoving(grant.keys)
-        && range.fence == grant.fence && range.keys.contains(grant.keys)
+        && grantFence(range) == grant.fence && range.keys.contains(grant.keys)
         && range.takeoverDelay.count() == 0 && !needsNewFence(range);
 }
 
@@ -141,7 +151,7 @@
     std::vector<key_interval> reported;
     for (const held_grant &held : m_held) {
         const auto part = intersect(held.grant.keys, range.keys);
-        if (part && held.grant.connection == 0 && held.grant.fence == range.fence
+        if (part && held.grant.connection == 0 && held.grant.fence == grantFence(range)
             && now < held.certainUntil) {
             reported.push_back(*part);
         }
@@ -205,7 +215,7 @@
         }
         for (const key_interval &grantable : grantableKeys(range, now)) {
             for (const key_interval &keys : excludeMoving(grantable)) {
-                permitted.push_back({keys, range.fence, range.handover});
+                permitted.push_back({keys, grantFence(range), range.handover});
             }
         }
     }
@@ -232,7 +242,7 @@
                        [&](const owned_range &range) {
                            const auto part = intersect(range.keys, grant.keys);
                            return !part
-                               || (isOwn(range) && range.fence == grant.fence
+                               || (isOwn(range) && grantFence(range) == grant.fence
                                    && subtract(*part, grantableKeys(range, now)).empty());
                        });
 }
@@ -319,7 +329,8 @@
             m_placement.ranges.begin(), m_placement.ranges.end(), [&](const owned_range &range) {
                 return !range.keys.overlaps(keys)
                     || std::all_of(m_held.begin(), m_held.end(), [&](const held_grant &held) {
-                           return held.grant.fence == range.fence || !held.grant.keys.overlaps(keys)
+                           return held.grant.fence == grantFence(range)
+                               || !held.grant.keys.overlaps(keys)
                                || !held.grant.keys.overlaps(range.keys);
                        });
             });
@@ -366,7 +377,7 @@
     for (const held_grant &held : m_held) {
         const bool isRecorded = std::any_of(
             m_placement.ranges.begin(), m_placement.ranges.end(), [&](const owned_range &range) {
-                return isOwn(range) && range.fence >= held.grant.fence
+                return isOwn(range) && grantFence(range) >= held.grant.fence
                     && range.keys.overlaps(held.grant.keys);
             });
         const bool isReclaimable = now < held.certainUntil
@@ -437,7 +448,7 @@
         }
         // A carried-over range is served under the older fence until the grant with the new one.
         const owned_range &range = m_placement.rangeOf(key);
-        return range.fence == held.grant.fence || (isOwn(range) && range.isCarriedOver());
+        return grantFence(range) == held.grant.fence || (isOwn(range) && range.isCarriedOver());
     });
 }
 
--- a/src/persimmonrail/keyspace/range_lease_manager.h
+++ b/src/persimmonrail/keyspace/range_lease_manager.h
@@ -81,16 +81,23 @@
     // `startedAt` to which the upstream did not respond, as long as longestGrant and with any fence
     // that was recorded by then.
     void recordDaemonStart(boot_time startedAt);
-    // Records that no fence above `highestFence` had been recorded when this daemon started, so
-    // that no range is granted under such a fence. The previous incarnation may have released keys
-    // and sent the write of a move that takes effect later: the write of a new fence makes it
-    // impossible. The upstream rejects grants of the previous incarnation for keys that it holds
-    // with a new fence.
+    // Records that no fence above `highestFence` had been recorded when this daemon started. The
+    // previous incarnation may have granted keys with any of these fences, and may have released
+    // keys and sent the write of a move that takes effect later. So nothing is granted until
+    // onPlacement() shows a placement with a higher highest fence, whoever wrote it: the record has
+    // changed, so the late write can't take effect any more, and that highest fence is above all
+    // fences that the previous incarnation knew. Ranges whose recorded fences are older are granted
+    // with it (grantFence()).
     void onEarlierFences(uint64_t highestFence);
-    // Makes the owned ranges need fences above all that are recorded now before they are granted
+    // Makes the owned ranges need a fence above all that are recorded now before they are granted
     // again.
     void requireNewFences() { m_supersededFence = m_placement.highestFence; }
-    // Returns whether ranges of the local upstream need new fences before they can be granted.
+    // Returns the fence with which the daemon grants the range: the recorded one, or the
+    // replacement of a recorded one that is superseded. A later owner of any key of the range gets
+    // a higher one, since each change of an owner takes one above the highest fence of the record.
+    uint64_t grantFence(const owned_range &range) const;
+    // Returns whether ranges of the local upstream wait for a change of the record before they can
+    // be granted.
     bool needsNewFences() const { return m_upstream && needsNewFences(*m_upstream); }
     // The same for the ranges of any incarnation of the local upstream.
     bool needsNewFences(const upstream_id &owner) const;
@@ -102,6 +109,9 @@
     bool canSupersede(const range_grant &grant, boot_time now) const;
     // Returns whether the fences are known under which ranges may be granted.
     bool areFencesKnown() const { return !m_unboundedStart; }
+    // Returns the highest fence that is superseded: placements with a higher one fulfil
+    // needsNewFences().
+    uint64_t supersededFence() const { return m_supersededFence; }
     // Sets the local upstream; `upstream` is empty if no local upstream may hold keys. Grants of
     // another incarnation are forgotten.
     void setUpstream(const std::optional<upstream_id> &upstream);
@@ -201,11 +211,12 @@
     bool canTakeEffect(const unconfirmed_grant &grant, key_interval keys, boot_time now) const;
     // Returns the parts of an interval that are not about to be moved.
     std::vector<key_interval> excludeMoving(key_interval keys) const;
-    // Returns whether the range may not be granted under its recorded fence.
+    // Returns whether the recorded fence is superseded and has no replacement yet.
     bool needsNewFence(const owned_range &range) const
     {
         return range.takeoverDelay.count() == 0
-            && (!areFencesKnown() || range.fence <= m_supersededFence);
+            && (!areFencesKnown()
+                || (range.fence <= m_supersededFence && m_replacementFence <= m_supersededFence));
     }
     // Returns the parts of the range that the local upstream may hold now if the range is recorded
     // for it: all of it, nothing during a pending takeover, what it holds if it is carried over, or
@@ -222,8 +233,10 @@
     const range_lease_timing m_timing;
     // Start of this daemon, until the highest fence of its previous incarnation is known.
     std::optional<boot_time> m_unboundedStart;
-    // Ranges with this fence or a lower one are not granted; 0 if there are none.
+    // Ranges with this recorded fence or a lower one are not granted with it; 0 if there are none.
     uint64_t m_supersededFence = 0;
+    // The fence with which such ranges are granted, once it is above m_supersededFence.
+    uint64_t m_replacementFence = 0;
     uint64_t m_epoch = 0;
     boot_time m_epochSeenAt{};
     key_placement m_placement;
--- a/src/persimmonrail/keyspace/range_plan.cpp
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -211,8 +211,12 @@
     return placement;
 }
 
-key_placement renewFences(key_placement placement, const upstream_id &owner)
+key_placement renewFences(key_placement placement, const upstream_id &owner,
+                          uint64_t supersededFence)
 {
+    if (placement.highestFence > supersededFence) {
+        return placement;
+    }
     for (owned_range &range : placement.ranges) {
         if (range.owner == owner && range.takeoverDelay.count() == 0) {
             range.fence = ++placement.highestFence;
--- a/src/persimmonrail/keyspace/range_plan.h
+++ b/src/persimmonrail/keyspace/range_plan.h
@@ -63,8 +63,11 @@
                           const std::vector<key_interval> &held);
 
 // Gives each range of `owner` a new fence, except for pending takeovers and carried-over ranges.
-// Once the owner holds them with the new fences it rejects all earlier grants.
-key_placement renewFences(key_placement placement, const upstream_id &owner);
+// Once the owner holds them with the new fences it rejects all earlier grants. Returns the
+// placement unchanged if its highest fence is above `supersededFence` already: a change by any
+// daemon serves all that wait for one.
+key_placement renewFences(key_placement placement, const upstream_id &owner,
+                          uint64_t supersededFence);
 
 // Clears the marks of all carried-over ranges. takeoverDelay must have passed since the epoch was
 // first seen, so that all grants of older epochs have ended.
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -364,12 +364,69 @@
     SECTION("after it has written new ones")
     {
         manager.onPlacement(twoOwners(), start, start);
-        manager.onPlacement(renewFences(twoOwners(), a), start, start);
+        manager.onPlacement(renewFences(twoOwners(), a, twoOwners().highestFence), start, start);
         CHECK_FALSE(manager.permittedGrants(start).empty());
         CHECK_FALSE(manager.needsNewFences());
     }
 }
 
+// Guards against SHORT: daemons that start together each waited for a write of their own, although
+// the first write of any of them makes late writes of all earlier processes impossible.
+TEST_CASE("a restarted daemon grants its keys after another daemon's change of the record",
+          "[keyspace]")
+{
+    range_lease_manager manager;
+    manager.setUpstream(a);
+    manager.recordDaemonStart(start);
+    manager.onPlacement(twoOwners(), start, start);
+    REQUIRE(manager.needsNewFences());
+    const key_placement changed = renewFences(twoOwners(), b, twoOwners().highestFence);
+    manager.onPlacement(changed, start, start);
+    CHECK_FALSE(manager.needsNewFences());
+    std::vector<range_grant> permitted = manager.permittedGrants(start);
+    REQUIRE(permitted.size() == 1);
+    permitted[0].connection = 1;
+    // Above all fences that the earlier process knew, and below those of all later owners.
+    CHECK(permitted[0].fence > twoOwners().highestFence);
+    CHECK(permitted[0].fence <= changed.highestFence);
+    manager.onGranted(permitted[0], start);
+    CHECK(manager.canServe(5, start));
+    CHECK(manager.canMove({0, 9}, start + 1s));
+    CHECK(manager.dueReleases(start).empty());
+    SECTION("and keeps that fence through later changes by others")
+    {
+        manager.onPlacement(moveRange(changed, {65000, 65535}, c, ""), start, start);
+        REQUIRE(manager.permittedGrants(start).size() == 1);
+        CHECK(manager.permittedGrants(start)[0].fence == permitted[0].fence);
+        CHECK(manager.canServe(5, start));
+    }
+    SECTION("and releases the keys of a later owner")
+    {
+        manager.onPlacement(moveRange(changed, {0, 9}, c, ""), start, start);
+        CHECK_FALSE(manager.canServe(5, start));
+        CHECK(manager.canServe(10, start));
+    }
+    SECTION("and needs a further change if the fence is used up")
+    {
+        manager.requireNewFences();
+        CHECK(manager.needsNewFences());
+        CHECK(manager.permittedGrants(start).empty());
+        manager.onPlacement(moveRange(changed, {65000, 65535}, c, ""), start, start);
+        REQUIRE(manager.permittedGrants(start).size() == 1);
+        CHECK(manager.permittedGrants(start)[0].fence > permitted[0].fence);
+    }
+}
+
+// Guards against a write for each of many daemons that start together.
+TEST_CASE("fences are renewed only in a record that has not changed", "[keyspace]")
+{
+    const uint64_t superseded = twoOwners().highestFence;
+    const key_placement changed = renewFences(twoOwners(), b, superseded);
+    CHECK_FALSE(changed == twoOwners());
+    CHECK(renewFences(changed, a, superseded) == changed);
+    CHECK_FALSE(renewFences(changed, a, changed.highestFence) == changed);
+}
+
 // Guards against OWNER: grants for an upstream that has ended take effect at the next process at
 // its address, after they were released.
 TEST_CASE("the last grants of an ended upstream supersede all earlier ones", "[keyspace]")
@@ -418,7 +475,7 @@
     {
         grantAll(twoOwners());
         CHECK_FALSE(manager.canMove(keys, start + 5s));
-        grantAll(renewFences(twoOwners(), a));
+        grantAll(renewFences(twoOwners(), a, twoOwners().highestFence));
         CHECK(manager.canMove(keys, start + 1s));
     }
     SECTION("there was no placement before this process")
@@ -430,7 +487,7 @@
     SECTION("the placement may be older than this process")
     {
         manager.onPlacement(twoOwners(), start - 1s, start);
-        grantAll(renewFences(twoOwners(), a));
+        grantAll(renewFences(twoOwners(), a, twoOwners().highestFence));
         CHECK_FALSE(manager.canMove(keys, start + 1s));
     }
 }
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -83,8 +83,8 @@
     // Performs all actions that are due. Must be called about every 100 ms.
     void tick(steady_time now);
 
-    // Returns whether the local upstream may serve requests for this key now, and counts the request
-    // if it may not.
+    // Returns whether the local upstream may serve requests for this key now, and counts the
+    // request if it may not.
     key_state stateOf(shard_key key);
     bool canServe(shard_key key) { return stateOf(key) == key_state::Served; }
     // Counts one request for this key, for the rates from which moves are chosen.
@@ -107,7 +107,8 @@
     void sendGrant(const range_grant &grant, milliseconds holdTime);
     void recordGrantAttempt(const grant_connection::attempt &attempt, milliseconds holdTime);
     void logGrantAttempt(const grant_connection::attempt &attempt) const;
-    // Writes new fences for the recorded ranges of an incarnation of the local upstream.
+    // Writes new fences for the recorded ranges of an incarnation of the local upstream, unless
+    // another daemon has changed the record meanwhile.
     void renewFencesOf(const upstream_id &owner);
     // Supersedes and releases grants at the address, until that has taken effect or the grants have
     // ended at `until`. Must be called on the grant worker.
--- a/src/persimmonrail/router/range_controller_ended.cpp
+++ b/src/persimmonrail/router/range_controller_ended.cpp
@@ -60,8 +60,14 @@
     if (m_isWritePending || std::chrono::steady_clock::now() < m_nextWriteAt) {
         return;
     }
-    const auto change = [owner](const key_placement &current) -> std::optional<key_placement> {
-        key_placement next = renewFences(current, owner);
+    uint64_t superseded = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        superseded = m_leaseManager.supersededFence();
+    }
+    const auto change = [owner,
+                         superseded](const key_placement &current) -> std::optional<key_placement> {
+        key_placement next = renewFences(current, owner, superseded);
         return next == current ? std::nullopt : std::optional(std::move(next));
     };
     updateRecord(change, "renew-fences", updateTimeout, [](const placement_update_result &) {});
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -153,7 +153,8 @@
         const std::lock_guard lock(m_mutex);
         for (const planned_move &move : moves) {
             for (const range_grant &grant : m_leaseManager.grantsWithin(move.keys)) {
-                requests.push_back({grant, move.target});
+                const owned_range &range = m_leaseManager.placement().rangeOf(grant.keys.first);
+                requests.push_back({grant, move.target, range.fence});
             }
         }
     }
--- a/src/persimmonrail/router/range_release.cpp
+++ b/src/persimmonrail/router/range_release.cpp
@@ -40,6 +40,7 @@
         // No process listens there, so the upstream has ended and holds no keys.
         if (status.ok() || absl::IsFailedPrecondition(status)) {
             outcome.released.push_back({requests[i].grant, requests[i].newOwner,
+                                        requests[i].recordedFence,
                                         status.ok() ? *handovers[i] : std::string()});
         } else {
             outcome.failures.push_back(status);
@@ -68,13 +69,13 @@
                 // The upstream may report one release several times.
                 for (const key_interval &rest : subtract(*keys, reported)) {
                     const range_grant grant{rest, range.fence, ""};
-                    released.push_back({grant, move.target, entry.handover});
+                    released.push_back({grant, move.target, range.fence, entry.handover});
                 }
                 reported.push_back(*keys);
             }
             for (const key_interval &keys : subtract(*part, reported)) {
                 const range_grant grant{keys, range.fence, ""};
-                released.push_back({grant, move.target, ""});
+                released.push_back({grant, move.target, range.fence, ""});
             }
         }
     }
@@ -86,8 +87,8 @@
 {
     key_placement next = current;
     for (const released_range &released : releasedRanges) {
-        next = moveReleasedRange(std::move(next), released.grant.keys, owner, released.grant.fence,
-                                 released.newOwner, released.handover);
+        next = moveReleasedRange(std::move(next), released.grant.keys, owner,
+                                 released.recordedFence, released.newOwner, released.handover);
     }
     return next == current ? std::nullopt : std::optional(std::move(next));
 }
--- a/src/persimmonrail/router/range_release.h
+++ b/src/persimmonrail/router/range_release.h
@@ -15,12 +15,15 @@
 {
     range_grant grant;
     upstream_id newOwner;
+    // The fence of the keys in the record, which may be lower than that of the grant.
+    uint64_t recordedFence = 0;
 };
 
 struct released_range
 {
     range_grant grant;
     upstream_id newOwner;
+    uint64_t recordedFence = 0;
     // Empty if the upstream's process had ended and so returned no handover.
     std::string handover;
 };
--- a/src/persimmonrail/router/tests/placement_update_test.cpp
+++ b/src/persimmonrail/router/tests/placement_update_test.cpp
@@ -26,7 +26,7 @@
 }
 
 // The move of some keys of `a` to `b`, after their release.
-const std::vector<released_range> released{{{{10, 20}, 1, ""}, b, "h"}};
+const std::vector<released_range> released{{{{10, 20}, 1, ""}, b, 1, "h"}};
 
 placement_update makeMove(boot_time deadline)
 {
--- a/src/persimmonrail/router/tests/restore_simulation_test.cpp
+++ b/src/persimmonrail/router/tests/restore_simulation_test.cpp
@@ -111,6 +111,7 @@
 struct pending_move
 {
     key_interval keys;
+    // As recorded.
     uint64_t fence = 0;
     upstream_id target;
     uint64_t epoch = 0;
@@ -121,6 +122,9 @@
 struct simulated_daemon
 {
     size_t index = 0;
+    // Whether it runs the code before a change of the record by any daemon counted for all: it
+    // grants keys only with recorded fences, of its own writes after its start.
+    bool isOld = false;
     // Increases with each start; responses to earlier incarnations are dropped.
     int generation = 0;
     bool isUp = true;
@@ -154,12 +158,13 @@
 class restore_simulation
 {
 public:
-    restore_simulation(uint64_t seed, disabled_mechanisms disabled)
+    restore_simulation(uint64_t seed, disabled_mechanisms disabled, bool areSomeOld = false)
         : m_random(seed)
         , m_disabled(disabled)
     {
         for (size_t i = 0; i < daemonCount; ++i) {
             m_daemons[i].index = i;
+            m_daemons[i].isOld = areSomeOld && i % 2 == 1;
             m_content.startedAt[i] = 1;
             startDaemon(m_daemons[i]);
         }
@@ -581,8 +586,9 @@
     void onHeartbeat(simulated_daemon &daemon, int64_t startedAt)
     {
         const int64_t published = daemon.startedAt[daemon.index];
+        const bool isEnded = startedAt < published || daemon.endedAt[daemon.index] == startedAt;
         const bool isLate =
-            startedAt < daemon.knownStart || (!m_disabled.lateHeartbeats && startedAt < published);
+            startedAt < daemon.knownStart || (!m_disabled.lateHeartbeats && isEnded);
         if (isLate || startedAt == daemon.knownStart) {
             return;
         }
@@ -597,7 +603,10 @@
     void publish(simulated_daemon &daemon)
     {
         const size_t index = daemon.index;
-        if (!m_disabled.lateHeartbeats && daemon.knownStart < daemon.startedAt[index]) {
+        const bool isKnownEnded = daemon.knownStart < daemon.startedAt[index]
+            || (daemon.knownStart != 0 && daemon.endedAt[index] == daemon.knownStart
+                && !daemon.isUpstreamAbsent);
+        if (!m_disabled.lateHeartbeats && isKnownEnded) {
             // The heartbeat came before the directory showed that it is late.
             daemon.knownStart = 0;
             daemon.leases->setUpstream(std::nullopt);
@@ -635,7 +644,7 @@
             || daemon.leases->lastGrantsOf(id).empty() || daemon.released.contains(ended)) {
             return true;
         }
-        if (daemon.leases->needsNewFences(id)) {
+        if (needsNewFences(daemon, id)) {
             renewFencesOf(daemon, id);
             return false;
         }
@@ -663,13 +672,32 @@
         }
         daemon.connectedTo = 0;
     }
+    static bool needsNewFences(const simulated_daemon &daemon, const upstream_id &owner)
+    {
+        if (!daemon.isOld || !daemon.leases->areFencesKnown()) {
+            return daemon.leases->needsNewFences(owner);
+        }
+        return std::any_of(daemon.record->ranges.begin(), daemon.record->ranges.end(),
+                           [&](const owned_range &range) {
+                               return range.owner == owner && range.takeoverDelay.count() == 0
+                                   && range.fence <= daemon.leases->supersededFence();
+                           });
+    }
+    // Returns whether a daemon with the older code does not know this fence.
+    static bool isUnknownFence(const simulated_daemon &daemon, const range_grant &grant)
+    {
+        return daemon.isOld && daemon.record
+            && daemon.record->rangeOf(grant.keys.first).fence != grant.fence;
+    }
     void renewFencesOf(simulated_daemon &daemon, const upstream_id &owner)
     {
         if (daemon.isWritePending || daemon.move || m_now < daemon.nextWriteAt) {
             return;
         }
+        const uint64_t superseded =
+            daemon.isOld ? daemon.record->highestFence : daemon.leases->supersededFence();
         write(daemon,
-              {renewFences(*daemon.record, owner), daemon.recordVersion, "renew-fences",
+              {renewFences(*daemon.record, owner, superseded), daemon.recordVersion, "renew-fences",
                daemon.epoch},
               [](write_result) {});
     }
@@ -695,7 +723,9 @@
     void renewGrants(simulated_daemon &daemon)
     {
         for (const range_grant &grant : daemon.leases->dueGrants(m_now)) {
-            sendGrant(daemon, grant, range_lease_timing().holdTime);
+            if (!isUnknownFence(daemon, grant)) {
+                sendGrant(daemon, grant, range_lease_timing().holdTime);
+            }
         }
     }
     void sendGrant(simulated_daemon &daemon, range_grant grant, milliseconds holdTime)
@@ -764,6 +794,11 @@
             return;
         }
         const proposal_input input = inputOf(daemon);
+        if (daemon.isOld && input.upstream && daemon.record && daemon.recordEpoch == daemon.epoch
+            && needsNewFences(daemon, *input.upstream)) {
+            renewFencesOf(daemon, *input.upstream);
+            return;
+        }
         const auto proposal = proposeChange(input, *daemon.leases, m_now);
         if (!proposal) {
             return;
@@ -821,8 +856,12 @@
             return;
         }
         const key_interval keys = held[0].keys;
-        daemon.move = pending_move{
-            keys, held[0].fence, idOf(target, daemon.startedAt[target]), daemon.epoch, false, {}};
+        daemon.move = pending_move{keys,
+                                   daemon.record->rangeOf(keys.first).fence,
+                                   idOf(target, daemon.startedAt[target]),
+                                   daemon.epoch,
+                                   false,
+                                   {}};
         daemon.leases->setMoving({keys});
         release(daemon.index, keys, fenceOnConnection(held[0].fence, held[0].connection));
         daemon.leases->onReleased(keys, held[0].fence);
@@ -987,10 +1026,10 @@
     std::vector<std::string> m_log;
 };
 
-void checkSeeds(uint64_t first, uint64_t last)
+void checkSeeds(uint64_t first, uint64_t last, bool areSomeOld = false)
 {
     for (uint64_t seed = first; seed <= last; ++seed) {
-        restore_simulation simulation(seed, {});
+        restore_simulation simulation(seed, {}, areSomeOld);
         const std::string violation = simulation.run();
         CAPTURE(seed, violation);
         INFO((violation.empty() ? "" : simulation.log()));
@@ -1014,6 +1053,19 @@
     checkSeeds(1, 3000);
 }
 
+// Guards against two holders of a key while daemons of the release before run beside new ones.
+TEST_CASE("daemons of two releases give no key two holders and leave none unserved",
+          "[router][simulation]")
+{
+    checkSeeds(1, 40, true);
+}
+
+TEST_CASE("daemons of two releases give no key two holders, with many seeds",
+          "[.][simulation-long]")
+{
+    checkSeeds(1, 3000, true);
+}
+
 // Guards against a simulation that does not detect a broken protocol.
 TEST_CASE("the simulation of restores detects a missing mechanism", "[router][simulation]")
 {
@@ -1036,7 +1088,7 @@
         {"keys of the ended are released", {.releaseEnded = true}, "two holders"},
         {"late grants are superseded", {.supersedeEnded = true}, "two holders", 200},
         {"a start needs new fences", {.fencesOfStart = true}, "two holders", 380},
-        {"late heartbeats end no upstream", {.lateHeartbeats = true}, "not a member"},
+        {"late heartbeats end no upstream", {.lateHeartbeats = true}, "not a member", 60},
     };
     for (const row &row : rows) {
         bool isDetected = false;
