Give the keys of an ended upstream to its successor on the same host

Now the next incarnation beside the same daemon gets the keys if it is live, its entry is published before the end of the one before, and no owner moves keys to an upstream that is about to get those of its predecessor.

New tests in keyspace_test and fleet_test.

--- a/src/persimmonrail/fleet/fleet_directory.cpp
+++ b/src/persimmonrail/fleet/fleet_directory.cpp
@@ -99,6 +99,24 @@
             || (known->member.id == id && known->member.isTerminated));
 }
 
+std::optional<upstream_id> successorOf(const fleet_directory &directory, const upstream_id &id)
+{
+    const auto *known = directory.findMember(id.name);
+    if (known == nullptr) {
+        return std::nullopt;
+    }
+    std::optional<upstream_id> latest;
+    for (const auto &[name, entry] : directory.members()) {
+        const upstream_member &member = entry.member;
+        const bool isLater = !member.isTerminated && member.peerAddress == known->member.peerAddress
+            && member.service == known->member.service && member.id.startedAt > id.startedAt;
+        if (isLater && (!latest || latest->startedAt < member.id.startedAt)) {
+            latest = member.id;
+        }
+    }
+    return latest;
+}
+
 bool isSuperseded(const fleet_directory &directory, std::string_view peerAddress,
                   const upstream_id &id)
 {
--- a/src/persimmonrail/fleet/tests/fleet_test.cpp
+++ b/src/persimmonrail/fleet/tests/fleet_test.cpp
@@ -345,6 +345,48 @@
 
 // Guards against OWNER: a restarted daemon takes a late heartbeat of an earlier incarnation for
 // that of the running one, which is then published as ended.
+// Guards against keys of an ended upstream that go to another host although the next incarnation
+// runs beside the same daemon, and against a successor that has ended or serves something else.
+TEST_CASE("the successor of an upstream is the latest one beside the same daemon", "[fleet]")
+{
+    const std::string address = "127.0.0.1:9000";
+    struct row
+    {
+        std::string name;
+        upstream_id id;
+        std::string service;
+        std::string peerAddress;
+        bool isTerminated;
+        bool isSuccessor;
+    };
+    const std::string service = member("i-1").service;
+    const std::vector<row> rows = {
+        {"later", {"i-2", 6}, service, address, false, true},
+        {"later with the same name", {"i-1", 6}, service, address, false, true},
+        {"later, ended as well", {"i-2", 6}, service, address, true, false},
+        {"earlier", {"i-2", 4}, service, address, false, false},
+        {"on another host", {"i-2", 6}, service, "127.0.0.2:9000", false, false},
+        {"of another service", {"i-2", 6}, "other", address, false, false},
+    };
+    for (const row &row : rows) {
+        CAPTURE(row.name);
+        fleet_directory_builder builder([](const std::string &, std::string_view) {});
+        upstream_member ended = member("i-1");
+        ended.id.startedAt = 5;
+        ended.peerAddress = address;
+        builder.applyObject({memberKey("i-1"), 1, false, encodeMember(ended)});
+        upstream_member other = member(row.id.name);
+        other.id = row.id;
+        other.service = row.service;
+        other.peerAddress = row.peerAddress;
+        other.isTerminated = row.isTerminated;
+        builder.applyObject({memberKey(row.id.name), 2, false, encodeMember(other)});
+        const auto successor = successorOf(*builder.build(), {"i-1", 5});
+        CHECK(successor.has_value() == row.isSuccessor);
+        CHECK(successor.value_or(row.id) == row.id);
+    }
+}
+
 TEST_CASE("a later member at the peer address tells that an upstream has ended", "[fleet]")
 {
     struct row
--- a/src/persimmonrail/keyspace/placement_proposal.cpp
+++ b/src/persimmonrail/keyspace/placement_proposal.cpp
@@ -76,6 +76,23 @@
                            });
 }
 
+// Returns the lookup of the successors that are live, for owners that have ended. Keys stay at
+// their host then, where a restart of many hosts would else give all keys to the first few that
+// are back.
+successor_lookup liveSuccessors(const proposal_input &input)
+{
+    return [isTerminated = input.isTerminated, successorOf = input.successorOf,
+            live = input.live](const upstream_id &id) -> std::optional<upstream_id> {
+        const auto successor =
+            isTerminated(id) && successorOf ? successorOf(id) : std::optional<upstream_id>();
+        const bool isLive = successor
+            && std::any_of(live.begin(), live.end(), [&successor](const range_candidate &other) {
+                                return other.id == *successor;
+                            });
+        return isLive ? successor : std::nullopt;
+    };
+}
+
 std::optional<placement_proposal> proposeCoordinatorChange(const proposal_input &input,
                                                            const key_placement &current)
 {
@@ -89,11 +106,13 @@
                   return assignUnowned(latest, live);
               });
     }
-    auto withoutTerminated = proposeIfNeeded(
-        current, "owner-gone",
-        [isTerminated = input.isTerminated, live = input.live](const key_placement &latest) {
-            return reassignLost(latest, isTerminated, live, milliseconds(0));
-        });
+    auto withoutTerminated =
+        proposeIfNeeded(current, "owner-gone",
+                        [isTerminated = input.isTerminated, live = input.live,
+                         successorOf = liveSuccessors(input)](const key_placement &latest) {
+                            return reassignLost(passToSuccessors(latest, successorOf), isTerminated,
+                                                live, milliseconds(0));
+                        });
     if (withoutTerminated) {
         return withoutTerminated;
     }
--- a/src/persimmonrail/keyspace/placement_proposal.h
+++ b/src/persimmonrail/keyspace/placement_proposal.h
@@ -33,6 +33,9 @@
     std::vector<upstream_id> unreachable;
     // Must depend only on values that do not change, and be callable on any thread.
     std::function<bool(const upstream_id &id)> isTerminated;
+    // Returns the upstream that runs beside the same daemon after `ended`, if there is one; under
+    // the same conditions.
+    successor_lookup successorOf;
     milliseconds takeoverDelay{0};
 };
 
--- a/src/persimmonrail/keyspace/range_plan.cpp
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <functional>
 #include <limits>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -225,6 +226,24 @@
     return placement;
 }
 
+key_placement passToSuccessors(key_placement placement, const successor_lookup &successorOf)
+{
+    std::map<upstream_id, uint64_t> fences;
+    for (owned_range &range : placement.ranges) {
+        const auto successor = range.owner.isEmpty() || range.takeoverDelay.count() > 0
+            ? std::nullopt
+            : successorOf(range.owner);
+        if (!successor) {
+            continue;
+        }
+        const auto [fence, isNew] = fences.try_emplace(*successor, placement.highestFence + 1);
+        placement.highestFence += isNew ? 1 : 0;
+        setOwner(range, *successor, fence->second);
+    }
+    placement.mergeAdjacentRanges();
+    return placement;
+}
+
 key_placement clearCarriedOver(key_placement placement)
 {
     for (owned_range &range : placement.ranges) {
--- a/src/persimmonrail/keyspace/range_plan.h
+++ b/src/persimmonrail/keyspace/range_plan.h
@@ -69,6 +69,12 @@
 key_placement renewFences(key_placement placement, const upstream_id &owner,
                           uint64_t supersededFence);
 
+// Gives the keys of each owner for which `successorOf` returns an upstream to that upstream. The
+// owner must have ended, so that it holds no keys any more. Pending takeovers and carried-over
+// ranges stay as they are.
+using successor_lookup = std::function<std::optional<upstream_id>(const upstream_id &ended)>;
+key_placement passToSuccessors(key_placement placement, const successor_lookup &successorOf);
+
 // Clears the marks of all carried-over ranges. takeoverDelay must have passed since the epoch was
 // first seen, so that all grants of older epochs have ended.
 key_placement clearCarriedOver(key_placement placement);
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -427,6 +427,31 @@
     CHECK_FALSE(renewFences(changed, a, changed.highestFence) == changed);
 }
 
+// Guards against SHORT: after a restart of many hosts, the keys of all went to the first few that
+// were back.
+TEST_CASE("the keys of an ended upstream go to its successor", "[keyspace]")
+{
+    const upstream_id successor{"a2", 2};
+    const auto successorOf = [&](const upstream_id &id) {
+        return id == a ? std::optional(successor) : std::nullopt;
+    };
+    key_placement placement = moveRange(twoOwners(), {100, 199}, b, "t");
+    const key_placement passed = passToSuccessors(placement, successorOf);
+    CHECK(isValid(passed));
+    CHECK(ownedKeys(passed, successor) == ownedKeys(placement, a));
+    CHECK(ownedKeys(passed, b) == ownedKeys(placement, b));
+    CHECK(fenceOf(passed, 0) > placement.highestFence);
+    CHECK(fenceOf(passed, 150) == fenceOf(placement, 150));
+    SECTION("but not while another may hold them")
+    {
+        for (owned_range &range : placement.ranges) {
+            range.takeoverDelay = 10s;
+            range.previousOwner = c;
+        }
+        CHECK(passToSuccessors(placement, successorOf) == placement);
+    }
+}
+
 // Guards against OWNER: grants for an upstream that has ended take effect at the next process at
 // its address, after they were released.
 TEST_CASE("the last grants of an ended upstream supersede all earlier ones", "[keyspace]")
--- a/src/persimmonrail/router/member_publisher.cpp
+++ b/src/persimmonrail/router/member_publisher.cpp
@@ -33,11 +33,15 @@
     if (m_isWritePending || now < m_nextWriteAt) {
         return;
     }
-    for (const auto &[name, member] : m_desiredMembers) {
-        const auto *known = directory.findMember(name);
-        if (known == nullptr || !(known->member == member)) {
-            writeMember(member, known == nullptr ? 0 : known->version);
-            return;
+    // Present members first, so that the keys of one that has ended go to its successor.
+    for (const bool isTerminated : {false, true}) {
+        for (const auto &[name, member] : m_desiredMembers) {
+            const auto *known = directory.findMember(name);
+            if (member.isTerminated == isTerminated
+                && (known == nullptr || !(known->member == member))) {
+                writeMember(member, known == nullptr ? 0 : known->version);
+                return;
+            }
         }
     }
 }
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -531,6 +531,9 @@
     input.isTerminated = [directory = m_directory](const upstream_id &id) {
         return hasEnded(*directory, id);
     };
+    input.successorOf = [directory = m_directory](const upstream_id &id) {
+        return successorOf(*directory, id);
+    };
     input.takeoverDelay = m_timing.takeoverDelay();
     return input;
 }
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -133,6 +133,9 @@
     // Returns the live upstreams, with the local one, that are not recorded as leaving.
     std::vector<range_candidate> moveCandidates() const;
     bool isRecordedAsLeaving(const upstream_id &id) const;
+    // Returns whether `id` runs beside the daemon of an ended upstream that the placement still
+    // names as an owner.
+    bool isSuccessorOfOwner(const upstream_id &id, const key_placement &placement) const;
     void startMove(std::vector<planned_move> moves, std::string_view reason);
     void releaseByCalls(const std::vector<planned_move> &moves);
     void checkHeartbeatRelease();
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -57,7 +57,7 @@
         return;
     }
     const auto share = chooseMoveToEmptyOwner(record->placement, *m_upstream, candidates);
-    if (share) {
+    if (share && !isSuccessorOfOwner(share->target, record->placement)) {
         startMove({*share}, "newcomer");
         return;
     }
@@ -75,6 +75,16 @@
     }
 }
 
+// A successor gets the keys of the incarnation before it once the end of that one is recorded.
+bool range_controller::isSuccessorOfOwner(const upstream_id &id,
+                                          const key_placement &placement) const
+{
+    return std::any_of(placement.ranges.begin(), placement.ranges.end(),
+                       [&](const owned_range &range) {
+                           return range.owner != id && successorOf(*m_directory, range.owner) == id;
+                       });
+}
+
 // The view of the peers may be older than the directory by the interval between two polls.
 std::vector<range_candidate> range_controller::moveCandidates() const
 {
--- a/src/persimmonrail/router/tests/restore_simulation_test.cpp
+++ b/src/persimmonrail/router/tests/restore_simulation_test.cpp
@@ -784,6 +784,12 @@
             const auto index = static_cast<size_t>(id.name[0] - 'a');
             return daemon.startedAt[index] > id.startedAt || daemon.endedAt[index] == id.startedAt;
         };
+        input.successorOf = [&daemon](const upstream_id &id) -> std::optional<upstream_id> {
+            const auto index = static_cast<size_t>(id.name[0] - 'a');
+            const int64_t latest = daemon.startedAt[index];
+            const bool isLater = latest > id.startedAt && daemon.endedAt[index] != latest;
+            return isLater ? std::optional(idOf(index, latest)) : std::nullopt;
+        };
         input.takeoverDelay = range_lease_timing().takeoverDelay();
         return input;
     }
