--- a/src/persimmonrail/keyspace/range_plan.cpp
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -1,5 +1,7 @@
 #include "persimmonrail/keyspace/range_plan.h"
 
+#include "persimmonrail/base/key_hash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
@@ -275,9 +277,6 @@
 // only move the overload.
 constexpr double maxRateExcess = 1.6;
 constexpr int bisectionSteps = 30;
-// Targets are sorted by utilization in steps of this size. Targets in the same step count as
-// equally loaded.
-constexpr double utilizationStep = 0.2;
 
 // Interval of keys and the sum of their requests per second.
 struct rated_window
@@ -286,6 +285,16 @@
     double rate = 0;
 };
 
+// Least weight of a target that an owner draws.
+constexpr double minWeight = 1e-9;
+
+// Returns a number above 0 and at most 1 that is evenly distributed over texts.
+double hashFraction(const std::string &text)
+{
+    // A double has a mantissa of 53 bits.
+    return static_cast<double>((keyHash(text) >> 11U) + 1) * 0x1.0p-53;
+}
+
 // Capacity of a peer for the load of an owner.
 struct move_target
 {
@@ -365,8 +374,10 @@
     intervals = std::move(remaining);
 }
 
-// Returns the peers whose utilization is below the owner's by at least minUtilizationDifference,
-// the least loaded first and at most maxTargets.
+// Returns at most maxTargets of the peers whose utilization is below the owner's by at least
+// minUtilizationDifference. The owner draws them at random, with probabilities that grow with the
+// load that they could take, the same for the same pair of owner and peer. Loads are known late, so
+// if all owners chose the least loaded peers, they would overload them together.
 std::vector<move_target> findTargets(const owner_load &self, double ownRatePerUtilization,
                                      const std::vector<owner_load> &others,
                                      const move_options &options)
@@ -386,11 +397,10 @@
         targets.push_back(
             {other.id, other.utilization, ownRatePerUtilization * relativeSlots * relativeSpeed});
     }
-    // Each owner sorts equally loaded targets in a different order, so that owners that move keys
-    // at the same time choose different targets.
+    // Weighted rendezvous hashing: the least of exponential variates whose rates are the weights.
     const auto orderOf = [&self](const move_target &target) {
-        const size_t tieBreaker = std::hash<std::string>()(self.id.name + target.id.name);
-        return std::pair(std::floor(target.utilization / utilizationStep), tieBreaker);
+        const double weight = (self.utilization - target.utilization) * target.ratePerUtilization;
+        return -std::log(hashFraction(self.id.name + target.id.name)) / std::max(weight, minWeight);
     };
     std::sort(
         targets.begin(), targets.end(),
--- a/src/persimmonrail/keyspace/tests/range_moves_test.cpp
+++ b/src/persimmonrail/keyspace/tests/range_moves_test.cpp
@@ -144,6 +144,33 @@
     CHECK(owners.movedKeys < 4000);
 }
 
+// Load pattern: some owners are overloaded at once, and one peer has just joined. Owners learn the
+// loads late, so all of them decide by the same ones.
+TEST_CASE("overloaded owners do not all move keys to the least loaded peer", "[keyspace]")
+{
+    constexpr int ownerCount = 80;
+    const auto isHot = [](int owner) { return owner % 8 == 0; };
+    const key_rate rate = [&isHot](shard_key key) {
+        const auto owner = static_cast<int>(key * ownerCount / (lastKey + 1));
+        return owner == 1 ? 0.0 : isHot(owner) ? 1.5 : 0.6;
+    };
+    loaded_owners owners = makeEqualOwners(ownerCount, rate, 819);
+    std::vector<owner_load> loads;
+    for (const auto &[id, intervals] : owners.keys) {
+        loads.push_back(owners.load(id));
+    }
+    const loaded_owners before = owners;
+    for (const owner_load &self : loads) {
+        std::vector<owner_load> others = loads;
+        std::erase_if(others, [&self](const owner_load &other) { return other.id == self.id; });
+        for (const planned_move &move : chooseMoves(before.keys.at(self.id), rate, self, others)) {
+            owners.applyMove(self.id, move);
+        }
+    }
+    CHECK(before.maxUtilization() > 1.4);
+    CHECK(owners.maxUtilization() < 1.25);
+}
+
 // Load pattern: traffic by key follows a power law, and adjacent keys have similar traffic.
 TEST_CASE("skewed load is balanced in a few rounds", "[keyspace]")
 {
