--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -389,13 +389,11 @@
             ? causeOfDelay({m_lastAttemptAt - m_startedAt, m_earlierCause, now - m_lastAttemptAt,
                             result.timeSpent})
             : causeOfFailure(result.reason, result.keyState);
-        m_proxy.m_losses.record({m_request.service, cause, m_request.upstream.name,
-                                 *m_request.key, wasServed},
-                                now);
-        m_proxy.m_metrics.count(
-            "persimmonrail_keyed_lost_total",
-            absl::StrCat("cause=\"", toAbsl(toString(cause)), "\",outcome=\"",
-                         wasServed ? "late" : "not-served", "\""));
+        m_proxy.m_losses.record(
+            {m_request.service, cause, m_request.upstream.name, *m_request.key, wasServed}, now);
+        m_proxy.m_metrics.count("persimmonrail_keyed_lost_total",
+                                absl::StrCat("cause=\"", toAbsl(toString(cause)), "\",outcome=\"",
+                                             wasServed ? "late" : "not-served", "\""));
     }
 
     // Records the metrics of the request, and responds and logs if it failed.
--- a/src/persimmonrail/proxy/tests/keyed_loss_test.cpp
+++ b/src/persimmonrail/proxy/tests/keyed_loss_test.cpp
@@ -91,8 +91,8 @@
 
 TEST_CASE("states of keys between daemons are read by name", "[proxy]")
 {
-    for (const key_state state : {key_state::Served, key_state::Moving, key_state::NotRecorded,
-                                  key_state::NotGranted}) {
+    for (const key_state state :
+         {key_state::Served, key_state::Moving, key_state::NotRecorded, key_state::NotGranted}) {
         CHECK(parseKeyState(toString(state)) == state);
     }
     CHECK_FALSE(parseKeyState("other"));
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -195,8 +195,8 @@
 
 bool upstream_dispatcher::mayResend(const proxied_request &request, fingerprinted_body &body)
 {
-    return !checkTarget(request, m_hooks.local())
-        && !checkQuarantine(request, body) && m_resends.tryRetry(std::chrono::steady_clock::now());
+    return !checkTarget(request, m_hooks.local()) && !checkQuarantine(request, body)
+        && m_resends.tryRetry(std::chrono::steady_clock::now());
 }
 
 proxy_result upstream_dispatcher::sendToUpstream(const proxied_request &request,
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -350,8 +350,8 @@
 void router::state::recordLag(steady_time now)
 {
     const bool isFirst = m_lastRangeTickAt == steady_time{};
-    const auto lag = std::chrono::duration_cast<milliseconds>(now - m_lastRangeTickAt)
-        - rangeTickInterval;
+    const auto lag =
+        std::chrono::duration_cast<milliseconds>(now - m_lastRangeTickAt) - rangeTickInterval;
     m_lastRangeTickAt = now;
     if (!isFirst) {
         m_longestLag = std::max(m_longestLag, lag);
