--- a/src/persimmonrail/fleet/fleet_directory.cpp
+++ b/src/persimmonrail/fleet/fleet_directory.cpp
@@ -108,7 +108,8 @@
     std::optional<upstream_id> latest;
     for (const auto &[name, entry] : directory.members()) {
         const upstream_member &member = entry.member;
-        const bool isLater = !member.isTerminated && member.peerAddress == known->member.peerAddress
+        const bool isLater = !member.isTerminated && !member.isDraining
+            && member.peerAddress == known->member.peerAddress
             && member.service == known->member.service && member.id.startedAt > id.startedAt;
         if (isLater && (!latest || latest->startedAt < member.id.startedAt)) {
             latest = member.id;
--- a/src/persimmonrail/fleet/fleet_directory.h
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -90,8 +90,8 @@
 // store shows that was restored from an older copy, tells nothing about it.
 bool hasEnded(const fleet_directory &directory, const upstream_id &id);
 
-// Returns the incarnation that runs beside the same daemon after `id`; nullopt if the directory
-// shows none.
+// Returns the incarnation that runs beside the same daemon after `id` and is not leaving; nullopt
+// if the directory shows none.
 std::optional<upstream_id> successorOf(const fleet_directory &directory, const upstream_id &id);
 
 // Returns the other incarnations at `peerAddress` that did not start after `present` and that the
--- a/src/persimmonrail/fleet/tests/fleet_test.cpp
+++ b/src/persimmonrail/fleet/tests/fleet_test.cpp
@@ -358,12 +358,14 @@
         std::string peerAddress;
         bool isTerminated;
         bool isSuccessor;
+        bool isDraining = false;
     };
     const std::string service = member("i-1").service;
     const std::vector<row> rows = {
         {"later", {"i-2", 6}, service, address, false, true},
         {"later with the same name", {"i-1", 6}, service, address, false, true},
         {"later, ended as well", {"i-2", 6}, service, address, true, false},
+        {"later, leaving", {"i-2", 6}, service, address, false, false, true},
         {"earlier", {"i-2", 4}, service, address, false, false},
         {"on another host", {"i-2", 6}, service, "127.0.0.2:9000", false, false},
         {"of another service", {"i-2", 6}, "other", address, false, false},
@@ -380,6 +382,7 @@
         other.service = row.service;
         other.peerAddress = row.peerAddress;
         other.isTerminated = row.isTerminated;
+        other.isDraining = row.isDraining;
         builder.applyObject({memberKey(row.id.name), 2, false, encodeMember(other)});
         const auto successor = successorOf(*builder.build(), {"i-1", 5});
         CHECK(successor.has_value() == row.isSuccessor);
--- a/src/persimmonrail/keyspace/placement_proposal.cpp
+++ b/src/persimmonrail/keyspace/placement_proposal.cpp
@@ -76,20 +76,18 @@
                            });
 }
 
-// Returns the lookup of the successors that are live, for owners that have ended. Keys stay at
-// their host then, where a restart of many hosts would else give all keys to the first few that
-// are back.
-successor_lookup liveSuccessors(const proposal_input &input)
+// Returns the lookup of the reachable successors, for owners that have ended. Keys stay at their
+// host then, where a restart of many hosts would else give all keys to the first few that are back.
+// A successor need not be among the live ones: it is known from the store before a peer reports it.
+successor_lookup reachableSuccessors(const proposal_input &input)
 {
     return [isTerminated = input.isTerminated, successorOf = input.successorOf,
-            live = input.live](const upstream_id &id) -> std::optional<upstream_id> {
+            unreachable = input.unreachable](const upstream_id &id) -> std::optional<upstream_id> {
         const auto successor =
             isTerminated(id) && successorOf ? successorOf(id) : std::optional<upstream_id>();
-        const bool isLive = successor
-            && std::any_of(live.begin(), live.end(), [&successor](const range_candidate &other) {
-                                return other.id == *successor;
-                            });
-        return isLive ? successor : std::nullopt;
+        const bool isReachable = successor
+            && std::find(unreachable.begin(), unreachable.end(), *successor) == unreachable.end();
+        return isReachable ? successor : std::nullopt;
     };
 }
 
@@ -109,7 +107,7 @@
     auto withoutTerminated =
         proposeIfNeeded(current, "owner-gone",
                         [isTerminated = input.isTerminated, live = input.live,
-                         successorOf = liveSuccessors(input)](const key_placement &latest) {
+                         successorOf = reachableSuccessors(input)](const key_placement &latest) {
                             return reassignLost(passToSuccessors(latest, successorOf), isTerminated,
                                                 live, milliseconds(0));
                         });
--- a/src/persimmonrail/keyspace/tests/keyspace_test.cpp
+++ b/src/persimmonrail/keyspace/tests/keyspace_test.cpp
@@ -1,6 +1,8 @@
 #include "test_placements.h"
 
 #include "persimmonrail/keyspace/grant_fence.h"
+#include "persimmonrail/keyspace/placement_proposal.h"
+#include "persimmonrail/objects/object_version.h"
 
 #include <catch2/catch.hpp>
 
@@ -452,6 +454,35 @@
     }
 }
 
+// Guards against SHORT: the coordinator recorded the end of an upstream before a peer had reported
+// its successor, and gave the keys to the few that had been reported.
+TEST_CASE("the keys of an ended upstream go to a successor that no peer has reported yet",
+          "[keyspace]")
+{
+    const upstream_id successor{"b2", 2};
+    const key_placement placement = twoOwners();
+    proposal_input input;
+    input.service = placement.service;
+    input.epoch = baseEpoch;
+    input.record = &placement;
+    input.recordEpoch = baseEpoch;
+    input.upstream = a;
+    input.isCoordinator = true;
+    input.live = {{a, 9}};
+    input.isTerminated = [](const upstream_id &id) { return id == b; };
+    input.successorOf = [&](const upstream_id &id) {
+        return id == b ? std::optional(successor) : std::nullopt;
+    };
+    const bool isReachable = GENERATE(true, false);
+    if (!isReachable) {
+        input.unreachable = {successor};
+    }
+    const auto proposal = proposeChange(input, range_lease_manager(), start);
+    REQUIRE(proposal);
+    const key_placement next = *proposal->change(placement);
+    CHECK(next.rangeOf(lastKey).owner == (isReachable ? successor : a));
+}
+
 // Guards against OWNER: grants for an upstream that has ended take effect at the next process at
 // its address, after they were released.
 TEST_CASE("the last grants of an ended upstream supersede all earlier ones", "[keyspace]")
--- a/src/persimmonrail/router/tests/restore_simulation_test.cpp
+++ b/src/persimmonrail/router/tests/restore_simulation_test.cpp
@@ -565,6 +565,7 @@
         }
         observation seen{peer.epoch, {}};
         seen.content.startedAt = peer.startedAt;
+        seen.content.endedAt = peer.endedAt;
         seen.content.records[peer.recordEpoch] = {revisionOf(peer.recordVersion), *peer.record};
         observe(daemon, seen, std::nullopt);
     }
