--- a/src/persimmonrail/router/router_settings.cpp
+++ b/src/persimmonrail/router/router_settings.cpp
@@ -79,6 +79,14 @@
         && settings.retryRatio <= 1;
 }
 
+setter switchSetter(bool router_settings::*member)
+{
+    return [member](router_settings &settings, const std::string &value) {
+        settings.*member = value == "on";
+        return value == "on" || value == "off";
+    };
+}
+
 setter quantitySetter(double router_settings::*member)
 {
     return [member](router_settings &settings, const std::string &value) {
@@ -143,6 +151,26 @@
          quantitySetter(&s::processorShare)},
         {"processor-speed", "speed of that processor, as a multiple of the usual speed", false,
          quantitySetter(&s::processorSpeed)},
+        {"memory-mb", "memory that this process may use, in MB", false,
+         quantitySetter(&s::memoryMb)},
+        {"cold-overshoot", "factor by which the rate of a cold upstream may be exceeded", false,
+         quantitySetter(&s::coldOvershoot)},
+        {"cold-slack", "requests that a cold upstream may get in a second in addition", false,
+         countSetter(&s::coldSlack)},
+        {"evacuation-timeout",
+         "time until the last request may reach an evacuated zone; zones are not evacuated if "
+         "absent",
+         false, durationSetter(&s::evacuationTimeout)},
+        {"max-pipelined-requests",
+         "requests of one caller's connection that are served side by side; 1 if absent", false,
+         countSetter(&s::maxPipelinedRequests)},
+        {"placement-writer", "on: owners pass changes of key ranges to one daemon that writes them",
+         false, switchSetter(&s::usesPlacementWriter)},
+        {"zone-crossing-cost",
+         "waiting time that a request is worth that stays in its zone; a fixed factor if absent",
+         false, durationSetter(&s::zoneCrossingCost)},
+        {"zone-crossing-cost-per-kb", "milliseconds that each 1,000 bytes add to that cost", false,
+         quantitySetter(&s::zoneCrossingCostPerKb)},
         {"max-caller-connections", "maximum number of connections from callers", false,
          countSetter(&s::maxCallerConnections)},
         {"max-peer-connections", "maximum number of connections from other daemons", false,
--- a/src/persimmonrail/router/router_settings.h
+++ b/src/persimmonrail/router/router_settings.h
@@ -46,6 +46,25 @@
     // as a multiple of the usual processor's speed.
     double processorShare = 0;
     double processorSpeed = 1;
+    // Memory that this process may use, in 10^6 bytes; 0 if unknown.
+    double memoryMb = 0;
+    // All senders together may exceed the rate that a cold upstream tolerates by this factor, plus
+    // `coldSlack` requests in any second.
+    double coldOvershoot = 1;
+    int coldSlack = 0;
+    // Time from the confirmation of a zone's evacuation until the last request may reach an
+    // upstream of the zone; 0 if zones are not evacuated on this platform.
+    milliseconds evacuationTimeout{0};
+    // Requests of one connection of a caller that are served side by side; 1 serves one after the
+    // other.
+    int maxPipelinedRequests = 1;
+    // Whether owners pass the changes of their key ranges to one daemon, which writes them
+    // together.
+    bool usesPlacementWriter = false;
+    // Waiting time that a small request is worth that stays in its availability zone, and what each
+    // 1,000 bytes of a request and its response add to it. 0 selects a fixed factor instead.
+    milliseconds zoneCrossingCost{0};
+    double zoneCrossingCostPerKb = 0;
     int maxCallerConnections = 512;
     int maxPeerConnections = 1024;
     log_level level = log_level::Info;
--- a/src/persimmonrail/routes/route_table.h
+++ b/src/persimmonrail/routes/route_table.h
@@ -48,6 +48,10 @@
     // Number of connections that one instance accepts.
     int maxConnections = 0;
     std::string healthPath;
+    // How long an instance stays cold after its start.
+    milliseconds coldStart{0};
+    // Requests per second that a cold instance tolerates; 0 if there is no such limit.
+    double coldRequestsPerSecond = 0;
 };
 
 // Desired state of routing as set by the operators. Immutable after construction.
