Evacuate availability zones that the store names

Nothing read the store's objects evacuations/ZONE, so requests went on to upstreams of a zone that operators want to be empty. Each daemon now follows the prefix by one long watch if evacuation-timeout is set. The directory shows members of evacuated zones as draining, without changing their records.

All owners of a zone gave their keys to the same first few of the others. They now share out the others by free capacity, each by the same division (leave_plan). One newcomer at a time got keys when a zone came back; now the i-th largest owner gives to the i-th newcomer.

--- a/src/persimmonrail/feed/relayed_watch.cpp
+++ b/src/persimmonrail/feed/relayed_watch.cpp
@@ -191,7 +191,7 @@
     for (const auto &[name, entry] : directory.members()) {
         const upstream_member &member = entry.member;
         if (member.availabilityZone == availabilityZone && !member.isTerminated
-            && !member.isDraining) {
+            && !entry.isRecordedAsDraining) {
             candidates.push_back(&member);
         }
     }
--- a/src/persimmonrail/fleet/fleet_directory.cpp
+++ b/src/persimmonrail/fleet/fleet_directory.cpp
@@ -91,6 +91,22 @@
     return entry == m_quarantines.end() ? nullptr : &entry->second;
 }
 
+upstream_member fleet_directory::versioned_member::recorded() const
+{
+    upstream_member result = member;
+    result.isDraining = isRecordedAsDraining;
+    return result;
+}
+
+bool isServiceEvacuated(const fleet_directory &directory, std::string_view service)
+{
+    const auto members = directory.membersOf(service);
+    return !members.empty()
+        && std::all_of(members.begin(), members.end(), [&](const upstream_member *member) {
+               return directory.isEvacuated(member->availabilityZone);
+           });
+}
+
 bool hasEnded(const fleet_directory &directory, const upstream_id &id)
 {
     const auto *known = directory.findMember(id.name);
@@ -228,7 +244,7 @@
     }
     const auto entry = members.find(name);
     if (entry == members.end() || entry->second.version < object.version) {
-        members[name] = {*member, object.version};
+        members[name] = {*member, object.version, member->isDraining};
     }
 }
 
@@ -304,7 +320,12 @@
 
 std::shared_ptr<const fleet_directory> fleet_directory_builder::build() const
 {
-    return std::make_shared<fleet_directory>(m_directory);
+    auto directory = std::make_shared<fleet_directory>(m_directory);
+    for (auto &[name, entry] : directory->m_members) {
+        const bool isEvacuated = directory->isEvacuated(entry.member.availabilityZone);
+        entry.member.isDraining = entry.member.isDraining || isEvacuated;
+    }
+    return directory;
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/fleet/fleet_directory.h
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -2,6 +2,7 @@
 
 #include "persimmonrail/fleet/quarantine_record.h"
 #include "persimmonrail/fleet/upstream_member.h"
+#include "persimmonrail/fleet/zone_evacuation.h"
 #include "persimmonrail/keyspace/key_placement.h"
 #include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/objects/object_version.h"
@@ -11,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace persimmonrail {
@@ -45,8 +47,15 @@
     // A member and the version of its object in the store.
     struct versioned_member
     {
+        // Also shown as draining while its zone is evacuated.
         upstream_member member;
         uint64_t version = 0;
+        // Whether the member's object says that it is draining.
+        bool isRecordedAsDraining = false;
+
+        // Returns the member as its object in the store has it. What is written to the store must
+        // be based on this.
+        upstream_member recorded() const;
     };
     // The quarantine record of a service and the version of its object in the store. A record that
     // could not be decoded is empty.
@@ -70,6 +79,8 @@
     const versioned_placement *findPlacement(std::string_view service) const;
     // Returns the quarantine record of a service, or null if there is none.
     const versioned_quarantine *findQuarantine(std::string_view service) const;
+    // Returns whether the zone is evacuated.
+    bool isEvacuated(std::string_view zone) const { return m_evacuatedZones.contains(zone); }
     // Returns all members by upstream name, including terminated ones.
     const std::map<std::string, versioned_member, std::less<>> &members() const
     {
@@ -83,8 +94,12 @@
     std::map<std::string, versioned_member, std::less<>> m_members;
     std::map<std::string, versioned_placement, std::less<>> m_placements;
     std::map<std::string, versioned_quarantine, std::less<>> m_quarantines;
+    zone_set m_evacuatedZones;
 };
 
+// Returns whether the service has upstreams, all of them in evacuated zones.
+bool isServiceEvacuated(const fleet_directory &directory, std::string_view service);
+
 // Returns whether the directory shows that this incarnation of an upstream has ended: its own entry
 // says so, or that of a newer incarnation exists. The entry of an earlier incarnation, which a
 // store shows that was restored from an older copy, tells nothing about it.
@@ -131,6 +146,8 @@
     void apply(const object_list &changes);
     // Applies one object if it is newer than the known entry. The revision stays the same.
     void applyObject(const stored_object &object);
+    // Shows the members of these zones as draining in the directories that are built from now on.
+    void setEvacuatedZones(zone_set zones) { m_directory.m_evacuatedZones = std::move(zones); }
     // Returns a copy of the present content.
     std::shared_ptr<const fleet_directory> build() const;
 
--- a/src/persimmonrail/keyspace/range_plan.cpp
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -492,20 +492,28 @@
                                                    const upstream_id &self,
                                                    const std::vector<range_candidate> &candidates)
 {
-    const range_candidate *newcomer = nullptr;
-    const range_candidate *largest = nullptr;
-    uint32_t maxKeys = 0;
+    // By the number of keys, the most first, and by id.
+    std::vector<std::pair<uint32_t, upstream_id>> owners;
+    std::vector<upstream_id> newcomers;
+    uint64_t totalKeys = 0;
     for (const range_candidate &candidate : candidates) {
         const uint32_t keys = ownedKeys(placement, candidate.id);
-        if (keys == 0 && (newcomer == nullptr || candidate.id < newcomer->id)) {
-            newcomer = &candidate;
-        }
-        if (keys > maxKeys) {
-            maxKeys = keys;
-            largest = &candidate;
+        totalKeys += keys;
+        if (keys == 0) {
+            newcomers.push_back(candidate.id);
+        } else {
+            owners.emplace_back(keys, candidate.id);
         }
     }
-    if (newcomer == nullptr || largest == nullptr || largest->id != self || maxKeys < 2) {
+    std::sort(newcomers.begin(), newcomers.end());
+    std::sort(owners.begin(), owners.end(), [](const auto &a, const auto &b) {
+        return a.first != b.first ? a.first > b.first : a.second < b.second;
+    });
+    const auto own = std::find_if(owners.begin(), owners.end(),
+                                  [&self](const auto &owner) { return owner.second == self; });
+    const auto position = static_cast<size_t>(own - owners.begin());
+    if (own == owners.end() || position >= newcomers.size() || own->first < 2
+        || own->first * candidates.size() <= totalKeys) {
         return std::nullopt;
     }
     const owned_range *longest = nullptr;
@@ -516,7 +524,7 @@
         }
     }
     const shard_key middle = longest->keys.first + longest->keys.count() / 2;
-    return planned_move{{middle, longest->keys.last}, newcomer->id};
+    return planned_move{{middle, longest->keys.last}, newcomers[position]};
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/keyspace/range_plan.h
+++ b/src/persimmonrail/keyspace/range_plan.h
@@ -130,9 +130,11 @@
                                       const owner_load &self, const std::vector<owner_load> &others,
                                       const move_options &options = {});
 
-// Chooses keys for a candidate that owns none: the upper half of the longest range of `self`, if
-// `self` owns the most keys. If several candidates own equally many keys, the first of them counts.
-// Returns nothing if another candidate owns more keys or every candidate owns keys.
+// Chooses keys for a candidate that owns none: the upper half of the longest range of `self`. The
+// owner with the most keys gives to the first such candidate by id, the owner with the second most
+// to the second, and so on, so that many newcomers get keys at the same time, each from another
+// owner. Owners with equally many keys are ordered by id. Returns nothing if there is no newcomer
+// for `self`, or if `self` does not own more keys than the candidates do on average.
 std::optional<planned_move> chooseMoveToEmptyOwner(const key_placement &placement,
                                                    const upstream_id &self,
                                                    const std::vector<range_candidate> &candidates);
--- a/src/persimmonrail/keyspace/tests/range_moves_test.cpp
+++ b/src/persimmonrail/keyspace/tests/range_moves_test.cpp
@@ -283,3 +283,35 @@
     CHECK((byA ? *byA : *byB).keys.count() == 16384);
     CHECK_FALSE(chooseMoveToEmptyOwner(placement, a, {{a, 9}, {b, 9}}));
 }
+
+// Guards against a zone of 15 upstreams that comes back and gets its keys one upstream after the
+// other: each round one owner gave keys to one newcomer.
+TEST_CASE("many upstreams without keys get keys at the same time", "[keyspace]")
+{
+    std::vector<range_candidate> owners;
+    std::vector<range_candidate> members;
+    for (int i = 0; i < 59; ++i) {
+        const range_candidate member{{"m" + std::to_string(100 + i), 1}, 9};
+        members.push_back(member);
+        if (i >= 15) {
+            owners.push_back(member);
+        }
+    }
+    const key_placement placement = assignUnowned(emptyPlacement("s"), owners);
+    key_placement next = placement;
+    std::set<upstream_id> newOwners;
+    for (const range_candidate &owner : owners) {
+        // Owners list themselves first.
+        std::vector<range_candidate> seen{owner};
+        std::copy_if(members.begin(), members.end(), std::back_inserter(seen),
+                     [&](const auto &member) { return member.id != owner.id; });
+        if (const auto move = chooseMoveToEmptyOwner(placement, owner.id, seen)) {
+            CHECK(newOwners.insert(move->target).second);
+            next = moveRange(next, move->keys, move->target, "");
+        }
+    }
+    CHECK(newOwners.size() == 15);
+    for (const range_candidate &member : members) {
+        CHECK(ownedKeys(next, member.id) > 0);
+    }
+}
--- a/src/persimmonrail/proxy/keyed_loss.cpp
+++ b/src/persimmonrail/proxy/keyed_loss.cpp
@@ -89,6 +89,7 @@
     case proxy_reason::KeyNotHeld:
         return loss_cause::NotGranted;
     case proxy_reason::Draining:
+    case proxy_reason::Evacuated:
     case proxy_reason::Stopping:
         return loss_cause::OwnerLeaving;
     case proxy_reason::Overload:
--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -101,13 +101,21 @@
     return absl::SimpleAtoi(message.get(name, ""), &value);
 }
 
+// Returns the reason that daemons of all releases know. Daemons from before zone_evacuation take an
+// unknown reason for a broken response, which they don't retry.
+proxy_reason reasonOnWire(proxy_reason reason)
+{
+    return reason == proxy_reason::Evacuated ? proxy_reason::Draining : reason;
+}
+
 // Fills `result` from a peer's response to a request for which the peer passes on no upstream
 // response.
 void readRejection(const Poco::Net::HTTPResponse &head, proxy_result &result)
 {
     const std::string outcome = head.get(outcomeHeader, "");
-    result.reason =
+    const proxy_reason reason =
         parseProxyReason(head.get(reasonHeader, "")).value_or(proxy_reason::BrokenResponse);
+    result.reason = parseProxyReason(head.get(exactReasonHeader, "")).value_or(reason);
     int64_t retryAfter = 0;
     if (parseNumberField(head, retryAfterHeader, retryAfter)) {
         result.retryAfter = milliseconds(std::clamp<int64_t>(retryAfter, 0, 60'000));
@@ -278,7 +286,10 @@
     Poco::Net::HTTPResponse head(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(statusFor(result.reason, result.outcome)));
     head.set(outcomeHeader, std::string(toString(result.outcome)));
-    head.set(reasonHeader, std::string(toString(result.reason)));
+    head.set(reasonHeader, std::string(toString(reasonOnWire(result.reason))));
+    if (reasonOnWire(result.reason) != result.reason) {
+        head.set(exactReasonHeader, std::string(toString(result.reason)));
+    }
     if (result.retryAfter.count() > 0) {
         head.set(retryAfterHeader, absl::StrCat(result.retryAfter.count()));
     }
--- a/src/persimmonrail/proxy/peer_fields.h
+++ b/src/persimmonrail/proxy/peer_fields.h
@@ -20,6 +20,8 @@
 inline constexpr char objectiveLeftHeader[] = "Persimmonrail-Target-Left-Ms";
 // "running,waiting,limit,meanServiceTime" of the upstream's queue, the last in microseconds.
 inline constexpr char queueHeader[] = "Persimmonrail-Queue";
+// A more exact reason than the reason field names, for daemons that know its word.
+inline constexpr char exactReasonHeader[] = "Persimmonrail-Exact-Reason";
 // key_state of the key of a rejected request.
 inline constexpr char keyStateHeader[] = "Persimmonrail-Key-State";
 // Times of a request that the upstream ran, as encodeTimeSpent() writes them.
--- a/src/persimmonrail/proxy/proxy_reason.cpp
+++ b/src/persimmonrail/proxy/proxy_reason.cpp
@@ -23,6 +23,7 @@
     {proxy_reason::NotOwner, "not-owner", true},
     {proxy_reason::OtherUpstream, "other-upstream", true},
     {proxy_reason::Draining, "draining", true},
+    {proxy_reason::Evacuated, "evacuated", true},
     {proxy_reason::Stopping, "stopping", true},
     {proxy_reason::Overload, "overload", true},
     {proxy_reason::TooManyConnections, "too-many-connections", true},
--- a/src/persimmonrail/proxy/proxy_reason.h
+++ b/src/persimmonrail/proxy/proxy_reason.h
@@ -24,6 +24,8 @@
     OtherUpstream,
     // The upstream finishes its requests and takes no new ones.
     Draining,
+    // The upstream's zone is evacuated.
+    Evacuated,
     // The daemon is stopping.
     Stopping,
     Overload,
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -20,6 +20,9 @@
 // For requests that state no timeout.
 constexpr milliseconds defaultTimeout{30000};
 constexpr milliseconds minRetryAfter{50};
+// Retry-After while all upstreams of a service are in evacuated zones. Operators decide when that
+// ends, seldom within less.
+constexpr milliseconds evacuatedRetryAfter{1000};
 
 steady_time clockNow()
 {
@@ -30,7 +33,8 @@
 bool isKeyMoving(proxy_reason reason)
 {
     return reason == proxy_reason::NotOwner || reason == proxy_reason::OtherUpstream
-        || reason == proxy_reason::KeyNotHeld || reason == proxy_reason::Draining;
+        || reason == proxy_reason::KeyNotHeld || reason == proxy_reason::Draining
+        || reason == proxy_reason::Evacuated;
 }
 
 // Tells which request lost its connection to the local upstream, since it may have crashed it.
@@ -202,7 +206,7 @@
             return false;
         }
         if (m_overloadRejections >= m_proxy.m_options.maxOverloadRejections
-            || result.reason == proxy_reason::OverloadExpected) {
+            || result.reason == proxy_reason::OverloadExpected || m_isServiceEvacuated) {
             return false;
         }
         // A key has one owner. Waiting for the owner helps only while the key moves; a full queue,
@@ -220,6 +224,9 @@
         const auto directory = m_proxy.m_hooks.directory();
         const upstream_member *member =
             m_request.key ? findOwner(*directory, service) : pickUpstream(*directory, service, now);
+        if (member == nullptr && isServiceEvacuated(*directory, m_request.service)) {
+            return evacuatedResult();
+        }
         if (member == nullptr) {
             return notRunResult(isOwnerEntryDue(*directory) ? proxy_reason::OtherUpstream
                                                             : proxy_reason::NoUpstream);
@@ -261,9 +268,21 @@
         service.picker.finish(member->id, pickerResult(result), result.queue, clockNow());
         m_tried.push_back(member->id);
         logAttempt(result, clockNow() - sentAt, directory->revision());
+        if (result.reason == proxy_reason::Evacuated
+            && isServiceEvacuated(*directory, m_request.service)) {
+            return evacuatedResult();
+        }
         return result;
     }
 
+    // Returns the rejection of a request while all upstreams of the service are in evacuated zones.
+    // The request is not tried again.
+    proxy_result evacuatedResult()
+    {
+        m_isServiceEvacuated = true;
+        return notRunResult(proxy_reason::Evacuated, evacuatedRetryAfter);
+    }
+
     // Returns what an attempt says about its upstream. A key has one owner, so its requests are
     // kept away from the owner only if no connection to the host of the owner can be established.
     upstream_picker::result pickerResult(const proxy_result &attempted) const
@@ -461,6 +480,7 @@
     // Attempts that other daemons rejected because their upstream is overloaded.
     int m_overloadRejections = 0;
     bool m_hasUnknownOutcome = false;
+    bool m_isServiceEvacuated = false;
     bool m_isRetryBudgetSpent = false;
 };
 
--- a/src/persimmonrail/router/member_publisher.cpp
+++ b/src/persimmonrail/router/member_publisher.cpp
@@ -38,7 +38,7 @@
         for (const auto &[name, member] : m_desiredMembers) {
             const auto *known = directory.findMember(name);
             if (member.isTerminated == isTerminated
-                && (known == nullptr || !(known->member == member))) {
+                && (known == nullptr || !(known->recorded() == member))) {
                 writeMember(member, known == nullptr ? 0 : known->version);
                 return;
             }
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -148,12 +148,14 @@
 }
 
 void range_controller::setUpstream(const std::optional<upstream_id> &upstream,
-                                   const std::string &address, bool isDraining)
+                                   const std::string &address, bool isDraining,
+                                   std::string_view moveReason)
 {
     const bool isReplaced = upstream != m_upstream;
     m_upstream = upstream;
     m_address = address;
     m_isDraining = isDraining;
+    m_moveReason = moveReason;
     if (isReplaced) {
         m_grantWorker->enqueue([this] { m_grantConnection.close(); });
     }
@@ -527,6 +529,9 @@
     input.areMembersStable =
         m_membersStableSince && now - *m_membersStableSince >= initialAssignmentDelay;
     input.live = m_peers.live;
+    // The view of the peers may be older than the directory.
+    std::erase_if(input.live,
+                  [this](const range_candidate &candidate) { return isEvacuated(candidate.id); });
     input.unreachable = m_peers.unreachable;
     input.isTerminated = [directory = m_directory](const upstream_id &id) {
         return hasEnded(*directory, id);
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -22,6 +22,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace persimmonrail {
@@ -56,9 +57,10 @@
     // far as it is no newer than the confirmed revision; nothing if that is unknown.
     void onDirectory(const std::shared_ptr<const fleet_directory> &directory,
                      const std::optional<store_confirmation> &confirmation);
-    // Sets the local upstream; nullopt while there is none.
+    // Sets the local upstream; nullopt while there is none. The keys of a draining upstream move to
+    // others; `moveReason` tells why in the log.
     void setUpstream(const std::optional<upstream_id> &upstream, const std::string &address,
-                     bool isDraining);
+                     bool isDraining, std::string_view moveReason = "leaving");
     // Makes sure that no process at the local upstream's address holds keys that are recorded for
     // `ended`, an incarnation that has ended there: the next one may have taken a grant that was
     // meant for it. Returns true once that is so, and until then releases the keys. Others may be
@@ -133,6 +135,11 @@
     // Returns the live upstreams, with the local one, that are not recorded as leaving.
     std::vector<range_candidate> moveCandidates() const;
     bool isRecordedAsLeaving(const upstream_id &id) const;
+    // Returns whether the upstream's zone is evacuated.
+    bool isEvacuated(const upstream_id &id) const;
+    // Plans the moves of all keys of the local upstream to `others`.
+    std::vector<planned_move> planOwnLeave(const key_placement &placement,
+                                           const std::vector<range_candidate> &others) const;
     // Returns whether `id` runs beside the daemon of an ended upstream that the placement still
     // names as an owner.
     bool isSuccessorOfOwner(const upstream_id &id, const key_placement &placement) const;
@@ -192,6 +199,7 @@
     std::optional<upstream_id> m_upstream;
     std::string m_address;
     bool m_isDraining = false;
+    std::string m_moveReason;
     peer_view m_peers;
     queue_report m_queue;
     // Exponentially weighted moving average of running and waiting requests per slot.
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -1,6 +1,7 @@
 // Moves of key ranges to other owners: choosing the keys, releasing them, and writing the new
 // owners.
 #include "persimmonrail/base/text.h"
+#include "persimmonrail/keyspace/leave_plan.h"
 #include "persimmonrail/router/move_interval.h"
 #include "persimmonrail/router/range_controller.h"
 
@@ -41,18 +42,9 @@
         return;
     }
     if (m_isDraining) {
-        std::vector<planned_move> moves;
-        size_t nextOther = 0;
-        for (const key_interval &keys : ownIntervals()) {
-            moves.push_back({keys, others[nextOther++ % others.size()].id});
-        }
-        if (moves.size() == 1 && others.size() > 1 && moves[0].keys.count() > 1) {
-            const shard_key middle = moves[0].keys.first + moves[0].keys.count() / 2;
-            moves.push_back({{middle, moves[0].keys.last}, others[1].id});
-            moves[0].keys.last = middle - 1;
-        }
+        std::vector<planned_move> moves = planOwnLeave(record->placement, others);
         if (!moves.empty()) {
-            startMove(std::move(moves), "leaving");
+            startMove(std::move(moves), m_moveReason);
         }
         return;
     }
@@ -75,6 +67,23 @@
     }
 }
 
+std::vector<planned_move>
+range_controller::planOwnLeave(const key_placement &placement,
+                               const std::vector<range_candidate> &others) const
+{
+    leave_input input;
+    input.self = *m_upstream;
+    input.own = ownIntervals();
+    input.rate = [this](shard_key key) { return m_rates.rate(key); };
+    for (const upstream_member *member : m_directory->membersOf(m_service)) {
+        if (member->isDraining && ownedKeys(placement, member->id) > 0) {
+            input.leaving.push_back({member->id, member->slots});
+        }
+    }
+    input.targets = weighTargets(others, m_peers.loads);
+    return planLeave(input);
+}
+
 // A successor gets the keys of the incarnation before it once the end of that one is recorded.
 bool range_controller::isSuccessorOfOwner(const upstream_id &id,
                                           const key_placement &placement) const
@@ -110,6 +119,12 @@
         && (known->member.isDraining || known->member.isTerminated);
 }
 
+bool range_controller::isEvacuated(const upstream_id &id) const
+{
+    const auto *known = m_directory->findMember(id.name);
+    return known != nullptr && m_directory->isEvacuated(known->member.availabilityZone);
+}
+
 // A full queue rejects the requests that it can't hold, so the queue's length alone understates the
 // load.
 owner_load range_controller::ownLoad() const
--- a/src/persimmonrail/router/router.h
+++ b/src/persimmonrail/router/router.h
@@ -57,6 +57,8 @@
     // Prefix that holds the operators' desired state, and the key of the object under the prefix.
     std::string desiredStatePrefix;
     std::string desiredStateKey;
+    // Prefix of the objects whose names are the zones to be evacuated, with "/" at the end.
+    std::string evacuationPrefix;
     // Bounds the wait of one watch of the store. The destruction of a router may take as long.
     milliseconds maxWatchWait{20000};
     // Errors: InvalidArgument.
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -76,6 +76,7 @@
         m_log.write(log_level::Warn,
                     absl::StrCat("object ignored key=", key, " reason=", toAbsl(reason)));
     })
+    , m_evacuation(m_platform.evacuationPrefix, settings.evacuationTimeout)
     , m_upstream({settings.reportInterval, 3})
     , m_directory(std::make_shared<fleet_directory>())
 {
@@ -109,6 +110,7 @@
     m_readyServer.reset();
     m_callerServer.reset();
     m_peerServer.reset();
+    m_evacuationWatcher.reset();
     m_fleetWatcher.reset();
     m_desiredStateWatcher.reset();
     m_loop.stop();
@@ -215,6 +217,7 @@
             routes != nullptr ? routes->findService(m_settings.service) : nullptr;
         if (rule != nullptr && rule->isKeyed) {
             m_ranges->tick(now);
+            logKeysLeft(now);
         }
     });
     m_loop.every(upstreamCheckInterval, [this](steady_time now) { expireUpstreamReports(now); });
@@ -317,7 +320,7 @@
 bool router::state::isReady() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_routes != nullptr && m_isDirectoryListed && !m_isStopping;
+    return m_routes != nullptr && m_isDirectoryListed && m_zoneState.isKnown && !m_isStopping;
 }
 
 void router::state::serveReady(server_exchange &exchange)
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -2,6 +2,7 @@
 
 #include "persimmonrail/feed/relayed_watch.h"
 #include "persimmonrail/fleet/local_upstream.h"
+#include "persimmonrail/fleet/zone_evacuation.h"
 #include "persimmonrail/proxy/request_proxy.h"
 #include "persimmonrail/router/member_publisher.h"
 #include "persimmonrail/router/object_watcher.h"
@@ -15,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace persimmonrail {
@@ -53,6 +55,22 @@
     void onStoreReachabilityChange(std::string_view watchName, bool isReachable,
                                    const absl::Status &status);
 
+    // Evacuation of zones.
+    bool usesEvacuation() const;
+    void startEvacuationWatcher(const object_watcher_options &options);
+    void onEvacuations(const object_list &objects, bool isFullList, steady_time receivedAt);
+    // Logs the evacuations that begin or end for zones that are known now.
+    void reportEvacuations(steady_time now);
+    void logEvacuation(const zone_change &change);
+    zone_set knownZones() const;
+    // Tells the range controller which upstream is there and whether its keys are to move.
+    void updateKeyOwner();
+    // Logs once that the keys of the local upstream have left its evacuated zone.
+    void logKeysLeft(steady_time now);
+    // Rejects what must not be sent to an upstream in an evacuated zone. Must be called with
+    // m_mutex held.
+    void restrictToAdmission(local_upstream_state &target, steady_time now) const;
+
     // Upstream.
     void serveReport(server_exchange &exchange);
     // Returns whether the message is about the upstream that the settings name. A departure names
@@ -119,6 +137,9 @@
 
     // Control state, used only on the control thread.
     fleet_directory_builder m_builder;
+    zone_evacuation m_evacuation;
+    // When the evacuation of the own zone was seen, until its upstream's keys have moved.
+    std::optional<steady_time> m_keysLeaveSince;
     local_upstream m_upstream;
     // When each unreachable peer was last marked, by upstream name.
     std::map<std::string, steady_time> m_unreachableMarkedAt;
@@ -132,6 +153,9 @@
     std::shared_ptr<const fleet_directory> m_directory;
     bool m_isDirectoryListed = false;
     local_upstream_state m_target;
+    // Evacuation of the own zone.
+    zone_state m_zoneState;
+    zone_set m_evacuatedZones;
     // Statuses of the peers as of m_peerStatusesAt, to be forwarded to the peers.
     std::vector<forwarded_status> m_peerStatuses;
     steady_time m_peerStatusesAt{};
@@ -146,6 +170,8 @@
     std::unique_ptr<request_proxy> m_proxy;
     std::unique_ptr<object_watcher> m_desiredStateWatcher;
     std::unique_ptr<object_watcher> m_fleetWatcher;
+    // Null if zones are not evacuated on this platform.
+    std::unique_ptr<object_watcher> m_evacuationWatcher;
     std::unique_ptr<http_server> m_callerServer;
     std::unique_ptr<http_server> m_peerServer;
     std::unique_ptr<http_server> m_readyServer;
--- /dev/null
+++ b/src/persimmonrail/router/router_state_evacuation.cpp
@@ -0,0 +1,150 @@
+// The part of router::state that follows the evacuations of zones and keeps requests away from an
+// upstream in an evacuated zone.
+#include "persimmonrail/router/router_state.h"
+
+#include "persimmonrail/base/text.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace persimmonrail {
+namespace {
+
+constexpr char zoneGauge[] = "persimmonrail_zone_evacuated";
+
+} // namespace
+
+bool router::state::usesEvacuation() const
+{
+    return m_settings.evacuationTimeout.count() > 0 && !m_platform.evacuationPrefix.empty();
+}
+
+void router::state::startEvacuationWatcher(const object_watcher_options &options)
+{
+    if (!usesEvacuation()) {
+        const std::lock_guard lock(m_mutex);
+        m_zoneState.isKnown = true;
+        return;
+    }
+    const auto onObjects = [this](const object_list &objects, bool isFullList) {
+        const steady_time receivedAt = std::chrono::steady_clock::now();
+        m_loop.post([this, objects, isFullList, receivedAt](steady_time) {
+            onEvacuations(objects, isFullList, receivedAt);
+        });
+    };
+    object_watcher::hooks hooks;
+    hooks.onList = [onObjects](const object_list &list, boot_time) { onObjects(list, true); };
+    hooks.onChanges = [onObjects](const object_list &changes, boot_time) {
+        onObjects(changes, false);
+    };
+    hooks.onEvent = [this](std::string_view event) {
+        logEvent("watch", absl::StrCat("prefix=evacuations event=", toAbsl(event)));
+    };
+    hooks.onReachabilityChange = [this](bool isReachable, const absl::Status &status) {
+        onStoreReachabilityChange("evacuations", isReachable, status);
+    };
+    m_evacuationWatcher = std::make_unique<object_watcher>(m_store, m_platform.evacuationPrefix,
+                                                           std::move(hooks), options);
+    m_evacuationWatcher->start();
+}
+
+void router::state::onEvacuations(const object_list &objects, bool isFullList,
+                                  steady_time receivedAt)
+{
+    const zone_set before = m_evacuation.zones();
+    if (isFullList) {
+        m_evacuation.reset(objects, receivedAt);
+    } else {
+        m_evacuation.apply(objects, receivedAt);
+    }
+    const bool isChanged = m_evacuation.zones() != before;
+    const zone_state own = m_evacuation.stateOf(m_settings.availabilityZone);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_zoneState = own;
+        m_evacuatedZones = m_evacuation.zones();
+    }
+    if (!isChanged) {
+        return;
+    }
+    m_keysLeaveSince = own.isEvacuated ? std::optional(receivedAt) : std::nullopt;
+    reportEvacuations(receivedAt);
+    m_builder.setEvacuatedZones(m_evacuation.zones());
+    updateKeyOwner();
+    publishDirectory({});
+}
+
+void router::state::reportEvacuations(steady_time now)
+{
+    for (const zone_change &change : m_evacuation.takeChanges(knownZones(), now)) {
+        logEvacuation(change);
+    }
+}
+
+void router::state::logEvacuation(const zone_change &change)
+{
+    const bool isUnknown = change.type == zone_change::kind::UnknownZone;
+    m_log.write(isUnknown ? log_level::Warn : log_level::Info,
+                absl::StrCat("evacuation zone=", change.zone,
+                             " state=", toAbsl(toString(change.type)),
+                             " store_epoch=", epochOf(change.version),
+                             " store_revision=", revisionOf(change.version),
+                             " since_seen_ms=", change.sinceSeen.count()));
+    if (isUnknown) {
+        return;
+    }
+    m_metrics.addGauge(zoneGauge, absl::StrCat("zone=\"", escapeLabel(change.zone), "\""),
+                       [this, zone = change.zone] {
+                           const std::lock_guard lock(m_mutex);
+                           return m_evacuatedZones.contains(zone) ? 1.0 : 0.0;
+                       });
+}
+
+zone_set router::state::knownZones() const
+{
+    zone_set zones{m_settings.availabilityZone};
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[name, entry] : m_directory->members()) {
+        zones.insert(entry.member.availabilityZone);
+    }
+    return zones;
+}
+
+void router::state::updateKeyOwner()
+{
+    if (!m_upstream.report()) {
+        return;
+    }
+    const bool isPresent = m_upstream.phase() != upstream_phase::Absent;
+    const bool isEvacuated = m_evacuation.stateOf(m_settings.availabilityZone).isEvacuated;
+    const bool isLeaving = !m_upstream.acceptsRequests();
+    m_ranges->setUpstream(isPresent ? std::optional(m_upstream.report()->id) : std::nullopt,
+                          m_settings.upstreamAddress, isLeaving || isEvacuated,
+                          isLeaving ? "leaving" : "evacuated");
+}
+
+void router::state::logKeysLeft(steady_time now)
+{
+    if (!m_keysLeaveSince || !m_upstream.report() || !m_ranges->ownsNoKeys()) {
+        return;
+    }
+    const auto took = std::chrono::duration_cast<milliseconds>(now - *m_keysLeaveSince);
+    m_keysLeaveSince.reset();
+    logEvent("evacuation",
+             absl::StrCat("zone=", m_settings.availabilityZone, " state=keys-left upstream=",
+                          toString(m_upstream.report()->id), " since_seen_ms=", took.count()));
+}
+
+void router::state::restrictToAdmission(local_upstream_state &target, steady_time now) const
+{
+    const zone_admission admission = m_zoneState.admissionAt(now);
+    const proxy_reason reason =
+        m_zoneState.isKnown ? proxy_reason::Evacuated : proxy_reason::UpstreamUnreachable;
+    if (target.rejectReason == proxy_reason::None && admission != zone_admission::All) {
+        target.rejectReason = reason;
+    }
+    if (target.keyedRejectReason == proxy_reason::None && admission == zone_admission::Nothing) {
+        target.keyedRejectReason = reason;
+    }
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/router/router_state_store.cpp
+++ b/src/persimmonrail/router/router_state_store.cpp
@@ -54,6 +54,7 @@
     };
     m_fleetWatcher = std::make_unique<object_watcher>(makeRelayedWatch(m_store, makeWatchHooks()),
                                                       fleetPrefix, fleetHooks, watchOptions);
+    startEvacuationWatcher(watchOptions);
     m_desiredStateWatcher->start();
     m_fleetWatcher->start();
 }
@@ -200,6 +201,9 @@
     m_quarantinePublisher->onDirectory(*directory, std::chrono::steady_clock::now(),
                                        std::chrono::system_clock::now());
     m_ranges->onDirectory(directory, confirmation);
+    if (m_evacuation.hasUnknownZones()) {
+        reportEvacuations(std::chrono::steady_clock::now());
+    }
 }
 
 void router::state::onStoreReachabilityChange(std::string_view watchName, bool isReachable,
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -179,9 +179,7 @@
     }
     m_dispatcher->setSlots(std::max(report.slots, 1));
     m_publisher->publish(ownMember());
-    const bool isUpstreamPresent = m_upstream.phase() != upstream_phase::Absent;
-    m_ranges->setUpstream(isUpstreamPresent ? std::optional(report.id) : std::nullopt,
-                          m_settings.upstreamAddress, !m_upstream.acceptsRequests());
+    updateKeyOwner();
 }
 
 void router::state::onConnectionRefused(const upstream_id &id)
@@ -280,7 +278,8 @@
     });
     const bool isUpstreamPresent =
         m_upstream.report() && m_upstream.phase() != upstream_phase::Absent;
-    const upstream_member own = isUpstreamPresent ? ownMember() : upstream_member();
+    upstream_member own = isUpstreamPresent ? ownMember() : upstream_member();
+    own.isDraining = own.isDraining || directory->isEvacuated(m_settings.availabilityZone);
     m_peers->poll(peers, isUpstreamPresent ? &own : nullptr, now);
     {
         const std::lock_guard lock(m_mutex);
@@ -314,7 +313,7 @@
             || m_unreachableMarkedAt.contains(id.name)) {
             continue;
         }
-        upstream_member member = known->member;
+        upstream_member member = known->recorded();
         member.isDraining = true;
         m_publisher->publish(member);
         m_unreachableMarkedAt[id.name] = now;
@@ -329,9 +328,11 @@
     if (m_isDispatchClosed && target.rejectReason == proxy_reason::None) {
         target.rejectReason = proxy_reason::Stopping;
     }
-    const bool isOpenForKeys = target.rejectReason == proxy_reason::Draining && !m_isDispatchClosed
-        && std::chrono::steady_clock::now() < m_drainEnd;
+    const steady_time now = std::chrono::steady_clock::now();
+    const bool isOpenForKeys =
+        target.rejectReason == proxy_reason::Draining && !m_isDispatchClosed && now < m_drainEnd;
     target.keyedRejectReason = isOpenForKeys ? proxy_reason::None : target.rejectReason;
+    restrictToAdmission(target, now);
     return target;
 }
 
--- a/src/persimmonrail/telemetry/metrics.cpp
+++ b/src/persimmonrail/telemetry/metrics.cpp
@@ -131,9 +131,14 @@
 }
 
 void metrics::addGauge(std::string_view name, std::function<double()> read)
+{
+    addGauge(name, {}, std::move(read));
+}
+
+void metrics::addGauge(std::string_view name, std::string_view labels, std::function<double()> read)
 {
     const std::lock_guard lock(m_mutex);
-    m_gauges.insert_or_assign(std::string(name), std::move(read));
+    m_gauges[std::string(name)].insert_or_assign(std::string(labels), std::move(read));
 }
 
 void metrics::recordLatency(std::string_view service, std::string_view rank,
@@ -159,7 +164,7 @@
 
 std::string metrics::renderText() const
 {
-    std::map<std::string, std::function<double()>, std::less<>> gauges;
+    std::map<std::string, gauge_family, std::less<>> gauges;
     std::string text;
     {
         const std::lock_guard lock(m_mutex);
@@ -187,9 +192,11 @@
     }
     // The gauge functions are called without the lock, because they may acquire locks of other
     // modules.
-    for (const auto &[name, read] : gauges) {
+    for (const auto &[name, family] : gauges) {
         appendType(text, name, "gauge");
-        appendLine(text, name, {}, read());
+        for (const auto &[labels, read] : family) {
+            appendLine(text, name, labels, read());
+        }
     }
     return text;
 }
--- a/src/persimmonrail/telemetry/metrics.h
+++ b/src/persimmonrail/telemetry/metrics.h
@@ -42,6 +42,8 @@
     // Adds a gauge, or replaces the gauge of the same name. renderText() calls `read`, which must
     // be thread safe.
     void addGauge(std::string_view name, std::function<double()> read);
+    // The same for a gauge with labels, whose syntax is that of count().
+    void addGauge(std::string_view name, std::string_view labels, std::function<double()> read);
     void recordLatency(std::string_view service, std::string_view rank, request_outcome outcome,
                        std::chrono::nanoseconds latency);
     // Returns an empty summary if no latency has been recorded.
@@ -57,7 +59,8 @@
 
     mutable std::mutex m_mutex;
     std::map<std::string, std::map<std::string, uint64_t, std::less<>>, std::less<>> m_counters;
-    std::map<std::string, std::function<double()>, std::less<>> m_gauges;
+    using gauge_family = std::map<std::string, std::function<double()>, std::less<>>;
+    std::map<std::string, gauge_family, std::less<>> m_gauges;
     // Latencies by label text.
     std::map<series_key, std::unique_ptr<series>, std::less<>> m_latencies;
 };
