--- a/src/persimmonrail/feed/tests/relayed_watch_test.cpp
+++ b/src/persimmonrail/feed/tests/relayed_watch_test.cpp
@@ -67,9 +67,11 @@
     return {{name, 1}, "ledger", zone, "127.0.0.1:" + std::to_string(port), 9, isDraining, false};
 }
 
-std::shared_ptr<const fleet_directory> makeDirectory(const std::vector<upstream_member> &members)
+std::shared_ptr<const fleet_directory> makeDirectory(const std::vector<upstream_member> &members,
+                                                     const zone_set &evacuatedZones = {})
 {
     fleet_directory_builder builder([](const std::string &, std::string_view) {});
+    builder.setEvacuatedZones(evacuatedZones);
     uint64_t version = 0;
     for (const upstream_member &member : members) {
         builder.applyObject({memberKey(member.id.name), ++version, false, encodeMember(member)});
@@ -211,6 +213,18 @@
           == std::vector<std::string>{"127.0.0.1:3"});
 }
 
+// Guards against a zone without relays, whose daemons all watch the store while the zone is
+// evacuated.
+TEST_CASE("an evacuated zone keeps its relays", "[feed]")
+{
+    const std::vector<upstream_member> members{makeMember("a", "nord", 1),
+                                               makeMember("b", "nord", 2)};
+    const auto directory = makeDirectory(members, {"nord"});
+    REQUIRE(directory->findMember("a")->member.isDraining);
+    CHECK(selectRelayAddresses(*directory, "nord", "127.0.0.1:2")
+          == std::vector<std::string>{"127.0.0.1:1"});
+}
+
 TEST_CASE("hosts with equal capacity become relays in the order of their names", "[feed]")
 {
     const auto directory =
--- a/src/persimmonrail/router/tests/range_controller_test.cpp
+++ b/src/persimmonrail/router/tests/range_controller_test.cpp
@@ -157,6 +157,25 @@
             apply({memberKey(b.name), version, false, encodeMember(member)});
         });
     }
+    // Records a member of the fleet in this zone.
+    void recordMemberIn(const std::string &zone, const upstream_id &id, bool isTerminated)
+    {
+        const upstream_member member{id, service,      zone,        "127.0.0.1:2",
+                                     9,  isTerminated, isTerminated};
+        m_loop.postAndWait([&](steady_time) {
+            apply({memberKey(id.name), 2, false, encodeMember(member)});
+        });
+    }
+    void evacuate(const std::string &zone)
+    {
+        m_loop.postAndWait([&](steady_time) { m_builder.setEvacuatedZones({zone}); });
+    }
+    void makeCoordinator()
+    {
+        m_loop.postAndWait([this](steady_time) {
+            m_controller.setPeers({{{a, 9}, {b, 9}, {c, 9}}, {}, {}, true});
+        });
+    }
     bool canServe(shard_key key) { return m_controller.canServe(key); }
     // Performs what is due after `delay`, beside the periodic ticks.
     void tickAfter(milliseconds delay)
@@ -389,3 +408,20 @@
     upstream.end();
     CHECK_FALSE(upstream.isMoving());
 }
+
+// Guards against keys of a lost owner that the coordinator gives to upstreams of an evacuated zone,
+// while what peers reported still shows them as live.
+TEST_CASE("a coordinator assigns no keys to upstreams of an evacuated zone", "[router]")
+{
+    controlled_upstream upstream(true, {{a, 9}, {c, 9}});
+    upstream.evacuate("west");
+    upstream.recordMemberIn("west", b, false);
+    upstream.makeCoordinator();
+    REQUIRE(waitUntil([&] { return upstream.canServe(5); }));
+    upstream.recordMemberIn("east", c, true);
+    REQUIRE(waitUntil([&] { return upstream.store.ownerOf(40000) != c; }));
+    upstream.tickAfter(4s);
+    for (const shard_key key : {5U, 40000U, 65535U}) {
+        CHECK(upstream.store.ownerOf(key) == a);
+    }
+}
--- a/src/persimmonrail/telemetry/tests/telemetry_test.cpp
+++ b/src/persimmonrail/telemetry/tests/telemetry_test.cpp
@@ -60,12 +60,17 @@
         thread.join();
     }
     values.addGauge("persimmonrail_in_flight", [] { return 3.0; });
+    values.addGauge("persimmonrail_zone_evacuated", "zone=\"a\"", [] { return 1.0; });
+    values.addGauge("persimmonrail_zone_evacuated", "zone=\"b\"", [] { return 0.0; });
     values.recordLatency("odd\"name", "urgent", request_outcome::NotRun, 1ms);
     const std::string text = values.renderText();
     for (const char *line : {
              "# TYPE persimmonrail_answers_total counter\n",
              "persimmonrail_answers_total{outcome=\"run\"} 4000\n",
              "# TYPE persimmonrail_in_flight gauge\npersimmonrail_in_flight 3\n",
+             "# TYPE persimmonrail_zone_evacuated gauge\n",
+             "persimmonrail_zone_evacuated{zone=\"a\"} 1\n",
+             "persimmonrail_zone_evacuated{zone=\"b\"} 0\n",
              "# TYPE persimmonrail_request_seconds summary\n",
              R"(service="odd\"name",rank="urgent",outcome="not-run",quantile="0.99"} 0.001)",
 
