Limit the starts at cold upstreams

Cause: a cold upstream got requests at full speed, crashed above the rate that it tolerates, and came back cold, so a service did not recover after a restart of all its hosts.

Change: cold_rate_limit admits coldPerS x cold-overshoot starts in any second and a quarter of them in each quarter; slot_queue asks it before each start, counts the limit in the expected wait, and orders first attempts before retries meanwhile; blocking_slot_queue wakes the threads and reports the permitted rate to peers. cold_watch passes on the rate of the desired state, the cold time of heartbeats, and, for busy upstreams, that of the health check. Off while coldPerS is 0 or missing.

--- a/src/persimmonrail/proxy/blocking_slot_queue.cpp
+++ b/src/persimmonrail/proxy/blocking_slot_queue.cpp
@@ -29,11 +29,36 @@
             self.hasStarted = true;
             self.changed.notify_one();
         }
+        const steady_time next = queue.nextDelayedStart(now);
+        if (next != nextDelayedStart) {
+            nextDelayedStart = next;
+            wakeTimekeeper();
+        }
+    }
+
+    // The first waiting thread sleeps only until the limit allows the next start; the others are
+    // woken by it.
+    bool isTimekeeper(const waiter &self) const { return waiters.begin()->second == &self; }
+    void wakeTimekeeper()
+    {
+        if (!waiters.empty()) {
+            waiters.begin()->second->changed.notify_one();
+        }
+    }
+    // Removes a thread that waits no longer.
+    void remove(uint64_t id)
+    {
+        waiters.erase(id);
+        if (nextDelayedStart != steady_time::max()) {
+            wakeTimekeeper();
+        }
     }
 
     std::mutex mutex;
     slot_queue queue;
     std::map<uint64_t, waiter *> waiters;
+    // When the limit on the starts allows the next one; the maximum if it delays none.
+    steady_time nextDelayedStart = steady_time::max();
     // When all requests that still wait are rejected.
     steady_time end = steady_time::max();
 };
@@ -53,17 +78,45 @@
     {
         const steady_time now = std::chrono::steady_clock::now();
         const std::lock_guard lock(m_state->mutex);
-        m_state->queue.finish(m_id, m_isRepresentative, now);
+        if (m_isCounted) {
+            m_state->queue.finish(m_id, m_isRepresentative, now);
+        } else {
+            m_state->queue.withdraw(m_id);
+        }
         m_state->startWaiters(now);
     }
     void markRepresentative() override { m_isRepresentative = true; }
+    void markNotCounted() override { m_isCounted = false; }
 
 private:
     std::shared_ptr<shared_state> m_state;
     const uint64_t m_id;
     bool m_isRepresentative = false;
+    bool m_isCounted = true;
 };
 
+// While the upstream is cold, one of its slots counts as occupied for as long as the permitted rate
+// gives for a request, so that load and service time fit each other.
+queue_report reportOf(const slot_queue &queue, steady_time now)
+{
+    queue_report report{queue.running(), queue.waiting(), std::max(queue.slots(), 1),
+                        queue.meanServiceTime()};
+    const cold_rate_limit &limit = queue.coldLimit();
+    if (!limit.isCold(now)) {
+        return report;
+    }
+    const int permitted = limit.permittedPerSecond();
+    const std::chrono::microseconds timePerSlot =
+        std::chrono::microseconds(std::chrono::seconds(report.limit)) / permitted;
+    if (timePerSlot > report.meanServiceTime) {
+        const int occupied = limit.recentStarts(now) * report.limit / permitted;
+        report.running =
+            std::clamp(occupied, report.running, std::max(report.running, report.limit));
+        report.meanServiceTime = timePerSlot;
+    }
+    return report;
+}
+
 } // namespace
 
 blocking_slot_queue::blocking_slot_queue(slot_queue_options options)
@@ -89,12 +142,22 @@
     state::waiter self;
     m_state->waiters.emplace(*id, &self);
     m_state->startWaiters(now);
-    // The end may be set while the thread waits.
-    while (!self.hasStarted
-           && std::chrono::steady_clock::now() < std::min(request.deadline, m_state->end)) {
-        self.changed.wait_until(lock, std::min(request.deadline, m_state->end));
+    while (!self.hasStarted) {
+        const steady_time woken = std::chrono::steady_clock::now();
+        // The end may be set while the thread waits.
+        const steady_time waitEnd = std::min(request.deadline, m_state->end);
+        if (woken >= waitEnd) {
+            break;
+        }
+        if (woken >= m_state->nextDelayedStart) {
+            m_state->startWaiters(woken);
+            continue;
+        }
+        self.changed.wait_until(
+            lock,
+            m_state->isTimekeeper(self) ? std::min(waitEnd, m_state->nextDelayedStart) : waitEnd);
     }
-    m_state->waiters.erase(*id);
+    m_state->remove(*id);
     if (!self.hasStarted) {
         m_state->queue.cancel(*id);
         return rejected;
@@ -111,11 +174,37 @@
     }
 }
 
+void blocking_slot_queue::changeColdLimit(const std::function<void(cold_rate_limit &limit)> &change,
+                                          steady_time now)
+{
+    const std::lock_guard lock(m_state->mutex);
+    change(m_state->queue.coldLimit());
+    m_state->startWaiters(now);
+}
+
+cold_rate_limit blocking_slot_queue::coldLimit() const
+{
+    const std::lock_guard lock(m_state->mutex);
+    return m_state->queue.coldLimit();
+}
+
+uint64_t blocking_slot_queue::delayedCount() const
+{
+    const std::lock_guard lock(m_state->mutex);
+    return m_state->queue.delayedCount();
+}
+
+std::chrono::microseconds blocking_slot_queue::meanServiceTime() const
+{
+    const std::lock_guard lock(m_state->mutex);
+    return m_state->queue.meanServiceTime();
+}
+
 queue_report blocking_slot_queue::report() const
 {
+    const steady_time now = std::chrono::steady_clock::now();
     const std::lock_guard lock(m_state->mutex);
-    return {m_state->queue.running(), m_state->queue.waiting(), std::max(m_state->queue.slots(), 1),
-            m_state->queue.meanServiceTime()};
+    return reportOf(m_state->queue, now);
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/blocking_slot_queue.h
+++ b/src/persimmonrail/proxy/blocking_slot_queue.h
@@ -17,6 +17,9 @@
     // Marks the time from the start of the request to the release as representative of its route,
     // so that it counts in the mean service time.
     virtual void markRepresentative() = 0;
+    // Marks the request as one that does not count at the upstream: it was not sent, or the
+    // upstream rejected it as one for another upstream.
+    virtual void markNotCounted() = 0;
 };
 
 using slot_result = std::variant<std::unique_ptr<slot_permit>, slot_queue::rejection>;
@@ -36,7 +39,19 @@
     // Sets the time at which all requests that still wait are rejected, because the process ends
     // soon afterwards.
     void stopAt(steady_time end);
-    // Returns the current state of the queue.
+    // Changes the limit on the starts at a cold upstream, and starts the requests that may start
+    // then. `change` must not block.
+    void changeColdLimit(const std::function<void(cold_rate_limit &limit)> &change,
+                         steady_time now);
+    // Returns a copy of the limit.
+    cold_rate_limit coldLimit() const;
+    // Returns how many requests the limit has delayed so far.
+    uint64_t delayedCount() const;
+    // Returns the mean service time of a request at the upstream.
+    std::chrono::microseconds meanServiceTime() const;
+    // Returns the current state of the queue for other daemons. The quotient of the limit and the
+    // mean service time is the rate that the upstream permits, so a cold upstream states a longer
+    // service time.
     queue_report report() const;
 
 private:
--- a/src/persimmonrail/proxy/exchange_codec.h
+++ b/src/persimmonrail/proxy/exchange_codec.h
@@ -65,6 +65,11 @@
         classifyResponse;
     // Fields that classifyResponse, or the caller, reads in a response of the upstream.
     guarded_fields responseFields;
+    // Returns how long the upstream stays cold as stated in a response to a health check, 0 if it
+    // is warm; nullopt if the response does not state it. An empty function stands for a platform
+    // whose upstreams never state it.
+    std::function<std::optional<milliseconds>(const Poco::Net::HTTPResponse &head)>
+        readColdRemaining = {};
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -67,6 +67,9 @@
     message.set(objectiveHeader, absl::StrCat(request.objective.count()));
     message.set(rankHeader, absl::StrCat(request.rank));
     message.set(repeatableHeader, request.repeatable ? "1" : "0");
+    if (request.isRetry) {
+        message.set(retryHeader, "1");
+    }
     message.set(deadlineHeader, formatMilliseconds(request.deadline - now));
     message.set(objectiveLeftHeader, formatMilliseconds(request.objectiveEnd - now));
     if (request.key) {
@@ -245,6 +248,7 @@
     request.upstream.name = message.get(upstreamHeader, "");
     request.callerService = message.get(callerServiceHeader, "");
     request.repeatable = message.get(repeatableHeader, "") == "1";
+    request.isRetry = message.get(retryHeader, "") == "1";
     request.route = message.get(routeHeader, "");
     milliseconds deadlineLeft{0};
     milliseconds objectiveLeft{0};
--- a/src/persimmonrail/proxy/peer_fields.h
+++ b/src/persimmonrail/proxy/peer_fields.h
@@ -13,6 +13,8 @@
 inline constexpr char callerServiceHeader[] = "Persimmonrail-Caller-Service";
 inline constexpr char shardKeyHeader[] = "Persimmonrail-Key";
 inline constexpr char repeatableHeader[] = "Persimmonrail-Repeatable";
+// "1" in a request that was sent to another upstream before; older daemons ignore it.
+inline constexpr char retryHeader[] = "Persimmonrail-Retry";
 inline constexpr char routeHeader[] = "Persimmonrail-Route";
 // Latency objective of the request, in milliseconds.
 inline constexpr char objectiveHeader[] = "Persimmonrail-Objective-Ms";
--- a/src/persimmonrail/proxy/proxy_types.h
+++ b/src/persimmonrail/proxy/proxy_types.h
@@ -36,6 +36,8 @@
     int rank = 0;
     // Whether the request may run more than once.
     bool repeatable = false;
+    // Whether the request was sent to another upstream before.
+    bool isRetry = false;
     // The caller waits for the response until this time.
     steady_time deadline;
     // Latency objective, and the time at which it ends.
--- a/src/persimmonrail/proxy/releasing_sink.h
+++ b/src/persimmonrail/proxy/releasing_sink.h
@@ -20,6 +20,13 @@
         , m_next(next)
     { }
 
+    // Marks the request as one that does not count at the upstream.
+    void markNotCounted()
+    {
+        if (m_permit != nullptr) {
+            m_permit->markNotCounted();
+        }
+    }
     bool begin(const Poco::Net::HTTPResponse &head, const body_framing &framing,
                std::string_view first, bool isComplete) override
     {
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -145,6 +145,7 @@
                 m_earlierCause = causeOfFailure(result.reason, result.keyState);
             }
             m_lastAttemptAt = now;
+            m_request.isRetry = sentAttempts > 0;
             const proxy_result attempted = attemptOnce(service, now);
             if (attempted.reason != proxy_reason::NoUpstream || sentAttempts == 0) {
                 // If an earlier attempt may have run, the caller must not be told that the request
--- a/src/persimmonrail/proxy/slot_queue.cpp
+++ b/src/persimmonrail/proxy/slot_queue.cpp
@@ -21,9 +21,15 @@
     : m_options(options)
 { }
 
-bool slot_queue::isBefore(const slot_request &a, const slot_request &b)
+bool slot_queue::isBefore(const slot_request &a, const slot_request &b) const
 {
-    return a.rank != b.rank ? a.rank < b.rank : a.objective < b.objective;
+    if (a.rank != b.rank) {
+        return a.rank < b.rank;
+    }
+    if (m_defersRetries && a.isRetry != b.isRetry) {
+        return b.isRetry;
+    }
+    return a.objective < b.objective;
 }
 
 double slot_queue::serviceTimeOf(const std::string &route) const
@@ -33,6 +39,32 @@
 }
 
 double slot_queue::expectedWait(const slot_request &request, steady_time now) const
+{
+    return std::max(expectedWaitForSlot(request, now), expectedWaitForLimit(request, now));
+}
+
+double slot_queue::expectedWaitForLimit(const slot_request &request, steady_time now) const
+{
+    if (!m_coldLimit.isCold(now)) {
+        return 0;
+    }
+    int position = 1;
+    int equalPosition = 1;
+    bool earlierWaits = false;
+    for (const waiting_request &waiting : m_waiting) {
+        const bool isEarlier = isBefore(waiting.request, request);
+        const bool isLater = isBefore(request, waiting.request);
+        earlierWaits = earlierWaits || isEarlier;
+        position += isLater ? 0 : 1;
+        equalPosition += isEarlier || isLater ? 0 : 1;
+    }
+    // Every laterStartInterval-th start goes to a later request, even while earlier ones wait.
+    const int starts =
+        earlierWaits ? std::min(position, equalPosition * m_options.laterStartInterval) : position;
+    return seconds(m_coldLimit.startOfNth(starts, now) - now);
+}
+
+double slot_queue::expectedWaitForSlot(const slot_request &request, steady_time now) const
 {
     // Slots that this request may use. The remaining slots serve requests that come earlier in the
     // order.
@@ -120,6 +152,7 @@
 std::optional<uint64_t> slot_queue::submit(const slot_request &request, steady_time now,
                                            rejection &rejected)
 {
+    updateOrder(now);
     recordArrival(request, now);
     const double wait = expectedWait(request, now);
     const double serviceTime = serviceTimeOf(request.route);
@@ -135,7 +168,7 @@
         std::find_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_request &waiting) {
             return isBefore(request, waiting.request);
         });
-    m_waiting.insert(position, {++m_lastId, request});
+    m_waiting.insert(position, {++m_lastId, request, false});
     return m_lastId;
 }
 
@@ -143,7 +176,7 @@
 {
     const auto first = m_waiting.begin();
     const auto other =
-        std::find_if(first, m_waiting.end(), [first](const waiting_request &waiting) {
+        std::find_if(first, m_waiting.end(), [this, first](const waiting_request &waiting) {
             return isBefore(first->request, waiting.request);
         });
     if (other != m_waiting.end() && ++m_startsWhileLaterWait >= m_options.laterStartInterval) {
@@ -155,8 +188,13 @@
 
 std::vector<uint64_t> slot_queue::startRequests(steady_time now)
 {
+    updateOrder(now);
     std::vector<uint64_t> started;
     while (running() < m_slots && !m_waiting.empty()) {
+        if (m_coldLimit.nextStart(now) > now) {
+            recordDelays();
+            break;
+        }
         const auto chosen = chooseNext();
         if (chosen == m_waiting.end()) {
             break;
@@ -164,10 +202,44 @@
         started.push_back(chosen->id);
         m_running[chosen->id] = {chosen->request, now};
         m_waiting.erase(chosen);
+        m_coldLimit.recordStart(now);
     }
     return started;
 }
 
+void slot_queue::updateOrder(steady_time now)
+{
+    const bool isCold = m_coldLimit.isCold(now);
+    if (isCold == m_defersRetries) {
+        return;
+    }
+    m_defersRetries = isCold;
+    m_waiting.sort([this](const waiting_request &a, const waiting_request &b) {
+        return isBefore(a.request, b.request);
+    });
+}
+
+void slot_queue::recordDelays()
+{
+    int freeSlots = m_slots - running();
+    for (waiting_request &waiting : m_waiting) {
+        if (freeSlots-- == 0) {
+            return;
+        }
+        m_delayedCount += waiting.isDelayed ? 0 : 1;
+        waiting.isDelayed = true;
+    }
+}
+
+steady_time slot_queue::nextDelayedStart(steady_time now) const
+{
+    if (running() >= m_slots || m_waiting.empty()) {
+        return steady_time::max();
+    }
+    const steady_time next = m_coldLimit.nextStart(now);
+    return next > now ? next : steady_time::max();
+}
+
 void slot_queue::cancel(uint64_t id)
 {
     m_waiting.remove_if([id](const waiting_request &waiting) { return waiting.id == id; });
@@ -190,6 +262,16 @@
     m_running.erase(found);
 }
 
+void slot_queue::withdraw(uint64_t id)
+{
+    const auto found = m_running.find(id);
+    if (found == m_running.end()) {
+        return;
+    }
+    m_coldLimit.withdrawStart(found->second.startedAt);
+    m_running.erase(found);
+}
+
 std::chrono::microseconds slot_queue::meanServiceTime() const
 {
     return std::chrono::microseconds(static_cast<int64_t>(m_meanServiceTime * 1e6));
--- a/src/persimmonrail/proxy/slot_queue.h
+++ b/src/persimmonrail/proxy/slot_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "persimmonrail/base/clock.h"
+#include "persimmonrail/proxy/cold_rate_limit.h"
 
 #include <cstdint>
 #include <list>
@@ -41,6 +42,8 @@
     // Time at which the latency objective ends, and the time until which the caller waits.
     steady_time objectiveEnd;
     steady_time deadline;
+    // Whether the request was sent to another upstream before.
+    bool isRetry = false;
 };
 
 // Decides which requests use the slots of one upstream. This daemon must be the only sender of
@@ -54,14 +57,20 @@
 //
 // For requests earlier in this order, as many slots are reserved as those requests need on average.
 // Otherwise long requests would hold all slots when short urgent requests arrive. The number of
-// slots is known, so it is not adapted to the behavior of the upstream. The object reads no clock
-// and starts no threads. Not thread safe.
+// slots is known, so it is not adapted to the behavior of the upstream.
+//
+// While the upstream is or may be cold, cold_rate_limit delays the starts, and the expected waiting
+// time includes the delay. First attempts then start before retries of the same rank, since a retry
+// has already used capacity. The object reads no clock and starts no threads. Not thread safe.
 class slot_queue
 {
 public:
     explicit slot_queue(slot_queue_options options = {});
 
     void setSlots(int slots) { m_slots = slots; }
+    // The limit on the starts at a cold upstream. After a change, startRequests() must be called.
+    cold_rate_limit &coldLimit() { return m_coldLimit; }
+    const cold_rate_limit &coldLimit() const { return m_coldLimit; }
 
     struct rejection
     {
@@ -80,18 +89,27 @@
     // Releases the slot of a started request. `isRepresentative` tells whether its time counts in
     // the mean service time.
     void finish(uint64_t id, bool isRepresentative, steady_time now);
+    // Releases the slot of a started request that did not count at the upstream.
+    void withdraw(uint64_t id);
+    // Returns when startRequests() can start a request that the limit delays now; the maximum if
+    // the limit delays none.
+    steady_time nextDelayedStart(steady_time now) const;
 
     int running() const { return static_cast<int>(m_running.size()); }
     int waiting() const { return static_cast<int>(m_waiting.size()); }
     int slots() const { return m_slots; }
     // Returns the moving average of the service time over all routes.
     std::chrono::microseconds meanServiceTime() const;
+    // Returns how many requests the limit has delayed so far.
+    uint64_t delayedCount() const { return m_delayedCount; }
 
 private:
     struct waiting_request
     {
         uint64_t id = 0;
         slot_request request;
+        // Whether the request counts as delayed by the limit.
+        bool isDelayed = false;
     };
     struct running_request
     {
@@ -108,11 +126,18 @@
     };
 
     // Returns whether `a` comes before `b` in the order.
-    static bool isBefore(const slot_request &a, const slot_request &b);
+    bool isBefore(const slot_request &a, const slot_request &b) const;
     // Returns the expected service time of the route in seconds.
     double serviceTimeOf(const std::string &route) const;
     // Returns the expected time in seconds until the request would start.
     double expectedWait(const slot_request &request, steady_time now) const;
+    // The parts of expectedWait(): until a slot is free, and until the limit allows the start.
+    double expectedWaitForSlot(const slot_request &request, steady_time now) const;
+    double expectedWaitForLimit(const slot_request &request, steady_time now) const;
+    // Orders the waiting requests anew if the upstream has become cold or warm.
+    void updateOrder(steady_time now);
+    // Counts the requests that would start now without the limit.
+    void recordDelays();
     // Return the number of slots that requests earlier in the order need on average, and how many
     // of these they do not use now.
     int slotsNeededBefore(const slot_request &request) const;
@@ -135,6 +160,10 @@
     std::map<uint64_t, running_request> m_running;
     // Times that the first request was due to start while a request later in the order waited.
     int m_startsWhileLaterWait = 0;
+    cold_rate_limit m_coldLimit;
+    // Whether first attempts come before retries in the order of m_waiting.
+    bool m_defersRetries = false;
+    uint64_t m_delayedCount = 0;
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/tests/dispatcher_site.h
+++ b/src/persimmonrail/proxy/tests/dispatcher_site.h
@@ -54,8 +54,8 @@
     {
         exchange_codec codec;
         codec.setUpstreamFields = [](Poco::Net::HTTPRequest &, const upstream_fields &) {};
-        codec.classifyResponse = [](const Poco::Net::HTTPResponse &, const std::string &) {
-            return response_kind::Genuine;
+        codec.classifyResponse = [](const Poco::Net::HTTPResponse &head, const std::string &) {
+            return head.getStatus() == 421 ? response_kind::WrongUpstream : response_kind::Genuine;
         };
         return codec;
     }
--- a/src/persimmonrail/proxy/tests/peer_request_test.cpp
+++ b/src/persimmonrail/proxy/tests/peer_request_test.cpp
@@ -101,3 +101,22 @@
     row.change(request);
     CHECK_FALSE(readPeerRequest(request, makeCodec(), {}).ok());
 }
+
+// Guards against retries that count as first attempts at a cold upstream. Daemons of earlier
+// releases don't send the field.
+TEST_CASE("a retry is marked as one", "[proxy]")
+{
+    const auto [value, isRetry] = GENERATE(table<const char *, bool>({
+        {"", false},
+        {"0", false},
+        {"1", true},
+    }));
+    Poco::Net::HTTPRequest message = forwardedRequest();
+    if (*value != '\0') {
+        message.set(retryHeader, value);
+    }
+    const auto request = readPeerRequest(message, makeCodec(), steady_time(1000s));
+    REQUIRE(request.ok());
+    CHECK(request->isRetry == isRetry);
+    CHECK_FALSE(request->message.has(retryHeader));
+}
--- a/src/persimmonrail/proxy/tests/slot_queue_test.cpp
+++ b/src/persimmonrail/proxy/tests/slot_queue_test.cpp
@@ -210,3 +210,95 @@
     slot_queue::rejection rejected;
     CHECK_FALSE(queue.submit(makeRequest("slow", 0, 500ms, start), start, rejected).has_value());
 }
+
+// Guards against a start that the limit of a cold upstream does not allow, and against a wake-up
+// that comes too late or never.
+TEST_CASE("a start is delayed while the limit of a cold upstream is reached", "[relay][cold]")
+{
+    slot_queue queue;
+    queue.setSlots(9);
+    // Two starts in a second, one of them in each quarter.
+    queue.coldLimit().setOptions({2, 1, 8}, start - 10s);
+    for (int i = 0; i < 3; ++i) {
+        add(queue, makeRequest("a", 0, 5000ms, start, 9000ms), start);
+    }
+    CHECK(queue.nextDelayedStart(start) == steady_time::max());
+    CHECK(queue.startRequests(start).size() == 1);
+    CHECK(queue.nextDelayedStart(start) == start + 250ms);
+    CHECK(queue.startRequests(start + 249ms).empty());
+    CHECK(queue.startRequests(start + 250ms).size() == 1);
+    CHECK(queue.nextDelayedStart(start + 250ms) == start + 1000ms);
+    CHECK(queue.delayedCount() == 2);
+    SECTION("a report that the upstream is warm starts all")
+    {
+        queue.coldLimit().recordStatement(0ms, start + 300ms, start + 300ms);
+        CHECK(queue.startRequests(start + 300ms).size() == 1);
+        CHECK(queue.nextDelayedStart(start + 300ms) == steady_time::max());
+    }
+    SECTION("the next start follows by itself")
+    {
+        CHECK(queue.startRequests(start + 1000ms).size() == 1);
+        CHECK(queue.delayedCount() == 2);
+    }
+}
+
+// Guards against requests that wait for a cold upstream until their deadline: they are rejected at
+// once, with the time after which there is room.
+TEST_CASE("a request that the limit delays too long is rejected at once", "[relay][cold]")
+{
+    const auto [remaining, ahead, retryAfter] = GENERATE(table<milliseconds, int, milliseconds>({
+        // Four starts at once, four in each further quarter of a second, 14 in a second. Within the
+        // objective of 800 ms, a request of 50 ms has to start by 670 ms, so 12 requests do.
+        {60s, 0, 0ms},
+        {60s, 11, 0ms},
+        {60s, 12, 80ms},
+        {60s, 14, 330ms},
+        // The upstream is warm after 300 ms; then the nine slots serve the queue.
+        {300ms, 14, 0ms},
+    }));
+    CAPTURE(remaining.count(), ahead);
+    slot_queue queue;
+    queue.setSlots(9);
+    queue.coldLimit().setOptions({9.8, 1.5, 8}, start - 10s);
+    queue.coldLimit().recordStatement(remaining, start, start);
+    for (int i = 0; i < ahead; ++i) {
+        add(queue, makeRequest("a", 0, 800ms, start + 60s, 9000ms), start);
+    }
+    slot_queue::rejection rejected;
+    const auto id = queue.submit(makeRequest("a", 0, 800ms, start), start, rejected);
+    CHECK(id.has_value() == (retryAfter == 0ms));
+    CHECK(rejected.retryAfter == retryAfter);
+}
+
+// Guards against retries that displace first attempts while a cold upstream serves few requests,
+// and against a change of the order for upstreams that are warm.
+TEST_CASE("first attempts start before retries while the upstream is cold", "[relay][cold]")
+{
+    const bool isCold = GENERATE(true, false);
+    slot_queue queue;
+    queue.setSlots(1);
+    const uint64_t busy = add(queue, makeRequest("a", 0, 2000ms, start), start);
+    queue.startRequests(start);
+    slot_request retry = makeRequest("b", 1, 500ms, start + 1s);
+    retry.isRetry = true;
+    const uint64_t urgentRetry = [&] {
+        slot_request urgent = makeRequest("a", 0, 2000ms, start + 1s);
+        urgent.isRetry = true;
+        return add(queue, urgent, start);
+    }();
+    const uint64_t retried = add(queue, retry, start);
+    const uint64_t first = add(queue, makeRequest("c", 1, 900ms, start + 1s), start);
+    if (isCold) {
+        queue.coldLimit().setOptions({100, 1, 8}, start - 10s);
+    }
+    std::vector<uint64_t> order;
+    uint64_t last = busy;
+    for (int i = 0; i < 3; ++i) {
+        queue.finish(last, false, start + i * 1s);
+        order.push_back(queue.startRequests(start + i * 1s).front());
+        last = order.back();
+    }
+    CHECK(order
+          == (isCold ? std::vector<uint64_t>{urgentRetry, first, retried}
+                     : std::vector<uint64_t>{urgentRetry, retried, first}));
+}
--- a/src/persimmonrail/proxy/tests/upstream_dispatcher_test.cpp
+++ b/src/persimmonrail/proxy/tests/upstream_dispatcher_test.cpp
@@ -95,3 +95,37 @@
     CHECK(second.get() == (reason == proxy_reason::None ? 200 : 502));
     CHECK(received == sendings);
 }
+
+// Guards against a limit that counts other requests than a cold upstream does: those that it
+// answers with 421 and those that are not sent don't count, and those that are sent again do.
+TEST_CASE("requests count at a cold upstream if it counts them", "[relay][cold]")
+{
+    const auto [response, closesFirst, counted] = GENERATE(table<std::string, bool, int>({
+        {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, 2},
+        {"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", false, 0},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true, 3},
+    }));
+    CAPTURE(response, closesFirst);
+    std::atomic<int> received{0};
+    const bool closesSecondRequest = closesFirst;
+    const std::string text = response;
+    scripted_server upstream([&](Poco::Net::StreamSocket &socket, int) {
+        while (!readHeadText(socket).empty()) {
+            if (++received == 2 && closesSecondRequest) {
+                return;
+            }
+            sendText(socket, text);
+        }
+    });
+    dispatcher_site site(upstream.address());
+    const steady_time now = std::chrono::steady_clock::now();
+    site.dispatcher().changeColdLimit(
+        [now](cold_rate_limit &limit) {
+            limit.setOptions({200, 1, 8}, now - 10s);
+        },
+        now);
+    for (int i = 0; i < 2; ++i) {
+        site.send().get();
+    }
+    CHECK(site.dispatcher().coldLimit().recentStarts(now) == counted);
+}
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -128,7 +128,7 @@
     if (request.key) {
         m_hooks.countKeyRequest(*request.key);
     }
-    const steady_time expectedEnd = arrived + m_slotQueue.report().meanServiceTime
+    const steady_time expectedEnd = arrived + m_slotQueue.meanServiceTime()
         + request.linkEstimate.queueDelay + request.linkEstimate.sendTime;
     // While responses queue for the link, a response that would be late would only delay the others
     // as well.
@@ -136,8 +136,8 @@
         return notRunResult(proxy_reason::LinkBusy,
                             std::chrono::ceil<milliseconds>(expectedEnd - request.objectiveEnd));
     }
-    const slot_request slotRequest{request.route, request.rank, request.objective,
-                                   request.objectiveEnd, request.deadline};
+    const slot_request slotRequest{request.route,        request.rank,     request.objective,
+                                   request.objectiveEnd, request.deadline, request.isRetry};
     slot_result acquired = m_slotQueue.acquire(slotRequest, arrived);
     if (const auto *rejected = std::get_if<slot_queue::rejection>(&acquired)) {
         const bool hasEnded = std::chrono::steady_clock::now() >= m_end.load();
@@ -149,13 +149,20 @@
     // While the request waited, another copy of it may have crashed an upstream, and the state of
     // the upstream or the owner of the key may have changed.
     if (const auto rejected = checkQuarantine(request, body)) {
+        releasing.markNotCounted();
         return *rejected;
     }
     const local_upstream_state target = m_hooks.local();
     if (const auto rejected = checkTarget(request, target)) {
+        releasing.markNotCounted();
         return *rejected;
     }
-    return sendToUpstream(request, target, exchange, body, releasing);
+    proxy_result result = sendToUpstream(request, target, exchange, body, releasing);
+    // A request that the upstream answers with 421 does not count at a cold upstream.
+    if (!result.hasReachedUpstream || result.reason == proxy_reason::KeyNotHeld) {
+        releasing.markNotCounted();
+    }
+    return result;
 }
 
 std::optional<proxy_result> upstream_dispatcher::checkQuarantine(const proxied_request &request,
@@ -193,10 +200,25 @@
     m_isCheckingListening = false;
 }
 
+void upstream_dispatcher::recordLostConnection()
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    changeColdLimit([now](cold_rate_limit &limit) { limit.recordLostConnection(now); }, now);
+}
+
+bool upstream_dispatcher::tryResendToCold()
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    bool isTolerated = true;
+    changeColdLimit([&](cold_rate_limit &limit) { isTolerated = limit.tryResend(now); }, now);
+    return isTolerated;
+}
+
 bool upstream_dispatcher::mayResend(const proxied_request &request, fingerprinted_body &body)
 {
+    recordLostConnection();
     return !checkTarget(request, m_hooks.local()) && !checkQuarantine(request, body)
-        && m_resends.tryRetry(std::chrono::steady_clock::now());
+        && m_resends.tryRetry(std::chrono::steady_clock::now()) && tryResendToCold();
 }
 
 proxy_result upstream_dispatcher::sendToUpstream(const proxied_request &request,
@@ -243,6 +265,7 @@
     proxy_result result;
     if (runEnd == crash_quarantine::run_end::ConnectionLost) {
         result.lostFingerprint = body.fingerprint();
+        recordLostConnection();
         checkListening(target);
     }
     result.hasReachedUpstream = exchanged.hasSentBytes;
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -63,6 +63,14 @@
     queue_report queue() const { return m_slotQueue.report(); }
     // Sets the number of requests that the upstream may run at the same time.
     void setSlots(int slots) { m_slotQueue.setSlots(slots); }
+    // Changes the limit on the starts at a cold upstream. `change` must not block.
+    void changeColdLimit(const std::function<void(cold_rate_limit &limit)> &change, steady_time now)
+    {
+        m_slotQueue.changeColdLimit(change, now);
+    }
+    cold_rate_limit coldLimit() const { return m_slotQueue.coldLimit(); }
+    // Returns how many requests the limit has delayed so far.
+    uint64_t coldDelayedCount() const { return m_slotQueue.delayedCount(); }
     // Limits the requests that are sent again after a reused connection was closed.
     void setResendBudget(const retry_budget_options &options, steady_time now)
     {
@@ -89,6 +97,11 @@
     // Returns whether a request may be sent to the upstream once more: the upstream still takes it,
     // and the budget allows it.
     bool mayResend(const proxied_request &request, fingerprinted_body &body);
+    // Records that a connection to the upstream ended without a response.
+    void recordLostConnection();
+    // Records that a request is sent once more; returns false if a cold upstream would not tolerate
+    // it.
+    bool tryResendToCold();
     // Sends a request that has a slot. `body` supplies the body of `exchange`.
     proxy_result sendToUpstream(const proxied_request &request, const local_upstream_state &target,
                                 server_exchange &exchange, fingerprinted_body &body,
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -90,6 +90,9 @@
     m_peers = std::make_unique<peer_monitor>(m_loop);
     m_dispatcher = std::make_unique<upstream_dispatcher>(m_platform.codec, makeDispatcherHooks(),
                                                          m_quarantine);
+    m_coldWatch = std::make_unique<cold_watch>(
+        cold_watch_options{m_settings.service, m_settings.coldOvershoot, m_settings.coldSlack},
+        m_platform.codec, *m_dispatcher, m_loop, m_log, m_metrics);
     request_proxy_options options;
     options.callerService = m_settings.service;
     options.availabilityZone = m_settings.availabilityZone;
@@ -217,6 +220,14 @@
             m_ranges->tick(now);
         }
     });
+    m_loop.every(cold_watch_options().interval, [this](steady_time now) {
+        std::shared_ptr<const route_table> routes;
+        {
+            const std::lock_guard lock(m_mutex);
+            routes = m_routes;
+        }
+        m_coldWatch->tick(routes.get(), localUpstreamState(), now);
+    });
     m_loop.every(upstreamCheckInterval, [this](steady_time now) { expireUpstreamReports(now); });
     m_loop.every(peer_monitor_options().pollInterval, [this](steady_time now) { pollPeers(now); });
 }
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -3,6 +3,7 @@
 #include "persimmonrail/feed/relayed_watch.h"
 #include "persimmonrail/fleet/local_upstream.h"
 #include "persimmonrail/proxy/request_proxy.h"
+#include "persimmonrail/router/cold_watch.h"
 #include "persimmonrail/router/member_publisher.h"
 #include "persimmonrail/router/object_watcher.h"
 #include "persimmonrail/router/peer_monitor.h"
@@ -143,6 +144,7 @@
     std::unique_ptr<quarantine_publisher> m_quarantinePublisher;
     std::unique_ptr<peer_monitor> m_peers;
     std::unique_ptr<upstream_dispatcher> m_dispatcher;
+    std::unique_ptr<cold_watch> m_coldWatch;
     std::unique_ptr<request_proxy> m_proxy;
     std::unique_ptr<object_watcher> m_desiredStateWatcher;
     std::unique_ptr<object_watcher> m_fleetWatcher;
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -31,6 +31,7 @@
         return;
     }
     const boot_time receivedAt = bootNow();
+    const steady_time reportedAt = std::chrono::steady_clock::now();
     const auto message = m_platform.parseReport(exchange.request().getURI(), body);
     if (!message.ok()) {
         m_log.write(log_level::Warn,
@@ -54,6 +55,9 @@
     std::optional<holdings> holdings;
     m_loop.postAndWait([&](steady_time now) {
         const bool isCurrent = onUpstreamMessage(*message, now);
+        if (isCurrent && !message->isDeparture) {
+            m_coldWatch->onReport(message->report.warmUpRemaining, reportedAt, now);
+        }
         if (isCurrent && message->holdings) {
             holdings = m_ranges->onHeartbeat(*message->holdings, receivedAt);
         }
@@ -191,6 +195,7 @@
     }
     const steady_time now = std::chrono::steady_clock::now();
     const upstream_phase before = m_upstream.phase();
+    m_coldWatch->onRestartSign(now);
     if (m_upstream.onConnectionRefused(now) == local_upstream::verdict::Changed) {
         onUpstreamChanged("connection-refused", now);
         if (before != upstream_phase::Draining) {
