Count starts at a cold upstream when they are sent

Cause: a request is queued with the time of its arrival, before its body was read, so its start could leave the window too early. Nothing tested the way from the desired state and the heartbeats to the limit.

--- a/src/persimmonrail/proxy/blocking_slot_queue.cpp
+++ b/src/persimmonrail/proxy/blocking_slot_queue.cpp
@@ -141,7 +141,10 @@
     }
     state::waiter self;
     m_state->waiters.emplace(*id, &self);
-    m_state->startWaiters(now);
+    // The request may have arrived some time ago, since its body was read first. The limit counts
+    // the start at the time at which the request can be sent.
+    const bool isLimited = m_state->queue.coldLimit().isEnabled();
+    m_state->startWaiters(isLimited ? std::max(now, std::chrono::steady_clock::now()) : now);
     while (!self.hasStarted) {
         const steady_time woken = std::chrono::steady_clock::now();
         // The end may be set while the thread waits.
