Test the restart of a daemon beside a cold upstream with a small slack

Cause: with a slack of 8 the rule for quarters of a second alone kept the bound, so the test did not notice whether the starts of the earlier process are assumed.

Change: the test uses a slack of 4 and rates of 9.8 and 30.

--- a/src/persimmonrail/proxy/tests/cold_rate_limit_test.cpp
+++ b/src/persimmonrail/proxy/tests/cold_rate_limit_test.cpp
@@ -199,23 +199,28 @@
 // tolerates in the second around the restart.
 TEST_CASE("a restarted daemon counts on the starts of the earlier process", "[relay][cold]")
 {
-    cold_rate_limit earlier = makeLimit(giftCards);
+    // A slack of 4 does not cover what two limits admit side by side.
+    const double rate = GENERATE(9.8, 30.0);
+    const cold_rate_options options{rate, 1.5, 4};
+    cold_rate_limit earlier = makeLimit(options);
+    // Just after the last quarter of a window.
+    const milliseconds end = 3100ms;
     std::mt19937 random(1);
-    std::vector<steady_time> starts = startAll(earlier, 200, 3s, random);
+    std::vector<steady_time> starts = startAll(earlier, 200, end, random);
     const milliseconds restart = GENERATE(1ms, 50ms, 400ms, 999ms);
     cold_rate_limit later;
-    later.assumeUnknownRate(8, start + 3s + restart);
-    for (milliseconds at = 3s + restart; at < 6s; ++at) {
+    later.assumeUnknownRate(options.slack, start + end + restart);
+    for (milliseconds at = end + restart; at < 6s; ++at) {
         const steady_time now = start + at;
-        if (at == 3s + restart + 200ms) {
-            later.setOptions(giftCards, now);
+        if (at == end + restart + 50ms) {
+            later.setOptions(options, now);
         }
         while (later.nextStart(now) <= now) {
             later.recordStart(now);
             starts.push_back(now);
         }
     }
-    CHECK(maxPerSecond(starts) <= 22);
+    CHECK(maxPerSecond(starts) <= options.requestsPerSecond * options.overshoot + options.slack);
 }
 
 // Guards against requests that are sent again over the limit.
