Write the moves of several owners through one writer

Each owner changed the one placement record by a conditional write of its own. When many owners moved keys at the same time most writes were lost, so each may move only once in 200 ms times the number of owners, 12 s with 60, and a hot key range of 4 to 5 s is never spread.

With the setting placement-writer an owner passes its released keys to the first reachable daemon of the service, which writes the changes of all waiting owners together. A change has an effect only on keys that the owner still owns under the fence of their release. The owner's own update decides: it reads the record and writes what the writer did not. While the writer may still apply a change, the owner takes keys back only with a new fence. With the setting off nothing changes.

--- a/src/persimmonrail/keyspace/range_lease_manager.cpp
+++ b/src/persimmonrail/keyspace/range_lease_manager.cpp
@@ -41,7 +41,9 @@
 void range_lease_manager::onPlacement(const key_placement &placement, boot_time confirmedAt,
                                       boot_time now)
 {
-    if (m_unboundedStart && confirmedAt >= *m_unboundedStart) {
+    // A record with a move of the process before is based on a record that was read before this
+    // moment, so it can't be written any more once the record has changed.
+    if (m_unboundedStart && confirmedAt >= *m_unboundedStart + m_timing.sentMoveLifetime) {
         onEarlierFences(placement.highestFence);
     }
     m_placement = placement;
--- a/src/persimmonrail/keyspace/range_lease_manager.h
+++ b/src/persimmonrail/keyspace/range_lease_manager.h
@@ -27,6 +27,9 @@
     milliseconds renewalInterval{750};
     // Requests are not dispatched if less than this time is left of the hold time.
     milliseconds dispatchMargin{30};
+    // Longest time after the end of a daemon for which another daemon may compute a record with a
+    // move that it had sent there; 0 if moves are not sent to other daemons.
+    milliseconds sentMoveLifetime{0};
 
     // Returns the time after the last confirmation by the store at which an owner that is lost or
     // has lost the store certainly holds no key.
@@ -89,6 +92,14 @@
     // fences that the previous incarnation knew. Ranges whose recorded fences are older are granted
     // with it (grantFence()).
     void onEarlierFences(uint64_t highestFence);
+    // Returns whether a read of the record that is sent at `now` tells the highest fence that is
+    // superseded, and whether that is not known yet. Always false if moves are not sent to other
+    // daemons: then any read since the start of this daemon tells it.
+    bool isFirstReadDue(boot_time now) const
+    {
+        return m_timing.sentMoveLifetime.count() > 0 && m_unboundedStart
+            && now >= *m_unboundedStart + m_timing.sentMoveLifetime;
+    }
     // Makes the owned ranges need a fence above all that are recorded now before they are granted
     // again.
     void requireNewFences() { m_supersededFence = m_placement.highestFence; }
--- a/src/persimmonrail/keyspace/range_plan.cpp
+++ b/src/persimmonrail/keyspace/range_plan.cpp
@@ -142,14 +142,20 @@
     return placement;
 }
 
+bool ownsUnderFence(const key_placement &placement, key_interval keys, const upstream_id &owner,
+                    uint64_t fence)
+{
+    const owned_range &range = placement.rangeOf(keys.first);
+    const bool isPending = range.takeoverDelay.count() > 0 && !range.isCarriedOver();
+    return range.owner == owner && range.fence == fence && !isPending
+        && range.keys.contains(keys.last);
+}
+
 key_placement moveReleasedRange(key_placement placement, key_interval keys,
                                 const upstream_id &owner, uint64_t fence, const upstream_id &target,
                                 const std::string &handover)
 {
-    const owned_range &range = placement.rangeOf(keys.first);
-    const bool isPending = range.takeoverDelay.count() > 0 && !range.isCarriedOver();
-    if (range.owner != owner || range.fence != fence || isPending
-        || !range.keys.contains(keys.last)) {
+    if (!ownsUnderFence(placement, keys, owner, fence)) {
         return placement;
     }
     return moveRange(std::move(placement), keys, target, handover);
--- a/src/persimmonrail/keyspace/range_plan.h
+++ b/src/persimmonrail/keyspace/range_plan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "persimmonrail/base/clock.h"
 #include "persimmonrail/keyspace/key_placement.h"
 
 #include <cstdint>
@@ -34,6 +35,10 @@
 key_placement moveRange(key_placement placement, key_interval keys, const upstream_id &target,
                         const std::string &handover);
 
+// Returns whether `owner` owns all of the keys under `fence`, not as a pending takeover.
+bool ownsUnderFence(const key_placement &placement, key_interval keys, const upstream_id &owner,
+                    uint64_t fence);
+
 // Same as moveRange(), if `owner` still owns all of the keys under `fence`, the fence under which
 // it released them; otherwise the placement is returned unchanged. A release from before a restore
 // of the store moves nothing after it, since the keys may have another holder by then.
@@ -92,6 +97,8 @@
     double utilization = 0;
     // Mean time that the owner needs for one request; 0 if unknown.
     std::chrono::microseconds meanServiceTime{0};
+    // When the owner reported this load, or the default value if that is not known.
+    steady_time measuredAt{};
 };
 
 // Limits of chooseMoves().
--- /dev/null
+++ b/src/persimmonrail/router/load_age.cpp
@@ -0,0 +1,37 @@
+#include "persimmonrail/router/load_age.h"
+
+namespace persimmonrail {
+namespace {
+
+// Time without a request after which traffic counts as begun anew.
+constexpr milliseconds maxBreak{3000};
+// Time from the beginning of traffic until the reported loads show it: they are averages, of which
+// the last two polls, one second apart, make up most.
+constexpr milliseconds settlingTime{2000};
+
+} // namespace
+
+void traffic_onset::update(bool hasRequests, steady_time now)
+{
+    if (!hasRequests) {
+        if (now - m_lastRequestAt >= maxBreak) {
+            m_beganAt.reset();
+        }
+        return;
+    }
+    m_lastRequestAt = now;
+    m_beganAt = m_beganAt.value_or(now);
+}
+
+std::optional<steady_time> traffic_onset::loadsValidSince() const
+{
+    return m_beganAt ? std::optional(*m_beganAt + settlingTime) : std::nullopt;
+}
+
+std::vector<owner_load> loadsSince(std::vector<owner_load> loads, steady_time earliest)
+{
+    std::erase_if(loads, [=](const owner_load &load) { return load.measuredAt < earliest; });
+    return loads;
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/router/peer_monitor.cpp
+++ b/src/persimmonrail/router/peer_monitor.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
+#include <set>
 
 namespace persimmonrail {
 namespace {
@@ -14,6 +15,8 @@
 // Weight of the newest report in the exponentially weighted moving average; the last three polls
 // make up most of the average.
 constexpr double utilizationSmoothingWeight = 0.4;
+// The second one is asked while the first one is avoided.
+constexpr size_t maxPlacementWriters = 2;
 
 } // namespace
 
@@ -209,10 +212,11 @@
             view.live.push_back({id, peer.member.slots});
         }
         if (!peer.member.isDraining && peer.hasResponded && peer.acceptsRequests) {
-            view.loads.push_back(
-                {id, peer.member.slots, peer.utilization, peer.queue.meanServiceTime});
+            view.loads.push_back({id, peer.member.slots, peer.utilization,
+                                  peer.queue.meanServiceTime, peer.respondedAt});
         }
     }
+    view.writers = placementWriters(self, now);
     const bool mostAreUnreachable = unreachable.size() * 2 > m_entries.size();
     for (const entry *peer : unreachable) {
         if (!mostAreUnreachable
@@ -223,6 +227,23 @@
     return view;
 }
 
+std::vector<upstream_id> peer_health::placementWriters(const upstream_member *self,
+                                                       steady_time now) const
+{
+    std::set<upstream_id> reachable;
+    if (self != nullptr) {
+        reachable.insert(self->id);
+    }
+    for (const auto &[id, peer] : m_entries) {
+        if (!isUnreachable(id, now) && !peer.isUnresponsive) {
+            reachable.insert(id);
+        }
+    }
+    std::vector<upstream_id> writers(reachable.begin(), reachable.end());
+    writers.resize(std::min(writers.size(), maxPlacementWriters));
+    return writers;
+}
+
 peer_monitor::peer_monitor(control_loop &loop, peer_monitor_options options)
     : m_loop(loop)
     , m_options(options)
--- a/src/persimmonrail/router/peer_monitor.h
+++ b/src/persimmonrail/router/peer_monitor.h
@@ -83,6 +83,9 @@
     // Returns the input of range_controller as `self` sees it; `self` is null if this daemon has no
     // upstream.
     range_controller::peer_view view(const upstream_member *self, steady_time now) const;
+    // Returns the first reachable members by id, this daemon's own included, whose daemons are
+    // asked to write changes of the placement.
+    std::vector<upstream_id> placementWriters(const upstream_member *self, steady_time now) const;
     // Returns the number of running and waiting requests per slot.
     static double utilization(const queue_report &report);
 
--- a/src/persimmonrail/router/placement_update.h
+++ b/src/persimmonrail/router/placement_update.h
@@ -42,6 +42,11 @@
     // must expect this record or a newer one.
     std::optional<stored_object> object;
     boot_time confirmedAt{};
+    // Whether another daemon may still write the same change, also after later changes of the
+    // record. Only updateThroughWriter() sets this and the following member.
+    bool isChangeOpen = false;
+    // Whether another daemon wrote the change.
+    bool isWriterUsed = false;
 };
 
 // Changes the placement record of `service` and of the epoch of `base` by conditional writes,
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -175,6 +175,7 @@
     const double utilization =
         static_cast<double>(queue.running + queue.waiting) / std::max(queue.limit, 1);
     m_utilization += (utilization - m_utilization) * utilizationSmoothingWeight;
+    m_trafficOnset.update(queue.running + queue.waiting > 0, std::chrono::steady_clock::now());
 }
 
 key_state range_controller::stateOf(shard_key key)
@@ -251,6 +252,9 @@
     if (!m_upstream) {
         // Another daemon, or the upstream's next incarnation, acts for the keys that the upstream
         // owned.
+        if (m_isChangeOpen) {
+            retryUnconfirmedMove(now);
+        }
         proposePlacementChange();
         return;
     }
@@ -421,8 +425,15 @@
 void range_controller::confirmPlacement()
 {
     const boot_time now = bootNow();
-    if (m_isConfirmationPending || now - m_confirmedAt < maxRelayedAge
-        || now - m_confirmationSentAt < confirmRetryInterval || ownsNoKeys()) {
+    if (m_isConfirmationPending || now - m_confirmationSentAt < confirmRetryInterval) {
+        return;
+    }
+    bool isFirstReadDue = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        isFirstReadDue = currentRecord() != nullptr && m_leaseManager.isFirstReadDue(now);
+    }
+    if (!isFirstReadDue && (now - m_confirmedAt < maxRelayedAge || ownsNoKeys())) {
         return;
     }
     m_isConfirmationPending = true;
@@ -447,6 +458,9 @@
     if (record != nullptr && record->version == object.version) {
         m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
         const std::lock_guard lock(m_mutex);
+        if (m_leaseManager.isFirstReadDue(confirmedAt)) {
+            m_leaseManager.onPlacement(record->placement, confirmedAt, bootNow());
+        }
         m_leaseManager.onConfirmed(confirmedAt);
     }
 }
@@ -461,17 +475,19 @@
 
 void range_controller::updateRecord(placement_change change, std::string_view reason,
                                     milliseconds timeLimit,
-                                    std::function<void(const placement_update_result &result)> done)
+                                    std::function<void(const placement_update_result &result)> done,
+                                    change_submitter submit)
 {
     m_isWritePending = true;
     placement_update update{std::move(change), reason, bootNow() + timeLimit};
     m_storeWorker->enqueue([this, base = knownRecord(), update = std::move(update),
-                            done = std::move(done)] {
+                            done = std::move(done), submit = std::move(submit)] {
         const placement_update_hooks hooks{
             bootNow, [](milliseconds time) { std::this_thread::sleep_for(time); },
             [this] { return m_random(); }};
-        const placement_update_result result =
-            updatePlacement(m_store, m_service, base, update, hooks);
+        const placement_update_result result = submit
+            ? updateThroughWriter(m_store, m_service, base, update, submit, hooks)
+            : updatePlacement(m_store, m_service, base, update, hooks);
         m_loop.post([this, result, reason = update.reason, done](steady_time now) {
             m_isWritePending = false;
             logRange("place", {}, result.fence, toString(result.result),
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -11,8 +11,10 @@
 #include "persimmonrail/proxy/upstream_picker.h"
 #include "persimmonrail/router/grant_connection.h"
 #include "persimmonrail/router/key_rates.h"
+#include "persimmonrail/router/load_age.h"
 #include "persimmonrail/router/placement_update.h"
 #include "persimmonrail/router/range_release.h"
+#include "persimmonrail/router/submitted_update.h"
 #include "persimmonrail/telemetry/decision_log.h"
 
 #include <atomic>
@@ -46,6 +48,15 @@
         std::function<void(const stored_object &object)> onObject;
         // Called when the upstream's address refuses a connection, so its process has ended.
         std::function<void(const upstream_id &id)> onConnectionRefused = {};
+        // Passes a change to one of the daemons at the peer addresses, which writes it together
+        // with those of other owners. Blocks, and must be thread safe. Empty if each owner writes
+        // its changes itself.
+        std::function<change_submission(const owner_change &change,
+                                        const std::vector<std::string> &writers)>
+            submitChange = {};
+        // Called on the control thread when a move was written, with whether another daemon wrote
+        // it.
+        std::function<void(bool isWriterUsed)> onMoveWritten = {};
     };
     // The referenced objects must outlive the controller.
     range_controller(std::string service, range_lease_timing timing, object_api store,
@@ -75,6 +86,9 @@
         // Whether this daemon is the first of the reachable ones by id, which reassigns the keys of
         // lost owners.
         bool isCoordinator = false;
+        // The upstreams whose daemons may be asked to write changes of the placement, in the order
+        // in which they are asked.
+        std::vector<upstream_id> writers = {};
     };
     void setPeers(peer_view peers);
     // Sets the current state of the queue in front of the local upstream.
@@ -142,6 +156,14 @@
     // Returns the hold time of a grant that is sent now. Must be called with m_mutex held.
     milliseconds currentHoldTime() const;
     void finishMove(const std::vector<released_range> &releasedRanges);
+    bool usesPlacementWriter() const { return static_cast<bool>(m_hooks.submitChange); }
+    // Returns what passes a change to a writer; empty if the change is to be written here.
+    change_submitter makeSubmitter(const owner_change &change) const;
+    // Handles a write of a move whose change another daemon may still write as well.
+    void onOpenMoveWritten(const std::vector<released_range> &releasedRanges,
+                           const placement_update_result &result);
+    // Returns the loads of peers from which keys to be moved are chosen.
+    std::vector<owner_load> usableLoads() const;
     // `result` tells how the move ended, for the log.
     void endMove(std::string_view result);
     // Returns why a key is not served. Must be called with m_mutex held.
@@ -149,9 +171,10 @@
     void logUnserved(steady_time now);
     owner_load ownLoad() const;
     // Changes the record of the current epoch on the store worker, and calls `done` on the control
-    // thread.
+    // thread. Passes the change to a writer first if `submit` is not empty.
     void updateRecord(placement_change change, std::string_view reason, milliseconds timeLimit,
-                      std::function<void(const placement_update_result &result)> done);
+                      std::function<void(const placement_update_result &result)> done,
+                      change_submitter submit = {});
     void onMoveWritten(const std::vector<released_range> &releasedRanges,
                        const placement_update_result &result);
     fleet_directory::versioned_placement knownRecord() const;
@@ -222,6 +245,16 @@
     size_t m_lastMemberCount = 0;
     // Released ranges for which the write of the new owner is unconfirmed; empty if there are none.
     std::vector<released_range> m_unconfirmedMove;
+    // Upstream that has released the keys of the current move.
+    upstream_id m_moveOwner;
+    // Whether another daemon may write the change of the current move, also after other changes of
+    // the record. Until a record shows that the change has no effect any more, the keys are not
+    // granted again.
+    bool m_isChangeOpen = false;
+    // Whether the current move was given up while its change is open: its keys get a new fence, and
+    // the owner keeps them.
+    bool m_isWithdrawing = false;
+    traffic_onset m_trafficOnset;
     // Declared last, because the workers' threads use the members above until the threads have
     // ended.
     std::unique_ptr<background_worker> m_releaseWorker;
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -26,7 +26,12 @@
 
 void range_controller::considerMove(steady_time now)
 {
-    if (m_isMoving || m_isWritePending || (!m_isDraining && now - m_lastMoveEndedAt < moveInterval)
+    const milliseconds sincePrevious =
+        std::chrono::duration_cast<milliseconds>(now - m_lastMoveEndedAt);
+    const milliseconds least = usesPlacementWriter()
+        ? std::min(moveInterval, minMoveInterval(m_peers.live.size(), true, true))
+        : moveInterval;
+    if (m_isMoving || m_isWritePending || (!m_isDraining && sincePrevious < least)
         || m_peers.live.empty() || bootNow() - m_confirmedAt > maxConfirmationAge) {
         return;
     }
@@ -57,24 +62,42 @@
         return;
     }
     const auto share = chooseMoveToEmptyOwner(record->placement, *m_upstream, candidates);
-    if (share && !isSuccessorOfOwner(share->target, record->placement)) {
+    if (share && sincePrevious >= moveInterval
+        && !isSuccessorOfOwner(share->target, record->placement)) {
         startMove({*share}, "newcomer");
         return;
     }
     const owner_load load = ownLoad();
     const bool isOverloaded = load.utilization >= overloadUtilization;
-    if (now - m_lastMoveEndedAt < minMoveInterval(m_peers.live.size(), isOverloaded)) {
+    if (sincePrevious < minMoveInterval(m_peers.live.size(), isOverloaded, usesPlacementWriter())) {
         return;
     }
-    std::vector<owner_load> loads = m_peers.loads;
-    std::erase_if(loads, [this](const owner_load &other) { return isRecordedAsLeaving(other.id); });
+    const std::vector<owner_load> loads = usableLoads();
+    move_options options;
+    if (usesPlacementWriter() && isOverloaded) {
+        options.maxTargets = targetsForOverload(load, loads, options);
+    }
     auto moves = chooseMoves(
-        ownIntervals(), [this](shard_key key) { return m_rates.rate(key); }, load, loads);
+        ownIntervals(), [this](shard_key key) { return m_rates.rate(key); }, load, loads, options);
     if (!moves.empty()) {
         startMove(std::move(moves), "load");
     }
 }
 
+// With a writer, an owner may move again soon, so loads must show its last move and, at the start
+// of traffic, the traffic.
+std::vector<owner_load> range_controller::usableLoads() const
+{
+    std::vector<owner_load> loads = m_peers.loads;
+    std::erase_if(loads, [this](const owner_load &other) { return isRecordedAsLeaving(other.id); });
+    if (!usesPlacementWriter()) {
+        return loads;
+    }
+    const auto validSince = m_trafficOnset.loadsValidSince();
+    return validSince ? loadsSince(std::move(loads), std::max(*validSince, m_lastMoveEndedAt))
+                      : std::vector<owner_load>();
+}
+
 // A successor gets the keys of the incarnation before it once the end of that one is recorded.
 bool range_controller::isSuccessorOfOwner(const upstream_id &id,
                                           const key_placement &placement) const
@@ -140,6 +163,7 @@
     m_isMoving = true;
     m_moveBeganAt = std::chrono::steady_clock::now();
     m_moveEpoch = currentEpoch();
+    m_moveOwner = *m_upstream;
     std::vector<key_interval> intervals;
     for (const planned_move &move : moves) {
         intervals.push_back(move.keys);
@@ -233,6 +257,8 @@
 {
     m_isMoving = false;
     m_unconfirmedMove.clear();
+    m_isChangeOpen = false;
+    m_isWithdrawing = false;
     m_lastMoveEndedAt = std::chrono::steady_clock::now();
     const auto duration =
         std::chrono::duration_cast<milliseconds>(m_lastMoveEndedAt - m_moveBeganAt);
@@ -251,22 +277,59 @@
 
 void range_controller::finishMove(const std::vector<released_range> &releasedRanges)
 {
-    if (currentRecord() == nullptr || releasedRanges.empty() || !m_upstream) {
+    if (currentRecord() == nullptr || releasedRanges.empty() || (!m_upstream && !m_isChangeOpen)) {
         endMove("not-released");
         return;
     }
-    const auto change = [releasedRanges, owner = *m_upstream](const key_placement &current) {
+    const upstream_id owner = m_isChangeOpen ? m_moveOwner : *m_upstream;
+    const owner_change move = changeOf(owner, m_moveEpoch, releasedRanges);
+    placement_change change = [releasedRanges, owner](const key_placement &current) {
         return recordNewOwners(current, owner, releasedRanges);
     };
-    updateRecord(change, "give", moveWriteTimeout,
-                 [this, releasedRanges](const placement_update_result &result) {
-                     onMoveWritten(releasedRanges, result);
-                 });
+    if (m_isWithdrawing) {
+        change = [move](const key_placement &current) -> std::optional<key_placement> {
+            key_placement next = withdrawChange(current, move);
+            return next == current ? std::nullopt : std::optional(std::move(next));
+        };
+    }
+    updateRecord(
+        std::move(change), m_isWithdrawing ? "withdraw" : "give", moveWriteTimeout,
+        [this, releasedRanges](const placement_update_result &result) {
+            onMoveWritten(releasedRanges, result);
+        },
+        m_unconfirmedMove.empty() ? makeSubmitter(move) : change_submitter());
+}
+
+change_submitter range_controller::makeSubmitter(const owner_change &change) const
+{
+    if (!usesPlacementWriter() || change.epoch != currentEpoch()) {
+        return {};
+    }
+    std::vector<std::string> addresses;
+    for (const upstream_id &id : m_peers.writers) {
+        const auto *known = m_directory->findMember(id.name);
+        if (known != nullptr && known->member.id == id) {
+            addresses.push_back(known->member.peerAddress);
+        }
+    }
+    return [submit = m_hooks.submitChange, change, addresses = std::move(addresses)] {
+        return submit(change, addresses);
+    };
 }
 
 void range_controller::onMoveWritten(const std::vector<released_range> &releasedRanges,
                                      const placement_update_result &result)
 {
+    const bool isMoveRecorded = !m_isWithdrawing
+        && (result.result == write_result::Written || result.result == write_result::Unneeded);
+    if (isMoveRecorded && m_hooks.onMoveWritten) {
+        m_hooks.onMoveWritten(result.isWriterUsed);
+    }
+    m_isChangeOpen = m_isChangeOpen || result.isChangeOpen;
+    if (m_isChangeOpen) {
+        onOpenMoveWritten(releasedRanges, result);
+        return;
+    }
     if (result.conflicts > 0) {
         // Another writer changed the record that an earlier unconfirmed write expected, and this
         // update saw the change.
@@ -283,6 +346,21 @@
     }
 }
 
+// A conflict does not end the change as it ends an unconfirmed write of the owner: the writer may
+// apply it to the record that won. A record that the owner knows does: either the keys have moved,
+// or they have a new fence.
+void range_controller::onOpenMoveWritten(const std::vector<released_range> &releasedRanges,
+                                         const placement_update_result &result)
+{
+    if (result.result == write_result::Written || result.result == write_result::Unneeded
+        || result.result == write_result::EpochEnded) {
+        endMove(m_isWithdrawing ? "withdrawn" : toString(result.result));
+        return;
+    }
+    m_unconfirmedMove = releasedRanges;
+    m_isWithdrawing = m_isWithdrawing || result.result != write_result::Unconfirmed;
+}
+
 // Repeats an unconfirmed write until the store decides it, however long that takes, since the write
 // may take effect until then. The first of these writes that takes effect makes the others fail,
 // since all expect the same version. A store that doesn't respond for long ends the lease as well,
--- a/src/persimmonrail/router/range_release.cpp
+++ b/src/persimmonrail/router/range_release.cpp
@@ -93,4 +93,15 @@
     return next == current ? std::nullopt : std::optional(std::move(next));
 }
 
+owner_change changeOf(const upstream_id &owner, uint64_t epoch,
+                      const std::vector<released_range> &releasedRanges)
+{
+    owner_change change{owner, epoch, {}};
+    for (const released_range &released : releasedRanges) {
+        change.moves.push_back(
+            {released.grant.keys, released.recordedFence, released.newOwner, released.handover});
+    }
+    return change;
+}
+
 } // namespace persimmonrail
--- a/src/persimmonrail/router/range_release.h
+++ b/src/persimmonrail/router/range_release.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "persimmonrail/keyspace/heartbeat_grants.h"
+#include "persimmonrail/keyspace/placement_batch.h"
 #include "persimmonrail/keyspace/range_plan.h"
 #include "persimmonrail/router/router.h"
 
@@ -53,4 +54,8 @@
 std::optional<key_placement> recordNewOwners(const key_placement &current, const upstream_id &owner,
                                              const std::vector<released_range> &released);
 
+// Returns the same change as a message to the daemon that writes the changes of several owners.
+owner_change changeOf(const upstream_id &owner, uint64_t epoch,
+                      const std::vector<released_range> &released);
+
 } // namespace persimmonrail
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -61,6 +61,10 @@
     range_lease_timing timing;
     timing.holdTime = std::min(timing.holdTime, settings.maxHold);
     timing.longestGrant = settings.maxHold;
+    if (settings.usesPlacementWriter) {
+        // The clocks of two hosts may differ in speed.
+        timing.sentMoveLifetime = changeLifetime * 11 / 10;
+    }
     return timing;
 }
 
@@ -80,10 +84,10 @@
     , m_directory(std::make_shared<fleet_directory>())
 {
     const auto onObject = [this](const stored_object &object) { applyObject(object); };
-    m_ranges = std::make_unique<range_controller>(
-        m_settings.service, leaseTiming(m_settings), m_store, m_platform.grants, m_loop, m_log,
-        range_controller::hooks{onObject,
-                                [this](const upstream_id &id) { onConnectionRefused(id); }});
+    addPlacementWriter();
+    m_ranges =
+        std::make_unique<range_controller>(m_settings.service, leaseTiming(m_settings), m_store,
+                                           m_platform.grants, m_loop, m_log, makeRangeHooks());
     m_publisher = std::make_unique<member_publisher>(m_store, m_loop, m_log, onObject);
     m_quarantinePublisher = std::make_unique<quarantine_publisher>(
         m_settings.service, m_quarantine, m_store, m_loop, m_log, onObject);
@@ -288,6 +292,10 @@
                          "application/json");
         return;
     }
+    if (m_placementWriter != nullptr && exchange.request().getURI() == placementChangesPath) {
+        servePlacementChanges(exchange);
+        return;
+    }
     if (std::string_view(exchange.request().getURI()).starts_with(changesPath)) {
         exchange.respond(200,
                          serveChanges(m_feed, exchange.request().getURI(), bootNow(),
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -6,6 +6,8 @@
 #include "persimmonrail/router/member_publisher.h"
 #include "persimmonrail/router/object_watcher.h"
 #include "persimmonrail/router/peer_monitor.h"
+#include "persimmonrail/router/placement_writer.h"
+#include "persimmonrail/router/placement_writer_client.h"
 #include "persimmonrail/router/quarantine_publisher.h"
 #include "persimmonrail/router/range_controller.h"
 #include "persimmonrail/router/router.h"
@@ -96,6 +98,14 @@
     void logEvent(std::string_view event, std::string_view detail);
     // Logs the requests for keys that were not served in time, by cause and owner.
     void logLosses(steady_time now);
+    // Counts and logs a batch of placement changes that this daemon wrote for owners.
+    void onPlacementBatch(size_t changes, const placement_update_result &result);
+    placement_writer_hooks makePlacementWriterHooks();
+    placement_writer_client_hooks makeWriterClientHooks();
+    range_controller::hooks makeRangeHooks();
+    // Creates the placement writer and its client, if the settings switch them on.
+    void addPlacementWriter();
+    void servePlacementChanges(server_exchange &exchange);
     // Records how late the control thread ran a task that is due at fixed intervals.
     void recordLag(steady_time now);
 
@@ -138,6 +148,10 @@
     // When a draining upstream stops receiving requests, also those for keys that it holds.
     steady_time m_drainEnd{};
 
+    // Null unless the settings switch the placement writer on.
+    std::unique_ptr<http_client> m_writerHttpClient;
+    std::unique_ptr<placement_writer_client> m_writerClient;
+    std::unique_ptr<placement_writer> m_placementWriter;
     std::unique_ptr<range_controller> m_ranges;
     std::unique_ptr<member_publisher> m_publisher;
     std::unique_ptr<quarantine_publisher> m_quarantinePublisher;
--- a/src/persimmonrail/router/tests/restore_simulation_test.cpp
+++ b/src/persimmonrail/router/tests/restore_simulation_test.cpp
@@ -1,12 +1,15 @@
 // Simulates the ownership of keys while the store is restored from older copies and while upstreams
 // and daemons crash: daemons, upstreams that keep grants, a store that executes writes late, and
 // the time are all simulated. The decisions are those of range_lease_manager, placement_proposal,
-// range_plan and placement_write; the simulated daemon does what range_controller does with them.
+// range_plan, placement_batch and placement_write; the simulated daemon does what range_controller
+// and placement_writer do with them.
 #include "persimmonrail/base/text.h"
 #include "persimmonrail/keyspace/grant_fence.h"
+#include "persimmonrail/keyspace/placement_batch.h"
 #include "persimmonrail/keyspace/placement_proposal.h"
 #include "persimmonrail/objects/object_version.h"
 #include "persimmonrail/router/placement_write.h"
+#include "persimmonrail/router/placement_writer.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
@@ -63,6 +66,18 @@
     bool fencesOfStart = false;
     // A daemon that starts takes the first heartbeat for that of the running incarnation.
     bool lateHeartbeats = false;
+    // A writer applies changes of any age, and a daemon that starts does not wait for their end.
+    bool changeLifetime = false;
+    // An owner takes keys back under their old fence although a writer may still move them.
+    bool withdrawnFences = false;
+};
+
+// Which daemons differ from those of the present release with default settings.
+struct simulated_setup
+{
+    bool areSomeOld = false;
+    // Owners pass their moves to another daemon first.
+    bool usesWriter = false;
 };
 
 struct store_record
@@ -117,6 +132,9 @@
     uint64_t epoch = 0;
     bool isUnconfirmed = false;
     boot_time expiresAt{};
+    // Whether a writer may still apply the move.
+    bool isOpen = false;
+    bool isWithdrawing = false;
 };
 
 struct simulated_daemon
@@ -158,13 +176,14 @@
 class restore_simulation
 {
 public:
-    restore_simulation(uint64_t seed, disabled_mechanisms disabled, bool areSomeOld = false)
+    restore_simulation(uint64_t seed, disabled_mechanisms disabled, simulated_setup setup = {})
         : m_random(seed)
         , m_disabled(disabled)
+        , m_setup(setup)
     {
         for (size_t i = 0; i < daemonCount; ++i) {
             m_daemons[i].index = i;
-            m_daemons[i].isOld = areSomeOld && i % 2 == 1;
+            m_daemons[i].isOld = setup.areSomeOld && i % 2 == 1;
             m_content.startedAt[i] = 1;
             startDaemon(m_daemons[i]);
         }
@@ -470,7 +489,11 @@
     {
         ++daemon.generation;
         daemon.isUp = true;
-        daemon.leases = std::make_unique<range_lease_manager>();
+        range_lease_timing timing;
+        if (m_setup.usesWriter && !m_disabled.changeLifetime) {
+            timing.sentMoveLifetime = changeLifetime * 11 / 10;
+        }
+        daemon.leases = std::make_unique<range_lease_manager>(timing);
         if (!m_disabled.fencesOfStart) {
             daemon.leases->recordDaemonStart(m_now);
         }
@@ -872,7 +895,73 @@
         daemon.leases->setMoving({keys});
         release(daemon.index, keys, fenceOnConnection(held[0].fence, held[0].connection));
         daemon.leases->onReleased(keys, held[0].fence);
-        finishMove(daemon);
+        if (m_setup.usesWriter && !daemon.isOld && percent(70)) {
+            submitMove(daemon);
+        } else {
+            finishMove(daemon);
+        }
+    }
+    static owner_change changeOf(const simulated_daemon &daemon)
+    {
+        const pending_move &move = *daemon.move;
+        return {idOf(daemon.index, daemon.knownStart),
+                move.epoch,
+                {{move.keys, move.fence, move.target, ""}}};
+    }
+    // Passes the move to another daemon, and goes on without a response.
+    void submitMove(simulated_daemon &daemon)
+    {
+        daemon.move->isOpen = true;
+        daemon.isWritePending = true;
+        if (percent(85)) {
+            const milliseconds delay(percent(40) ? between(200, 4000) : between(10, 60));
+            after(delay,
+                  [this, change = changeOf(daemon), issuedAt = m_now,
+                   &writer = m_daemons[between(0, daemonCount - 1)]] {
+                      receiveChange(writer, change, issuedAt);
+                  });
+        }
+        after(milliseconds(between(1, 30) * 10), [this, &daemon, generation = daemon.generation] {
+            if (daemon.generation == generation && daemon.isUp) {
+                daemon.isWritePending = false;
+                finishMove(daemon);
+            }
+        });
+        if (percent(30) && m_now < startTime + disruptionsEnd) {
+            after(milliseconds(between(1, 10) * 10),
+                  [this, &daemon, generation = daemon.generation] {
+                      if (daemon.generation == generation && daemon.isUp) {
+                          killDaemon(daemon);
+                      }
+                  });
+        }
+    }
+    // Does what placement_writer does: reads the record, applies the change, and writes it.
+    void receiveChange(const simulated_daemon &writer, const owner_change &change,
+                       boot_time issuedAt)
+    {
+        if (!writer.isUp || !isStoreReachable(writer)) {
+            return;
+        }
+        const store_record read = m_content.records[change.epoch];
+        if (read.revision == 0) {
+            return;
+        }
+        after(milliseconds(between(0, 10) * 10), [this, read, change, issuedAt] {
+            const bool isExpired = m_now >= issuedAt + changeLifetime;
+            const auto next = applyChanges(read.placement, change.epoch, {change});
+            if (!next || (isExpired && !m_disabled.changeLifetime)) {
+                return;
+            }
+            const placement_write write{*next, makeVersion(m_epoch, read.revision), "writer",
+                                        change.epoch};
+            const milliseconds delay(percent(30) ? between(100, 3000) : between(10, 40));
+            after(delay, [this, write] {
+                if (applyWrite(write)) {
+                    note("a writer moves keys");
+                }
+            });
+        });
     }
     static bool isServing(const simulated_daemon &daemon)
     {
@@ -894,8 +983,9 @@
             endMove(daemon);
             return;
         }
-        const key_placement next = moveReleasedRange(*daemon.record, move.keys, idOf(daemon.index),
-                                                     move.fence, move.target, "");
+        const key_placement next = move.isWithdrawing
+            ? withdrawChange(*daemon.record, changeOf(daemon))
+            : applyChange(*daemon.record, changeOf(daemon));
         if (next == *daemon.record) {
             endMove(daemon);
             return;
@@ -903,8 +993,25 @@
         write(daemon, {next, daemon.recordVersion, "give", daemon.epoch},
               [this, &daemon](write_result result) { onMoveWritten(daemon, result); });
     }
+    void onOpenMoveWritten(simulated_daemon &daemon, write_result result)
+    {
+        const bool isSettled =
+            result == write_result::Written || result == write_result::EpochEnded;
+        if (isSettled || (result == write_result::NotApplied && m_disabled.withdrawnFences)) {
+            endMove(daemon);
+            return;
+        }
+        daemon.move->isUnconfirmed = true;
+        daemon.move->isWithdrawing = daemon.move->isWithdrawing
+            || result == write_result::NotApplied
+            || (result == write_result::Superseded && percent(20));
+    }
     void onMoveWritten(simulated_daemon &daemon, write_result result)
     {
+        if (daemon.move->isOpen) {
+            onOpenMoveWritten(daemon, result);
+            return;
+        }
         if (result == write_result::Superseded) {
             daemon.move->isUnconfirmed = false;
             finishMove(daemon);
@@ -924,7 +1031,7 @@
         if (!daemon.move->isUnconfirmed || daemon.isWritePending || m_now < daemon.nextWriteAt) {
             return;
         }
-        if (m_now >= daemon.move->expiresAt) {
+        if (!daemon.move->isOpen && m_now >= daemon.move->expiresAt) {
             endMove(daemon);
             return;
         }
@@ -1018,6 +1125,7 @@
 
     std::mt19937_64 m_random;
     const disabled_mechanisms m_disabled;
+    const simulated_setup m_setup;
     boot_time m_now = startTime;
     std::multimap<boot_time, std::function<void()>> m_events;
     store_content m_content;
@@ -1033,10 +1141,10 @@
     std::vector<std::string> m_log;
 };
 
-void checkSeeds(uint64_t first, uint64_t last, bool areSomeOld = false)
+void checkSeeds(uint64_t first, uint64_t last, simulated_setup setup = {})
 {
     for (uint64_t seed = first; seed <= last; ++seed) {
-        restore_simulation simulation(seed, {}, areSomeOld);
+        restore_simulation simulation(seed, {}, setup);
         const std::string violation = simulation.run();
         CAPTURE(seed, violation);
         INFO((violation.empty() ? "" : simulation.log()));
@@ -1064,13 +1172,28 @@
 TEST_CASE("daemons of two releases give no key two holders and leave none unserved",
           "[router][simulation]")
 {
-    checkSeeds(1, 40, true);
+    checkSeeds(1, 40, {.areSomeOld = true});
 }
 
 TEST_CASE("daemons of two releases give no key two holders, with many seeds",
           "[.][simulation-long]")
 {
-    checkSeeds(1, 3000, true);
+    checkSeeds(1, 3000, {.areSomeOld = true});
+}
+
+// Guards against two holders of a key by a change that reaches the writer, or by a write of the
+// writer that reaches the store, after the owner has taken the keys back or has restarted.
+TEST_CASE("lost and late changes at a writer give no key two holders", "[router][simulation]")
+{
+    checkSeeds(1, 40, {.usesWriter = true});
+    checkSeeds(41, 60, {.areSomeOld = true, .usesWriter = true});
+}
+
+TEST_CASE("lost and late changes at a writer give no key two holders, with many seeds",
+          "[.][simulation-long]")
+{
+    checkSeeds(1, 3000, {.usesWriter = true});
+    checkSeeds(1, 1000, {.areSomeOld = true, .usesWriter = true});
 }
 
 // Guards against a simulation that does not detect a broken protocol.
@@ -1083,6 +1206,7 @@
         std::string expected;
         // Some interleavings are rare, so their rows begin near a seed that leads to them.
         uint64_t firstSeed = 1;
+        simulated_setup setup = {};
     };
     const std::vector<row> rows = {
         {"keys are served again", {.epochs = true}, "no holder"},
@@ -1096,11 +1220,21 @@
         {"late grants are superseded", {.supersedeEnded = true}, "two holders", 200},
         {"a start needs new fences", {.fencesOfStart = true}, "two holders", 380},
         {"late heartbeats end no upstream", {.lateHeartbeats = true}, "not a member", 60},
+        {"changes at a writer expire",
+         {.changeLifetime = true},
+         "two holders",
+         100,
+         {.usesWriter = true}},
+        {"keys are taken back with a new fence",
+         {.withdrawnFences = true},
+         "two holders",
+         1,
+         {.usesWriter = true}},
     };
     for (const row &row : rows) {
         bool isDetected = false;
         for (uint64_t seed = row.firstSeed; seed < row.firstSeed + 60 && !isDetected; ++seed) {
-            const std::string violation = restore_simulation(seed, row.disabled).run();
+            const std::string violation = restore_simulation(seed, row.disabled, row.setup).run();
             isDetected = violation.find(row.expected) != std::string::npos;
         }
         CAPTURE(row.name);
