--- a/src/persimmonrail/proxy/tests/slot_queue_test.cpp
+++ b/src/persimmonrail/proxy/tests/slot_queue_test.cpp
@@ -260,6 +260,8 @@
     // The upstream can serve 400 requests in this time.
     CHECK(servedInTime(true) > 360);
     CHECK(servedInTime(true) > servedInTime(false) * 5 / 4);
+}
+
 // Guards against a start that the limit of a cold upstream does not allow, and against a wake-up
 // that comes too late or never.
 TEST_CASE("a start is delayed while the limit of a cold upstream is reached", "[relay][cold]")
