Serve pipelined idempotent requests of a connection side by side

Callers send several requests on a connection before the first response and abandon an idempotent one that is unread for 1 s. The server read the next head only after the response, so a slow request made those behind it fail.

Responses that are not next are held within a bound for the connection and one for the server. A response that closes the connection cancels what is behind it; every other request waits until all before it are answered. With the default of 1 the code path is the one of before.

--- a/src/persimmonrail/http/http_server.cpp
+++ b/src/persimmonrail/http/http_server.cpp
@@ -4,6 +4,7 @@
 #include "persimmonrail/http/connection_poller.h"
 #include "persimmonrail/http/overload_response.h"
 #include "persimmonrail/http/request_reader.h"
+#include "persimmonrail/http/response_pipeline.h"
 #include "persimmonrail/http/worker_pool.h"
 
 #include <Poco/Exception.h>
@@ -53,9 +54,22 @@
 } // namespace
 
 // One connection. It is used by one worker at a time, or by the polling thread while it is polled.
+// With a pipeline, further workers run the requests that were read.
 class http_server::connection
 {
 public:
+    // Who reads the next request of a connection with a pipeline.
+    enum class reader {
+        // A worker reads, or the connection is deferred.
+        Worker,
+        // The polling thread waits for input.
+        Poller,
+        // Nobody until a worker of the connection has finished its request.
+        Paused,
+        // Nobody any more.
+        None,
+    };
+
     connection(const Poco::Net::StreamSocket &socket, state &server)
         : stream(socket)
         , m_server(server)
@@ -71,6 +85,12 @@
     // Whether the server has shut down its sending direction and only waits until the client closes
     // the connection.
     bool isSendingShutDown = false;
+    // Null if requests are served one after the other.
+    std::unique_ptr<response_pipeline> pipeline;
+    // The mutex of the server guards the two members below.
+    reader nextReader = reader::Poller;
+    // Number of workers that use the connection; stays 0 without a pipeline.
+    int workers = 0;
 
 private:
     state &m_server;
@@ -83,6 +103,7 @@
 public:
     state(const http_server_options &serverOptions, handler handler, error_handler onError)
         : options(serverOptions)
+        , held(options.maxHeldBytes)
         , m_requests(options.idleTimeout, std::move(handler), std::move(onError))
         , m_threads({options.maxConnections, threadStackBytes, threadIdleTimeout})
     { }
@@ -99,7 +120,9 @@
         }
         std::unique_lock lock(m_mutex);
         for (connection *polled : m_polled) {
-            m_connections.erase(polled);
+            if (polled->workers == 0) {
+                m_connections.erase(polled);
+            }
         }
         for (connection *deferred : m_deferred) {
             m_connections.erase(deferred);
@@ -173,8 +196,23 @@
         }
     }
 
+    // Serves requests of a connection with a pipeline, and lets other workers read further ones
+    // meanwhile. Runs on a worker that `workers` of the connection counts.
+    void servePipelined(connection &target)
+    {
+        do {
+            if (target.stream.hasInput()) {
+                readAndServe(target);
+            } else {
+                pollForRequest(target);
+            }
+        } while (continueReading(target));
+    }
+
     const http_server_options options;
     std::atomic<uint64_t> rejected = 0;
+    std::atomic<uint64_t> pipelined = 0;
+    held_bytes held;
     std::string address;
 
 private:
@@ -252,6 +290,9 @@
         }
         auto owned = std::make_unique<connection>(socket, *this);
         connection &added = *owned;
+        if (options.maxPipelinedRequests > 1) {
+            added.pipeline = makePipeline(added.stream);
+        }
         const std::lock_guard lock(m_mutex);
         m_connections.emplace(&added, std::move(owned));
         added.waitingSince = std::chrono::steady_clock::now();
@@ -271,6 +312,8 @@
             const std::lock_guard lock(m_mutex);
             if (!target.isSendingShutDown) {
                 m_polled.erase(&target);
+                target.nextReader = connection::reader::Worker;
+                target.workers += target.pipeline != nullptr ? 1 : 0;
             }
         }
         if (target.isSendingShutDown) {
@@ -288,11 +331,214 @@
     void startWorker(connection &target)
     {
         // All threads may be in use, or the system can't create another one.
-        if (!m_threads.tryRun([&target] { target.run(); })) {
+        if (!m_threads.tryRun([&target] { target.run(); }) && !pauseReading(target)) {
             m_deferred.push_back(&target);
         }
     }
 
+    // Lets a worker that runs a request of the connection read the next one afterwards. Returns
+    // false if there is no such worker.
+    bool pauseReading(connection &target)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (target.pipeline == nullptr || target.workers < 2) {
+            return false;
+        }
+        --target.workers;
+        target.nextReader = connection::reader::Paused;
+        return true;
+    }
+
+    std::unique_ptr<response_pipeline> makePipeline(http_stream &stream)
+    {
+        response_pipeline::hooks hooks;
+        hooks.write = [&stream](std::string_view bytes, size_t &written, steady_time until) {
+            return stream.write(bytes, written, until);
+        };
+        hooks.onEnd = [&stream](bool isAborted) {
+            if (isAborted) {
+                stream.shutdown();
+            } else {
+                stream.shutdownSending();
+            }
+        };
+        return std::make_unique<response_pipeline>(options.maxHeldBytesPerConnection, held,
+                                                   options.idleTimeout, std::move(hooks));
+    }
+
+    bool isDraining() const
+    {
+        return m_isClosing || m_isStopping || (options.isStopping && options.isStopping());
+    }
+
+    bool mayServeBesideOthers(const received_request &received) const
+    {
+        return received.type == received_request::kind::Valid
+            && received.framing.type == body_framing::kind::None && options.isIdempotent
+            && options.isIdempotent(received.message);
+    }
+
+    // Reads a request and serves it beside the earlier ones of the connection if it may be, or
+    // after them.
+    void readAndServe(connection &target)
+    {
+        const received_request received = m_requests.read(target.stream);
+        if (!mayServeBesideOthers(received)) {
+            serveInTurn(target, received);
+            return;
+        }
+        const bool hasEarlier = target.pipeline->size() > 0;
+        const auto request =
+            target.pipeline->add(isDraining() || !keepsConnectionOpen(received.message));
+        if (request == nullptr) {
+            endReading(target);
+            return;
+        }
+        pipelined += hasEarlier ? 1 : 0;
+        passReading(target);
+        serveBesideOthers(target, *request, received);
+    }
+
+    // Serves a request once all earlier ones of the connection are answered.
+    void serveInTurn(connection &target, const received_request &received)
+    {
+        bool isOpen = false;
+        if (received.type != received_request::kind::None && target.pipeline->waitForTurn()) {
+            try {
+                isOpen = m_requests.serve(target.stream, received) && !m_isClosing;
+            } catch (const std::exception &) {
+                target.stream.shutdown();
+            }
+        }
+        if (isOpen) {
+            passReading(target);
+        } else {
+            endReading(target);
+        }
+    }
+
+    // Runs the handler for a request that has been added to the pipeline.
+    void serveBesideOthers(connection &target, response_pipeline::request &request,
+                           const received_request &received)
+    {
+        using request_end = response_pipeline::request_end;
+        response_pipeline &pipeline = *target.pipeline;
+        http_stream watch(target.stream, request.cancelDescriptor());
+        exchange_hooks hooks;
+        hooks.write = [&](std::string_view bytes, size_t &written, steady_time turnDeadline) {
+            return pipeline.write(request, bytes, written, turnDeadline);
+        };
+        hooks.onCloseAfterResponse = [&] { pipeline.closeAfter(request); };
+        hooks.closesAfterResponse = [&] { return pipeline.closesAfter(request, isDraining()); };
+        request_end end = request_end::Abort;
+        try {
+            end = m_requests.serveBesideOthers(watch, received, std::move(hooks))
+                ? request_end::Reusable
+                : request_end::Close;
+        } catch (const std::exception &) {
+            // The handler failed. The closed connection tells the client that no response follows.
+        }
+        pipeline.finish(request, end);
+    }
+
+    // Lets another thread read the next request while the calling worker runs one.
+    void passReading(connection &target)
+    {
+        if (!target.stream.hasInput()) {
+            pollForRequest(target);
+            return;
+        }
+        {
+            const std::lock_guard lock(m_mutex);
+            // Only the calling worker may be left, which then reads on after its request.
+            target.nextReader = connection::reader::Paused;
+            if (!mayReadNext(target)) {
+                return;
+            }
+            target.nextReader = connection::reader::Worker;
+            ++target.workers;
+        }
+        if (!m_threads.tryRun([this, &target] { servePipelined(target); })) {
+            pauseReading(target);
+        }
+    }
+
+    // Returns whether the next request may be read. Call with the mutex held.
+    bool mayReadNext(const connection &target) const
+    {
+        return target.nextReader == connection::reader::Paused && !m_isStopping
+            && !target.pipeline->isClosing()
+            && target.pipeline->size() < static_cast<size_t>(options.maxPipelinedRequests);
+    }
+
+    // Lets the polling thread wait for the next request.
+    void pollForRequest(connection &target)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (!m_isStopping && !target.pipeline->isClosing() && startPolling(target)) {
+                return;
+            }
+        }
+        endReading(target);
+    }
+
+    // Adds a connection to the polled ones. Call with the mutex held.
+    bool startPolling(connection &target)
+    {
+        target.stream.releaseBuffer();
+        target.waitingSince = std::chrono::steady_clock::now();
+        target.nextReader = connection::reader::Poller;
+        m_polled.insert(&target);
+        const bool isPolled = m_poller.rearm(target.stream.descriptor(), &target);
+        if (!isPolled) {
+            m_polled.erase(&target);
+        }
+        return isPolled;
+    }
+
+    // Reads no further requests of a connection, which closes after the last response.
+    void endReading(connection &target)
+    {
+        target.pipeline->closeAfterLast();
+        const std::lock_guard lock(m_mutex);
+        target.nextReader = connection::reader::None;
+    }
+
+    // Returns whether the calling worker is to read the next request. Otherwise, the worker no
+    // longer uses the connection, which may have been deleted.
+    bool continueReading(connection &target)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (mayReadNext(target)) {
+            target.nextReader = connection::reader::Worker;
+            return true;
+        }
+        if (--target.workers > 0) {
+            return false;
+        }
+        target.waitingSince = std::chrono::steady_clock::now();
+        if (m_isStopping) {
+            closeConnection(target);
+        } else if (target.pipeline->isClosing()) {
+            lingerUntilClosed(target);
+        }
+        return false;
+    }
+
+    // Waits until the client closes a connection whose last response is written. Call with the
+    // mutex held.
+    void lingerUntilClosed(connection &target)
+    {
+        target.isSendingShutDown = true;
+        if (target.nextReader == connection::reader::Poller) {
+            return;
+        }
+        if (target.stream.discardInput() == io_status::Closed || !startPolling(target)) {
+            closeConnection(target);
+        }
+    }
+
     void retryDeferred()
     {
         const std::vector<connection *> deferred = std::move(m_deferred);
@@ -351,7 +597,7 @@
         const std::lock_guard lock(m_mutex);
         std::vector<connection *> expired;
         for (connection *polled : m_polled) {
-            if (now >= expiryTime(*polled, idleTimeout)) {
+            if (polled->workers == 0 && now >= expiryTime(*polled, idleTimeout)) {
                 expired.push_back(polled);
             }
         }
@@ -401,7 +647,11 @@
 
 void http_server::connection::run()
 {
-    m_server.serveRequests(*this);
+    if (pipeline != nullptr) {
+        m_server.servePipelined(*this);
+    } else {
+        m_server.serveRequests(*this);
+    }
 }
 
 absl::StatusOr<std::unique_ptr<http_server>>
@@ -438,6 +688,16 @@
     return m_state->rejected;
 }
 
+uint64_t http_server::pipelinedRequests() const
+{
+    return m_state->pipelined;
+}
+
+size_t http_server::heldResponseBytes() const
+{
+    return m_state->held.used();
+}
+
 void http_server::stopListening()
 {
     m_state->stopListening();
--- a/src/persimmonrail/http/http_server.h
+++ b/src/persimmonrail/http/http_server.h
@@ -7,20 +7,38 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace persimmonrail {
 
+// How the response of an exchange reaches the client if responses to several requests of a
+// connection are written in order. Empty functions: directly.
+struct exchange_hooks
+{
+    // Writes bytes of the response, like http_stream::write(). Waits for earlier responses at most
+    // until `turnDeadline`.
+    std::function<io_status(std::string_view bytes, size_t &written, steady_time turnDeadline)>
+        write;
+    // Called when the handler asks to close the connection after the response.
+    std::function<void()> onCloseAfterResponse;
+    // Returns whether the connection closes after the response. Asked when the response begins.
+    std::function<bool()> closesAfterResponse;
+};
+
 // One request received by a server, and the response to it. Not thread safe.
 class server_exchange : public body_source
 {
 public:
     server_exchange(http_stream &stream, const Poco::Net::HTTPRequest &request,
-                    body_framing framing, milliseconds idleTimeout);
+                    body_framing framing, milliseconds idleTimeout, exchange_hooks hooks = {});
 
     const Poco::Net::HTTPRequest &request() const { return m_request; }
-    // Returns the connection to the client.
+    // Returns the connection to the client. Use it only to wait for the end of the connection.
     http_stream &connection() { return m_stream; }
+    // Sets the time until which the response may wait for the responses to earlier requests of the
+    // connection if it is too large to be held. Without it, the idle timeout applies.
+    void setDeadline(steady_time deadline) { m_deadline = deadline; }
 
     // Body of the request. A body of at most maxBodyPieceBytes bytes is buffered while it is read,
     // so that it can be read again after rewind().
@@ -50,13 +68,14 @@
 
     bool responseStarted() const { return m_hasResponseStarted; }
     // Makes the server close the connection after the response.
-    void closeAfterResponse() { m_keepAlive = false; }
+    void closeAfterResponse();
     // Returns whether the connection can carry another request: the request body was read and the
     // response sent completely, and neither side asked to close the connection.
     bool canReuseConnection();
 
 private:
     bool send(std::string_view bytes);
+    io_status writeSome(std::string_view bytes, size_t &written);
     // Reads the next piece of the body from the connection. The first call sends "100 Continue"
     // before if the client waits for that response.
     io_status readFromConnection(std::string &piece, steady_time until);
@@ -65,6 +84,8 @@
     Poco::Net::HTTPRequest m_request;
     body_reader m_reader;
     const milliseconds m_idleTimeout;
+    const exchange_hooks m_hooks;
+    std::optional<steady_time> m_deadline;
     // First bytes of the body, as long as m_canReplayBody is set.
     std::string m_bufferedBody;
     bool m_canReplayBody = true;
@@ -90,6 +111,19 @@
     // Replaces idleTimeout for connections without a request while more than three quarters of
     // maxConnections are open, so that idle connections make room for new ones.
     milliseconds crowdedIdleTimeout{1000};
+    // Requests of one connection that are served side by side; 1 serves one after the other. Only
+    // requests without a body that `isIdempotent` accepts are served beside others.
+    int maxPipelinedRequests = 1;
+    // Returns whether a request may be cancelled after it was passed to the handler, and run again
+    // if the client repeats it. Called on worker threads.
+    std::function<bool(const Poco::Net::HTTPRequest &request)> isIdempotent;
+    // Returns whether the server is about to stop, so that each connection is closed after the
+    // requests read so far. Used only if `maxPipelinedRequests` exceeds 1.
+    std::function<bool()> isStopping;
+    // Bytes of responses that wait for earlier responses, for each connection and for the server.
+    // Beyond these bounds, a handler waits while it writes.
+    size_t maxHeldBytesPerConnection = 256 * 1024;
+    size_t maxHeldBytes = 8 * 1024 * 1024;
 };
 
 // HTTP/1.1 server with one thread for each request in progress. One further thread accepts
@@ -119,6 +153,11 @@
     int connectionCount() const;
     // Returns the number of connections rejected since the start.
     uint64_t rejectedConnections() const;
+    // Returns the number of requests passed to the handler before an earlier request of their
+    // connection was answered.
+    uint64_t pipelinedRequests() const;
+    // Returns the bytes of responses that wait for earlier responses.
+    size_t heldResponseBytes() const;
     // Closes the listening socket. Connections with a request in progress are closed after their
     // response; idle connections are closed soon, unless a request still arrives.
     void stopListening();
--- a/src/persimmonrail/http/http_stream.cpp
+++ b/src/persimmonrail/http/http_stream.cpp
@@ -59,6 +59,12 @@
     }
 }
 
+http_stream::http_stream(const http_stream &other, int cancelDescriptor)
+    : m_socket(other.m_socket)
+    , m_descriptor(other.m_descriptor)
+    , m_cancelDescriptor(cancelDescriptor)
+{ }
+
 http_stream::~http_stream() = default;
 
 void http_stream::watchForClose(http_stream *other)
@@ -71,13 +77,19 @@
     // Only the close of the watched connection is polled, because bytes that its peer sends early
     // would end each wait at once. poll() ignores negative descriptors.
     const int watched = m_watched != nullptr ? m_watched->m_descriptor : -1;
+    const int watchedCancel = m_watched != nullptr ? m_watched->m_cancelDescriptor : -1;
     for (;;) {
-        std::array<pollfd, 2> descriptors{{{m_descriptor, events, 0}, {watched, POLLRDHUP, 0}}};
+        std::array<pollfd, 4> descriptors{{{m_descriptor, events, 0},
+                                           {watched, POLLRDHUP, 0},
+                                           {watchedCancel, POLLIN, 0},
+                                           {m_cancelDescriptor, POLLIN, 0}}};
         const int ready = ::poll(descriptors.data(), descriptors.size(), pollTimeoutMs(until));
         if (ready < 0 && errno != EINTR) {
             return io_status::Closed;
         }
-        if (ready > 0 && descriptors[1].revents != 0) {
+        if (ready > 0
+            && std::any_of(descriptors.begin() + 1, descriptors.end(),
+                           [](const pollfd &each) { return each.revents != 0; })) {
             return io_status::Cancelled;
         }
         if (ready > 0 && descriptors[0].revents != 0) {
@@ -246,7 +258,6 @@
 void http_stream::shutdownSending()
 {
     ::shutdown(m_descriptor, SHUT_WR);
-    m_watched = nullptr;
 }
 
 io_status http_stream::discardInput()
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -46,11 +46,16 @@
 
 // Reads and writes one HTTP/1.1 connection over a non-blocking socket, with a read buffer and with
 // timeouts. The HTTP streams of Poco are not used for bodies, because Poco's chunked stream reports
-// a broken connection as the regular end of the body. Not thread safe, except for shutdown().
+// a broken connection as the regular end of the body. Not thread safe, except for shutdown() and
+// shutdownSending(), and except that one thread may write while another one reads.
 class http_stream
 {
 public:
     explicit http_stream(const Poco::Net::StreamSocket &socket);
+    // Constructs a second view of the connection of `other`, which watches it while the other one
+    // reads requests. `cancelDescriptor` is readable once the peer counts as disconnected although
+    // the connection is open; it must stay open for the lifetime of the view.
+    http_stream(const http_stream &other, int cancelDescriptor);
     http_stream(const http_stream &) = delete;
     http_stream &operator=(const http_stream &) = delete;
     ~http_stream();
@@ -73,7 +78,8 @@
     // response.
     io_status write(std::string_view bytes, size_t &written, steady_time until,
                     bool stopOnInput = false);
-    // Waits until the peer closes the connection. Returns false if `until` passes first.
+    // Waits until the peer closes the connection or the cancel descriptor is readable. Returns
+    // false if `until` passes first.
     bool waitUntilClosed(steady_time until);
 
     // Returns whether the last read found that the peer had ended its sending direction without a
@@ -104,6 +110,8 @@
 
     Poco::Net::StreamSocket m_socket;
     int m_descriptor;
+    // -1 if there is none.
+    int m_cancelDescriptor = -1;
     http_stream *m_watched = nullptr;
     bool m_wasClosedGracefully = false;
     bool m_wasLastReadFull = false;
--- a/src/persimmonrail/http/request_reader.cpp
+++ b/src/persimmonrail/http/request_reader.cpp
@@ -9,32 +9,51 @@
     , m_onError(std::move(onError))
 { }
 
-bool request_reader::serveNext(http_stream &stream) const
+received_request request_reader::read(http_stream &stream) const
 {
+    using kind = received_request::kind;
+    received_request received;
     std::string head;
     io_status status = stream.readHead(head, std::chrono::steady_clock::now() + m_idleTimeout);
     if (status == io_status::TooLarge) {
-        rejectRequest(stream, 431, "header-too-large");
+        return {kind::Rejected, {}, {}, 431, "header-too-large"};
     }
     if (status != io_status::Ok) {
-        return false;
+        return received;
     }
-    Poco::Net::HTTPRequest request;
-    body_framing framing;
-    status = parseRequest(head, request);
+    status = parseRequest(head, received.message);
     if (status == io_status::Ok) {
-        status = requestFraming(request, framing);
+        status = requestFraming(received.message, received.framing);
     }
     if (status != io_status::Ok) {
-        rejectRequest(stream, 400, "malformed-request");
-        return false;
+        return {kind::Rejected, {}, {}, 400, "malformed-request"};
     }
-    if (request.getVersion() != Poco::Net::HTTPMessage::HTTP_1_1) {
+    if (received.message.getVersion() != Poco::Net::HTTPMessage::HTTP_1_1) {
         // HTTP/1.0 has no chunked framing, so its clients can't detect a truncated response.
-        rejectRequest(stream, 505, "http-version-not-supported");
+        return {kind::Rejected, {}, {}, 505, "http-version-not-supported"};
+    }
+    received.type = kind::Valid;
+    return received;
+}
+
+bool request_reader::serve(http_stream &stream, const received_request &received) const
+{
+    if (received.type == received_request::kind::Rejected) {
+        rejectRequest(stream, received.rejectStatus, received.rejectReason);
+    }
+    if (received.type != received_request::kind::Valid) {
         return false;
     }
-    server_exchange exchange(stream, request, framing, m_idleTimeout);
+    server_exchange exchange(stream, received.message, received.framing, m_idleTimeout);
+    m_handler(exchange);
+    return exchange.canReuseConnection();
+}
+
+bool request_reader::serveBesideOthers(http_stream &stream, const received_request &received,
+                                       exchange_hooks hooks) const
+{
+    server_exchange exchange(stream, received.message, received.framing, m_idleTimeout,
+                             std::move(hooks));
     m_handler(exchange);
     return exchange.canReuseConnection();
 }
--- a/src/persimmonrail/http/server_exchange.cpp
+++ b/src/persimmonrail/http/server_exchange.cpp
@@ -6,11 +6,13 @@
 namespace persimmonrail {
 
 server_exchange::server_exchange(http_stream &stream, const Poco::Net::HTTPRequest &request,
-                                 body_framing framing, milliseconds idleTimeout)
+                                 body_framing framing, milliseconds idleTimeout,
+                                 exchange_hooks hooks)
     : m_stream(stream)
     , m_request(request)
     , m_reader(stream, framing)
     , m_idleTimeout(idleTimeout)
+    , m_hooks(std::move(hooks))
     , m_keepAlive(keepsConnectionOpen(m_request))
 { }
 
@@ -96,8 +98,7 @@
     // The idle timeout applies to each write, not to the whole response.
     while (!bytes.empty()) {
         size_t written = 0;
-        const io_status status =
-            m_stream.write(bytes, written, std::chrono::steady_clock::now() + m_idleTimeout);
+        const io_status status = writeSome(bytes, written);
         bytes.remove_prefix(written);
         if (status != io_status::Ok && (status != io_status::TimedOut || written == 0)) {
             m_keepAlive = false;
@@ -107,6 +108,21 @@
     return true;
 }
 
+io_status server_exchange::writeSome(std::string_view bytes, size_t &written)
+{
+    const steady_time idleEnd = std::chrono::steady_clock::now() + m_idleTimeout;
+    return m_hooks.write ? m_hooks.write(bytes, written, m_deadline.value_or(idleEnd))
+                         : m_stream.write(bytes, written, idleEnd);
+}
+
+void server_exchange::closeAfterResponse()
+{
+    m_keepAlive = false;
+    if (m_hooks.onCloseAfterResponse) {
+        m_hooks.onCloseAfterResponse();
+    }
+}
+
 bool server_exchange::respond(Poco::Net::HTTPResponse &head, std::string_view body)
 {
     return beginResponse(head, {body_framing::kind::Length, body.size()}) && writeResponse(body)
@@ -131,6 +147,9 @@
         while (!m_reader.isComplete() && m_reader.read(piece, until) == io_status::Ok) { }
     }
     m_keepAlive = m_keepAlive && m_reader.isComplete();
+    if (m_hooks.closesAfterResponse && m_hooks.closesAfterResponse()) {
+        m_keepAlive = false;
+    }
     removeConnectionFields(head);
     head.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
     head.setKeepAlive(m_keepAlive);
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -120,6 +120,7 @@
         m_request.deadline = std::min(m_startedAt + std::min(timeout, m_route->timeout),
                                       m_proxy.m_hooks.shutdownDeadline());
         m_request.objectiveEnd = m_startedAt + m_route->objective;
+        m_exchange.setDeadline(m_request.deadline);
         return {};
     }
 
--- a/src/persimmonrail/proxy/tests/request_proxy_test.cpp
+++ b/src/persimmonrail/proxy/tests/request_proxy_test.cpp
@@ -128,3 +128,32 @@
     site.serve("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false);
     CHECK(site.upstreamRequests == request_proxy_options().maxOverloadRejections);
 }
+
+// Guards against pipelined requests that are sent to an upstream although an earlier response
+// closes their connection. The caller sends them again.
+TEST_CASE("a pipelined request behind a closing response is sent to no upstream", "[relay]")
+{
+    proxy_site site;
+    std::promise<void> hasSecondStarted;
+    http_server_options options;
+    options.maxPipelinedRequests = 16;
+    options.isIdempotent = [](const Poco::Net::HTTPRequest &) { return true; };
+    site.callers = std::move(*http_server::listen(options, [&](server_exchange &exchange) {
+        if (exchange.request().getURI() == "/1") {
+            hasSecondStarted.get_future().wait_for(20s);
+            exchange.closeAfterResponse();
+            exchange.respond(200, "", "text/plain");
+            return;
+        }
+        hasSecondStarted.set_value();
+        CHECK(exchange.connection().waitUntilClosed(std::chrono::steady_clock::now() + 20s));
+        site.proxy->serveCaller(exchange);
+        site.served.set_value();
+    }));
+    Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(site.callers->address())};
+    const std::string requests =
+        "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+    socket.sendBytes(requests.data(), static_cast<int>(requests.size()));
+    REQUIRE(site.served.get_future().wait_for(20s) == std::future_status::ready);
+    CHECK(site.upstreamRequests == 0);
+}
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -41,6 +41,8 @@
 // them to their upstream again. The rest is a margin.
 constexpr double routedShareOfRetries = 0.6;
 constexpr double resentShareOfRetries = 0.25;
+// Share of the memory of the process for responses that wait for earlier ones on their connection.
+constexpr double heldResponseShare = 1.0 / 16;
 constexpr milliseconds storeProxyBodyTimeout{2000};
 // Values in the store have at most 1 MB.
 constexpr size_t maxStoreProxyBodyBytes = 2 * 1024 * 1024;
@@ -130,9 +132,8 @@
 absl::Status router::state::listen()
 {
     const auto open = [](std::unique_ptr<http_server> &server, const std::string &address,
-                         int connections, milliseconds idleTime,
-                         http_server::handler handler) -> absl::Status {
-        http_server_options options;
+                         int connections, milliseconds idleTime, http_server::handler handler,
+                         http_server_options options = {}) -> absl::Status {
         options.address = address;
         options.maxConnections = connections;
         options.idleTimeout = idleTime;
@@ -149,9 +150,10 @@
     status.Update(open(m_reportServer, m_settings.reportAddress, maxAuxiliaryConnections,
                        callerIdleTimeout,
                        [this](server_exchange &exchange) { serveReport(exchange); }));
-    status.Update(open(m_callerServer, m_settings.callerAddress, m_settings.maxCallerConnections,
-                       callerIdleTimeout,
-                       [this](server_exchange &exchange) { m_proxy->serveCaller(exchange); }));
+    status.Update(open(
+        m_callerServer, m_settings.callerAddress, m_settings.maxCallerConnections,
+        callerIdleTimeout, [this](server_exchange &exchange) { m_proxy->serveCaller(exchange); },
+        pipelineOptions()));
     status.Update(open(m_readyServer, m_settings.readyAddress, maxAuxiliaryConnections,
                        callerIdleTimeout,
                        [this](server_exchange &exchange) { serveReady(exchange); }));
@@ -164,8 +166,33 @@
     return status;
 }
 
+http_server_options router::state::pipelineOptions()
+{
+    http_server_options options;
+    options.maxPipelinedRequests = m_settings.maxPipelinedRequests;
+    options.isIdempotent = [this](const Poco::Net::HTTPRequest &request) {
+        std::shared_ptr<const route_table> routes;
+        {
+            const std::lock_guard lock(m_mutex);
+            routes = m_routes;
+        }
+        return routes != nullptr && routes->isRepeatable(request.getHost(), request.getURI());
+    };
+    options.isStopping = [this] { return m_isStopping.load(); };
+    if (m_settings.memoryMb > 0) {
+        options.maxHeldBytes = static_cast<size_t>(m_settings.memoryMb * 1e6 * heldResponseShare);
+    }
+    return options;
+}
+
 void router::state::addGauges()
 {
+    m_metrics.addGauge("persimmonrail_pipelined_total", [this] {
+        return m_callerServer ? static_cast<double>(m_callerServer->pipelinedRequests()) : 0.0;
+    });
+    m_metrics.addGauge("persimmonrail_pipeline_bytes", [this] {
+        return m_callerServer ? static_cast<double>(m_callerServer->heldResponseBytes()) : 0.0;
+    });
     m_metrics.addGauge("persimmonrail_in_flight",
                        [this] { return static_cast<double>(m_proxy->inFlight()); });
     m_metrics.addGauge("persimmonrail_upstream_running",
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -35,6 +35,8 @@
 
 private:
     absl::Status listen();
+    // Returns the options with which requests of one caller run side by side.
+    http_server_options pipelineOptions();
     void addGauges();
     void startWatchers();
     store_proxy_hooks makeStoreProxyHooks();
--- a/src/persimmonrail/routes/route_table.cpp
+++ b/src/persimmonrail/routes/route_table.cpp
@@ -60,6 +60,12 @@
     return decoded.ok() && find(host, *decoded) == find(host, withoutQuery);
 }
 
+bool route_table::isRepeatable(std::string_view host, std::string_view path) const
+{
+    const route *const found = find(host, path);
+    return found != nullptr && found->repeatable && hasOneRoute(host, path);
+}
+
 const service_rule *route_table::findService(std::string_view name) const
 {
     const auto found = std::find_if(m_services.begin(), m_services.end(),
--- a/src/persimmonrail/routes/route_table.h
+++ b/src/persimmonrail/routes/route_table.h
@@ -71,6 +71,9 @@
     // Returns whether find() returns the same route for each reading of the path (path_reading.h).
     // A request that an upstream would read as one of another route must not be sent.
     bool hasOneRoute(std::string_view host, std::string_view path) const;
+    // Returns whether each reading of the path selects the same route and its requests may be
+    // executed more than once.
+    bool isRepeatable(std::string_view host, std::string_view path) const;
     // Returns null if the service is unknown.
     const service_rule *findService(std::string_view name) const;
     const std::vector<route> &routes() const { return m_routes; }
--- a/src/persimmonrail/routes/tests/route_table_test.cpp
+++ b/src/persimmonrail/routes/tests/route_table_test.cpp
@@ -73,6 +73,24 @@
     CHECK(makeTable().hasOneRoute("a.example", path) == expected);
 }
 
+// Guards against a request that is cancelled or run twice, although the upstream reads it as one of
+// a route whose requests must run once.
+TEST_CASE("only a request of one repeatable route is repeatable", "[routes]")
+{
+    const auto [path, expected] = GENERATE(table<std::string, bool>({
+        {"/x/1", true},
+        {"/x/y/1", false},
+        {"/x/%79/1", false},
+        {"/z/", false},
+    }));
+    CAPTURE(path);
+    std::vector<route> routes = {makeRoute("once", "a.example", "/x/y/"),
+                                 makeRoute("repeatable", "a.example", "/x/")};
+    routes.back().repeatable = true;
+    const route_table table(1, routes, {}, milliseconds(15000));
+    CHECK(table.isRepeatable("a.example", path) == expected);
+}
+
 TEST_CASE("services are found by name", "[routes]")
 {
     const route_table routes = makeTable();
