Choose the zone of requests without a key by the share that leaves

A daemon with few requests knew little of the other zones: reports of queues came only with responses to its own requests and lost their weight within 500 ms, and a fixed factor decided. Now first attempts between daemons name the caller's zone, the daemons beside the upstreams pass on the arrivals by zone with the statuses that they poll already, and a response tells the states of the zones if the request asks for them (at most about 4 a second for each caller and service). The picker draws the zone by zone_share, large requests leave less often, and power of two choices decides inside the zone. Off without zone-crossing-cost: no new fields, the same choices.

--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -3,6 +3,7 @@
 #include "persimmonrail/base/text.h"
 #include "persimmonrail/gateway/caller_sink.h"
 #include "persimmonrail/proxy/peer_fields.h"
+#include "persimmonrail/routing/zone_summary.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -72,6 +73,12 @@
     if (request.key) {
         message.set(shardKeyHeader, absl::StrCat(*request.key));
     }
+    if (!request.originZone.empty()) {
+        message.set(originZoneHeader, request.originZone);
+    }
+    if (request.wantsZones) {
+        message.set(zonesWantedHeader, "1");
+    }
 }
 
 // Reads a time in milliseconds. Returns false if it is missing or longer than maxFieldTime, in
@@ -195,6 +202,8 @@
     result.queue = parseQueueReport(exchanged.head.get(queueHeader, ""));
     result.keyState = parseKeyState(exchanged.head.get(keyStateHeader, ""));
     result.timeSpent = parseTimeSpent(exchanged.head.get(timeSpentHeader, ""));
+    result.zones =
+        parseZoneSummary(exchanged.head.get(zonesHeader, ""), std::chrono::steady_clock::now());
     switch (exchanged.state) {
     case exchange_state::Complete:
         result.outcome = request_outcome::Run;
@@ -246,6 +255,8 @@
     request.callerService = message.get(callerServiceHeader, "");
     request.repeatable = message.get(repeatableHeader, "") == "1";
     request.route = message.get(routeHeader, "");
+    request.originZone = message.get(originZoneHeader, "");
+    request.wantsZones = message.get(zonesWantedHeader, "") == "1";
     milliseconds deadlineLeft{0};
     milliseconds objectiveLeft{0};
     if (request.requestId.empty() || request.service.empty() || request.upstream.isEmpty()
@@ -288,6 +299,9 @@
     if (result.keyState) {
         head.set(keyStateHeader, std::string(toString(*result.keyState)));
     }
+    if (!result.zones.empty()) {
+        head.set(zonesHeader, encodeZoneSummary(result.zones, std::chrono::steady_clock::now()));
+    }
     exchange.respond(head, "");
 }
 
@@ -330,6 +344,7 @@
 
 bool proxy_sink::send(std::string_view bytes)
 {
+    m_bodyBytes += bytes.size();
     while (m_isLarge && bytes.size() > pacedChunkBytes) {
         if (!waitForLink(pacedChunkBytes)
             || !m_exchange.writeResponse(bytes.substr(0, pacedChunkBytes))) {
--- a/src/persimmonrail/proxy/peer_client.h
+++ b/src/persimmonrail/proxy/peer_client.h
@@ -79,6 +79,8 @@
                std::string_view first, bool isComplete) override;
     bool write(std::string_view piece) override;
     bool finish() override;
+    // Returns the number of body bytes that were passed on.
+    size_t bodyBytes() const { return m_bodyBytes; }
 
 private:
     // Registers the response with the link and waits for a permit if `bytes` make the response
@@ -96,6 +98,7 @@
     const std::string m_route;
     std::unique_ptr<large_response_queue::permit> m_permit;
     bool m_isLarge = false;
+    size_t m_bodyBytes = 0;
     // Bytes that were announced to the pacer and for which no link time is reserved yet.
     size_t m_unsentBytes = 0;
 };
--- a/src/persimmonrail/proxy/peer_fields.h
+++ b/src/persimmonrail/proxy/peer_fields.h
@@ -26,6 +26,13 @@
 inline constexpr char timeSpentHeader[] = "Persimmonrail-Time-Spent";
 // Time after which a rejected request may be retried, in milliseconds.
 inline constexpr char retryAfterHeader[] = "Persimmonrail-Retry-After-Ms";
+// Availability zone of the caller; only in the first attempt at a request, so that each request
+// counts once in the demand of its zone.
+inline constexpr char originZoneHeader[] = "Persimmonrail-Origin-Zone";
+// "1" if the response should tell about the zones, since the requester's knowledge is old.
+inline constexpr char zonesWantedHeader[] = "Persimmonrail-Zones-Wanted";
+// States of the service in each availability zone, as encodeZoneSummary() writes them.
+inline constexpr char zonesHeader[] = "Persimmonrail-Zones";
 
 // The fields of this header and of header_names.h, in requests and responses between daemons.
 inline const guarded_fields &peerFields()
--- a/src/persimmonrail/proxy/proxy_types.h
+++ b/src/persimmonrail/proxy/proxy_types.h
@@ -9,11 +9,13 @@
 #include "persimmonrail/proxy/link_pacer.h"
 #include "persimmonrail/proxy/proxy_reason.h"
 #include "persimmonrail/proxy/upstream_picker.h"
+#include "persimmonrail/routing/zone_share.h"
 
 #include <Poco/Net/HTTPRequest.h>
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace persimmonrail {
 
@@ -43,6 +45,10 @@
     steady_time objectiveEnd;
     // Expected time of the response on the link of the upstream's host.
     link_pacer::estimate linkEstimate;
+    // Availability zone of the caller in a first attempt; empty if it does not count.
+    std::string originZone;
+    // Whether the response should tell about the zones of the service.
+    bool wantsZones = false;
 };
 
 // Result of one attempt at a request.
@@ -71,6 +77,8 @@
     std::optional<key_state> keyState;
     // Times of a request that the upstream ran; nullopt if unknown.
     std::optional<time_spent> timeSpent;
+    // States of the service's zones; empty if unknown.
+    std::vector<zone_state> zones;
 };
 
 // Moments of a request at the daemon beside the upstream.
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -4,6 +4,7 @@
 #include "persimmonrail/base/text.h"
 #include "persimmonrail/gateway/caller_sink.h"
 #include "persimmonrail/proxy/peer_fields.h"
+#include "persimmonrail/routing/zone_summary.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -39,6 +40,13 @@
     return result.lostFingerprint ? ",fingerprint:" + hashToString(*result.lostFingerprint) : "";
 }
 
+upstream_picker_options pickerOptions(const request_proxy_options &options)
+{
+    upstream_picker_options result;
+    result.zoneShare = options.zoneShare;
+    return result;
+}
+
 // Counts a request in flight during its lifetime.
 class in_flight_guard
 {
@@ -229,6 +237,7 @@
             service.picker.finish(member->id, upstream_picker::result::Neutral, std::nullopt, now);
             return notRunResult(proxy_reason::PeerUnreachable);
         }
+        prepareZoneFields(service, now);
         const bool isLocal = member->id == m_proxy.m_dispatcher.local().id;
         const overload_throttle::request_class requestClass = throttleClass(member->id);
         if (!isLocal) {
@@ -242,16 +251,17 @@
         }
         const steady_time sentAt = clockNow();
         proxy_result result;
+        proxy_sink sink(m_exchange, {});
         if (isLocal) {
-            proxy_sink sink(m_exchange, {});
+            m_proxy.recordArrival(m_request);
             dispatch_times times;
             result = m_proxy.m_dispatcher.dispatch(m_request, m_exchange, sink, times);
             result.queue = m_proxy.m_dispatcher.queue();
             result.timeSpent = spentUntil(times, clockNow());
+            result.zones = m_proxy.zonesFor(m_request);
         } else if (!m_proxy.m_peers.liveness().tryBegin(member->peerAddress, sentAt)) {
             result = notRunResult(proxy_reason::PeerSilent);
         } else {
-            proxy_sink sink(m_exchange, {});
             result = m_proxy.m_peers.forward(m_request, member->peerAddress, m_exchange, sink);
             recordLoad(service.throttle, requestClass, result);
             const bool isOverloaded = result.reason == proxy_reason::Overload
@@ -259,11 +269,71 @@
             m_overloadRejections += isOverloaded ? 1 : 0;
         }
         service.picker.finish(member->id, pickerResult(result), result.queue, clockNow());
+        if (m_usesZoneShare) {
+            recordZones(service, *member, result, sink.bodyBytes());
+        }
         m_tried.push_back(member->id);
         logAttempt(result, clockNow() - sentAt, directory->revision());
         return result;
     }
 
+    // Sets the fields that tell the demand of this zone and ask for the states of the zones.
+    void prepareZoneFields(const request_proxy::service_state &service, steady_time now)
+    {
+        m_usesZoneShare = !m_request.key && service.picker.usesZoneShare();
+        const bool counts = m_usesZoneShare && m_tried.empty();
+        m_request.originZone = counts ? m_proxy.m_options.availabilityZone : std::string();
+        m_request.wantsZones = m_usesZoneShare && service.picker.wantsZones(now);
+    }
+
+    // Returns the length of the request body, 0 if unknown, and the mean one of the responses.
+    double expectedBytes(const request_proxy::service_state &service) const
+    {
+        return static_cast<double>(requestBytes()) + service.responseBytes.mean(m_request.route);
+    }
+
+    size_t requestBytes() const
+    {
+        const body_framing framing = m_exchange.framing();
+        return framing.type == body_framing::kind::Length ? framing.length : 0;
+    }
+
+    // Learns from an attempt at a request without a key, and counts where it went.
+    void recordZones(request_proxy::service_state &service, const upstream_member &member,
+                     const proxy_result &result, size_t responseBytes)
+    {
+        service.picker.learnZones(result.zones, clockNow());
+        if (result.outcome == request_outcome::Run) {
+            service.responseBytes.record(m_request.route, static_cast<double>(responseBytes));
+        }
+        const std::string labels =
+            absl::StrCat("service=\"", escapeLabel(m_request.service), "\",zone=\"",
+                         escapeLabel(member.availabilityZone), "\"");
+        m_proxy.m_metrics.count("persimmonrail_zone_requests_total",
+                                absl::StrCat(labels, ",reason=\"",
+                                             toAbsl(toString(service.picker.shareReason())), "\""));
+        m_proxy.m_metrics.count("persimmonrail_zone_bytes_total", labels,
+                                requestBytes() + responseBytes);
+        logShareChange(service);
+    }
+
+    void logShareChange(request_proxy::service_state &service)
+    {
+        const auto change = service.picker.takeShareChange();
+        if (!change) {
+            return;
+        }
+        m_proxy.m_log.write(
+            log_level::Info,
+            absl::StrFormat("zone-share service=%s zone=%s from=%.2f to=%.2f reason=%s "
+                            "own_demand=%.1f own_capacity=%.1f other_demand=%.1f "
+                            "other_capacity=%.1f oldest_report_ms=%d",
+                            m_request.service, m_proxy.m_options.availabilityZone, change->from,
+                            change->to, toAbsl(toString(change->reason)), change->ownDemand,
+                            change->ownCapacity, change->otherDemand, change->otherCapacity,
+                            change->oldestReport.count()));
+    }
+
     // Returns what an attempt says about its upstream. A key has one owner, so its requests are
     // kept away from the owner only if no connection to the host of the owner can be established.
     upstream_picker::result pickerResult(const proxy_result &attempted) const
@@ -353,8 +423,9 @@
         std::erase_if(responsive, [&](const upstream_member *member) {
             return m_proxy.m_peers.liveness().shouldAvoid(member->peerAddress, now);
         });
-        const upstream_member *picked = service.picker.pick(responsive, m_tried, now);
-        return picked != nullptr ? picked : service.picker.pick(members, m_tried, now);
+        const double bytes = expectedBytes(service);
+        const upstream_member *picked = service.picker.pick(responsive, m_tried, now, bytes);
+        return picked != nullptr ? picked : service.picker.pick(members, m_tried, now, bytes);
     }
 
     void logAttempt(const proxy_result &result, std::chrono::nanoseconds took, uint64_t revision)
@@ -462,6 +533,8 @@
     int m_overloadRejections = 0;
     bool m_hasUnknownOutcome = false;
     bool m_isRetryBudgetSpent = false;
+    // Whether the request's zone is chosen by the share that leaves the zone.
+    bool m_usesZoneShare = false;
 };
 
 // Counts a request of a peer as in flight until its response is sent, so that a probe can't be
@@ -490,7 +563,7 @@
 
 request_proxy::service_state::service_state(const request_proxy_options &options,
                                             random_source random, steady_time now)
-    : picker(options.availabilityZone, std::move(random))
+    : picker(options.availabilityZone, std::move(random), pickerOptions(options))
     , retries(now, options.retries)
 { }
 
@@ -541,6 +614,19 @@
     proxied_call(*this, exchange).serve();
 }
 
+void request_proxy::recordArrival(const proxied_request &request)
+{
+    if (m_hooks.recordZoneArrival && !request.originZone.empty()) {
+        m_hooks.recordZoneArrival(request.originZone, clockNow());
+    }
+}
+
+std::vector<zone_state> request_proxy::zonesFor(const proxied_request &request) const
+{
+    return m_hooks.zoneStates && request.wantsZones ? m_hooks.zoneStates()
+                                                    : std::vector<zone_state>();
+}
+
 bool request_proxy::isPeerRequestInFlight(const std::string &requestId)
 {
     const std::lock_guard lock(m_mutex);
@@ -570,10 +656,14 @@
     request->deadline = std::min(request->deadline, m_hooks.shutdownDeadline());
     const peer_request_guard inFlightGuard(*this, request->requestId);
     dispatch_times times;
-    const auto decorate = [this, &times](Poco::Net::HTTPResponse &head) {
+    recordArrival(*request);
+    const auto decorate = [this, &times, &request](Poco::Net::HTTPResponse &head) {
         head.set(outcomeHeader, std::string(toString(request_outcome::Run)));
         head.set(timeSpentHeader, encodeTimeSpent(spentUntil(times, clockNow())));
         head.set(queueHeader, encodeQueueReport(m_dispatcher.queue()));
+        if (const auto zones = zonesFor(*request); !zones.empty()) {
+            head.set(zonesHeader, encodeZoneSummary(zones, clockNow()));
+        }
     };
     proxy_sink sink(exchange, decorate, &m_outboundLink, request->route);
     request->linkEstimate = m_outboundLink.pacer.estimateFor(request->route, clockNow());
@@ -581,6 +671,7 @@
     if (result.outcome != request_outcome::Run && !result.responseStarted
         && !result.callerDisconnected) {
         result.queue = m_dispatcher.queue();
+        result.zones = zonesFor(*request);
         respondToPeer(exchange, result);
     }
     if (result.outcome != request_outcome::Run && m_log.isEnabled(log_level::Info)) {
--- a/src/persimmonrail/proxy/request_proxy.h
+++ b/src/persimmonrail/proxy/request_proxy.h
@@ -10,6 +10,8 @@
 #include "persimmonrail/proxy/upstream_picker.h"
 #include "persimmonrail/routes/route_table.h"
 #include "persimmonrail/routing/retry_budget.h"
+#include "persimmonrail/routing/route_bytes.h"
+#include "persimmonrail/routing/zone_share.h"
 #include "persimmonrail/telemetry/decision_log.h"
 #include "persimmonrail/telemetry/metrics.h"
 
@@ -47,6 +49,8 @@
     // Share of the bandwidth that large responses use. The rest is for small responses and framing
     // overhead.
     double largeResponseShare = 0.95;
+    // What leaving the availability zone costs; a crossing cost of 0 keeps the fixed factor.
+    zone_share_options zoneShare;
 };
 
 // Access to the state of the daemon. All functions must be thread safe.
@@ -65,6 +69,11 @@
     // process ends soon afterwards; steady_time::max() while the daemon is not stopping.
     std::function<steady_time()> shutdownDeadline;
     std::function<random_source()> makeRandom;
+    // Counts a first attempt of a caller in a zone at the local upstream. May be empty, and is set
+    // together with zoneStates.
+    std::function<void(std::string_view zone, steady_time now)> recordZoneArrival;
+    // Returns what is known of the zones of the local service.
+    std::function<std::vector<zone_state>()> zoneStates;
 };
 
 // Proxies callers' requests to upstreams through the daemons beside them, and other daemons'
@@ -98,9 +107,14 @@
                                steady_time now);
         upstream_picker picker;
         overload_throttle throttle;
+        route_bytes responseBytes;
         retry_budget retries;
     };
     service_state &findOrCreateService(const std::string &service, steady_time now);
+    // Counts a first attempt at the local upstream in the demand of its caller's zone.
+    void recordArrival(const proxied_request &request);
+    // Returns the states of the zones that a response tells; empty if the request asks for none.
+    std::vector<zone_state> zonesFor(const proxied_request &request) const;
     bool isPeerRequestInFlight(const std::string &requestId);
     // Returns 64 random bits.
     uint64_t randomBits();
--- a/src/persimmonrail/proxy/upstream_picker.cpp
+++ b/src/persimmonrail/proxy/upstream_picker.cpp
@@ -7,6 +7,7 @@
 #include "persimmonrail/base/text.h"
 
 #include <algorithm>
+#include <set>
 
 namespace persimmonrail {
 namespace {
@@ -16,6 +17,8 @@
 // Entries without requests in flight are erased when there are more entries than this, since no
 // directory may name their upstreams any more.
 constexpr size_t maxEntries = 4096;
+// Zones of which reports are kept; their names come from other daemons.
+constexpr size_t maxZones = 16;
 
 } // namespace
 
@@ -45,6 +48,7 @@
     : m_availabilityZone(std::move(availabilityZone))
     , m_options(options)
     , m_random(std::move(random))
+    , m_share(m_availabilityZone, options.zoneShare)
 { }
 
 double upstream_picker::expectedTime(const upstream_member &member, steady_time now) const
@@ -74,9 +78,11 @@
 }
 
 const upstream_member *upstream_picker::pick(const std::vector<const upstream_member *> &members,
-                                             const std::vector<upstream_id> &tried, steady_time now)
+                                             const std::vector<upstream_id> &tried, steady_time now,
+                                             double bytes)
 {
     const std::lock_guard lock(m_mutex);
+    updateShare(members, now);
     std::vector<const upstream_member *> healthy;
     std::vector<const upstream_member *> penalized;
     for (const upstream_member *member : members) {
@@ -87,6 +93,7 @@
         const bool isHealthy = entry == m_entries.end() || now >= entry->second.penaltyEnd;
         (isHealthy ? healthy : penalized).push_back(member);
     }
+    keepChosenZone(healthy, bytes);
     std::vector<const upstream_member *> &candidates = healthy.empty() ? penalized : healthy;
     if (candidates.empty()) {
         return nullptr;
@@ -109,6 +116,81 @@
     return chosen;
 }
 
+void upstream_picker::updateShare(const std::vector<const upstream_member *> &members,
+                                  steady_time now)
+{
+    if (!usesZoneShare() || now - m_shareUpdatedAt < m_options.zoneShareInterval) {
+        return;
+    }
+    m_shareUpdatedAt = now;
+    std::set<std::string, std::less<>> zonesWithMembers;
+    for (const upstream_member *member : members) {
+        zonesWithMembers.insert(member->availabilityZone);
+    }
+    std::erase_if(m_zones, [&](const auto &entry) {
+        return now - entry.second.reportedAt > m_options.zoneShare.maxReportAge;
+    });
+    std::vector<zone_state> zones;
+    for (auto [name, zone] : m_zones) {
+        // The directory shows sooner than reports that a zone has no upstream.
+        zone.capacity = zonesWithMembers.contains(name) ? zone.capacity : 0;
+        zones.push_back(zone);
+    }
+    if (!m_zones.contains(m_availabilityZone) && !zonesWithMembers.contains(m_availabilityZone)) {
+        zones.push_back({m_availabilityZone, 0, 0, 0, 0, 0, 0, now});
+    }
+    m_share.update(zones, now);
+}
+
+void upstream_picker::keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes)
+{
+    if (!usesZoneShare() || m_share.split().reason == share_reason::NoReports) {
+        return;
+    }
+    const std::string &zone = m_share.choose(randomFraction(m_random), bytes);
+    const auto otherZones =
+        std::stable_partition(healthy.begin(), healthy.end(), [&](const upstream_member *member) {
+            return member->availabilityZone == zone;
+        });
+    if (otherZones != healthy.begin()) {
+        healthy.erase(otherZones, healthy.end());
+    }
+}
+
+void upstream_picker::learnZones(const std::vector<zone_state> &zones, steady_time now)
+{
+    if (zones.empty()) {
+        return;
+    }
+    const std::lock_guard lock(m_mutex);
+    m_zonesLearnedAt = now;
+    for (const zone_state &zone : zones) {
+        const auto known = m_zones.find(zone.zone);
+        if (known == m_zones.end() ? m_zones.size() < maxZones
+                                   : known->second.reportedAt < zone.reportedAt) {
+            m_zones[zone.zone] = zone;
+        }
+    }
+}
+
+bool upstream_picker::wantsZones(steady_time now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return usesZoneShare() && now - m_zonesLearnedAt >= m_options.zonesWantedAge;
+}
+
+std::optional<share_change> upstream_picker::takeShareChange()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_share.takeChange();
+}
+
+share_reason upstream_picker::shareReason() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_share.split().reason;
+}
+
 void upstream_picker::begin(const upstream_id &id)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/persimmonrail/proxy/upstream_picker.h
+++ b/src/persimmonrail/proxy/upstream_picker.h
@@ -3,6 +3,7 @@
 #include "persimmonrail/base/clock.h"
 #include "persimmonrail/base/random_source.h"
 #include "persimmonrail/fleet/upstream_member.h"
+#include "persimmonrail/routing/zone_share.h"
 
 #include <map>
 #include <mutex>
@@ -38,6 +39,12 @@
     // Factor on the expected time at an upstream in another availability zone. Two crossings
     // between zones add a few percent to a request, and traffic between zones costs money.
     double crossZoneFactor = 1.15;
+    // Without a crossing cost, only crossZoneFactor applies.
+    zone_share_options zoneShare = {};
+    // Age of the knowledge of the zones from which on responses are asked for newer.
+    milliseconds zonesWantedAge{250};
+    // Interval at which the share is decided anew. A plan takes about 0.1 ms.
+    milliseconds zoneShareInterval{200};
 };
 
 // Chooses among the upstreams of one service by the expected time of a request there. Thread safe.
@@ -49,9 +56,23 @@
 
     // Draws two random members that are not in `tried`, chooses the one with the shorter expected
     // time (power of two choices), and counts a request on it until finish(). Members under a
-    // penalty are chosen only if no other is left. Returns null if no member is left.
+    // penalty are chosen only if no other is left. Returns null if no member is left. With a
+    // crossing cost, the share that leaves the zone first decides the zone, by the expected size of
+    // the request and its response in bytes; members of other zones are chosen if that zone has
+    // none that is healthy.
     const upstream_member *pick(const std::vector<const upstream_member *> &members,
-                                const std::vector<upstream_id> &tried, steady_time now);
+                                const std::vector<upstream_id> &tried, steady_time now,
+                                double bytes = 0);
+    // Takes reports of the service's zones, unless those known of a zone are newer.
+    void learnZones(const std::vector<zone_state> &zones, steady_time now);
+    // Returns whether the share that leaves the zone is decided by reports of the zones.
+    bool usesZoneShare() const { return m_options.zoneShare.crossingCost.count() > 0; }
+    // Returns whether responses should tell about the zones.
+    bool wantsZones(steady_time now) const;
+    // Returns the last change of the share that was not returned yet.
+    std::optional<share_change> takeShareChange();
+    // Returns why the present share leaves the zone or does not.
+    share_reason shareReason() const;
     // Counts a request on a member that was not chosen by pick().
     void begin(const upstream_id &id);
 
@@ -81,6 +102,10 @@
         int failures = 0;
         steady_time penaltyEnd{};
     };
+    // Decides the share anew if it is due.
+    void updateShare(const std::vector<const upstream_member *> &members, steady_time now);
+    // Removes the members outside the zone chosen for a request of this size, unless none is left.
+    void keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes);
     // Returns the expected time of a request, in seconds, weighted by the zone factor. Must be
     // called with the mutex held.
     double expectedTime(const upstream_member &member, steady_time now) const;
@@ -90,6 +115,10 @@
     mutable std::mutex m_mutex;
     random_source m_random;
     std::map<upstream_id, upstream_load> m_entries;
+    zone_share m_share;
+    steady_time m_shareUpdatedAt{};
+    std::map<std::string, zone_state> m_zones;
+    steady_time m_zonesLearnedAt{};
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/router/peer_monitor.cpp
+++ b/src/persimmonrail/router/peer_monitor.cpp
@@ -223,9 +223,11 @@
     return view;
 }
 
-peer_monitor::peer_monitor(control_loop &loop, peer_monitor_options options)
+peer_monitor::peer_monitor(control_loop &loop, peer_monitor_options options,
+                           statuses_hook onStatuses)
     : m_loop(loop)
     , m_options(options)
+    , m_onStatuses(std::move(onStatuses))
     , m_health(options)
     , m_pool(std::make_shared<connection_pool>(connection_pool_options{
           1, 64, milliseconds(5000), milliseconds(5000), options.pollTimeout, false}))
@@ -274,16 +276,21 @@
     const auto response = simpleRequest(m_client, target.address, "GET", peerStatusesPath, "",
                                         std::chrono::steady_clock::now() + m_options.pollTimeout);
     auto statuses = response.ok() ? parseStatuses(response->body) : std::vector<forwarded_status>();
-    m_loop.post([this, id = target.id, statuses = std::move(statuses)](steady_time respondedAt) {
-        if (statuses.empty()) {
-            m_health.onNoResponse(id, respondedAt);
-            return;
-        }
-        m_health.onResponse(id, statuses.front().status, respondedAt);
-        for (size_t i = 1; i < statuses.size(); ++i) {
-            m_health.onForwardedStatus(statuses[i], respondedAt);
-        }
-    });
+    const std::string body = response.ok() ? response->body : std::string();
+    m_loop.post(
+        [this, id = target.id, statuses = std::move(statuses), body](steady_time respondedAt) {
+            if (statuses.empty()) {
+                m_health.onNoResponse(id, respondedAt);
+                return;
+            }
+            m_health.onResponse(id, statuses.front().status, respondedAt);
+            for (size_t i = 1; i < statuses.size(); ++i) {
+                m_health.onForwardedStatus(statuses[i], respondedAt);
+            }
+            if (m_onStatuses) {
+                m_onStatuses(body, respondedAt);
+            }
+        });
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/router/peer_monitor.h
+++ b/src/persimmonrail/router/peer_monitor.h
@@ -7,6 +7,7 @@
 #include "persimmonrail/proxy/upstream_picker.h"
 #include "persimmonrail/router/range_controller.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -106,7 +107,10 @@
 class peer_monitor
 {
 public:
-    peer_monitor(control_loop &loop, peer_monitor_options options = {});
+    // `onStatuses` receives each response of a peer on the control thread; it may be empty.
+    using statuses_hook = std::function<void(const std::string &body, steady_time now)>;
+    explicit peer_monitor(control_loop &loop, peer_monitor_options options = {},
+                          statuses_hook onStatuses = {});
     // Must be called about every pollInterval on the control thread; `self` as for pollTargets().
     void poll(const std::vector<const upstream_member *> &peers, const upstream_member *self,
               steady_time now);
@@ -123,6 +127,7 @@
 
     control_loop &m_loop;
     const peer_monitor_options m_options;
+    const statuses_hook m_onStatuses;
     peer_health m_health;
     steady_time m_lastPollAt{};
     bool m_isResponsivePollPending = false;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -87,7 +87,14 @@
     m_publisher = std::make_unique<member_publisher>(m_store, m_loop, m_log, onObject);
     m_quarantinePublisher = std::make_unique<quarantine_publisher>(
         m_settings.service, m_quarantine, m_store, m_loop, m_log, onObject);
-    m_peers = std::make_unique<peer_monitor>(m_loop);
+    peer_monitor::statuses_hook onStatuses;
+    if (m_settings.zoneCrossingCost.count() > 0) {
+        m_zoneCensus = std::make_unique<zone_census>();
+        onStatuses = [this](const std::string &body, steady_time now) {
+            m_zoneCensus->readArrivals(body, now);
+        };
+    }
+    m_peers = std::make_unique<peer_monitor>(m_loop, peer_monitor_options(), onStatuses);
     m_dispatcher = std::make_unique<upstream_dispatcher>(m_platform.codec, makeDispatcherHooks(),
                                                          m_quarantine);
     request_proxy_options options;
@@ -97,6 +104,8 @@
     // itself a share of its own requests and a small constant rate.
     options.retries = {m_settings.retryRatio * routedShareOfRetries, 0.2, 2.0};
     options.linkBytesPerSecond = m_settings.linkMbps * 1e6 / 8;
+    options.zoneShare.crossingCost = m_settings.zoneCrossingCost;
+    options.zoneShare.crossingCostPerKb = m_settings.zoneCrossingCostPerKb;
     m_proxy = std::make_unique<request_proxy>(options, makeProxyHooks(), m_platform.codec,
                                               *m_dispatcher, m_log, m_metrics);
 }
@@ -270,6 +279,12 @@
     hooks.isClosed = [this] { return m_isDispatchClosed.load(); };
     hooks.shutdownDeadline = [this] { return m_shutdownDeadline.load(); };
     hooks.makeRandom = makeRandomSource;
+    if (m_zoneCensus != nullptr) {
+        hooks.recordZoneArrival = [this](std::string_view zone, steady_time now) {
+            m_zoneCensus->recordArrival(zone, now);
+        };
+        hooks.zoneStates = [this] { return m_zoneCensus->states(); };
+    }
     return hooks;
 }
 
@@ -311,7 +326,11 @@
             other.age += std::chrono::duration_cast<milliseconds>(elapsed);
         }
     }
-    return encodeStatuses({m_dispatcher->queue(), target.id, acceptsRequests}, others);
+    std::string text = encodeStatuses({m_dispatcher->queue(), target.id, acceptsRequests}, others);
+    if (m_zoneCensus != nullptr) {
+        text += m_zoneCensus->encodeArrivals(target.id, std::chrono::steady_clock::now());
+    }
+    return text;
 }
 
 bool router::state::isReady() const
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -10,6 +10,7 @@
 #include "persimmonrail/router/range_controller.h"
 #include "persimmonrail/router/router.h"
 #include "persimmonrail/router/store_proxy.h"
+#include "persimmonrail/router/zone_census.h"
 
 #include <atomic>
 #include <map>
@@ -90,6 +91,8 @@
     void serveReady(server_exchange &exchange);
     std::string renderStatuses() const;
     void servePeer(server_exchange &exchange);
+    // Takes the present members and statuses of the local service into the census of its zones.
+    void updateZoneCensus(const fleet_directory &directory, steady_time now);
     bool isReady() const;
     request_proxy_hooks makeProxyHooks();
     upstream_dispatcher_hooks makeDispatcherHooks();
@@ -111,6 +114,8 @@
     std::atomic<steady_time> m_shutdownDeadline{steady_time::max()};
     // Requests that were in flight when an upstream crashed.
     crash_quarantine m_quarantine;
+    // What is known of the local service in each zone; null without zone-crossing-cost.
+    std::unique_ptr<zone_census> m_zoneCensus;
     // The fleet's objects, for daemons that follow this daemon.
     change_feed m_feed;
     // Set during the shutdown, when the daemon stops dispatching requests to its upstream and
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -287,6 +287,9 @@
         m_peerStatuses = m_peers->health().peerStatuses(now);
         m_peerStatusesAt = now;
     }
+    if (m_zoneCensus != nullptr) {
+        updateZoneCensus(*directory, now);
+    }
     range_controller::peer_view view =
         m_peers->health().view(isUpstreamPresent ? &own : nullptr, now);
     if (view.isCoordinator) {
@@ -295,6 +298,15 @@
     m_ranges->setPeers(std::move(view));
 }
 
+void router::state::updateZoneCensus(const fleet_directory &directory, steady_time now)
+{
+    const local_upstream_state target = localUpstreamState();
+    const bool acceptsRequests = target.rejectReason == proxy_reason::None && !m_isStopping;
+    m_zoneCensus->update(directory.membersOf(m_settings.service),
+                         {m_dispatcher->queue(), target.id, acceptsRequests},
+                         m_peers->health().peerStatuses(now), now);
+}
+
 // Marks unreachable members in the store as draining, so that other daemons need not detect the
 // failure themselves. The daemon of a member that is reachable again removes the mark itself.
 void router::state::markUnreachable(const fleet_directory &directory,
--- a/src/persimmonrail/routing/tests/zone_share_test.cpp
+++ b/src/persimmonrail/routing/tests/zone_share_test.cpp
@@ -174,11 +174,9 @@
     static void countTurns(turn_counter &turns, double share)
     {
         constexpr double width = 0.05;
-        if (turns.direction >= 0 && share > turns.extreme) {
-            turns.extreme = share;
-        } else if (turns.direction <= 0 && share < turns.extreme) {
-            turns.extreme = share;
-        }
+        const bool isRising = turns.direction >= 0 && share > turns.extreme;
+        const bool isFalling = turns.direction <= 0 && share < turns.extreme;
+        turns.extreme = isRising || isFalling ? share : turns.extreme;
         const double change = share - turns.extreme;
         if (std::abs(change) >= width) {
             turns.count += turns.direction != 0 ? 1 : 0;
--- a/src/persimmonrail/routing/zone_share.cpp
+++ b/src/persimmonrail/routing/zone_share.cpp
@@ -22,6 +22,8 @@
 constexpr double costSmoothingWeight = 0.02;
 // Changes of the share below this are not logged.
 constexpr double loggedChange = 0.1;
+// Keeps a share near a bound from filling the log.
+constexpr milliseconds minLogInterval{1000};
 
 double seconds(std::chrono::nanoseconds time)
 {
@@ -281,6 +283,11 @@
         && std::abs(share - m_loggedShare) < loggedChange) {
         return;
     }
+    // A change that is still in force is noted later.
+    if (m_loggedAt != steady_time{} && now - m_loggedAt < minLogInterval) {
+        return;
+    }
+    m_loggedAt = now;
     share_change change{m_loggedShare, share, m_split.reason};
     for (const zone_state &zone : zones) {
         const bool isOwn = zone.zone == m_ownZone;
--- a/src/persimmonrail/routing/zone_share.h
+++ b/src/persimmonrail/routing/zone_share.h
@@ -114,7 +114,8 @@
     // others more often, so that the share stays the same.
     const std::string &choose(double fraction, double bytes);
     const zone_split &split() const { return m_split; }
-    // Returns the last change of the decision that was not returned yet.
+    // Returns the last change of the decision that was not returned yet; there is at most one in a
+    // second.
     std::optional<share_change> takeChange();
 
 private:
@@ -129,6 +130,7 @@
     steady_time m_updatedAt{};
     // Moving average of the inverse cost of crossing over all requests.
     double m_meanInverseCost = 0;
+    steady_time m_loggedAt{};
     double m_loggedShare = 0;
     share_reason m_loggedReason = share_reason::NoReports;
     std::optional<share_change> m_change;
