--- a/src/persimmonrail/fleet/zone_evacuation.cpp
+++ b/src/persimmonrail/fleet/zone_evacuation.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-zone_admission zone_state::admissionAt(steady_time now) const
+zone_admission evacuation_state::admissionAt(steady_time now) const
 {
     if (!isKnown) {
         return zone_admission::Nothing;
@@ -134,9 +134,9 @@
     return changes;
 }
 
-zone_state zone_evacuation::stateOf(std::string_view zone) const
+evacuation_state zone_evacuation::stateOf(std::string_view zone) const
 {
-    zone_state state;
+    evacuation_state state;
     state.isKnown = m_knownAt.has_value();
     const auto found = m_entries.find(zone);
     if (found != m_entries.end()) {
--- a/src/persimmonrail/fleet/zone_evacuation.h
+++ b/src/persimmonrail/fleet/zone_evacuation.h
@@ -26,7 +26,7 @@
 };
 
 // The evacuation of one zone, as the daemons beside its upstreams enforce it.
-struct zone_state
+struct evacuation_state
 {
     // Whether the set of evacuated zones is known.
     bool isKnown = false;
@@ -81,7 +81,7 @@
     bool hasUnknownZones() const { return !m_unknown.empty(); }
     // Returns all zones that objects name, also unknown ones.
     const zone_set &zones() const { return m_zones; }
-    zone_state stateOf(std::string_view zone) const;
+    evacuation_state stateOf(std::string_view zone) const;
 
 private:
     struct entry
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -172,7 +172,7 @@
     bool m_isDirectoryListed = false;
     local_upstream_state m_target;
     // Evacuation of the own zone.
-    zone_state m_zoneState;
+    evacuation_state m_zoneState;
     zone_set m_evacuatedZones;
     // Statuses of the peers as of m_peerStatusesAt, to be forwarded to the peers.
     std::vector<forwarded_status> m_peerStatuses;
--- a/src/persimmonrail/router/router_state_evacuation.cpp
+++ b/src/persimmonrail/router/router_state_evacuation.cpp
@@ -57,7 +57,7 @@
         m_evacuation.apply(objects, receivedAt);
     }
     const bool isChanged = m_evacuation.zones() != before;
-    const zone_state own = m_evacuation.stateOf(m_settings.availabilityZone);
+    const evacuation_state own = m_evacuation.stateOf(m_settings.availabilityZone);
     {
         const std::lock_guard lock(m_mutex);
         m_zoneState = own;
