Let a late control thread not delay the gate of an evacuated zone

The state of the own zone was set on the control thread, which has lagged by seconds on hosts with 0.1 of a processor, so requests could have gone on past the bound. The watcher's thread sets it now. The line keys-left is logged once for each evacuation of the own zone, also if other zones change meanwhile.

--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -76,9 +76,9 @@
         m_log.write(log_level::Warn,
                     absl::StrCat("object ignored key=", key, " reason=", toAbsl(reason)));
     })
-    , m_evacuation(m_platform.evacuationPrefix, settings.evacuationTimeout)
     , m_upstream({settings.reportInterval, 3})
     , m_directory(std::make_shared<fleet_directory>())
+    , m_evacuation(m_platform.evacuationPrefix, settings.evacuationTimeout)
 {
     const auto onObject = [this](const stored_object &object) { applyObject(object); };
     m_ranges = std::make_unique<range_controller>(
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -58,10 +58,13 @@
     // Evacuation of zones.
     bool usesEvacuation() const;
     void startEvacuationWatcher(const object_watcher_options &options);
-    void onEvacuations(const object_list &objects, bool isFullList, steady_time receivedAt);
+    void onEvacuations(const object_list &objects, bool isFullList);
+    // Makes the directory, the range controller and the log follow the evacuations.
+    void showEvacuations(steady_time receivedAt);
     // Logs the evacuations that begin or end for zones that are known now.
     void reportEvacuations(steady_time now);
     void logEvacuation(const zone_change &change);
+    // Must be called with m_mutex held.
     zone_set knownZones() const;
     // Tells the range controller which upstream is there and whether its keys are to move.
     void updateKeyOwner();
@@ -137,7 +140,8 @@
 
     // Control state, used only on the control thread.
     fleet_directory_builder m_builder;
-    zone_evacuation m_evacuation;
+    // The evacuated zones that m_builder shows.
+    zone_set m_shownEvacuations;
     // When the evacuation of the own zone was seen, until its upstream's keys have moved.
     std::optional<steady_time> m_keysLeaveSince;
     local_upstream m_upstream;
@@ -153,9 +157,9 @@
     std::shared_ptr<const fleet_directory> m_directory;
     bool m_isDirectoryListed = false;
     local_upstream_state m_target;
+    zone_evacuation m_evacuation;
     // Evacuation of the own zone.
     zone_state m_zoneState;
-    zone_set m_evacuatedZones;
     // Statuses of the peers as of m_peerStatusesAt, to be forwarded to the peers.
     std::vector<forwarded_status> m_peerStatuses;
     steady_time m_peerStatusesAt{};
--- a/src/persimmonrail/router/router_state_evacuation.cpp
+++ b/src/persimmonrail/router/router_state_evacuation.cpp
@@ -25,16 +25,10 @@
         m_zoneState.isKnown = true;
         return;
     }
-    const auto onObjects = [this](const object_list &objects, bool isFullList) {
-        const steady_time receivedAt = std::chrono::steady_clock::now();
-        m_loop.post([this, objects, isFullList, receivedAt](steady_time) {
-            onEvacuations(objects, isFullList, receivedAt);
-        });
-    };
     object_watcher::hooks hooks;
-    hooks.onList = [onObjects](const object_list &list, boot_time) { onObjects(list, true); };
-    hooks.onChanges = [onObjects](const object_list &changes, boot_time) {
-        onObjects(changes, false);
+    hooks.onList = [this](const object_list &list, boot_time) { onEvacuations(list, true); };
+    hooks.onChanges = [this](const object_list &changes, boot_time) {
+        onEvacuations(changes, false);
     };
     hooks.onEvent = [this](std::string_view event) {
         logEvent("watch", absl::StrCat("prefix=evacuations event=", toAbsl(event)));
@@ -47,35 +41,52 @@
     m_evacuationWatcher->start();
 }
 
-void router::state::onEvacuations(const object_list &objects, bool isFullList,
-                                  steady_time receivedAt)
+// Runs on the watcher's thread, so that a late control thread does not delay the gate.
+void router::state::onEvacuations(const object_list &objects, bool isFullList)
 {
-    const zone_set before = m_evacuation.zones();
-    if (isFullList) {
-        m_evacuation.reset(objects, receivedAt);
-    } else {
-        m_evacuation.apply(objects, receivedAt);
+    const steady_time receivedAt = std::chrono::steady_clock::now();
+    {
+        const std::lock_guard lock(m_mutex);
+        if (isFullList) {
+            m_evacuation.reset(objects, receivedAt);
+        } else {
+            m_evacuation.apply(objects, receivedAt);
+        }
+        m_zoneState = m_evacuation.stateOf(m_settings.availabilityZone);
     }
-    const bool isChanged = m_evacuation.zones() != before;
-    const zone_state own = m_evacuation.stateOf(m_settings.availabilityZone);
+    m_loop.post([this, receivedAt](steady_time) { showEvacuations(receivedAt); });
+}
+
+void router::state::showEvacuations(steady_time receivedAt)
+{
+    zone_set zones;
+    bool isOwnEvacuated = false;
     {
         const std::lock_guard lock(m_mutex);
-        m_zoneState = own;
-        m_evacuatedZones = m_evacuation.zones();
+        zones = m_evacuation.zones();
+        isOwnEvacuated = m_zoneState.isEvacuated;
     }
-    if (!isChanged) {
+    if (zones == m_shownEvacuations) {
         return;
     }
-    m_keysLeaveSince = own.isEvacuated ? std::optional(receivedAt) : std::nullopt;
+    if (isOwnEvacuated != m_shownEvacuations.contains(m_settings.availabilityZone)) {
+        m_keysLeaveSince = isOwnEvacuated ? std::optional(receivedAt) : std::nullopt;
+    }
+    m_shownEvacuations = zones;
     reportEvacuations(receivedAt);
-    m_builder.setEvacuatedZones(m_evacuation.zones());
+    m_builder.setEvacuatedZones(std::move(zones));
     updateKeyOwner();
     publishDirectory({});
 }
 
 void router::state::reportEvacuations(steady_time now)
 {
-    for (const zone_change &change : m_evacuation.takeChanges(knownZones(), now)) {
+    std::vector<zone_change> changes;
+    {
+        const std::lock_guard lock(m_mutex);
+        changes = m_evacuation.takeChanges(knownZones(), now);
+    }
+    for (const zone_change &change : changes) {
         logEvacuation(change);
     }
 }
@@ -95,14 +106,13 @@
     m_metrics.addGauge(zoneGauge, absl::StrCat("zone=\"", escapeLabel(change.zone), "\""),
                        [this, zone = change.zone] {
                            const std::lock_guard lock(m_mutex);
-                           return m_evacuatedZones.contains(zone) ? 1.0 : 0.0;
+                           return m_evacuation.zones().contains(zone) ? 1.0 : 0.0;
                        });
 }
 
 zone_set router::state::knownZones() const
 {
     zone_set zones{m_settings.availabilityZone};
-    const std::lock_guard lock(m_mutex);
     for (const auto &[name, entry] : m_directory->members()) {
         zones.insert(entry.member.availabilityZone);
     }
@@ -115,7 +125,7 @@
         return;
     }
     const bool isPresent = m_upstream.phase() != upstream_phase::Absent;
-    const bool isEvacuated = m_evacuation.stateOf(m_settings.availabilityZone).isEvacuated;
+    const bool isEvacuated = m_shownEvacuations.contains(m_settings.availabilityZone);
     const bool isLeaving = !m_upstream.acceptsRequests();
     m_ranges->setUpstream(isPresent ? std::optional(m_upstream.report()->id) : std::nullopt,
                           m_settings.upstreamAddress, isLeaving || isEvacuated,
--- a/src/persimmonrail/router/router_state_store.cpp
+++ b/src/persimmonrail/router/router_state_store.cpp
@@ -188,10 +188,12 @@
 {
     const auto directory = m_builder.build();
     uint64_t previousEpoch = 0;
+    bool hasUnknownZones = false;
     {
         const std::lock_guard lock(m_mutex);
         previousEpoch = m_directory->epoch();
         m_directory = directory;
+        hasUnknownZones = m_evacuation.hasUnknownZones();
     }
     if (directory->epoch() != previousEpoch) {
         logEvent("store-epoch",
@@ -201,7 +203,7 @@
     m_quarantinePublisher->onDirectory(*directory, std::chrono::steady_clock::now(),
                                        std::chrono::system_clock::now());
     m_ranges->onDirectory(directory, confirmation);
-    if (m_evacuation.hasUnknownZones()) {
+    if (hasUnknownZones) {
         reportEvacuations(std::chrono::steady_clock::now());
     }
 }
