Let overloaded owners move keys every 500 ms with a placement writer

The pause between moves protected the record against lost writes. With one writer it is not needed: an owner with a utilization of 1 or more moves again after 500 ms, to 8 to 12 peers. Loads that were measured before the traffic had lasted for 2 s, or before the owner last moved keys to the peer, don't count; all owners moved keys in the first two seconds by loads from before the traffic.

Without the setting nothing changes.

--- a/src/persimmonrail/keyspace/tests/placement_batch_test.cpp
+++ b/src/persimmonrail/keyspace/tests/placement_batch_test.cpp
@@ -131,3 +131,28 @@
     }
     CHECK_FALSE(parseChangeResponse(R"({"outcome":"later"})").ok());
 }
+
+// Guards against a daemon that grants keys which the process before it has passed to a writer: a
+// read of the record counts only once no record can be computed with that change any more.
+TEST_CASE("a daemon that starts waits until changes of the process before have expired",
+          "[keyspace]")
+{
+    range_lease_timing timing;
+    timing.sentMoveLifetime = 330ms;
+    range_lease_manager leases(timing);
+    leases.setUpstream(a);
+    leases.recordDaemonStart(start);
+    key_placement placement = twoOwners();
+    CHECK_FALSE(leases.isFirstReadDue(start + 329ms));
+    leases.onPlacement(placement, start + 329ms, start + 340ms);
+    CHECK_FALSE(leases.areFencesKnown());
+    placement = moveRange(placement, {40000, 40000}, c, "");
+    leases.onPlacement(placement, start + 329ms, start + 340ms);
+    CHECK(leases.dueGrants(start + 340ms).empty());
+    CHECK(leases.isFirstReadDue(start + 330ms));
+    leases.onPlacement(placement, start + 330ms, start + 340ms);
+    CHECK(leases.areFencesKnown());
+    CHECK(leases.dueGrants(start + 340ms).empty());
+    leases.onPlacement(moveRange(placement, {40001, 40001}, c, ""), start + 400ms, start + 400ms);
+    CHECK_FALSE(leases.dueGrants(start + 400ms).empty());
+}
--- a/src/persimmonrail/router/load_age.cpp
+++ b/src/persimmonrail/router/load_age.cpp
@@ -28,9 +28,14 @@
     return m_beganAt ? std::optional(*m_beganAt + settlingTime) : std::nullopt;
 }
 
-std::vector<owner_load> loadsSince(std::vector<owner_load> loads, steady_time earliest)
+std::vector<owner_load> move_history::usableLoads(std::vector<owner_load> loads,
+                                                  steady_time earliest) const
 {
-    std::erase_if(loads, [=](const owner_load &load) { return load.measuredAt < earliest; });
+    std::erase_if(loads, [&](const owner_load &load) {
+        const auto moved = m_endedAt.find(load.id);
+        return load.measuredAt < earliest
+            || (moved != m_endedAt.end() && load.measuredAt < moved->second);
+    });
     return loads;
 }
 
--- a/src/persimmonrail/router/load_age.h
+++ b/src/persimmonrail/router/load_age.h
@@ -3,6 +3,7 @@
 #include "persimmonrail/base/clock.h"
 #include "persimmonrail/keyspace/range_plan.h"
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -23,7 +24,17 @@
     steady_time m_lastRequestAt{};
 };
 
-// Returns the loads that were measured at `earliest` or later.
-std::vector<owner_load> loadsSince(std::vector<owner_load> loads, steady_time earliest);
+// When an owner last moved keys to each peer. Not thread safe.
+class move_history
+{
+public:
+    void recordMove(const upstream_id &target, steady_time endedAt) { m_endedAt[target] = endedAt; }
+    // Returns the loads that were measured at `earliest` or later and that show the keys which the
+    // owner has moved to the peer. A move says nothing about the loads of other peers.
+    std::vector<owner_load> usableLoads(std::vector<owner_load> loads, steady_time earliest) const;
+
+private:
+    std::map<upstream_id, steady_time> m_endedAt;
+};
 
 } // namespace persimmonrail
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -12,6 +12,7 @@
 #include "persimmonrail/router/grant_connection.h"
 #include "persimmonrail/router/key_rates.h"
 #include "persimmonrail/router/load_age.h"
+#include "persimmonrail/router/overload_moves.h"
 #include "persimmonrail/router/placement_update.h"
 #include "persimmonrail/router/range_release.h"
 #include "persimmonrail/router/submitted_update.h"
@@ -159,6 +160,8 @@
     bool usesPlacementWriter() const { return static_cast<bool>(m_hooks.submitChange); }
     // Returns what passes a change to a writer; empty if the change is to be written here.
     change_submitter makeSubmitter(const owner_change &change) const;
+    void onMoveRecorded(const std::vector<released_range> &releasedRanges,
+                        const placement_update_result &result);
     // Handles a write of a move whose change another daemon may still write as well.
     void onOpenMoveWritten(const std::vector<released_range> &releasedRanges,
                            const placement_update_result &result);
@@ -255,6 +258,8 @@
     // the owner keeps them.
     bool m_isWithdrawing = false;
     traffic_onset m_trafficOnset;
+    move_history m_moveHistory;
+    overload_timer m_overload;
     // Declared last, because the workers' threads use the members above until the threads have
     // ended.
     std::unique_ptr<background_worker> m_releaseWorker;
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -72,20 +72,21 @@
     if (sincePrevious < minMoveInterval(m_peers.live.size(), isOverloaded, usesPlacementWriter())) {
         return;
     }
-    const std::vector<owner_load> loads = usableLoads();
-    move_options options;
-    if (usesPlacementWriter() && isOverloaded) {
-        options.maxTargets = targetsForOverload(load, loads, options);
+    m_overload.update(isOverloaded, now);
+    const auto rate = [this](shard_key key) { return m_rates.rate(key); };
+    std::vector<planned_move> moves;
+    if (!usesPlacementWriter() || !isOverloaded) {
+        moves = chooseMoves(ownIntervals(), rate, load, usableLoads());
+    } else if (m_overload.isSettled(now)) {
+        moves = chooseOverloadMoves(ownIntervals(), rate, load, usableLoads());
     }
-    auto moves = chooseMoves(
-        ownIntervals(), [this](shard_key key) { return m_rates.rate(key); }, load, loads, options);
     if (!moves.empty()) {
         startMove(std::move(moves), "load");
     }
 }
 
-// With a writer, an owner may move again soon, so loads must show its last move and, at the start
-// of traffic, the traffic.
+// With a writer, an owner may move again soon, so the loads of the peers to which it moved keys
+// must show that and, at the start of traffic, all loads must show the traffic.
 std::vector<owner_load> range_controller::usableLoads() const
 {
     std::vector<owner_load> loads = m_peers.loads;
@@ -94,7 +95,7 @@
         return loads;
     }
     const auto validSince = m_trafficOnset.loadsValidSince();
-    return validSince ? loadsSince(std::move(loads), std::max(*validSince, m_lastMoveEndedAt))
+    return validSince ? m_moveHistory.usableLoads(std::move(loads), *validSince)
                       : std::vector<owner_load>();
 }
 
@@ -322,8 +323,8 @@
 {
     const bool isMoveRecorded = !m_isWithdrawing
         && (result.result == write_result::Written || result.result == write_result::Unneeded);
-    if (isMoveRecorded && m_hooks.onMoveWritten) {
-        m_hooks.onMoveWritten(result.isWriterUsed);
+    if (isMoveRecorded) {
+        onMoveRecorded(releasedRanges, result);
     }
     m_isChangeOpen = m_isChangeOpen || result.isChangeOpen;
     if (m_isChangeOpen) {
@@ -346,6 +347,17 @@
     }
 }
 
+void range_controller::onMoveRecorded(const std::vector<released_range> &releasedRanges,
+                                      const placement_update_result &result)
+{
+    for (const released_range &released : releasedRanges) {
+        m_moveHistory.recordMove(released.newOwner, std::chrono::steady_clock::now());
+    }
+    if (m_hooks.onMoveWritten) {
+        m_hooks.onMoveWritten(result.isWriterUsed);
+    }
+}
+
 // A conflict does not end the change as it ends an unconfirmed write of the owner: the writer may
 // apply it to the record that won. A record that the owner knows does: either the keys have moved,
 // or they have a new fence.
--- a/src/persimmonrail/router/tests/move_interval_test.cpp
+++ b/src/persimmonrail/router/tests/move_interval_test.cpp
@@ -1,4 +1,6 @@
+#include "persimmonrail/router/load_age.h"
 #include "persimmonrail/router/move_interval.h"
+#include "persimmonrail/router/overload_moves.h"
 
 #include <catch2/catch.hpp>
 
@@ -21,3 +23,45 @@
     CHECK(minMoveInterval(4, false) == 4000ms);
     CHECK(minMoveInterval(30, true) == 6000ms);
 }
+
+// Load: a hot range of 4 to 5 s at 60 owners, of which each could move keys once in 12 s.
+TEST_CASE("with a writer only an overloaded owner moves keys sooner", "[router]")
+{
+    CHECK(minMoveInterval(60, true, true) == 500ms);
+    CHECK(minMoveInterval(60, false, true) == minMoveInterval(60, false));
+    CHECK(minMoveInterval(60, true) == 12s);
+    std::vector<owner_load> others(40, owner_load{{"p", 1}, 9, 0.5});
+    const owner_load slightly{{"a", 1}, 9, 1.1};
+    const owner_load heavily{{"a", 1}, 9, 9.0};
+    CHECK(targetsForOverload(slightly, others, {}) == 8);
+    CHECK(targetsForOverload({{"a", 1}, 9, 4.9}, others, {}) == 10);
+    CHECK(targetsForOverload(heavily, others, {}) == 12);
+    CHECK(targetsForOverload(heavily, {}, {}) == 8);
+}
+
+// Guards against moves by loads from before the traffic, which all owners made in its first two
+// seconds, and against a peer that gets keys again before its load shows the ones before.
+TEST_CASE("loads count only if they show the traffic and the last move", "[router]")
+{
+    const steady_time start{100s};
+    traffic_onset onset;
+    CHECK_FALSE(onset.loadsValidSince());
+    onset.update(true, start);
+    CHECK(*onset.loadsValidSince() == start + 2s);
+    onset.update(false, start + 2s);
+    onset.update(true, start + 2900ms);
+    CHECK(*onset.loadsValidSince() == start + 2s);
+    onset.update(false, start + 6s);
+    CHECK_FALSE(onset.loadsValidSince());
+
+    const upstream_id b{"b", 1};
+    const upstream_id c{"c", 1};
+    move_history history;
+    history.recordMove(b, start + 5s);
+    const std::vector<owner_load> loads = {
+        {b, 9, 0.1, {}, start + 4s}, {c, 9, 0.1, {}, start + 4s}, {c, 9, 0.1, {}, start}};
+    const auto usable = history.usableLoads(loads, start + 1s);
+    REQUIRE(usable.size() == 1);
+    CHECK(usable[0].id == c);
+    CHECK(history.usableLoads({{b, 9, 0.1, {}, start + 5s}}, start).size() == 1);
+}
--- a/src/persimmonrail/router/tests/range_controller_test.cpp
+++ b/src/persimmonrail/router/tests/range_controller_test.cpp
@@ -32,7 +32,7 @@
     {
         object_api api;
         api.get = [this](const std::string &) -> absl::StatusOr<stored_object> {
-            if (m_isSilent) {
+            if (m_isSilent || m_isRejecting) {
                 return absl::UnavailableError("down");
             }
             return read();
@@ -70,6 +70,8 @@
         }
         return write(firstVersion, encodePlacement(moved)).ok();
     }
+    // Whether the store rejects all calls.
+    void setRejecting(bool isRejecting) { m_isRejecting = isRejecting; }
     bool hasDelayedWrite()
     {
         const std::lock_guard lock(m_mutex);
@@ -94,6 +96,9 @@
     absl::StatusOr<uint64_t> write(uint64_t expectedVersion, const std::string &value)
     {
         const std::lock_guard lock(m_mutex);
+        if (m_isRejecting) {
+            return absl::UnavailableError("down");
+        }
         if (m_isSilent) {
             m_delayedWrite = m_delayedWrite.value_or(std::pair(expectedVersion, value));
             return absl::UnknownError("no response");
@@ -117,6 +122,7 @@
     uint64_t m_version = firstVersion;
     int m_conflictsLeft = 0;
     std::atomic<bool> m_isSilent{false};
+    std::atomic<bool> m_isRejecting{false};
     std::optional<std::pair<uint64_t, std::string>> m_delayedWrite;
 };
 
@@ -126,10 +132,12 @@
 public:
     // `isFirst` tells that no daemon ran before, so no earlier grant can delay a move.
     explicit controlled_upstream(bool isFirst = false,
-                                 std::vector<range_candidate> owners = {{a, 9}, {b, 9}, {c, 9}})
+                                 std::vector<range_candidate> owners = {{a, 9}, {b, 9}, {c, 9}},
+                                 decltype(range_controller::hooks::submitChange) submit = {})
         : store(std::move(owners))
-        , m_controller(service, timing(), store.api(), grants(), m_loop, m_log,
-                       {[this](const stored_object &object) { apply(object); }})
+        , m_controller(
+              service, timing(), store.api(), grants(), m_loop, m_log,
+              {[this](const stored_object &object) { apply(object); }, {}, std::move(submit)})
     {
         m_loop.every(10ms, [this](steady_time now) { m_controller.tick(now); });
         m_loop.start();
@@ -314,6 +322,38 @@
     CHECK(upstream.grantsAfterRelease == 0);
 }
 
+// Guards against two owners of one key: an owner that takes keys back, since its own write was
+// rejected, while the writer to which it has passed the move may still write it.
+TEST_CASE("keys of an open move are taken back only under a new fence", "[router]")
+{
+    std::mutex mutex;
+    std::optional<owner_change> change;
+    controlled_upstream upstream(
+        true, {{a, 9}, {b, 9}, {c, 9}},
+        [&](const owner_change &submitted, const std::vector<std::string> &) {
+            const std::lock_guard lock(mutex);
+            change = change.value_or(submitted);
+            return change_submission{true, {change_outcome::Unknown, 0}};
+        });
+    REQUIRE(waitUntil([&] { return upstream.canServe(5); }));
+    upstream.store.setRejecting(true);
+    upstream.drain();
+    const auto isSubmitted = [&] {
+        const std::lock_guard lock(mutex);
+        return change.has_value();
+    };
+    REQUIRE(waitUntil(isSubmitted));
+    for (const milliseconds delay : {1s, 8s, 20s}) {
+        upstream.tickAfter(delay);
+    }
+    CHECK(upstream.grantsAfterRelease == 0);
+    CHECK_FALSE(isSettled(*parsePlacement(upstream.store.read().value), *change));
+    upstream.store.setRejecting(false);
+    CHECK(waitUntil(
+        [&] { return isSettled(*parsePlacement(upstream.store.read().value), *change); }));
+    CHECK(waitUntil([&] { return upstream.store.ownerOf(5) != a; }));
+}
+
 // Guards against OWNER: a daemon that starts grants keys which its killed predecessor has released,
 // and the predecessor's write of their new owner takes effect later.
 TEST_CASE("no late move of an earlier process takes effect once keys are granted", "[router]")
