--- a/src/persimmonrail/router/tests/hot_range_load_test.cpp
+++ b/src/persimmonrail/router/tests/hot_range_load_test.cpp
@@ -21,7 +21,6 @@
 constexpr int slots = 9;
 constexpr milliseconds step{10};
 constexpr milliseconds tickInterval{100};
-constexpr milliseconds hotTime{5000};
 // An upstream releases keys once the requests that run on them have ended.
 constexpr milliseconds releaseTime{200};
 // The writer gathers changes for 20 ms, and the store answers in 4 ms.
