Treat what is no HTTP response as a failure of the upstream

A head with an invalid status counted as a truncated response, so callers' daemons went on sending requests to an upstream that sends nothing else. Interim responses with unknown statuses, 101, and interim responses with a body were skipped: the request waited for a final response until its deadline, or read the body as one. The store client of objects/ took any status below 200 or above 599 for a response and reused the connection, on which the final response after a 103 was read for the next request.

Responses must have a status of 200 to 599, or one of the interim statuses 100, 102 and 103 without a body. Everything else ends as InvalidResponse (reason invalid-answer, 502, the connection is not reused) and, for requests without a key, keeps requests away from the upstream like an unreachable one. An invalid response no longer counts as a lost connection for the quarantine, since it arrived whole.

The row "not HTTP" of the truncation test expects the new, more exact state. request_proxy_test draws upstreams by a seeded generator, since its constant one always drew the same of two.

--- a/src/persimmonrail/http/http_body.cpp
+++ b/src/persimmonrail/http/http_body.cpp
@@ -278,6 +278,13 @@
     return io_status::Ok;
 }
 
+bool isResponseStatus(int status)
+{
+    // The client asks for no other protocol, so 101 answers no request. Other interim statuses are
+    // not registered; a sender that uses one may never send a final response.
+    return status == 100 || status == 102 || status == 103 || (status >= 200 && status <= 599);
+}
+
 io_status parseResponse(const std::string &head, Poco::Net::HTTPResponse &response)
 {
     std::string line;
@@ -290,8 +297,8 @@
     if (parts.size() < 2
         || (parts[0] != Poco::Net::HTTPMessage::HTTP_1_1
             && parts[0] != Poco::Net::HTTPMessage::HTTP_1_0)
-        || parts[1].size() != 3 || !absl::SimpleAtoi(parts[1], &status) || status < 100
-        || status > 599) {
+        || parts[1].size() != 3 || !absl::SimpleAtoi(parts[1], &status)
+        || !isResponseStatus(status)) {
         return io_status::Malformed;
     }
     response.setVersion(parts[0]);
@@ -316,7 +323,13 @@
 {
     const int status = response.getStatus();
     framing = {};
-    if (status < 200 || status == 204 || status == 304 || method == "HEAD") {
+    if (status < 200) {
+        // The bytes of a body would be read as the final response.
+        const bool hasBody = response.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING)
+            || response.get(Poco::Net::HTTPMessage::CONTENT_LENGTH, "0") != "0";
+        return hasBody ? io_status::Malformed : io_status::Ok;
+    }
+    if (status == 204 || status == 304 || method == "HEAD") {
         return io_status::Ok;
     }
     framing = {body_framing::kind::UntilClose, 0};
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -239,7 +239,7 @@
                 return false;
             }
         }
-        return fail(exchange_state::Truncated, "too many interim or mismatched responses");
+        return fail(exchange_state::InvalidResponse, "too many interim or mismatched responses");
     }
 
     // Skips the body of a response to an earlier request. The response to this request may follow.
@@ -289,7 +289,7 @@
         if (parseResponse(text, m_result.head) != io_status::Ok
             || responseFraming(m_result.head, m_request.message.getMethod(), m_responseFraming)
                 != io_status::Ok) {
-            return fail(exchange_state::Truncated, "malformed response head");
+            return fail(exchange_state::InvalidResponse, "malformed response head");
         }
         if (m_request.responseFields == nullptr) {
             return true;
@@ -403,6 +403,8 @@
         return "no-answer";
     case exchange_state::Truncated:
         return "truncated-answer";
+    case exchange_state::InvalidResponse:
+        return "invalid-answer";
     case exchange_state::AmbiguousResponse:
         return "ambiguous-answer";
     case exchange_state::TimedOut:
--- a/src/persimmonrail/http/http_client.h
+++ b/src/persimmonrail/http/http_client.h
@@ -136,8 +136,12 @@
     NotSent,
     // Bytes of the request were sent, but no complete response head arrived.
     NoResponse,
-    // The response is malformed, ended before the end that its framing states, or has no framing.
+    // The response ended before the end that its framing states, its body is malformed, or it has
+    // no framing.
     Truncated,
+    // What arrived is no HTTP response: the head is malformed, or its status is neither final (200
+    // to 599) nor one of the interim ones 100, 102 and 103.
+    InvalidResponse,
     // Readers may differ about one of `responseFields`.
     AmbiguousResponse,
     // The deadline passed.
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -152,11 +152,15 @@
 // Marks the end of a body in the chunked framing.
 inline constexpr std::string_view lastChunk = "0\r\n\r\n";
 
+// Returns whether a response may have this status: 200 to 599, or one of the interim statuses 100,
+// 102 and 103.
+bool isResponseStatus(int status);
 // Parse a request or response head into a Poco message. Return Malformed for an invalid head.
 io_status parseRequest(const std::string &head, Poco::Net::HTTPRequest &request);
 io_status parseResponse(const std::string &head, Poco::Net::HTTPResponse &response);
 // Determine the framing of the body of a request, or of the response to a request with `method`.
-// Return Malformed for contradictory, repeated or unknown framing fields, and for a request without
+// Return Malformed for contradictory, repeated or unknown framing fields, for an interim response
+// with a body, and for a request without
 // exactly one Host field or with Host or Content-Length listed in Connection.
 io_status requestFraming(const Poco::Net::HTTPRequest &request, body_framing &framing);
 io_status responseFraming(const Poco::Net::HTTPResponse &response, const std::string &method,
--- a/src/persimmonrail/http/tests/http_client_test.cpp
+++ b/src/persimmonrail/http/tests/http_client_test.cpp
@@ -35,7 +35,7 @@
          exchange_state::Truncated, ""},
         {"no framing", ok + "\r\nhello", exchange_state::Truncated, ""},
         {"truncated head", ok + "Content-Le", exchange_state::NoResponse, ""},
-        {"not HTTP", "what?\r\n\r\n", exchange_state::Truncated, ""},
+        {"not HTTP", "what?\r\n\r\n", exchange_state::InvalidResponse, ""},
         {"no bytes", "", exchange_state::NoResponse, ""},
     };
     for (const auto &row : table) {
@@ -53,6 +53,53 @@
     }
 }
 
+// Guards against a response that is none and is passed on, and against a request that waits until
+// its deadline for a final response that never follows. The script keeps the connection open.
+TEST_CASE("a response with an invalid status ends the request at once", "[http]")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    struct
+    {
+        const char *name;
+        std::string response;
+        bool isValid;
+    } const table[] = {
+        {"000", "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", false},
+        {"099", "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n", false},
+        {"600", "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n", false},
+        {"999", "HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n", false},
+        {"two digits", "HTTP/1.1 20 X\r\nContent-Length: 0\r\n\r\n", false},
+        {"four digits", "HTTP/1.1 2000 X\r\nContent-Length: 0\r\n\r\n", false},
+        {"sign", "HTTP/1.1 +20 X\r\nContent-Length: 0\r\n\r\n", false},
+        {"letters", "HTTP/1.1 2xx X\r\nContent-Length: 0\r\n\r\n", false},
+        {"missing", "HTTP/1.1 \r\nContent-Length: 0\r\n\r\n", false},
+        {"101", "HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n", false},
+        {"199", "HTTP/1.1 199 X\r\n\r\n", false},
+        {"interim with a length", "HTTP/1.1 103 X\r\nContent-Length: 40\r\n\r\n" + ok, false},
+        {"interim with chunks", "HTTP/1.1 100 X\r\nTransfer-Encoding: chunked\r\n\r\n" + ok, false},
+        {"interim of length 0", "HTTP/1.1 100 X\r\nContent-Length: 0\r\n\r\n" + ok, true},
+        {"interim", "HTTP/1.1 103 X\r\n\r\n" + ok, true},
+        {"599", "HTTP/1.1 599 X\r\nContent-Length: 0\r\n\r\n", true},
+    };
+    for (const auto &row : table) {
+        CAPTURE(row.name);
+        scripted_server server([&](Poco::Net::StreamSocket &socket, int) {
+            while (!readHeadText(socket).empty()) {
+                sendText(socket, row.response);
+            }
+        });
+        const auto pool = std::make_shared<connection_pool>();
+        http_client client(pool);
+        recording_sink sink;
+        const exchange_result result = client.exchange(requestTo(server.address()), sink);
+        CHECK(
+            toString(result.state)
+            == toString(row.isValid ? exchange_state::Complete : exchange_state::InvalidResponse));
+        CHECK(sink.finished == row.isValid);
+        CHECK(pool->idleCount() == (row.isValid ? 1 : 0));
+    }
+}
+
 // Guards against running a request twice: if a reused connection is found closed after bytes of a
 // request that may not be repeated were sent, the client must not send the request again.
 TEST_CASE("a closed reused connection is replaced only if resending is safe", "[http]")
--- a/src/persimmonrail/objects/http_connection_pool.cpp
+++ b/src/persimmonrail/objects/http_connection_pool.cpp
@@ -135,6 +135,12 @@
         connection->sendRequest(head) << request.body << std::flush;
         HTTPResponse response;
         std::istream &stream = connection->receiveResponse(response);
+        if (response.getStatus() < 200 || !isResponseStatus(response.getStatus())) {
+            // An interim response other than 100 would be followed by the final one, which the next
+            // request on the connection would read.
+            return absl::DataLossError(
+                absl::StrCat("malformed response: status ", response.getStatus()));
+        }
         auto body = readBody(stream, response.getContentLength(), request.receiveTimeout);
         if (!body.ok()) {
             return body.status();
@@ -147,6 +153,9 @@
         return exchangeFailure("the server closed the connection without a response");
     } catch (const MessageException &error) {
         return absl::DataLossError(absl::StrCat("malformed response: ", error.displayText()));
+    } catch (const Poco::SyntaxException &error) {
+        // The status is no number.
+        return absl::DataLossError(absl::StrCat("malformed response: ", error.displayText()));
     } catch (const Poco::TimeoutException &) {
         return absl::DeadlineExceededError("no response within the timeout");
     } catch (const Poco::Exception &error) {
--- a/src/persimmonrail/objects/tests/http_object_api_test.cpp
+++ b/src/persimmonrail/objects/tests/http_object_api_test.cpp
@@ -1,5 +1,6 @@
 #include "persimmonrail/objects/http_object_api.h"
 #include "standins/platform_standin.h"
+#include "standins/scripted_server.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -7,6 +8,8 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/StreamCopier.h>
 
+#include <absl/strings/str_cat.h>
+
 #include <catch2/catch.hpp>
 
 #include <future>
@@ -259,6 +262,11 @@
         {httpResponse(429, "{}"), code::kResourceExhausted, code::kResourceExhausted},
         {httpResponse(500, "{}"), code::kUnavailable, code::kUnknown},
         {httpResponse(503, "{}"), code::kUnavailable, code::kUnavailable},
+        {httpResponse(0, R"({"key":"a","version":1,"value":"x"})"), code::kDataLoss,
+         code::kUnknown},
+        {httpResponse(999, "{}"), code::kDataLoss, code::kUnknown},
+        {"HTTP/1.1 103 X\r\n\r\n" + httpResponse(200, R"({"key":"a","version":1,"value":"x"})"),
+         code::kDataLoss, code::kUnknown},
         {std::string("SSH-2.0-x\r\n\r\n"), code::kDataLoss, code::kUnknown},
         {std::string(), code::kUnavailable, code::kUnknown},
     }));
@@ -269,6 +277,29 @@
     CHECK(api.put("a", 0, "x").status().code() == write);
 }
 
+// Guards against a response that is read for another request, since it follows an invalid one on
+// the same connection.
+TEST_CASE("a connection with an invalid response is not reused", "[platform]")
+{
+    const std::string object = R"({"key":"a","version":1,"value":"x"})";
+    const std::string valid =
+        absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", object.size(), "\r\n\r\n", object);
+    const std::string status = GENERATE("000", "103", "199", "600", "999");
+    CAPTURE(status);
+    scripted_server server([&](Poco::Net::StreamSocket &socket, int index) {
+        while (!readHeadText(socket).empty()) {
+            sendText(socket,
+                     index > 0
+                         ? valid
+                         : absl::StrCat("HTTP/1.1 ", status, " X\r\nContent-Length: 0\r\n\r\n"));
+        }
+    });
+    const auto api = makeHttpObjectApi(server.address(), timeout);
+    CHECK(absl::IsDataLoss(api.get("a").status()));
+    CHECK(api.get("a").ok());
+    CHECK(server.connectionCount() == 2);
+}
+
 // Guards against a stand-in that lets daemons exceed the platform's rate unnoticed: a waiting watch
 // counts as a call too.
 TEST_CASE("the rate budget counts calls and waiting watches", "[platform]")
--- a/src/persimmonrail/proxy/keyed_loss.cpp
+++ b/src/persimmonrail/proxy/keyed_loss.cpp
@@ -107,6 +107,7 @@
     case proxy_reason::UpstreamUnreachable:
     case proxy_reason::UpstreamRefused:
     case proxy_reason::BrokenResponse:
+    case proxy_reason::InvalidResponse:
     case proxy_reason::MismatchedResponse:
     case proxy_reason::NoResponse:
         return loss_cause::UpstreamFailed;
--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -221,6 +221,9 @@
     case exchange_state::AmbiguousResponse:
         result.reason = proxy_reason::BrokenResponse;
         break;
+    case exchange_state::InvalidResponse:
+        result.reason = proxy_reason::InvalidResponse;
+        break;
     case exchange_state::CallerDisconnected:
     case exchange_state::MalformedRequestBody:
         result.reason = proxy_reason::CallerDisconnected;
--- a/src/persimmonrail/proxy/proxy_reason.cpp
+++ b/src/persimmonrail/proxy/proxy_reason.cpp
@@ -38,6 +38,7 @@
     {proxy_reason::DeadlineBeforeSend, "deadline-before-send", false},
     {proxy_reason::NoResponse, "no-answer", false},
     {proxy_reason::BrokenResponse, "broken-answer", false},
+    {proxy_reason::InvalidResponse, "invalid-answer", false},
     {proxy_reason::MismatchedResponse, "foreign-answer", false},
     {proxy_reason::DeadlineExceeded, "deadline-exceeded", false},
     {proxy_reason::CallerDisconnected, "caller-gone", false},
--- a/src/persimmonrail/proxy/proxy_reason.h
+++ b/src/persimmonrail/proxy/proxy_reason.h
@@ -51,8 +51,11 @@
 
     // Reasons for which the request may have run:
     NoResponse,
-    // The response was truncated, invalid, or not attributable to the upstream.
+    // The response was truncated, or not attributable to the upstream.
     BrokenResponse,
+    // What arrived is no HTTP response. Daemons of earlier releases read the word for this reason
+    // as BrokenResponse.
+    InvalidResponse,
     MismatchedResponse,
     DeadlineExceeded,
     CallerDisconnected,
--- a/src/persimmonrail/proxy/tests/request_proxy_test.cpp
+++ b/src/persimmonrail/proxy/tests/request_proxy_test.cpp
@@ -1,6 +1,8 @@
 #include "persimmonrail/proxy/request_proxy.h"
 
 #include "persimmonrail/base/header_names.h"
+#include "persimmonrail/proxy/peer_fields.h"
+#include "standins/discarding_sink.h"
 
 #include <Poco/Net/StreamSocket.h>
 
@@ -8,6 +10,7 @@
 
 #include <atomic>
 #include <future>
+#include <random>
 
 using namespace persimmonrail;
 using namespace std::chrono_literals;
@@ -19,6 +22,10 @@
 {
     std::atomic<int> upstreamRequests{0};
     std::atomic<bool> isClosed{false};
+    // The requests to this upstream end with the reason `failure`.
+    std::string failingUpstream = "none";
+    proxy_reason failure = proxy_reason::None;
+    std::atomic<int> failedRequests{0};
     std::promise<void> served;
     decision_log log{{log_level::Off, "", 100, false}};
     metrics values;
@@ -32,6 +39,14 @@
     {
         peer = std::move(*http_server::listen({}, [this, isFull](server_exchange &exchange) {
             ++upstreamRequests;
+            if (exchange.request().get(upstreamHeader, "") == failingUpstream) {
+                ++failedRequests;
+                proxy_result failed;
+                failed.outcome = request_outcome::Unknown;
+                failed.reason = failure;
+                respondToPeer(exchange, failed);
+                return;
+            }
             if (isFull) {
                 respondToPeer(exchange, notRunResult(proxy_reason::Overload, 80ms));
                 return;
@@ -68,7 +83,7 @@
         hooks.isStopping = [] { return false; };
         hooks.isClosed = [this] { return isClosed.load(); };
         hooks.shutdownDeadline = [] { return steady_time::max(); };
-        hooks.makeRandom = [] { return [] { return uint64_t{1}; }; };
+        hooks.makeRandom = [] { return std::mt19937_64(1); };
         proxy = std::make_unique<request_proxy>(request_proxy_options(), hooks, codec, *dispatcher,
                                                 log, values);
     }
@@ -157,3 +172,32 @@
     REQUIRE(site.served.get_future().wait_for(20s) == std::future_status::ready);
     CHECK(site.upstreamRequests == 0);
 }
+
+// Guards against an upstream that sends no valid responses and keeps getting requests, and against
+// a long penalty for an upstream that only truncates a response.
+TEST_CASE("an upstream that sends invalid responses is avoided", "[relay]")
+{
+    const auto [failure, mostFailed, leastFailed] = GENERATE(table<proxy_reason, int, int>({
+        {proxy_reason::InvalidResponse, 4, 1},
+        {proxy_reason::BrokenResponse, 40, 8},
+    }));
+    CAPTURE(failure);
+    proxy_site site(2);
+    site.failingUpstream = "i-1";
+    site.failure = failure;
+    site.callers = std::move(*http_server::listen(
+        {}, [&](server_exchange &exchange) { site.proxy->serveCaller(exchange); }));
+    http_client client(std::make_shared<connection_pool>());
+    for (int i = 0; i < 40; ++i) {
+        client_request request;
+        request.address = site.callers->address();
+        request.message.setURI("/");
+        request.message.setHost("h");
+        request.deadline = std::chrono::steady_clock::now() + 20s;
+        discarding_sink sink;
+        const exchange_result result = client.exchange(request, sink);
+        REQUIRE(result.state == exchange_state::Complete);
+    }
+    CHECK(site.failedRequests <= mostFailed);
+    CHECK(site.failedRequests >= leastFailed);
+}
--- a/src/persimmonrail/proxy/tests/upstream_dispatcher_test.cpp
+++ b/src/persimmonrail/proxy/tests/upstream_dispatcher_test.cpp
@@ -95,3 +95,23 @@
     CHECK(second.get() == (reason == proxy_reason::None ? 200 : 502));
     CHECK(received == sendings);
 }
+
+// Guards against an invalid response that is passed on, or that counts as a truncated one, for
+// which callers' daemons do not avoid the upstream.
+TEST_CASE("an invalid response of the upstream is a failure without a promise", "[relay]")
+{
+    const auto [response, reason] = GENERATE(table<std::string, proxy_reason>({
+        {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok", proxy_reason::InvalidResponse},
+        {"HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nok", proxy_reason::InvalidResponse},
+        {"HTTP/1.1 101 X\r\n\r\n", proxy_reason::InvalidResponse},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", proxy_reason::BrokenResponse},
+    }));
+    CAPTURE(response);
+    scripted_server upstream([&, sent = response](Poco::Net::StreamSocket &socket, int) {
+        readHeadText(socket);
+        sendText(socket, sent);
+    });
+    dispatcher_site site(upstream.address());
+    CHECK(site.send().get() == 502);
+    CHECK(site.reasons() == std::vector<proxy_reason>{reason});
+}
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -40,6 +40,8 @@
     case exchange_state::Truncated:
     case exchange_state::AmbiguousResponse:
         return proxy_reason::BrokenResponse;
+    case exchange_state::InvalidResponse:
+        return proxy_reason::InvalidResponse;
     case exchange_state::CallerDisconnected:
     case exchange_state::MalformedRequestBody:
         return proxy_reason::CallerDisconnected;
