Count running handlers atomically in the pipelining tests

Handlers decremented the count without the mutex. ThreadSanitizer reported this race twice and none in the server. After the change, three runs of the pipelining and response order cases under ThreadSanitizer report nothing; http_tests 44 and proxy_tests 50 cases pass.

--- a/src/persimmonrail/http/tests/pipelined_requests_test.cpp
+++ b/src/persimmonrail/http/tests/pipelined_requests_test.cpp
@@ -127,7 +127,7 @@
         {
             const std::lock_guard lock(m_mutex);
             m_started.insert(path);
-            m_mostRunning = std::max(m_mostRunning.load(), ++m_running);
+            m_mostRunning = std::max<int>(m_mostRunning, ++m_running);
             m_changed.notify_all();
         }
         const bool isWatched = path.starts_with("/watch");
@@ -202,7 +202,7 @@
     std::atomic<int> m_passedOnBehindClosing{0};
     std::multiset<std::string> m_started;
     std::set<std::string> m_cancelled;
-    int m_running = 0;
+    std::atomic<int> m_running{0};
     std::atomic<int> m_mostRunning{0};
 };
 
