Follow the speed that an upstream states in its responses

Each upstream takes 3 times as long for spans of 400 ms, and slot_queue expected the mean over seconds. Upstreams may state in Server-Load, fourth figure, how long work takes at the moment. The adapter reads it, work_speed keeps it for 400 ms, and slot_queue keeps usual times and scales the expected ones, so that rejections and queue reports follow it. A missing or malformed figure is ignored.

--- a/src/persimmonrail/proxy/blocking_slot_queue.cpp
+++ b/src/persimmonrail/proxy/blocking_slot_queue.cpp
@@ -78,6 +78,12 @@
     m_state->queue.setSlots(slots);
 }
 
+void blocking_slot_queue::recordWorkFactor(double factor, steady_time now)
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->queue.recordWorkFactor(factor, now);
+}
+
 slot_result blocking_slot_queue::acquire(const slot_request &request, steady_time now)
 {
     std::unique_lock lock(m_state->mutex);
@@ -115,7 +121,7 @@
 {
     const std::lock_guard lock(m_state->mutex);
     return {m_state->queue.running(), m_state->queue.waiting(), std::max(m_state->queue.slots(), 1),
-            m_state->queue.meanServiceTime()};
+            m_state->queue.meanServiceTime(std::chrono::steady_clock::now())};
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/blocking_slot_queue.h
+++ b/src/persimmonrail/proxy/blocking_slot_queue.h
@@ -30,6 +30,8 @@
     ~blocking_slot_queue();
 
     void setSlots(int slots);
+    // As slot_queue::recordWorkFactor().
+    void recordWorkFactor(double factor, steady_time now);
     // Waits until the request may start. Returns a rejection if the queue does not accept the
     // request or its deadline passes first.
     slot_result acquire(const slot_request &request, steady_time now);
--- a/src/persimmonrail/proxy/exchange_codec.h
+++ b/src/persimmonrail/proxy/exchange_codec.h
@@ -65,6 +65,9 @@
         classifyResponse;
     // Fields that classifyResponse, or the caller, reads in a response of the upstream.
     guarded_fields responseFields;
+    // Returns how long work takes at the upstream when it responds, as a factor on the usual time;
+    // nullopt if the response does not state it or states it malformed. May be empty.
+    std::function<std::optional<double>(const Poco::Net::HTTPResponse &head)> readWorkFactor = {};
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/slot_queue.cpp
+++ b/src/persimmonrail/proxy/slot_queue.cpp
@@ -29,7 +29,9 @@
 double slot_queue::serviceTimeOf(const std::string &route) const
 {
     const auto entry = m_serviceTimes.find(route);
-    return entry == m_serviceTimes.end() ? seconds(m_options.initialServiceTime) : entry->second;
+    const double usual =
+        entry == m_serviceTimes.end() ? seconds(m_options.initialServiceTime) : entry->second;
+    return usual * m_workFactor;
 }
 
 double slot_queue::expectedWait(const slot_request &request, steady_time now) const
@@ -58,7 +60,7 @@
     }
     // Requests earlier in the order hold all slots at this moment.
     if (freeAt.empty()) {
-        freeAt.push(m_meanServiceTime);
+        freeAt.push(m_meanServiceTime * m_workFactor);
     }
     double equalPosition = 1;
     bool earlierWaits = false;
@@ -78,7 +80,8 @@
     const double interval = m_options.laterStartInterval;
     const double waitInOrder = freeAt.top() * (laterWaits ? interval / (interval - 1) : 1);
     // Every laterStartInterval-th start goes to a later request, even while earlier ones wait.
-    const double waitByInterval = equalPosition * interval * m_meanServiceTime / m_slots;
+    const double waitByInterval =
+        equalPosition * interval * m_meanServiceTime * m_workFactor / m_slots;
     return earlierWaits ? std::min(waitInOrder, waitByInterval) : waitInOrder;
 }
 
@@ -120,6 +123,7 @@
 std::optional<uint64_t> slot_queue::submit(const slot_request &request, steady_time now,
                                            rejection &rejected)
 {
+    m_workFactor = m_workSpeed.factor(now);
     recordArrival(request, now);
     const double wait = expectedWait(request, now);
     const double serviceTime = serviceTimeOf(request.route);
@@ -180,7 +184,7 @@
         return;
     }
     if (isRepresentative) {
-        const double took = seconds(now - found->second.startedAt);
+        const double took = seconds(now - found->second.startedAt) / m_workSpeed.factor(now);
         const auto entry = m_serviceTimes.try_emplace(found->second.request.route, took).first;
         entry->second += (took - entry->second) * m_options.smoothingFactor;
         m_meanServiceTime = m_meanServiceTime > 0
@@ -195,4 +199,10 @@
     return std::chrono::microseconds(static_cast<int64_t>(m_meanServiceTime * 1e6));
 }
 
+std::chrono::microseconds slot_queue::meanServiceTime(steady_time now) const
+{
+    const double present = m_meanServiceTime * m_workSpeed.factor(now);
+    return std::chrono::microseconds(static_cast<int64_t>(present * 1e6));
+}
+
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/slot_queue.h
+++ b/src/persimmonrail/proxy/slot_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "persimmonrail/base/clock.h"
+#include "persimmonrail/proxy/work_speed.h"
 
 #include <cstdint>
 #include <list>
@@ -62,6 +63,9 @@
     explicit slot_queue(slot_queue_options options = {});
 
     void setSlots(int slots) { m_slots = slots; }
+    // Takes how long work takes at the upstream now, as a factor on the usual time. Service times
+    // are kept as usual ones, and the expected ones follow the factor.
+    void recordWorkFactor(double factor, steady_time now) { m_workSpeed.record(factor, now); }
 
     struct rejection
     {
@@ -84,8 +88,10 @@
     int running() const { return static_cast<int>(m_running.size()); }
     int waiting() const { return static_cast<int>(m_waiting.size()); }
     int slots() const { return m_slots; }
-    // Returns the moving average of the service time over all routes.
+    // Returns the moving average of the service time over all routes: the usual one, and that at
+    // `now`.
     std::chrono::microseconds meanServiceTime() const;
+    std::chrono::microseconds meanServiceTime(steady_time now) const;
 
 private:
     struct waiting_request
@@ -109,7 +115,8 @@
 
     // Returns whether `a` comes before `b` in the order.
     static bool isBefore(const slot_request &a, const slot_request &b);
-    // Returns the expected service time of the route in seconds.
+    // Returns the expected service time of the route in seconds, at the work factor of the last
+    // submit().
     double serviceTimeOf(const std::string &route) const;
     // Returns the expected time in seconds until the request would start.
     double expectedWait(const slot_request &request, steady_time now) const;
@@ -128,6 +135,9 @@
     // Moving average in seconds, by route.
     std::map<std::string, double> m_serviceTimes;
     double m_meanServiceTime = 0;
+    work_speed m_workSpeed;
+    // Factor as of the last submit().
+    double m_workFactor = 1;
     std::map<std::string, route_load> m_loads;
     steady_time m_loadsUpdatedAt{};
     // In the order in which the requests start.
--- a/src/persimmonrail/proxy/tests/slot_queue_test.cpp
+++ b/src/persimmonrail/proxy/tests/slot_queue_test.cpp
@@ -210,3 +210,35 @@
     slot_queue::rejection rejected;
     CHECK_FALSE(queue.submit(makeRequest("slow", 0, 500ms, start), start, rejected).has_value());
 }
+
+// Load: an upstream whose work takes 3 times as long for a span, at a usual time of 100 ms. Guards
+// against requests that are accepted although they end late, and against a usual time that keeps
+// the span.
+TEST_CASE("expected times follow what the upstream can do now", "[relay]")
+{
+    slot_queue queue;
+    queue.setSlots(1);
+    steady_time now = start;
+    for (int i = 0; i < 60; ++i, now += 1s) {
+        const bool isSlow = i % 2 == 1;
+        const uint64_t id = add(queue, makeRequest("r", 0, 2000ms, now), now);
+        queue.startRequests(now);
+        queue.recordWorkFactor(isSlow ? 3 : 1, now + 50ms);
+        queue.finish(id, true, now + (isSlow ? 300ms : 100ms));
+    }
+    CHECK(queue.meanServiceTime() > 90ms);
+    CHECK(queue.meanServiceTime() < 110ms);
+    add(queue, makeRequest("r", 0, 2000ms, now), now);
+    queue.startRequests(now);
+    slot_queue::rejection rejected;
+    queue.recordWorkFactor(3, now);
+    CHECK(queue.meanServiceTime(now) > 270ms);
+    CHECK_FALSE(queue.submit(makeRequest("r", 0, 400ms, now), now, rejected).has_value());
+    // Nothing has been heard of the upstream for a while.
+    now += 500ms;
+    CHECK(queue.meanServiceTime(now) < 110ms);
+    queue.recordWorkFactor(0, now);
+    queue.recordWorkFactor(-2, now);
+    CHECK(queue.meanServiceTime(now) < 110ms);
+    CHECK(queue.submit(makeRequest("r", 0, 400ms, now), now, rejected).has_value());
+}
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -193,6 +193,16 @@
     m_isCheckingListening = false;
 }
 
+void upstream_dispatcher::recordWorkFactor(const Poco::Net::HTTPResponse &head)
+{
+    if (!m_codec.readWorkFactor) {
+        return;
+    }
+    if (const auto factor = m_codec.readWorkFactor(head)) {
+        m_slotQueue.recordWorkFactor(*factor, std::chrono::steady_clock::now());
+    }
+}
+
 bool upstream_dispatcher::mayResend(const proxied_request &request, fingerprinted_body &body)
 {
     return !checkTarget(request, m_hooks.local()) && !checkQuarantine(request, body)
@@ -233,6 +243,7 @@
     };
     call.acceptsResponse = [&](const Poco::Net::HTTPResponse &head) {
         kind = m_codec.classifyResponse(head, request.requestId);
+        recordWorkFactor(head);
         return kind == response_kind::Genuine;
     };
     body.recordDispatch();
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -86,6 +86,8 @@
                                                        fingerprinted_body &body);
     // Finds out whether the upstream still listens, after a connection to it was lost.
     void checkListening(const local_upstream_state &target);
+    // Takes how long work takes at the upstream now, if its response states it.
+    void recordWorkFactor(const Poco::Net::HTTPResponse &head);
     // Returns whether a request may be sent to the upstream once more: the upstream still takes it,
     // and the budget allows it.
     bool mayResend(const proxied_request &request, fingerprinted_body &body);
--- /dev/null
+++ b/src/persimmonrail/proxy/work_speed.cpp
@@ -0,0 +1,27 @@
+#include "persimmonrail/proxy/work_speed.h"
+
+namespace persimmonrail {
+namespace {
+
+// Spans in which an upstream is slow last about this long.
+constexpr milliseconds factorLifetime{400};
+constexpr double minFactor = 0.1;
+constexpr double maxFactor = 100;
+
+} // namespace
+
+void work_speed::record(double factor, steady_time now)
+{
+    // The comparison is false for NaN.
+    if (factor >= minFactor && factor <= maxFactor) {
+        m_factor = factor;
+        m_recordedAt = now;
+    }
+}
+
+double work_speed::factor(steady_time now) const
+{
+    return now - m_recordedAt < factorLifetime ? m_factor : 1;
+}
+
+} // namespace persimmonrail
