--- a/src/persimmonrail/proxy/blocking_slot_queue.cpp
+++ b/src/persimmonrail/proxy/blocking_slot_queue.cpp
@@ -100,7 +100,7 @@
 queue_report reportOf(const slot_queue &queue, steady_time now)
 {
     queue_report report{queue.running(), queue.waiting(), std::max(queue.slots(), 1),
-                        queue.meanServiceTime()};
+                        queue.meanServiceTime(now)};
     const cold_rate_limit &limit = queue.coldLimit();
     if (!limit.isCold(now)) {
         return report;
@@ -131,6 +131,12 @@
     m_state->queue.setSlots(slots);
 }
 
+void blocking_slot_queue::recordWorkFactor(double factor, steady_time now)
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->queue.recordWorkFactor(factor, now);
+}
+
 slot_result blocking_slot_queue::acquire(const slot_request &request, steady_time now)
 {
     std::unique_lock lock(m_state->mutex);
@@ -200,7 +206,7 @@
 std::chrono::microseconds blocking_slot_queue::meanServiceTime() const
 {
     const std::lock_guard lock(m_state->mutex);
-    return m_state->queue.meanServiceTime();
+    return m_state->queue.meanServiceTime(std::chrono::steady_clock::now());
 }
 
 queue_report blocking_slot_queue::report() const
--- a/src/persimmonrail/proxy/exchange_codec.h
+++ b/src/persimmonrail/proxy/exchange_codec.h
@@ -70,6 +70,9 @@
     // whose upstreams never state it.
     std::function<std::optional<milliseconds>(const Poco::Net::HTTPResponse &head)>
         readColdRemaining = {};
+    // Returns how long work takes at the upstream when it responds, as a factor on the usual time;
+    // nullopt if the response does not state it or states it malformed. May be empty.
+    std::function<std::optional<double>(const Poco::Net::HTTPResponse &head)> readWorkFactor = {};
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/slot_queue.h
+++ b/src/persimmonrail/proxy/slot_queue.h
@@ -2,6 +2,7 @@
 
 #include "persimmonrail/base/clock.h"
 #include "persimmonrail/proxy/cold_rate_limit.h"
+#include "persimmonrail/proxy/work_speed.h"
 
 #include <cstdint>
 #include <list>
@@ -71,6 +72,9 @@
     // The limit on the starts at a cold upstream. After a change, startRequests() must be called.
     cold_rate_limit &coldLimit() { return m_coldLimit; }
     const cold_rate_limit &coldLimit() const { return m_coldLimit; }
+    // Takes how long work takes at the upstream now, as a factor on the usual time. Service times
+    // are kept as usual ones, and the expected ones follow the factor.
+    void recordWorkFactor(double factor, steady_time now) { m_workSpeed.record(factor, now); }
 
     struct rejection
     {
@@ -98,10 +102,12 @@
     int running() const { return static_cast<int>(m_running.size()); }
     int waiting() const { return static_cast<int>(m_waiting.size()); }
     int slots() const { return m_slots; }
-    // Returns the moving average of the service time over all routes.
+    // Returns the moving average of the service time over all routes: the usual one, and that at
+    // `now`.
     std::chrono::microseconds meanServiceTime() const;
     // Returns how many requests the limit has delayed so far.
     uint64_t delayedCount() const { return m_delayedCount; }
+    std::chrono::microseconds meanServiceTime(steady_time now) const;
 
 private:
     struct waiting_request
@@ -127,7 +133,8 @@
 
     // Returns whether `a` comes before `b` in the order.
     bool isBefore(const slot_request &a, const slot_request &b) const;
-    // Returns the expected service time of the route in seconds.
+    // Returns the expected service time of the route in seconds, at the work factor of the last
+    // submit().
     double serviceTimeOf(const std::string &route) const;
     // Returns the expected time in seconds until the request would start.
     double expectedWait(const slot_request &request, steady_time now) const;
@@ -153,6 +160,9 @@
     // Moving average in seconds, by route.
     std::map<std::string, double> m_serviceTimes;
     double m_meanServiceTime = 0;
+    work_speed m_workSpeed;
+    // Factor as of the last submit().
+    double m_workFactor = 1;
     std::map<std::string, route_load> m_loads;
     steady_time m_loadsUpdatedAt{};
     // In the order in which the requests start.
