--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -160,8 +160,8 @@
 io_status parseResponse(const std::string &head, Poco::Net::HTTPResponse &response);
 // Determine the framing of the body of a request, or of the response to a request with `method`.
 // Return Malformed for contradictory, repeated or unknown framing fields, for an interim response
-// with a body, and for a request without
-// exactly one Host field or with Host or Content-Length listed in Connection.
+// with a body, and for a request without exactly one Host field or with Host or Content-Length
+// listed in Connection.
 io_status requestFraming(const Poco::Net::HTTPRequest &request, body_framing &framing);
 io_status responseFraming(const Poco::Net::HTTPResponse &response, const std::string &method,
                           body_framing &framing);
--- a/src/persimmonrail/http/response_pipeline.h
+++ b/src/persimmonrail/http/response_pipeline.h
@@ -18,7 +18,7 @@
     class request
     {
     public:
-        // `slot` belongs to the request. Errors are reported by isValid().
+        // `slot` belongs to the request. cancelDescriptor() is negative if no descriptor is free.
         explicit request(response_order::slot_pointer slot);
         request(const request &) = delete;
         request &operator=(const request &) = delete;
@@ -74,7 +74,8 @@
     bool closesAfter(request &target, bool isDraining);
     // Makes the connection close after the last request that was read.
     void closeAfterLast();
-    // Waits until all responses are written. Returns false if the connection closes after them.
+    // Waits until all responses are written, and returns true. Returns false without waiting for
+    // them if the connection closes after them.
     bool waitForTurn();
 
     // Returns whether the last of the requests closes the connection.
--- a/src/persimmonrail/keyspace/leave_plan.cpp
+++ b/src/persimmonrail/keyspace/leave_plan.cpp
@@ -74,8 +74,8 @@
     return parts;
 }
 
-// Keeps at most maxTargets parts. They are drawn with probabilities in proportion to their sizes,
-// the same for the same owner: the least of exponential variates whose rates are the sizes.
+// Keeps at most maxTargets parts, chosen by weighted rendezvous hashing: with probabilities in
+// proportion to their sizes, and always the same ones for the same owner.
 void limitParts(std::vector<target_part> &parts, const upstream_id &self)
 {
     const auto orderOf = [&self](const target_part &part) {
--- a/src/persimmonrail/keyspace/placement_batch.h
+++ b/src/persimmonrail/keyspace/placement_batch.h
@@ -46,7 +46,7 @@
 {
     // Number of the writer's process.
     uint64_t run = 0;
-    // Boot time of the writer's host.
+    // Time of the boot clock of the writer's host when it issued the ticket.
     milliseconds issuedAt{0};
 
     bool operator==(const writer_ticket &) const = default;
--- a/src/persimmonrail/keyspace/range_lease_manager.h
+++ b/src/persimmonrail/keyspace/range_lease_manager.h
@@ -92,9 +92,9 @@
     // fences that the previous incarnation knew. Ranges whose recorded fences are older are granted
     // with it (grantFence()).
     void onEarlierFences(uint64_t highestFence);
-    // Returns whether a read of the record that is sent at `now` tells the highest fence that is
-    // superseded, and whether that is not known yet. Always false if moves are not sent to other
-    // daemons: then any read since the start of this daemon tells it.
+    // Returns whether the highest fence of the process before is not known yet and a read of the
+    // record that is sent at `now` tells it. Always false if moves are not sent to other daemons:
+    // then any read since the start of this daemon tells it.
     bool isFirstReadDue(boot_time now) const
     {
         return m_timing.sentMoveLifetime.count() > 0 && m_unboundedStart
--- a/src/persimmonrail/proxy/blocking_slot_queue.cpp
+++ b/src/persimmonrail/proxy/blocking_slot_queue.cpp
@@ -32,14 +32,14 @@
         const steady_time next = queue.nextDelayedStart(now);
         if (next != nextDelayedStart) {
             nextDelayedStart = next;
-            wakeTimekeeper();
+            wakeFirstWaiter();
         }
     }
 
     // The first waiting thread sleeps only until the limit allows the next start; the others are
     // woken by it.
-    bool isTimekeeper(const waiter &self) const { return waiters.begin()->second == &self; }
-    void wakeTimekeeper()
+    bool isFirstWaiter(const waiter &self) const { return waiters.begin()->second == &self; }
+    void wakeFirstWaiter()
     {
         if (!waiters.empty()) {
             waiters.begin()->second->changed.notify_one();
@@ -50,7 +50,7 @@
     {
         waiters.erase(id);
         if (nextDelayedStart != steady_time::max()) {
-            wakeTimekeeper();
+            wakeFirstWaiter();
         }
     }
 
@@ -164,7 +164,7 @@
         }
         self.changed.wait_until(
             lock,
-            m_state->isTimekeeper(self) ? std::min(waitEnd, m_state->nextDelayedStart) : waitEnd);
+            m_state->isFirstWaiter(self) ? std::min(waitEnd, m_state->nextDelayedStart) : waitEnd);
     }
     m_state->remove(*id);
     if (!self.hasStarted) {
--- a/src/persimmonrail/proxy/cold_rate_limit.cpp
+++ b/src/persimmonrail/proxy/cold_rate_limit.cpp
@@ -16,14 +16,15 @@
 constexpr milliseconds questionInterval{100};
 // While the upstream is cold, its checks count among the few requests that it tolerates.
 constexpr milliseconds coldQuestionInterval{500};
-// For upstreams whose answers contain no statement.
+// For upstreams whose answers contain no statement, which probably won't state one later.
 constexpr milliseconds unansweredQuestionInterval{5000};
 // Share of the slack that requests may use that start before the upstream has stated that it became
 // cold. The rest is for checks and late arrivals.
 constexpr double unstatedSlackShare = 0.75;
 // Share of the slack that requests may use that are sent again.
 constexpr double resendSlackShare = 0.5;
-// The daemon asks once this part of the permitted starts has been used since the last statement.
+// The daemon asks once one of this many equal parts of the permitted starts has been used since the
+// last statement.
 constexpr int questionParts = 4;
 
 } // namespace
--- a/src/persimmonrail/proxy/cold_rate_limit.h
+++ b/src/persimmonrail/proxy/cold_rate_limit.h
@@ -28,10 +28,11 @@
 // could arrive within one second; with it, each quarter of a second of lateness adds a quarter of a
 // window, which the slack covers.
 //
-// An upstream may become cold at any moment, and the daemon learns it only from its next statement,
-// so an upstream is known to be warm only up to its latest statement. Once statements can be asked
-// for, the starts after the latest one stay below the bound within any second; before the bound is
-// reached, needsStatement() tells the daemon to ask.
+// A statement is what a heartbeat or the response to a health check says about the cold time. An
+// upstream may become cold at any moment, and the daemon learns it only from the next statement, so
+// an upstream is known to be warm only up to its latest statement. Once a health check has been
+// answered with a statement, the starts after the latest one stay below the bound within any
+// second; before that is reached, needsStatement() tells the daemon to send a health check.
 //
 // Reads no clock and does no I/O. Not thread safe.
 class cold_rate_limit
@@ -64,7 +65,7 @@
     // Returns when the n-th request from now on may start (n >= 1) if all start as early as they
     // may. Assumes that the upstream becomes warm when it has stated so.
     steady_time startOfNth(int n, steady_time now) const;
-    // Starts per second that the limit permits while the upstream is cold.
+    // Returns the number of starts per second that the limit permits while the upstream is cold.
     int permittedPerSecond() const;
     // Returns the number of starts in the last second.
     int recentStarts(steady_time now) const;
@@ -76,7 +77,7 @@
     // Records that a request is sent once more and returns true if the upstream tolerates it.
     bool tryResend(steady_time now);
 
-    // Returns whether the daemon should ask the upstream whether it is cold.
+    // Returns whether the daemon should ask the upstream by a health check whether it is cold.
     bool needsStatement(steady_time now) const;
     // Records that the daemon asks the upstream.
     void recordQuestion(steady_time now);
@@ -90,7 +91,7 @@
     steady_time nextColdStart(const std::deque<steady_time> &starts, steady_time now) const;
     // Returns the number of starts in the last second that are later than the latest statement.
     int unstatedStarts(steady_time now) const;
-    // Starts in any one second that an upstream may get that may have become cold unnoticed.
+    // Returns how many starts after the latest statement are allowed in any one second.
     int permittedUnstated() const;
 
     cold_rate_options m_options;
--- a/src/persimmonrail/proxy/peer_fields.h
+++ b/src/persimmonrail/proxy/peer_fields.h
@@ -13,7 +13,7 @@
 inline constexpr char callerServiceHeader[] = "Persimmonrail-Caller-Service";
 inline constexpr char shardKeyHeader[] = "Persimmonrail-Key";
 inline constexpr char repeatableHeader[] = "Persimmonrail-Repeatable";
-// "1" in a request that was sent to another upstream before; older daemons ignore it.
+// "1" if an earlier attempt at the request has reached an upstream; older daemons ignore it.
 inline constexpr char retryHeader[] = "Persimmonrail-Retry";
 inline constexpr char routeHeader[] = "Persimmonrail-Route";
 // Latency objective of the request, in milliseconds.
@@ -22,7 +22,7 @@
 inline constexpr char objectiveLeftHeader[] = "Persimmonrail-Target-Left-Ms";
 // "running,waiting,limit,meanServiceTime" of the upstream's queue, the last in microseconds.
 inline constexpr char queueHeader[] = "Persimmonrail-Queue";
-// A more exact reason than the reason field names, for daemons that know its word.
+// The exact reason, if the reason field holds another one for daemons of earlier releases.
 inline constexpr char exactReasonHeader[] = "Persimmonrail-Exact-Reason";
 // key_state of the key of a rejected request.
 inline constexpr char keyStateHeader[] = "Persimmonrail-Key-State";
--- a/src/persimmonrail/proxy/proxy_types.h
+++ b/src/persimmonrail/proxy/proxy_types.h
@@ -38,7 +38,7 @@
     int rank = 0;
     // Whether the request may run more than once.
     bool repeatable = false;
-    // Whether the request was sent to another upstream before.
+    // Whether an earlier attempt at the request has reached an upstream.
     bool isRetry = false;
     // The caller waits for the response until this time.
     steady_time deadline;
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -372,7 +372,7 @@
         case proxy_reason::PeerUnreachable:
             return upstream_picker::result::Failed;
         case proxy_reason::NoResponse:
-        // A truncated response is none of these: a healthy upstream may cut off one in fifty, and
+        // A truncated response is none of these: a healthy upstream may truncate single ones, and
         // each would keep it without requests for the time of the penalty.
         case proxy_reason::InvalidResponse:
         case proxy_reason::OtherUpstream:
--- a/src/persimmonrail/proxy/slot_queue.h
+++ b/src/persimmonrail/proxy/slot_queue.h
@@ -43,7 +43,7 @@
     // Time at which the latency objective ends, and the time until which the caller waits.
     steady_time objectiveEnd;
     steady_time deadline;
-    // Whether the request was sent to another upstream before.
+    // Whether an earlier attempt at the request has reached an upstream.
     bool isRetry = false;
 };
 
@@ -102,12 +102,12 @@
     int running() const { return static_cast<int>(m_running.size()); }
     int waiting() const { return static_cast<int>(m_waiting.size()); }
     int slots() const { return m_slots; }
-    // Returns the moving average of the service time over all routes: the usual one, and that at
-    // `now`.
+    // Return the moving average of the service time over all routes: the usual one, and the one
+    // expected with the work factor at `now`.
     std::chrono::microseconds meanServiceTime() const;
+    std::chrono::microseconds meanServiceTime(steady_time now) const;
     // Returns how many requests the limit has delayed so far.
     uint64_t delayedCount() const { return m_delayedCount; }
-    std::chrono::microseconds meanServiceTime(steady_time now) const;
 
 private:
     struct waiting_request
--- a/src/persimmonrail/proxy/tests/cold_rate_limit_test.cpp
+++ b/src/persimmonrail/proxy/tests/cold_rate_limit_test.cpp
@@ -95,8 +95,8 @@
     CHECK(static_cast<double>(starts.size()) >= wanted);
 }
 
-// Guards against a crash in mid-life: a busy upstream becomes cold at a random moment, which its
-// daemon learns by the next report, or by a check that is answered within 20 ms.
+// Guards against a crash of a running upstream: a busy one becomes cold at a random moment, which
+// its daemon learns by the next report, or by a check that is answered within 20 ms.
 TEST_CASE("a change to cold that is noticed late exceeds no bound", "[relay][cold]")
 {
     const double load = GENERATE(10.0, 25.0, 47.0, 150.0);
--- a/src/persimmonrail/proxy/tests/zone_picker_test.cpp
+++ b/src/persimmonrail/proxy/tests/zone_picker_test.cpp
@@ -96,7 +96,7 @@
     CHECK(share <= most);
 }
 
-// Fault: the zone's upstreams fail, then the directory shows none; the reports still praise them.
+// Fault: the zone's upstreams fail, then the directory shows none; the reports still show capacity.
 TEST_CASE("a zone without healthy members is left at once", "[zone]")
 {
     const zone_site site;
--- a/src/persimmonrail/proxy/upstream_picker.h
+++ b/src/persimmonrail/proxy/upstream_picker.h
@@ -43,7 +43,8 @@
     zone_share_options zoneShare = {};
     // Age of the knowledge of the zones from which on responses are asked for newer.
     milliseconds zonesWantedAge{250};
-    // Interval at which the share is decided anew. A plan takes about 0.1 ms.
+    // Interval at which the share is decided anew. Reports change more slowly than requests arrive,
+    // so a plan for each request would only cost processor time.
     milliseconds zoneShareInterval{200};
 };
 
--- a/src/persimmonrail/proxy/work_speed.cpp
+++ b/src/persimmonrail/proxy/work_speed.cpp
@@ -5,6 +5,7 @@
 
 // Spans in which an upstream is slow last about this long.
 constexpr milliseconds factorLifetime{400};
+// A factor outside these bounds is taken for an error, since it would make expected times useless.
 constexpr double minFactor = 0.1;
 constexpr double maxFactor = 100;
 
--- a/src/persimmonrail/router/cold_watch.h
+++ b/src/persimmonrail/router/cold_watch.h
@@ -17,7 +17,7 @@
 {
     // Service of the local upstream.
     std::string service = {};
-    // Settings of the same names.
+    // Settings cold-overshoot and cold-slack.
     double overshoot = 1;
     int slack = 0;
     // Interval at which tick() is to be called. It bounds the requests that a busy upstream gets
--- a/src/persimmonrail/router/placement_writer.h
+++ b/src/persimmonrail/router/placement_writer.h
@@ -24,11 +24,11 @@
 // sent it, so a daemon that starts waits for as long before it reads which fences are recorded.
 inline constexpr milliseconds changeLifetime{300};
 
-// A change that a daemon waits for.
+// A change that waits at the writer.
 struct queued_change
 {
     owner_change change;
-    // Boot time up to which a record may be computed with the change.
+    // Time of the boot clock up to which a record may be computed with the change.
     boot_time expiresAt{};
 };
 
@@ -55,8 +55,8 @@
     // Time for which the changes of several owners are gathered before they are written. Every
     // daemon decodes each version of the record, which takes slow hosts some milliseconds.
     milliseconds gatherTime{20};
-    // Longest time for which a daemon waits for the outcome of its change; less than for which the
-    // daemon waits for the response.
+    // Longest time for which submit() waits for the outcome of a change. Less than the `timeout` of
+    // placement_writer_client_options, so that the response arrives in time.
     milliseconds maxWait{250};
 };
 
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -373,9 +373,9 @@
     }
 }
 
-// A conflict does not end the change as it ends an unconfirmed write of the owner: the writer may
-// apply it to the record that won. A record that the owner knows does: either the keys have moved,
-// or they have a new fence.
+// A conflict ends an unconfirmed write of the owner, but not an open change: the writer may apply
+// it to the record that won. The change ends with a record that the owner knows and on which it has
+// no effect: either the keys have moved, or they have a new fence.
 void range_controller::onOpenMoveWritten(const std::vector<released_range> &releasedRanges,
                                          const placement_update_result &result)
 {
--- a/src/persimmonrail/router/router_settings.h
+++ b/src/persimmonrail/router/router_settings.h
@@ -63,8 +63,9 @@
     // Whether owners pass the changes of their key ranges to one daemon, which writes them
     // together.
     bool usesPlacementWriter = false;
-    // Waiting time that a small request is worth that stays in its availability zone, and what each
-    // 1,000 bytes of a request and its response add to it. 0 selects a fixed factor instead.
+    // Waiting time that costs as much as sending a small request to another availability zone, and
+    // the milliseconds that each 1,000 bytes of a request and its response add to it. A cost of 0
+    // selects a fixed factor instead.
     milliseconds zoneCrossingCost{0};
     double zoneCrossingCostPerKb = 0;
     int maxCallerConnections = 512;
--- a/src/persimmonrail/router/router_state_evacuation.cpp
+++ b/src/persimmonrail/router/router_state_evacuation.cpp
@@ -41,7 +41,8 @@
     m_evacuationWatcher->start();
 }
 
-// Runs on the watcher's thread, so that a late control thread does not delay the gate.
+// Runs on the watcher's thread, so that a late control thread does not delay the admission that
+// applies from now on.
 void router::state::onEvacuations(const object_list &objects, bool isFullList)
 {
     const steady_time receivedAt = std::chrono::steady_clock::now();
--- a/src/persimmonrail/router/router_state_writer.cpp
+++ b/src/persimmonrail/router/router_state_writer.cpp
@@ -12,6 +12,7 @@
 namespace persimmonrail {
 namespace {
 
+// No owner waits longer for the response (placement_writer_client_options).
 constexpr milliseconds changeBodyTimeout{300};
 // Idle connections to writers; an owner asks at most two of them.
 constexpr size_t maxIdleWriterConnections = 2;
--- a/src/persimmonrail/routing/arrival_rates.cpp
+++ b/src/persimmonrail/routing/arrival_rates.cpp
@@ -6,7 +6,9 @@
 namespace persimmonrail {
 namespace {
 
+// Bounds the memory, since the names of the zones come from other daemons.
 constexpr size_t maxZones = 16;
+// Requests per second below which a zone is left out, since a decaying rate never reaches 0.
 constexpr double minRate = 0.05;
 
 double seconds(std::chrono::nanoseconds time)
--- a/src/persimmonrail/routing/attempt_age.h
+++ b/src/persimmonrail/routing/attempt_age.h
@@ -10,7 +10,8 @@
 
 struct attempt_age_options
 {
-    // Timeouts and refusals are forgotten after one to two of these times.
+    // Length of a window. Timeouts and failures are forgotten after one to two windows, or up to
+    // three on a route with few requests, since a window ends only with the next request.
     milliseconds window{5000};
     // Smaller differences between timeouts come from rounding and from the way to the daemon.
     milliseconds minAge{50};
@@ -25,8 +26,8 @@
 public:
     explicit attempt_age(attempt_age_options options = {});
 
-    // Records the timeout that a request of the route states, and returns how long ago its caller
-    // sent it first.
+    // Records the timeout that a request of the route states, and returns the estimated time since
+    // its caller sent it first.
     milliseconds estimate(const std::string &route, milliseconds statedTimeout, steady_time now);
     // Records that a request of the route was refused or failed, so that its caller may retry.
     void recordFailure(const std::string &route, steady_time now);
--- a/src/persimmonrail/routing/tests/zone_share_test.cpp
+++ b/src/persimmonrail/routing/tests/zone_share_test.cpp
@@ -70,7 +70,7 @@
         return sum / count;
     }
     double waiting(int zone) const { return m_waiting[zone]; }
-    // Turns of the zone's share by at least 5 points since the start.
+    // Reversals of the zone's share by at least 5 percentage points since the start.
     int reversals(int zone) const { return m_turns[zone].count; }
     // Ticks in which the zone sent and received more than 5% of its capacity.
     int bothWays() const { return m_bothWays; }
@@ -271,7 +271,7 @@
     CHECK(simulation.reversals(0) <= 2);
 }
 
-// Load: all zones full. Requests that leave would only swap places.
+// Load: all zones full. Requests that leave would only displace others that leave.
 TEST_CASE("nothing leaves while all zones are full", "[zone]")
 {
     const auto age = GENERATE(0ms, 1000ms, 3000ms);
@@ -283,8 +283,8 @@
     CHECK(simulation.bothWays() == 0);
 }
 
-// Load: zones that take turns at 1.8 times their capacity every 4 s. Bounds: at most one turn of
-// the share for each turn of the load, and no zone that sends and receives for longer than a report
+// Load: zones that alternate at 1.8 times their capacity every 4 s. Bounds: at most one reversal of
+// the share for each one of the load, and no zone that sends and receives for longer than a report
 // is old plus 600 ms.
 TEST_CASE("shifting traffic causes no oscillation", "[zone]")
 {
--- a/src/persimmonrail/routing/zone_share.cpp
+++ b/src/persimmonrail/routing/zone_share.cpp
@@ -15,8 +15,9 @@
 // Growth of the waiting time with the utilization above that, in seconds: a queue that grows for
 // the length of a burst of a few seconds.
 constexpr double overloadSeconds = 3;
-// Parts of the total demand that are moved at a time.
+// The total demand is moved in this many equal steps at most.
 constexpr double planSteps = 256;
+// Ends the loop in any case; above planSteps, since rounding may add steps.
 constexpr int maxPlanSteps = 1024;
 // Weight of one request in the mean of the inverse cost.
 constexpr double costSmoothingWeight = 0.02;
--- a/src/persimmonrail/routing/zone_share.h
+++ b/src/persimmonrail/routing/zone_share.h
@@ -30,7 +30,8 @@
 
 struct zone_share_options
 {
-    // Waiting time that one crossing of a small request is worth; 0 switches the decision off.
+    // Waiting time that costs as much as one crossing of a small request; 0 switches the decision
+    // off.
     milliseconds crossingCost{0};
     // What each 1,000 bytes add to that cost, in milliseconds.
     double crossingCostPerKb = 0;
