Estimate the age of a retry only from stated timeouts; Retry-After of late requests

A caller without a timeout was compared with one of 30 s, so that callers with shorter timeouts looked like old retries; rejections of malformed requests switched the estimate on; and Retry-After of a request past its objective grew with its age.

--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -131,17 +131,18 @@
         const milliseconds timeout = fields.timeout.value_or(defaultTimeout);
         m_request.deadline = std::min(m_startedAt + std::min(timeout, m_route->timeout),
                                       m_proxy.m_hooks.shutdownDeadline());
-        m_request.objectiveEnd = m_startedAt + m_route->objective - callerRetryAge(timeout);
+        m_request.objectiveEnd = m_startedAt + m_route->objective - callerRetryAge(fields.timeout);
         m_exchange.setDeadline(m_request.deadline);
         return {};
     }
 
     // Returns how long ago the caller sent the request first. Under overload, requests that can
-    // still meet their objective are preferred to retries that can't.
-    milliseconds callerRetryAge(milliseconds timeout)
+    // still meet their objective are preferred to retries that can't. A caller that states no
+    // timeout does not tell.
+    milliseconds callerRetryAge(const std::optional<milliseconds> &timeout)
     {
-        return m_proxy.m_options.detectsCallerRetries
-            ? m_proxy.m_attemptAges.estimate(m_route->name, timeout, m_startedAt)
+        return m_proxy.m_options.detectsCallerRetries && timeout
+            ? m_proxy.m_attemptAges.estimate(m_route->name, *timeout, m_startedAt)
             : milliseconds(0);
     }
 
@@ -513,7 +514,9 @@
         }
         m_proxy.m_metrics.count("persimmonrail_refused_total",
                                 absl::StrCat("reason=\"", toAbsl(toString(result.reason)), "\""));
-        if (m_route != nullptr) {
+        // Callers don't retry requests that are rejected as malformed.
+        const bool mayBeRetried = statusFor(result.reason, result.outcome) >= 500;
+        if (m_route != nullptr && mayBeRetried) {
             m_proxy.m_attemptAges.recordFailure(m_route->name, now);
         }
         respondWithFailure(result);
--- a/src/persimmonrail/proxy/slot_queue.cpp
+++ b/src/persimmonrail/proxy/slot_queue.cpp
@@ -164,7 +164,10 @@
         std::min(seconds(request.objectiveEnd - now) * m_options.maxObjectiveShare,
                  seconds(request.deadline - now));
     if (wait > 0 && wait + serviceTime > maxTime) {
-        const auto excess = static_cast<int64_t>(std::ceil((wait + serviceTime - maxTime) * 1000));
+        // A request that can't meet its objective any more is accepted once there is no wait.
+        const double usableTime = std::max(maxTime, serviceTime);
+        const auto excess =
+            static_cast<int64_t>(std::ceil((wait + serviceTime - usableTime) * 1000));
         rejected.retryAfter = std::max(minRetryAfter, milliseconds(excess));
         return std::nullopt;
     }
--- a/src/persimmonrail/proxy/tests/slot_queue_test.cpp
+++ b/src/persimmonrail/proxy/tests/slot_queue_test.cpp
@@ -384,3 +384,22 @@
     CHECK(queue.meanServiceTime(now) < 110ms);
     CHECK(queue.submit(makeRequest("r", 0, 400ms, now), now, rejected).has_value());
 }
+
+// Guards against a Retry-After that grows with the age of a retry although there is room sooner.
+TEST_CASE("a request whose objective has ended may come back once a slot is free", "[relay]")
+{
+    const milliseconds age = GENERATE(0ms, 500ms, 1500ms);
+    slot_queue queue;
+    queue.setSlots(1);
+    const uint64_t id = add(queue, makeRequest("r", 0, 2000ms, start), start);
+    queue.startRequests(start);
+    queue.finish(id, true, start + 100ms);
+    const steady_time now = start + 1s;
+    add(queue, makeRequest("r", 0, 2000ms, now), now);
+    queue.startRequests(now);
+    slot_queue::rejection rejected;
+    const steady_time objectiveEnd = now + 90ms - age;
+    CHECK_FALSE(queue.submit({"r", 0, 90ms, objectiveEnd, now + 3s}, now, rejected).has_value());
+    CHECK(rejected.retryAfter > 50ms);
+    CHECK(rejected.retryAfter <= 150ms);
+}
