--- a/src/persimmonrail/proxy/work_speed.h
+++ b/src/persimmonrail/proxy/work_speed.h
@@ -11,7 +11,7 @@
 public:
     // Takes the factor of a response. Ignores values outside 0.1 to 100.
     void record(double factor, steady_time now);
-    // Returns the present factor; 1 if no response has stated one lately.
+    // Returns the present factor; 1 if no recent response has stated one.
     double factor(steady_time now) const;
 
 private:
