--- a/tests/standins/discarding_sink.h
+++ b/src/persimmonrail/http/discarding_sink.h
@@ -4,7 +4,8 @@
 
 namespace persimmonrail {
 
-// Accepts any response and discards it.
+// Accepts any response and discards it, for requests of which only the head of the response or its
+// completion is of interest.
 class discarding_sink : public response_sink
 {
 public:
--- a/src/persimmonrail/http/tests/endless_response_test.cpp
+++ b/src/persimmonrail/http/tests/endless_response_test.cpp
@@ -1,6 +1,6 @@
+#include "persimmonrail/http/discarding_sink.h"
 #include "persimmonrail/http/http_client.h"
 
-#include "standins/discarding_sink.h"
 #include "standins/scripted_server.h"
 
 #include <catch2/catch.hpp>
--- a/src/persimmonrail/proxy/tests/request_proxy_test.cpp
+++ b/src/persimmonrail/proxy/tests/request_proxy_test.cpp
@@ -1,8 +1,8 @@
+#include "persimmonrail/http/discarding_sink.h"
 #include "persimmonrail/proxy/request_proxy.h"
 
 #include "persimmonrail/base/header_names.h"
 #include "persimmonrail/proxy/peer_fields.h"
-#include "standins/discarding_sink.h"
 
 #include <Poco/Net/StreamSocket.h>
 
--- a/src/persimmonrail/router/cold_watch.cpp
+++ b/src/persimmonrail/router/cold_watch.cpp
@@ -1,5 +1,7 @@
 #include "persimmonrail/router/cold_watch.h"
 
+#include "persimmonrail/http/discarding_sink.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -11,19 +13,6 @@
 // between reach the upstream after its statement.
 constexpr milliseconds maxReportLateness{200};
 
-// Receives the response to a health check. Only its head is of interest.
-class discarding_sink : public response_sink
-{
-public:
-    bool begin(const Poco::Net::HTTPResponse &, const body_framing &, std::string_view,
-               bool) override
-    {
-        return true;
-    }
-    bool write(std::string_view) override { return true; }
-    bool finish() override { return true; }
-};
-
 } // namespace
 
 cold_watch::cold_watch(cold_watch_options options, const exchange_codec &codec,
--- a/src/persimmonrail/router/load_age.cpp
+++ b/src/persimmonrail/router/load_age.cpp
@@ -8,6 +8,8 @@
 // Time from the beginning of traffic until the reported loads show it: they are averages, of which
 // the last two polls, one second apart, make up most.
 constexpr milliseconds settlingTime{2000};
+// Reported loads are a few seconds old at most, so an earlier move has no effect on their use.
+constexpr milliseconds moveRetention{60000};
 
 } // namespace
 
@@ -28,6 +30,13 @@
     return m_beganAt ? std::optional(*m_beganAt + settlingTime) : std::nullopt;
 }
 
+void move_history::recordMove(const upstream_id &target, steady_time endedAt)
+{
+    std::erase_if(m_endedAt,
+                  [endedAt](const auto &entry) { return endedAt - entry.second > moveRetention; });
+    m_endedAt[target] = endedAt;
+}
+
 std::vector<owner_load> move_history::usableLoads(std::vector<owner_load> loads,
                                                   steady_time earliest) const
 {
--- a/src/persimmonrail/router/load_age.h
+++ b/src/persimmonrail/router/load_age.h
@@ -28,7 +28,7 @@
 class move_history
 {
 public:
-    void recordMove(const upstream_id &target, steady_time endedAt) { m_endedAt[target] = endedAt; }
+    void recordMove(const upstream_id &target, steady_time endedAt);
     // Returns the loads that were measured at `earliest` or later and that show the keys which the
     // owner has moved to the peer. A move says nothing about the loads of other peers.
     std::vector<owner_load> usableLoads(std::vector<owner_load> loads, steady_time earliest) const;
--- a/src/persimmonrail/upstream/tests/response_input_test.cpp
+++ b/src/persimmonrail/upstream/tests/response_input_test.cpp
@@ -1,6 +1,6 @@
+#include "persimmonrail/http/discarding_sink.h"
 #include "persimmonrail/objects/http_object_api.h"
 #include "persimmonrail/upstream/upstream_client.h"
-#include "standins/discarding_sink.h"
 #include "standins/input_mutator.h"
 #include "standins/scripted_server.h"
 
