Test invalid statuses on each path

Only the local upstream and the object store had tests of a response with status 000. Statuses 000, 0, 199 and 600 where they apply.

--- a/src/persimmonrail/proxy/tests/slow_peer_test.cpp
+++ b/src/persimmonrail/proxy/tests/slow_peer_test.cpp
@@ -28,6 +28,8 @@
     int probeStatus = 200;
     int maxPeerConnections = 100;
     milliseconds routeTimeout{4000};
+    // Bytes that the peer sends in place of a response; empty for a valid response.
+    std::string invalidResponse = {};
 };
 
 // A request proxy and the peer of the service's two upstreams, which share its port. The peer
@@ -84,6 +86,13 @@
             return;
         }
         ++m_executions;
+        if (!m_options.invalidResponse.empty()) {
+            size_t written = 0;
+            exchange.connection().write(m_options.invalidResponse, written,
+                                        std::chrono::steady_clock::now() + 5s);
+            exchange.closeAfterResponse();
+            return;
+        }
         if (uri == slowPath) {
             exchange.connection().waitUntilClosed(std::chrono::steady_clock::now()
                                                   + m_options.processingTime);
@@ -294,3 +303,18 @@
     CHECK(std::chrono::steady_clock::now() - stoppedAt < 8s);
     CHECK(site.executions() == 1);
 }
+
+// Guards against a response of another daemon with an invalid status that reaches the caller as the
+// response, or as a promise that the request has not run.
+TEST_CASE("an invalid response of a peer is a failure without a promise", "[relay]")
+{
+    site_options options;
+    options.isRepeatable = false;
+    options.invalidResponse = GENERATE("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+                                       "HTTP/1.1 0 X\r\nContent-Length: 0\r\n\r\n",
+                                       "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n");
+    CAPTURE(options.invalidResponse);
+    slow_peer_site site(options);
+    CHECK(site.send(fastPath).status == 502);
+    CHECK(site.executions() == 1);
+}
--- a/src/persimmonrail/router/tests/cold_watch_test.cpp
+++ b/src/persimmonrail/router/tests/cold_watch_test.cpp
@@ -15,16 +15,21 @@
 class watch_site
 {
 public:
-    explicit watch_site(const std::string &coldRemaining)
-        : m_health(std::move(*http_server::listen({},
-                                                  [this, coldRemaining](server_exchange &call) {
-                                                      ++m_checks;
-                                                      Poco::Net::HTTPResponse head;
-                                                      if (!coldRemaining.empty()) {
-                                                          head.set("Cold", coldRemaining);
-                                                      }
-                                                      call.respond(head, "");
-                                                  })))
+    // `isStatusValid` tells whether the response has a status; otherwise it is 0.
+    explicit watch_site(const std::string &coldRemaining, bool isStatusValid = true)
+        : m_health(std::move(
+            *http_server::listen({},
+                                 [this, coldRemaining, isStatusValid](server_exchange &call) {
+                                     ++m_checks;
+                                     Poco::Net::HTTPResponse head;
+                                     if (!isStatusValid) {
+                                         head.setStatus(Poco::Net::HTTPResponse::HTTPStatus{});
+                                     }
+                                     if (!coldRemaining.empty()) {
+                                         head.set("Cold", coldRemaining);
+                                     }
+                                     call.respond(head, "");
+                                 })))
         , m_codec(makeCodec())
         , m_dispatcher(m_codec, {}, m_quarantine)
         , m_watch({"ledger", 1.5, 8}, m_codec, m_dispatcher, m_loop, m_log, m_metrics)
@@ -141,3 +146,17 @@
     CHECK_FALSE(site.isCold());
     CHECK(site.checks() == 0);
 }
+
+// Guards against a cold time that is taken from a response with an invalid status.
+TEST_CASE("a health check with an invalid status states nothing", "[router][cold]")
+{
+    watch_site site("0", false);
+    const route_table routes = makeRoutes(9.8);
+    site.run([](cold_watch &watch, steady_time now) { watch.onRestartSign(now); });
+    site.tick(&routes);
+    REQUIRE(waitUntil([&] { return site.checks() == 1; }));
+    // Once the response is handled, an upstream that stated nothing is not asked again for seconds.
+    REQUIRE(waitUntil(
+        [&] { return !site.limit().needsStatement(std::chrono::steady_clock::now() + 1s); }));
+    CHECK(site.isCold());
+}
--- a/src/persimmonrail/upstream/tests/response_input_test.cpp
+++ b/src/persimmonrail/upstream/tests/response_input_test.cpp
@@ -57,6 +57,39 @@
     }
 }
 
+// Guards against a response with an invalid status that a caller of the gateway gets, and against
+// its connection being used again.
+TEST_CASE("a response of the upstream with an invalid status is no response", "[upstream][input]")
+{
+    const std::string status = GENERATE("000", "0", "199", "600");
+    CAPTURE(status);
+    const scripted_server server([&](Poco::Net::StreamSocket &socket, int index) {
+        while (!readHeadText(socket).empty()) {
+            sendText(socket,
+                     index > 0 ? std::string("HTTP/1.1 204 No Content\r\n\r\n")
+                               : "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    upstream_client upstreamClient{{}};
+    const steady_time now = std::chrono::steady_clock::now();
+    REQUIRE(upstreamClient
+                .announce({"standin", "standin-1", server.address(), 10, "b", false, true},
+                          now + testTimeout)
+                .ok());
+    const auto dispatch = [&] {
+        dispatch_request request;
+        request.message.setMethod("GET");
+        request.message.setURI("/standin/x");
+        request.requestId = "r";
+        request.deadline = std::chrono::steady_clock::now() + testTimeout;
+        discarding_sink sink;
+        return upstreamClient.dispatch(request, sink, std::chrono::steady_clock::now()).outcome;
+    };
+    CHECK(dispatch() == request_outcome::Unknown);
+    CHECK(dispatch() == request_outcome::Run);
+    CHECK(server.connectionCount() == 2);
+}
+
 // Guards against a malformed response of the platform that terminates the daemon.
 TEST_CASE("malformed responses of the platform result in a status", "[upstream][input]")
 {
