--- /dev/null
+++ b/src/persimmonrail/proxy/proxied_call.cpp
@@ -0,0 +1,489 @@
+#include "persimmonrail/proxy/proxied_call.h"
+
+#include "persimmonrail/base/header_names.h"
+#include "persimmonrail/base/text.h"
+#include "persimmonrail/gateway/caller_sink.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
+namespace persimmonrail {
+namespace {
+
+// Another attempt is very unlikely to succeed with less time left.
+constexpr milliseconds minTimeForAttempt{15};
+// For requests that state no timeout.
+constexpr milliseconds defaultTimeout{30000};
+constexpr milliseconds minRetryAfter{50};
+// Retry-After while all upstreams of a service are in evacuated zones. Operators decide when that
+// ends, seldom within less.
+constexpr milliseconds evacuatedRetryAfter{1000};
+
+steady_time clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+// Returns whether the reason suggests that the key is moving to another owner.
+bool isKeyMoving(proxy_reason reason)
+{
+    return reason == proxy_reason::NotOwner || reason == proxy_reason::OtherUpstream
+        || reason == proxy_reason::KeyNotHeld || reason == proxy_reason::Draining
+        || reason == proxy_reason::Evacuated;
+}
+
+} // namespace
+
+proxied_call::proxied_call(request_proxy &proxy, server_exchange &exchange)
+    : m_proxy(proxy)
+    , m_exchange(exchange)
+    , m_startedAt(clockNow())
+{ }
+
+void proxied_call::serve()
+{
+    proxy_result result = resolveRoute();
+    if (result.reason == proxy_reason::None) {
+        result = attemptWithRetries();
+    }
+    finish(result);
+}
+
+proxy_result proxied_call::resolveRoute()
+{
+    const caller_fields fields = m_proxy.m_codec.readCallerFields(m_exchange.request());
+    m_request.requestId = fields.requestId;
+    m_request.callerService = m_proxy.m_options.callerService;
+    m_request.message = m_exchange.request();
+    removeConnectionFields(m_request.message);
+    removePersimmonrailFields(m_request.message);
+    m_table = m_proxy.m_hooks.routes();
+    if (m_table == nullptr) {
+        return notRunResult(proxy_reason::NoDesiredState, milliseconds(500));
+    }
+    const auto &head = m_exchange.request();
+    m_route = m_table->find(head.getHost(), head.getURI());
+    if (m_route == nullptr) {
+        return notRunResult(proxy_reason::NoRoute);
+    }
+    if (fields.isMalformed || fields.requestId.empty()
+        || !m_table->hasOneRoute(head.getHost(), head.getURI())) {
+        return notRunResult(proxy_reason::MalformedRequest);
+    }
+    if (m_proxy.m_hooks.isClosed()) {
+        return notRunResult(proxy_reason::Stopping);
+    }
+    m_request.service = chooseTrafficShare(*m_route, m_proxy.randomBits()).service;
+    const service_rule *rule = m_table->findService(m_request.service);
+    if (rule != nullptr && rule->isKeyed) {
+        if (!fields.key) {
+            return notRunResult(proxy_reason::MissingKey);
+        }
+        m_request.key = fields.key;
+    }
+    m_request.route = m_route->name;
+    m_request.objective = m_route->objective;
+    m_request.rank = m_route->rank;
+    m_request.repeatable = m_route->repeatable;
+    const milliseconds timeout = fields.timeout.value_or(defaultTimeout);
+    m_request.deadline = std::min(m_startedAt + std::min(timeout, m_route->timeout),
+                                  m_proxy.m_hooks.shutdownDeadline());
+    m_request.objectiveEnd = m_startedAt + m_route->objective - callerRetryAge(fields.timeout);
+    m_exchange.setDeadline(m_request.deadline);
+    return {};
+}
+
+milliseconds proxied_call::callerRetryAge(const std::optional<milliseconds> &timeout)
+{
+    return m_proxy.m_options.detectsCallerRetries && timeout
+        ? m_proxy.m_attemptAges.estimate(m_route->name, *timeout, m_startedAt)
+        : milliseconds(0);
+}
+
+proxy_result proxied_call::attemptWithRetries()
+{
+    auto &service = m_proxy.findOrCreateService(m_request.service, m_startedAt);
+    service.retries.recordFirstAttempt(m_startedAt);
+    const steady_time ownerDeadline = m_startedAt + m_proxy.m_options.maxOwnerWait;
+    proxy_result result = notRunResult(proxy_reason::NoUpstream);
+    int sentAttempts = 0;
+    for (;;) {
+        const steady_time now = clockNow();
+        // The disconnection of the caller is detected even while the request body is unread.
+        if (m_exchange.connection().waitUntilClosed(now)) {
+            return callerDisconnected(result);
+        }
+        if (sentAttempts > 0 && !service.retries.tryRetry(now)) {
+            m_isRetryBudgetSpent = true;
+            return result;
+        }
+        if (result.reason != proxy_reason::None && now != m_startedAt) {
+            m_earlierCause = causeOfFailure(result.reason, result.keyState);
+        }
+        m_lastAttemptAt = now;
+        m_request.isRetry = sentAttempts > 0;
+        const proxy_result attempted = attemptOnce(service, now);
+        if (attempted.reason != proxy_reason::NoUpstream || sentAttempts == 0) {
+            // If an earlier attempt may have run, the caller must not be told that the request
+            // did not run.
+            const bool hadUnknownOutcome = m_hasUnknownOutcome;
+            result = attempted;
+            if (hadUnknownOutcome && result.outcome == request_outcome::NotRun) {
+                result.outcome = request_outcome::Unknown;
+            }
+        }
+        m_hasUnknownOutcome = m_hasUnknownOutcome || attempted.outcome == request_outcome::Unknown;
+        sentAttempts += attempted.hasReachedUpstream ? 1 : 0;
+        if (!canRetry(attempted, sentAttempts)) {
+            return result;
+        }
+        if (m_request.key) {
+            if (clockNow() + m_proxy.m_options.ownerRetryDelay >= ownerDeadline
+                || m_exchange.connection().waitUntilClosed(clockNow()
+                                                           + m_proxy.m_options.ownerRetryDelay)) {
+                return result;
+            }
+        } else if (attempted.reason == proxy_reason::NoUpstream) {
+            return result;
+        }
+    }
+}
+
+proxy_result proxied_call::callerDisconnected(proxy_result result)
+{
+    result.reason = proxy_reason::CallerDisconnected;
+    result.callerDisconnected = true;
+    return result;
+}
+
+steady_time proxied_call::lastAttemptEnd() const
+{
+    return std::min(m_request.deadline, m_proxy.m_hooks.shutdownDeadline());
+}
+
+bool proxied_call::canRetry(const proxy_result &result, int sentAttempts)
+{
+    if (result.outcome == request_outcome::Run || result.responseStarted
+        || result.callerDisconnected || clockNow() + minTimeForAttempt >= lastAttemptEnd()) {
+        return false;
+    }
+    if (result.outcome == request_outcome::Unknown
+        && (!m_request.repeatable || result.reason == proxy_reason::DeadlineExceeded)) {
+        return false;
+    }
+    if (result.outcome == request_outcome::NotRun && !isRetryable(result.reason)) {
+        return false;
+    }
+    if (m_overloadRejections >= m_proxy.m_options.maxOverloadRejections
+        || result.reason == proxy_reason::OverloadExpected || m_isServiceEvacuated) {
+        return false;
+    }
+    // A key has one owner. Waiting for the owner helps only while the key moves; a full queue,
+    // a lost host or a restart takes longer than a caller should wait.
+    if (m_request.key && !isKeyMoving(result.reason)) {
+        return false;
+    }
+    return sentAttempts < m_route->maxAttempts
+        && (m_exchange.framing().type == body_framing::kind::None || m_exchange.rewind());
+}
+
+proxy_result proxied_call::attemptOnce(request_proxy::service_state &service, steady_time now)
+{
+    const auto directory = m_proxy.m_hooks.directory();
+    const upstream_member *member =
+        m_request.key ? findOwner(*directory, service) : pickUpstream(*directory, service, now);
+    if (member == nullptr && isServiceEvacuated(*directory, m_request.service)) {
+        return evacuatedResult();
+    }
+    if (member == nullptr) {
+        return notRunResult(isOwnerEntryDue(*directory) ? proxy_reason::OtherUpstream
+                                                        : proxy_reason::NoUpstream);
+    }
+    m_request.upstream = member->id;
+    if (m_request.key && service.picker.isPenalized(member->id, now)) {
+        service.picker.finish(member->id, upstream_picker::result::Neutral, std::nullopt, now);
+        return notRunResult(proxy_reason::PeerUnreachable);
+    }
+    prepareZoneFields(service, now);
+    const bool isLocal = member->id == m_proxy.m_dispatcher.local().id;
+    const overload_throttle::request_class requestClass = throttleClass(member->id);
+    if (!isLocal) {
+        if (const auto retryAfter =
+                service.throttle.rejectLocally(requestClass, m_proxy.randomFraction(), now)) {
+            service.picker.finish(member->id, upstream_picker::result::Neutral, std::nullopt, now);
+            m_tried.push_back(member->id);
+            return notRunResult(proxy_reason::OverloadExpected, *retryAfter);
+        }
+    }
+    const steady_time sentAt = clockNow();
+    proxy_result result;
+    proxy_sink sink(m_exchange, {});
+    if (isLocal) {
+        m_proxy.recordArrival(m_request);
+        dispatch_times times;
+        result = m_proxy.m_dispatcher.dispatch(m_request, m_exchange, sink, times);
+        result.queue = m_proxy.m_dispatcher.queue();
+        result.timeSpent = spentUntil(times, clockNow());
+        result.zones = m_proxy.zonesFor(m_request);
+    } else if (!m_proxy.m_peers.liveness().tryBegin(member->peerAddress, sentAt)) {
+        result = notRunResult(proxy_reason::PeerSilent);
+    } else {
+        result = m_proxy.m_peers.forward(m_request, member->peerAddress, m_exchange, sink);
+        recordLoad(service.throttle, requestClass, result);
+        const bool isOverloaded = result.reason == proxy_reason::Overload
+            || result.reason == proxy_reason::TooManyConnections;
+        m_overloadRejections += isOverloaded ? 1 : 0;
+    }
+    service.picker.finish(member->id, pickerResult(result), result.queue, clockNow());
+    if (m_usesZoneShare) {
+        recordZones(service, *member, result, sink.bodyBytes());
+    }
+    m_tried.push_back(member->id);
+    logAttempt(result, clockNow() - sentAt, directory->revision());
+    if (result.reason == proxy_reason::Evacuated
+        && isServiceEvacuated(*directory, m_request.service)) {
+        return evacuatedResult();
+    }
+    return result;
+}
+
+proxy_result proxied_call::evacuatedResult()
+{
+    m_isServiceEvacuated = true;
+    return notRunResult(proxy_reason::Evacuated, evacuatedRetryAfter);
+}
+
+void proxied_call::prepareZoneFields(const request_proxy::service_state &service, steady_time now)
+{
+    m_usesZoneShare = !m_request.key && service.picker.usesZoneShare();
+    const bool counts = m_usesZoneShare && m_tried.empty();
+    m_request.originZone = counts ? m_proxy.m_options.availabilityZone : std::string();
+    m_request.wantsZones = m_usesZoneShare && service.picker.wantsZones(now);
+}
+
+double proxied_call::expectedBytes(const request_proxy::service_state &service) const
+{
+    return static_cast<double>(requestBytes()) + service.responseBytes.mean(m_request.route);
+}
+
+size_t proxied_call::requestBytes() const
+{
+    const body_framing framing = m_exchange.framing();
+    return framing.type == body_framing::kind::Length ? framing.length : 0;
+}
+
+void proxied_call::recordZones(request_proxy::service_state &service, const upstream_member &member,
+                               const proxy_result &result, size_t responseBytes)
+{
+    service.picker.learnZones(result.zones, clockNow());
+    if (result.outcome == request_outcome::Run) {
+        service.responseBytes.record(m_request.route, static_cast<double>(responseBytes));
+    }
+    const std::string labels =
+        absl::StrCat("service=\"", escapeLabel(m_request.service), "\",zone=\"",
+                     escapeLabel(member.availabilityZone), "\"");
+    m_proxy.m_metrics.count(
+        "persimmonrail_zone_requests_total",
+        absl::StrCat(labels, ",reason=\"", toAbsl(toString(service.picker.shareReason())), "\""));
+    m_proxy.m_metrics.count("persimmonrail_zone_bytes_total", labels,
+                            requestBytes() + responseBytes);
+    logShareChange(service);
+}
+
+void proxied_call::logShareChange(request_proxy::service_state &service)
+{
+    const auto change = service.picker.takeShareChange();
+    if (!change) {
+        return;
+    }
+    m_proxy.m_log.write(log_level::Info,
+                        absl::StrFormat("zone-share service=%s zone=%s from=%.2f to=%.2f reason=%s "
+                                        "own_demand=%.1f own_capacity=%.1f other_demand=%.1f "
+                                        "other_capacity=%.1f oldest_report_ms=%d",
+                                        m_request.service, m_proxy.m_options.availabilityZone,
+                                        change->from, change->to, toAbsl(toString(change->reason)),
+                                        change->ownDemand, change->ownCapacity, change->otherDemand,
+                                        change->otherCapacity, change->oldestReport.count()));
+}
+
+upstream_picker::result proxied_call::pickerResult(const proxy_result &attempted) const
+{
+    switch (attempted.reason) {
+    case proxy_reason::PeerUnreachable:
+        return upstream_picker::result::Failed;
+    case proxy_reason::NoResponse:
+    // A truncated response is none of these: a healthy upstream may truncate single ones, and
+    // each would keep it without requests for the time of the penalty.
+    case proxy_reason::InvalidResponse:
+    case proxy_reason::OtherUpstream:
+    case proxy_reason::UpstreamUnreachable:
+        return m_request.key ? upstream_picker::result::Reached : upstream_picker::result::Failed;
+    case proxy_reason::PeerSilent:
+        return upstream_picker::result::Neutral;
+    default:
+        return attempted.callerDisconnected ? upstream_picker::result::Neutral
+                                            : upstream_picker::result::Reached;
+    }
+}
+
+overload_throttle::request_class proxied_call::throttleClass(const upstream_id &upstream) const
+{
+    return {m_request.key ? upstream : upstream_id(), m_request.rank, m_request.objective};
+}
+
+void proxied_call::recordLoad(overload_throttle &throttle,
+                              const overload_throttle::request_class &requestClass,
+                              const proxy_result &result) const
+{
+    if (result.reason == proxy_reason::Overload) {
+        throttle.recordRejected(requestClass, result.retryAfter, clockNow());
+    } else if (result.outcome == request_outcome::Run) {
+        // Free capacity at one upstream does not imply free capacity at the others.
+        const bool hasCapacity = m_request.key && result.queue && result.queue->waiting == 0
+            && result.queue->running < result.queue->limit;
+        throttle.recordAccepted(requestClass, hasCapacity, clockNow());
+    }
+}
+
+const upstream_member *proxied_call::findOwner(const fleet_directory &directory,
+                                               request_proxy::service_state &service) const
+{
+    const fleet_directory::versioned_placement *versionedPlacement =
+        directory.findPlacement(m_request.service);
+    if (versionedPlacement == nullptr) {
+        return nullptr;
+    }
+    const owned_range &range = versionedPlacement->placement.rangeOf(*m_request.key);
+    const auto *versionedMember = directory.findMember(range.owner.name);
+    if (versionedMember == nullptr || versionedMember->member.id != range.owner
+        || (range.takeoverDelay.count() > 0 && !range.isCarriedOver())) {
+        return nullptr;
+    }
+    service.picker.begin(range.owner);
+    return &versionedMember->member;
+}
+
+bool proxied_call::isOwnerEntryDue(const fleet_directory &directory) const
+{
+    const auto *placement = m_request.key ? directory.findPlacement(m_request.service) : nullptr;
+    if (placement == nullptr) {
+        return false;
+    }
+    const upstream_id &owner = placement->placement.rangeOf(*m_request.key).owner;
+    const auto *known = directory.findMember(owner.name);
+    return !owner.isEmpty() && (known == nullptr || known->member.id.startedAt < owner.startedAt);
+}
+
+const upstream_member *proxied_call::pickUpstream(const fleet_directory &directory,
+                                                  request_proxy::service_state &service,
+                                                  steady_time now) const
+{
+    std::vector<const upstream_member *> members = directory.membersOf(m_request.service);
+    std::erase_if(members, [](const upstream_member *member) { return member->isDraining; });
+    std::vector<const upstream_member *> responsive = members;
+    std::erase_if(responsive, [&](const upstream_member *member) {
+        return m_proxy.m_peers.liveness().shouldAvoid(member->peerAddress, now);
+    });
+    const double bytes = expectedBytes(service);
+    const upstream_member *picked = service.picker.pick(responsive, m_tried, now, bytes);
+    return picked != nullptr ? picked : service.picker.pick(members, m_tried, now, bytes);
+}
+
+void proxied_call::logAttempt(const proxy_result &result, std::chrono::nanoseconds took,
+                              uint64_t revision)
+{
+    if (!m_proxy.m_log.isEnabled(log_level::Info)) {
+        return;
+    }
+    decision entry;
+    entry.kind = "attempt";
+    entry.requestId = m_request.requestId;
+    entry.service = m_request.service;
+    entry.instance = m_request.upstream.name;
+    entry.term = revision;
+    entry.outcome = toString(result.outcome);
+    const std::string reason = absl::StrCat(
+        toAbsl(toString(result.reason)), ",status:", result.status,
+        ",unanswered_probes:", result.unansweredProbes,
+        ",took_us:", std::chrono::duration_cast<std::chrono::microseconds>(took).count(),
+        lostFingerprintText(result));
+    entry.reason = reason;
+    m_proxy.m_log.write(entry);
+}
+
+void proxied_call::recordLoss(const proxy_result &result, steady_time now)
+{
+    const bool wasServed = result.outcome == request_outcome::Run;
+    if (!m_request.key || (wasServed && now <= m_request.objectiveEnd)) {
+        return;
+    }
+    const loss_cause cause = wasServed
+        ? causeOfDelay({m_lastAttemptAt - m_startedAt, m_earlierCause, now - m_lastAttemptAt,
+                        result.timeSpent})
+        : causeOfFailure(result.reason, result.keyState);
+    m_proxy.m_losses.record(
+        {m_request.service, cause, m_request.upstream.name, *m_request.key, wasServed}, now);
+    m_proxy.m_metrics.count("persimmonrail_keyed_lost_total",
+                            absl::StrCat("cause=\"", toAbsl(toString(cause)), "\",outcome=\"",
+                                         wasServed ? "late" : "not-served", "\""));
+}
+
+void proxied_call::finish(const proxy_result &result)
+{
+    const steady_time now = clockNow();
+    recordLoss(result, now);
+    const std::string rank = std::to_string(m_request.rank);
+    m_proxy.m_metrics.recordLatency(m_request.service, rank, result.outcome, now - m_startedAt);
+    if (result.outcome == request_outcome::Run || result.responseStarted
+        || result.callerDisconnected) {
+        return;
+    }
+    m_proxy.m_metrics.count("persimmonrail_refused_total",
+                            absl::StrCat("reason=\"", toAbsl(toString(result.reason)), "\""));
+    // Callers don't retry requests that are rejected as malformed.
+    const bool mayBeRetried = statusFor(result.reason, result.outcome) >= 500;
+    if (m_route != nullptr && mayBeRetried) {
+        m_proxy.m_attemptAges.recordFailure(m_route->name, now);
+    }
+    respondWithFailure(result);
+    logFailure(result, now);
+}
+
+void proxied_call::respondWithFailure(const proxy_result &result)
+{
+    Poco::Net::HTTPResponse head(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(statusFor(result.reason, result.outcome)));
+    head.setContentType("text/plain");
+    head.set(reasonHeader, std::string(toString(result.reason)));
+    if (result.outcome == request_outcome::NotRun && head.getStatus() == 503) {
+        const milliseconds retryAfter =
+            std::max(minRetryAfter,
+                     result.retryAfter.count() > 0 ? result.retryAfter
+                                                   : m_proxy.m_options.defaultRetryAfter);
+        head.set("Retry-After",
+                 absl::StrFormat("%.3f", std::chrono::duration<double>(retryAfter).count()));
+    }
+    m_exchange.respond(head, absl::StrCat(toAbsl(toString(result.reason)), "\n"));
+}
+
+void proxied_call::logFailure(const proxy_result &result, steady_time now)
+{
+    decision entry;
+    entry.kind = "refuse";
+    entry.requestId = m_request.requestId;
+    entry.service = m_request.service;
+    entry.instance = m_request.upstream.name;
+    entry.term = m_table ? m_table->version() : 0;
+    entry.outcome = toString(result.outcome);
+    const std::string reason = absl::StrCat(
+        toAbsl(toString(result.reason)), m_isRetryBudgetSpent ? ",retry-budget-spent" : "",
+        ",attempts:", m_tried.size(), ",took_us:",
+        std::chrono::duration_cast<std::chrono::microseconds>(now - m_startedAt).count(),
+        ",route:", m_route ? m_route->name : std::string("none"));
+    entry.reason = reason;
+    m_proxy.m_log.write(entry);
+}
+
+} // namespace persimmonrail
--- a/src/persimmonrail/proxy/proxy_types.h
+++ b/src/persimmonrail/proxy/proxy_types.h
@@ -110,4 +110,8 @@
     return result;
 }
 
+// Returns the fingerprint of a request that lost its connection to the local upstream, as a part of
+// a log line, since the request may have crashed the upstream; empty if there is none.
+std::string lostFingerprintText(const proxy_result &result);
+
 } // namespace persimmonrail
