Don't publish an earlier incarnation that only a late heartbeat has shown

A restarted daemon takes a late heartbeat of an earlier incarnation before it has listed the directory, and the running one's next: the earlier one stayed among the members to be published, and was published once the list arrived.

--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -111,6 +111,11 @@
         return false;
     }
     if (before && m_upstream.report() && before->id != m_upstream.report()->id) {
+        // The store may not know the earlier incarnation, if a heartbeat of it arrived late. If the
+        // store does, its end is published from the directory.
+        if (before->id.name != m_upstream.report()->id.name) {
+            m_publisher->stopPublishing(before->id.name);
+        }
         // The earlier incarnation's process has ended; otherwise its address would still be in use.
         m_dispatcher->closeIdleConnections(before->address);
         if (phaseBefore == upstream_phase::Ready || phaseBefore == upstream_phase::Silent) {
