--- a/src/persimmonrail/router/range_controller_ended.cpp
+++ b/src/persimmonrail/router/range_controller_ended.cpp
@@ -16,7 +16,8 @@
 
 bool range_controller::releaseEnded(const upstream_id &ended)
 {
-    if (m_endedReleases.contains(ended)) {
+    // A write under way may record keys for the ended incarnation.
+    if (m_endedReleases.contains(ended) || m_isWritePending) {
         return false;
     }
     std::vector<range_grant> grants;
--- a/src/persimmonrail/router/tests/reincarnation_test.cpp
+++ b/src/persimmonrail/router/tests/reincarnation_test.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <future>
 #include <optional>
 
 using namespace persimmonrail;
@@ -197,3 +198,50 @@
     REQUIRE(waitUntil([&] { return site.refused().has_value(); }));
     CHECK(*site.refused() == first);
 }
+
+// Guards against OWNER: the end of an incarnation is published while a write that gives it keys is
+// under way, so that the keys are recorded for it afterwards.
+TEST_CASE("no end is published while a write is under way", "[router]")
+{
+    std::promise<void> response;
+    const std::shared_future<void> responded = response.get_future().share();
+    std::atomic<bool> isWriting{false};
+    object_api store;
+    store.get = [](const std::string &) { return absl::NotFoundError("none"); };
+    store.put = [&](const std::string &, uint64_t,
+                    const std::string &) -> absl::StatusOr<uint64_t> {
+        isWriting = true;
+        responded.wait();
+        return 3;
+    };
+    upstream_processes processes;
+    control_loop loop;
+    decision_log log({log_level::Off, "", 0, false});
+    fleet_directory_builder builder([](const std::string &, std::string_view) {});
+    range_controller controller(service, {}, store, processes.api(), loop, log,
+                                {[&](const stored_object &object) {
+                                    builder.applyObject(object);
+                                    controller.onDirectory(builder.build(), {});
+                                }});
+    loop.every(10ms, [&](steady_time now) { controller.tick(now); });
+    loop.start();
+    loop.postAndWait([&](steady_time) {
+        builder.applyObject(
+            {placementKey(service), 2, false, encodePlacement(emptyPlacement(service))});
+        controller.onDirectory(builder.build(), store_confirmation{2, bootNow()});
+        controller.setUpstream(first, address, false);
+        range_controller::peer_view peers;
+        peers.live = {{first, 9}};
+        peers.isCoordinator = true;
+        controller.setPeers(peers);
+    });
+    REQUIRE(waitUntil([&] { return isWriting.load(); }));
+    const auto mayPublishEnd = [&] {
+        bool mayPublish = false;
+        loop.postAndWait([&](steady_time) { mayPublish = controller.releaseEnded(first); });
+        return mayPublish;
+    };
+    CHECK_FALSE(mayPublishEnd());
+    response.set_value();
+    loop.stop();
+}
--- a/src/persimmonrail/router/tests/restore_simulation.h
+++ b/src/persimmonrail/router/tests/restore_simulation.h
@@ -59,6 +59,8 @@
     bool connectionFences = false;
     // The end of an incarnation is published before its keys are released.
     bool releaseEnded = false;
+    // The end of an incarnation is published while a write of its daemon is under way.
+    bool pendingWrites = false;
     // Releases do not supersede the grants that have no response.
     bool supersedeEnded = false;
     // A daemon that starts grants keys under the fences that it finds recorded.
--- a/src/persimmonrail/router/tests/restore_simulation_daemon.cpp
+++ b/src/persimmonrail/router/tests/restore_simulation_daemon.cpp
@@ -187,7 +187,8 @@
 bool restore_simulation::isReleased(simulated_daemon &daemon, int64_t ended)
 {
     const upstream_id id = idOf(daemon.index, ended);
-    if (daemon.releasing.contains(ended)) {
+    // A write under way may record keys for the ended incarnation.
+    if (daemon.releasing.contains(ended) || (daemon.isWritePending && !m_disabled.pendingWrites)) {
         return false;
     }
     if (!daemon.record || daemon.recordEpoch != daemon.epoch
