Name the load of zones, work factors and health checks by what they are

A read of the new parts by someone new to them stumbled on names: zone_census is now zone_load_monitor, zone_state is zone_load, work_speed is recent_work_factor, and the questions of the cold limit are health checks.

--- a/src/persimmonrail/proxy/cold_rate_limit.cpp
+++ b/src/persimmonrail/proxy/cold_rate_limit.cpp
@@ -13,19 +13,19 @@
 // at once.
 constexpr milliseconds lossInterval{250};
 // A check costs the upstream little, but is not free.
-constexpr milliseconds questionInterval{100};
+constexpr milliseconds checkInterval{100};
 // While the upstream is cold, its checks count among the few requests that it tolerates.
-constexpr milliseconds coldQuestionInterval{500};
-// For upstreams whose answers contain no statement, which probably won't state one later.
-constexpr milliseconds unansweredQuestionInterval{5000};
+constexpr milliseconds coldCheckInterval{500};
+// For upstreams whose responses to checks state no cold time, which probably won't state one later.
+constexpr milliseconds checkIntervalWithoutStatement{5000};
 // Share of the slack that requests may use that start before the upstream has stated that it became
 // cold. The rest is for checks and late arrivals.
 constexpr double unstatedSlackShare = 0.75;
 // Share of the slack that requests may use that are sent again.
 constexpr double resendSlackShare = 0.5;
-// The daemon asks once one of this many equal parts of the permitted starts has been used since the
-// last statement.
-constexpr int questionParts = 4;
+// The daemon checks once one of this many equal parts of the permitted starts has been used since
+// the last statement.
+constexpr int checkParts = 4;
 
 } // namespace
 
@@ -135,7 +135,7 @@
     if (isCold(now)) {
         return std::min(nextColdStart(m_starts, now), m_coldUntil);
     }
-    if (!isEnabled() || !m_answersQuestions) {
+    if (!isEnabled() || !m_checksStateColdTime) {
         return now;
     }
     if (unstatedStarts(now) < permittedUnstated()) {
@@ -191,30 +191,30 @@
     return true;
 }
 
-bool cold_rate_limit::needsStatement(steady_time now) const
+bool cold_rate_limit::needsCheck(steady_time now) const
 {
-    if (!isEnabled() || m_isRateUnknown || now < m_nextQuestionAt) {
+    if (!isEnabled() || m_isRateUnknown || now < m_nextCheckAt) {
         return false;
     }
     if (isCold(now)) {
         return m_coldUntil == steady_time::max();
     }
-    return unstatedStarts(now) * questionParts >= permittedUnstated();
+    return unstatedStarts(now) * checkParts >= permittedUnstated();
 }
 
-void cold_rate_limit::recordQuestion(steady_time now)
+void cold_rate_limit::recordCheck(steady_time now)
 {
-    const milliseconds interval = !m_answersQuestions ? unansweredQuestionInterval
-        : isCold(now)                                 ? coldQuestionInterval
-                                                      : questionInterval;
-    m_nextQuestionAt = now + interval;
+    const milliseconds interval = !m_checksStateColdTime ? checkIntervalWithoutStatement
+        : isCold(now)                                    ? coldCheckInterval
+                                                         : checkInterval;
+    m_nextCheckAt = now + interval;
 }
 
-void cold_rate_limit::recordAnswer(bool hasStatement)
+void cold_rate_limit::recordCheckResponse(bool hasStatement)
 {
-    if (hasStatement && !m_answersQuestions) {
-        m_answersQuestions = true;
-        m_nextQuestionAt = {};
+    if (hasStatement && !m_checksStateColdTime) {
+        m_checksStateColdTime = true;
+        m_nextCheckAt = {};
     }
 }
 
--- a/src/persimmonrail/proxy/cold_rate_limit.h
+++ b/src/persimmonrail/proxy/cold_rate_limit.h
@@ -31,8 +31,8 @@
 // A statement is what a heartbeat or the response to a health check says about the cold time. An
 // upstream may become cold at any moment, and the daemon learns it only from the next statement, so
 // an upstream is known to be warm only up to its latest statement. Once a health check has been
-// answered with a statement, the starts after the latest one stay below the bound within any
-// second; before that is reached, needsStatement() tells the daemon to send a health check.
+// responded to with a statement, the starts after the latest one stay below the bound within any
+// second; before that is reached, needsCheck() tells the daemon to send a health check.
 //
 // Reads no clock and does no I/O. Not thread safe.
 class cold_rate_limit
@@ -77,12 +77,12 @@
     // Records that a request is sent once more and returns true if the upstream tolerates it.
     bool tryResend(steady_time now);
 
-    // Returns whether the daemon should ask the upstream by a health check whether it is cold.
-    bool needsStatement(steady_time now) const;
-    // Records that the daemon asks the upstream.
-    void recordQuestion(steady_time now);
-    // Records an answer to the question; `hasStatement` tells whether it contains a statement.
-    void recordAnswer(bool hasStatement);
+    // Returns whether a health check is due, which tells whether the upstream is cold.
+    bool needsCheck(steady_time now) const;
+    // Records that a health check is sent.
+    void recordCheck(steady_time now);
+    // Records the response to a health check; `hasStatement` tells whether it states the cold time.
+    void recordCheckResponse(bool hasStatement);
 
 private:
     // Returns the number of starts after `since`.
@@ -104,9 +104,9 @@
     steady_time m_lastLossAt{};
     // Starts of the last second, earliest first.
     std::deque<steady_time> m_starts;
-    // Whether the upstream has answered a question with a statement.
-    bool m_answersQuestions = false;
-    steady_time m_nextQuestionAt{};
+    // Whether the response to a health check has stated the cold time.
+    bool m_checksStateColdTime = false;
+    steady_time m_nextCheckAt{};
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/proxy_types.h
+++ b/src/persimmonrail/proxy/proxy_types.h
@@ -80,7 +80,7 @@
     // Times of a request that the upstream ran; nullopt if unknown.
     std::optional<time_spent> timeSpent;
     // States of the service's zones; empty if unknown.
-    std::vector<zone_state> zones;
+    std::vector<zone_load> zones;
 };
 
 // Moments of a request at the daemon beside the upstream.
--- a/src/persimmonrail/proxy/work_speed.cpp
+++ b/src/persimmonrail/proxy/recent_work_factor.cpp
@@ -1,4 +1,4 @@
-#include "persimmonrail/proxy/work_speed.h"
+#include "persimmonrail/proxy/recent_work_factor.h"
 
 namespace persimmonrail {
 namespace {
@@ -11,7 +11,7 @@
 
 } // namespace
 
-void work_speed::record(double factor, steady_time now)
+void recent_work_factor::record(double factor, steady_time now)
 {
     // The comparison is false for NaN.
     if (factor >= minFactor && factor <= maxFactor) {
@@ -20,7 +20,7 @@
     }
 }
 
-double work_speed::factor(steady_time now) const
+double recent_work_factor::factor(steady_time now) const
 {
     return now - m_recordedAt < factorLifetime ? m_factor : 1;
 }
--- a/src/persimmonrail/proxy/work_speed.h
+++ b/src/persimmonrail/proxy/recent_work_factor.h
@@ -6,7 +6,7 @@
 
 // How long work takes at the upstream at this moment, as a factor on the usual time, from what its
 // responses state. Not thread safe.
-class work_speed
+class recent_work_factor
 {
 public:
     // Takes the factor of a response. Ignores values outside 0.1 to 100.
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -127,10 +127,10 @@
     }
 }
 
-std::vector<zone_state> request_proxy::zonesFor(const proxied_request &request) const
+std::vector<zone_load> request_proxy::zonesFor(const proxied_request &request) const
 {
     return m_hooks.zoneStates && request.wantsZones ? m_hooks.zoneStates()
-                                                    : std::vector<zone_state>();
+                                                    : std::vector<zone_load>();
 }
 
 bool request_proxy::isPeerRequestInFlight(const std::string &requestId)
--- a/src/persimmonrail/proxy/request_proxy.h
+++ b/src/persimmonrail/proxy/request_proxy.h
@@ -76,7 +76,7 @@
     // together with zoneStates.
     std::function<void(std::string_view zone, steady_time now)> recordZoneArrival;
     // Returns what is known of the zones of the local service.
-    std::function<std::vector<zone_state>()> zoneStates;
+    std::function<std::vector<zone_load>()> zoneStates;
 };
 
 // Proxies callers' requests to upstreams through the daemons beside them, and other daemons'
@@ -117,7 +117,7 @@
     // Counts a first attempt at the local upstream in the demand of its caller's zone.
     void recordArrival(const proxied_request &request);
     // Returns the states of the zones that a response tells; empty if the request asks for none.
-    std::vector<zone_state> zonesFor(const proxied_request &request) const;
+    std::vector<zone_load> zonesFor(const proxied_request &request) const;
     bool isPeerRequestInFlight(const std::string &requestId);
     // Returns 64 random bits.
     uint64_t randomBits();
--- a/src/persimmonrail/proxy/slot_queue.cpp
+++ b/src/persimmonrail/proxy/slot_queue.cpp
@@ -156,7 +156,7 @@
                                            rejection &rejected)
 {
     updateOrder(now);
-    m_workFactor = m_workSpeed.factor(now);
+    m_workFactor = m_recentWorkFactor.factor(now);
     recordArrival(request, now);
     const double wait = expectedWait(request, now);
     const double serviceTime = serviceTimeOf(request.route);
@@ -259,7 +259,7 @@
         return;
     }
     if (isRepresentative) {
-        const double took = seconds(now - found->second.startedAt) / m_workSpeed.factor(now);
+        const double took = seconds(now - found->second.startedAt) / m_recentWorkFactor.factor(now);
         const auto entry = m_serviceTimes.try_emplace(found->second.request.route, took).first;
         entry->second += (took - entry->second) * m_options.smoothingFactor;
         m_meanServiceTime = m_meanServiceTime > 0
@@ -286,7 +286,7 @@
 
 std::chrono::microseconds slot_queue::meanServiceTime(steady_time now) const
 {
-    const double present = m_meanServiceTime * m_workSpeed.factor(now);
+    const double present = m_meanServiceTime * m_recentWorkFactor.factor(now);
     return std::chrono::microseconds(static_cast<int64_t>(present * 1e6));
 }
 
--- a/src/persimmonrail/proxy/slot_queue.h
+++ b/src/persimmonrail/proxy/slot_queue.h
@@ -2,7 +2,7 @@
 
 #include "persimmonrail/base/clock.h"
 #include "persimmonrail/proxy/cold_rate_limit.h"
-#include "persimmonrail/proxy/work_speed.h"
+#include "persimmonrail/proxy/recent_work_factor.h"
 
 #include <cstdint>
 #include <list>
@@ -74,7 +74,10 @@
     const cold_rate_limit &coldLimit() const { return m_coldLimit; }
     // Takes how long work takes at the upstream now, as a factor on the usual time. Service times
     // are kept as usual ones, and the expected ones follow the factor.
-    void recordWorkFactor(double factor, steady_time now) { m_workSpeed.record(factor, now); }
+    void recordWorkFactor(double factor, steady_time now)
+    {
+        m_recentWorkFactor.record(factor, now);
+    }
 
     struct rejection
     {
@@ -160,7 +163,7 @@
     // Moving average in seconds, by route.
     std::map<std::string, double> m_serviceTimes;
     double m_meanServiceTime = 0;
-    work_speed m_workSpeed;
+    recent_work_factor m_recentWorkFactor;
     // Factor as of the last submit().
     double m_workFactor = 1;
     std::map<std::string, route_load> m_loads;
--- a/src/persimmonrail/proxy/tests/cold_rate_limit_test.cpp
+++ b/src/persimmonrail/proxy/tests/cold_rate_limit_test.cpp
@@ -96,7 +96,7 @@
 }
 
 // Guards against a crash of a running upstream: a busy one becomes cold at a random moment, which
-// its daemon learns by the next report, or by a check that is answered within 20 ms.
+// its daemon learns by the next report, or by a check whose response arrives within 20 ms.
 TEST_CASE("a change to cold that is noticed late exceeds no bound", "[relay][cold]")
 {
     const double load = GENERATE(10.0, 25.0, 47.0, 150.0);
@@ -105,8 +105,8 @@
     std::mt19937 random(seed);
     std::exponential_distribution<double> gap(load / 1000);
     cold_rate_limit limit = makeLimit(giftCards);
-    limit.recordQuestion(start);
-    limit.recordAnswer(true);
+    limit.recordCheck(start);
+    limit.recordCheckResponse(true);
     const milliseconds coldFrom(4000 + random() % 2000);
     const milliseconds coldTo = coldFrom + 3s;
     const auto remainingAt = [&](milliseconds at) {
@@ -116,19 +116,19 @@
     int startsWhenWarm = 0;
     int waiting = 0;
     double nextArrival = 0;
-    std::optional<milliseconds> askedAt;
+    std::optional<milliseconds> checkedAt;
     for (milliseconds at{0}; at < 9s; ++at) {
         const steady_time now = start + at;
         if (at % reportInterval == 0ms) {
             limit.recordStatement(remainingAt(at), now, now);
         }
-        if (askedAt && at == *askedAt + 20ms) {
-            limit.recordStatement(remainingAt(*askedAt), start + *askedAt, now);
-            askedAt.reset();
+        if (checkedAt && at == *checkedAt + 20ms) {
+            limit.recordStatement(remainingAt(*checkedAt), start + *checkedAt, now);
+            checkedAt.reset();
         }
-        if (at % 100ms == 0ms && !askedAt && limit.needsStatement(now)) {
-            limit.recordQuestion(now);
-            askedAt = at;
+        if (at % 100ms == 0ms && !checkedAt && limit.needsCheck(now)) {
+            limit.recordCheck(now);
+            checkedAt = at;
         }
         for (; nextArrival <= static_cast<double>(at.count()); nextArrival += gap(random)) {
             waiting = std::min(waiting + 1, 40);
@@ -247,7 +247,7 @@
     limit.recordRestartSign(start);
     CHECK_FALSE(limit.isEnabled());
     CHECK_FALSE(limit.isCold(start));
-    CHECK_FALSE(limit.needsStatement(start));
+    CHECK_FALSE(limit.needsCheck(start));
     for (int i = 0; i < 1000; ++i) {
         CHECK(limit.nextStart(start) == start);
         CHECK(limit.startOfNth(100, start) == start);
--- a/src/persimmonrail/proxy/tests/zone_picker_test.cpp
+++ b/src/persimmonrail/proxy/tests/zone_picker_test.cpp
@@ -31,7 +31,7 @@
 }
 
 // States of two zones with 100 requests a second of capacity each, from the demands.
-std::vector<zone_state> states(double nord, double sued, steady_time reportedAt)
+std::vector<zone_load> states(double nord, double sued, steady_time reportedAt)
 {
     return {{"nord", 2, 18, 0, 0, 100, nord, reportedAt},
             {"sued", 2, 18, 0, 0, 100, sued, reportedAt}};
--- a/src/persimmonrail/proxy/tests/zone_request_test.cpp
+++ b/src/persimmonrail/proxy/tests/zone_request_test.cpp
@@ -64,8 +64,8 @@
             m_received.push_back(exchange.request());
         }
         const steady_time now = std::chrono::steady_clock::now();
-        const std::vector<zone_state> zones{{"nord", 1, 9, 0, 0, 100, 20, now},
-                                            {"sued", 1, 9, 0, 0, 100, 20, now}};
+        const std::vector<zone_load> zones{{"nord", 1, 9, 0, 0, 100, 20, now},
+                                           {"sued", 1, 9, 0, 0, 100, 20, now}};
         if (m_rejections-- > 0) {
             proxy_result rejected = notRunResult(proxy_reason::Overload, 80ms);
             rejected.zones = zones;
--- a/src/persimmonrail/proxy/upstream_picker.cpp
+++ b/src/persimmonrail/proxy/upstream_picker.cpp
@@ -130,7 +130,7 @@
     std::erase_if(m_zones, [&](const auto &entry) {
         return now - entry.second.reportedAt > m_options.zoneShare.maxReportAge;
     });
-    std::vector<zone_state> zones;
+    std::vector<zone_load> zones;
     for (auto [name, zone] : m_zones) {
         // The directory shows sooner than reports that a zone has no upstream.
         zone.capacity = zonesWithMembers.contains(name) ? zone.capacity : 0;
@@ -157,14 +157,14 @@
     }
 }
 
-void upstream_picker::learnZones(const std::vector<zone_state> &zones, steady_time now)
+void upstream_picker::learnZones(const std::vector<zone_load> &zones, steady_time now)
 {
     if (zones.empty()) {
         return;
     }
     const std::lock_guard lock(m_mutex);
     m_zonesLearnedAt = now;
-    for (const zone_state &zone : zones) {
+    for (const zone_load &zone : zones) {
         const auto known = m_zones.find(zone.zone);
         if (known == m_zones.end() ? m_zones.size() < maxZones
                                    : known->second.reportedAt < zone.reportedAt) {
--- a/src/persimmonrail/proxy/upstream_picker.h
+++ b/src/persimmonrail/proxy/upstream_picker.h
@@ -65,7 +65,7 @@
                                 const std::vector<upstream_id> &tried, steady_time now,
                                 double bytes = 0);
     // Takes reports of the service's zones, unless those known of a zone are newer.
-    void learnZones(const std::vector<zone_state> &zones, steady_time now);
+    void learnZones(const std::vector<zone_load> &zones, steady_time now);
     // Returns whether the share that leaves the zone is decided by reports of the zones.
     bool usesZoneShare() const { return m_options.zoneShare.crossingCost.count() > 0; }
     // Returns whether responses should tell about the zones.
@@ -118,7 +118,7 @@
     std::map<upstream_id, upstream_load> m_entries;
     zone_share m_share;
     steady_time m_shareUpdatedAt{};
-    std::map<std::string, zone_state> m_zones;
+    std::map<std::string, zone_load> m_zones;
     steady_time m_zonesLearnedAt{};
 };
 
--- a/src/persimmonrail/router/cold_watch.cpp
+++ b/src/persimmonrail/router/cold_watch.cpp
@@ -42,10 +42,10 @@
     const service_rule *rule = routes != nullptr ? routes->findService(m_options.service) : nullptr;
     takeRule(rule, routes != nullptr, now);
     reportChanges(now);
-    const bool canAsk = rule != nullptr && !rule->healthPath.empty() && m_codec.readColdRemaining
+    const bool canCheck = rule != nullptr && !rule->healthPath.empty() && m_codec.readColdRemaining
         && upstream.rejectReason == proxy_reason::None && !upstream.address.empty();
-    if (canAsk && !m_isAsking && m_dispatcher.coldLimit().needsStatement(now)) {
-        ask(upstream.address, rule->healthPath, now);
+    if (canCheck && !m_isChecking && m_dispatcher.coldLimit().needsCheck(now)) {
+        check(upstream.address, rule->healthPath, now);
     }
 }
 
@@ -98,19 +98,19 @@
                                  now);
 }
 
-void cold_watch::ask(const std::string &address, const std::string &path, steady_time now)
+void cold_watch::check(const std::string &address, const std::string &path, steady_time now)
 {
-    m_isAsking = true;
-    m_dispatcher.changeColdLimit([now](cold_rate_limit &limit) { limit.recordQuestion(now); }, now);
+    m_isChecking = true;
+    m_dispatcher.changeColdLimit([now](cold_rate_limit &limit) { limit.recordCheck(now); }, now);
     m_worker.enqueue([this, address, path] {
-        const steady_time askedAt = std::chrono::steady_clock::now();
+        const steady_time checkedAt = std::chrono::steady_clock::now();
         client_request request;
         request.address = address;
         request.message.setMethod("GET");
         request.message.setURI(path);
         request.repeatable = true;
         request.acceptsUnframed = true;
-        request.deadline = askedAt + m_options.questionTimeout;
+        request.deadline = checkedAt + m_options.checkTimeout;
         discarding_sink sink;
         const exchange_result result = m_client.exchange(request, sink);
         std::optional<milliseconds> remaining;
@@ -118,21 +118,21 @@
             remaining = m_codec.readColdRemaining(result.head);
         }
         const steady_time receivedAt = std::chrono::steady_clock::now();
-        m_loop.post([this, remaining, askedAt, receivedAt](steady_time) {
-            onAnswer(remaining, askedAt, receivedAt);
+        m_loop.post([this, remaining, checkedAt, receivedAt](steady_time) {
+            onCheckResponse(remaining, checkedAt, receivedAt);
         });
     });
 }
 
-void cold_watch::onAnswer(std::optional<milliseconds> coldRemaining, steady_time askedAt,
-                          steady_time receivedAt)
+void cold_watch::onCheckResponse(std::optional<milliseconds> coldRemaining, steady_time checkedAt,
+                                 steady_time receivedAt)
 {
-    m_isAsking = false;
+    m_isChecking = false;
     m_dispatcher.changeColdLimit(
         [&](cold_rate_limit &limit) {
-            limit.recordAnswer(coldRemaining.has_value());
+            limit.recordCheckResponse(coldRemaining.has_value());
             if (coldRemaining) {
-                limit.recordStatement(*coldRemaining, askedAt, receivedAt);
+                limit.recordStatement(*coldRemaining, checkedAt, receivedAt);
             }
         },
         receivedAt);
--- a/src/persimmonrail/router/cold_watch.h
+++ b/src/persimmonrail/router/cold_watch.h
@@ -21,10 +21,10 @@
     double overshoot = 1;
     int slack = 0;
     // Interval at which tick() is to be called. It bounds the requests that a busy upstream gets
-    // after it has become cold and before the daemon asks it.
+    // after it has become cold and before the daemon checks it.
     milliseconds interval{100};
     // An upstream responds to a health check immediately.
-    milliseconds questionTimeout{500};
+    milliseconds checkTimeout{500};
 };
 
 // Tells the limit of the dispatcher (cold_rate_limit) what the desired state, the reports and the
@@ -50,9 +50,9 @@
 private:
     void takeRule(const service_rule *rule, bool isRuleKnown, steady_time now);
     void reportChanges(steady_time now);
-    void ask(const std::string &address, const std::string &path, steady_time now);
-    void onAnswer(std::optional<milliseconds> coldRemaining, steady_time askedAt,
-                  steady_time receivedAt);
+    void check(const std::string &address, const std::string &path, steady_time now);
+    void onCheckResponse(std::optional<milliseconds> coldRemaining, steady_time checkedAt,
+                         steady_time receivedAt);
 
     const cold_watch_options m_options;
     const exchange_codec &m_codec;
@@ -62,7 +62,7 @@
     metrics &m_metrics;
     double m_requestsPerSecond = 0;
     bool m_isRuleKnown = false;
-    bool m_isAsking = false;
+    bool m_isChecking = false;
     bool m_wasCold = false;
     uint64_t m_reportedDelays = 0;
     http_client m_client;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -96,9 +96,9 @@
         m_settings.service, m_quarantine, m_store, m_loop, m_log, onObject);
     peer_monitor::statuses_hook onStatuses;
     if (m_settings.zoneCrossingCost.count() > 0) {
-        m_zoneCensus = std::make_unique<zone_census>();
+        m_zoneLoads = std::make_unique<zone_load_monitor>();
         onStatuses = [this](const std::string &body, steady_time now) {
-            m_zoneCensus->readArrivals(body, now);
+            m_zoneLoads->readArrivals(body, now);
         };
     }
     m_peers = std::make_unique<peer_monitor>(m_loop, peer_monitor_options(), onStatuses);
@@ -325,11 +325,11 @@
     hooks.isClosed = [this] { return m_isDispatchClosed.load(); };
     hooks.shutdownDeadline = [this] { return m_shutdownDeadline.load(); };
     hooks.makeRandom = makeRandomSource;
-    if (m_zoneCensus != nullptr) {
+    if (m_zoneLoads != nullptr) {
         hooks.recordZoneArrival = [this](std::string_view zone, steady_time now) {
-            m_zoneCensus->recordArrival(zone, now);
+            m_zoneLoads->recordArrival(zone, now);
         };
-        hooks.zoneStates = [this] { return m_zoneCensus->states(); };
+        hooks.zoneStates = [this] { return m_zoneLoads->states(); };
     }
     return hooks;
 }
@@ -377,8 +377,8 @@
         }
     }
     std::string text = encodeStatuses({m_dispatcher->queue(), target.id, acceptsRequests}, others);
-    if (m_zoneCensus != nullptr) {
-        text += m_zoneCensus->encodeArrivals(target.id, std::chrono::steady_clock::now());
+    if (m_zoneLoads != nullptr) {
+        text += m_zoneLoads->encodeArrivals(target.id, std::chrono::steady_clock::now());
     }
     return text;
 }
@@ -386,7 +386,7 @@
 bool router::state::isReady() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_routes != nullptr && m_isDirectoryListed && m_zoneState.isKnown && !m_isStopping;
+    return m_routes != nullptr && m_isDirectoryListed && m_ownEvacuation.isKnown && !m_isStopping;
 }
 
 void router::state::serveReady(server_exchange &exchange)
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -14,7 +14,7 @@
 #include "persimmonrail/router/range_controller.h"
 #include "persimmonrail/router/router.h"
 #include "persimmonrail/router/store_proxy.h"
-#include "persimmonrail/router/zone_census.h"
+#include "persimmonrail/router/zone_load_monitor.h"
 
 #include <atomic>
 #include <map>
@@ -117,8 +117,8 @@
     void serveReady(server_exchange &exchange);
     std::string renderStatuses() const;
     void servePeer(server_exchange &exchange);
-    // Takes the present members and statuses of the local service into the census of its zones.
-    void updateZoneCensus(const fleet_directory &directory, steady_time now);
+    // Takes the present members and statuses of the local service into the monitor of its zones.
+    void updateZoneLoads(const fleet_directory &directory, steady_time now);
     bool isReady() const;
     request_proxy_hooks makeProxyHooks();
     upstream_dispatcher_hooks makeDispatcherHooks();
@@ -149,7 +149,7 @@
     // Requests that were in flight when an upstream crashed.
     crash_quarantine m_quarantine;
     // What is known of the local service in each zone; null without zone-crossing-cost.
-    std::unique_ptr<zone_census> m_zoneCensus;
+    std::unique_ptr<zone_load_monitor> m_zoneLoads;
     // The fleet's objects, for daemons that follow this daemon.
     change_feed m_feed;
     // Set during the shutdown, when the daemon stops dispatching requests to its upstream and
@@ -177,7 +177,7 @@
     local_upstream_state m_target;
     zone_evacuation m_evacuation;
     // Evacuation of the own zone.
-    evacuation_state m_zoneState;
+    evacuation_state m_ownEvacuation;
     // Statuses of the peers as of m_peerStatusesAt, to be forwarded to the peers.
     std::vector<forwarded_status> m_peerStatuses;
     steady_time m_peerStatusesAt{};
--- a/src/persimmonrail/router/router_state_evacuation.cpp
+++ b/src/persimmonrail/router/router_state_evacuation.cpp
@@ -22,7 +22,7 @@
 {
     if (!usesEvacuation()) {
         const std::lock_guard lock(m_mutex);
-        m_zoneState.isKnown = true;
+        m_ownEvacuation.isKnown = true;
         return;
     }
     object_watcher::hooks hooks;
@@ -53,7 +53,7 @@
         } else {
             m_evacuation.apply(objects, receivedAt);
         }
-        m_zoneState = m_evacuation.stateOf(m_settings.availabilityZone);
+        m_ownEvacuation = m_evacuation.stateOf(m_settings.availabilityZone);
     }
     m_loop.post([this, receivedAt](steady_time) { showEvacuations(receivedAt); });
 }
@@ -65,7 +65,7 @@
     {
         const std::lock_guard lock(m_mutex);
         zones = m_evacuation.zones();
-        isOwnEvacuated = m_zoneState.isEvacuated;
+        isOwnEvacuated = m_ownEvacuation.isEvacuated;
     }
     if (zones == m_shownEvacuations) {
         return;
@@ -147,9 +147,9 @@
 
 void router::state::restrictToAdmission(local_upstream_state &target, steady_time now) const
 {
-    const zone_admission admission = m_zoneState.admissionAt(now);
+    const zone_admission admission = m_ownEvacuation.admissionAt(now);
     const proxy_reason reason =
-        m_zoneState.isKnown ? proxy_reason::Evacuated : proxy_reason::UpstreamUnreachable;
+        m_ownEvacuation.isKnown ? proxy_reason::Evacuated : proxy_reason::UpstreamUnreachable;
     if (target.rejectReason == proxy_reason::None && admission != zone_admission::All) {
         target.rejectReason = reason;
     }
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -296,8 +296,8 @@
         m_peerStatuses = m_peers->health().peerStatuses(now);
         m_peerStatusesAt = now;
     }
-    if (m_zoneCensus != nullptr) {
-        updateZoneCensus(*directory, now);
+    if (m_zoneLoads != nullptr) {
+        updateZoneLoads(*directory, now);
     }
     range_controller::peer_view view =
         m_peers->health().view(isUpstreamPresent ? &own : nullptr, now);
@@ -307,13 +307,13 @@
     m_ranges->setPeers(std::move(view));
 }
 
-void router::state::updateZoneCensus(const fleet_directory &directory, steady_time now)
+void router::state::updateZoneLoads(const fleet_directory &directory, steady_time now)
 {
     const local_upstream_state target = localUpstreamState();
     const bool acceptsRequests = target.rejectReason == proxy_reason::None && !m_isStopping;
-    m_zoneCensus->update(directory.membersOf(m_settings.service),
-                         {m_dispatcher->queue(), target.id, acceptsRequests},
-                         m_peers->health().peerStatuses(now), now);
+    m_zoneLoads->update(directory.membersOf(m_settings.service),
+                        {m_dispatcher->queue(), target.id, acceptsRequests},
+                        m_peers->health().peerStatuses(now), now);
 }
 
 // Marks unreachable members in the store as draining, so that other daemons need not detect the
--- a/src/persimmonrail/router/tests/cold_watch_test.cpp
+++ b/src/persimmonrail/router/tests/cold_watch_test.cpp
@@ -105,15 +105,15 @@
 
 // Guards against an upstream that stays limited, or gets full speed, until its next report although
 // its health check tells whether it is cold.
-TEST_CASE("an upstream with a sign of a restart is asked", "[router][cold]")
+TEST_CASE("an upstream with a sign of a restart is checked", "[router][cold]")
 {
-    const auto [answer, isCold, isKnown] = GENERATE(table<std::string, bool, bool>({
+    const auto [response, isCold, isKnown] = GENERATE(table<std::string, bool, bool>({
         {"0", false, true},
         {"60000", true, true},
         {"", true, false},
     }));
-    CAPTURE(answer);
-    watch_site site(answer);
+    CAPTURE(response);
+    watch_site site(response);
     const route_table routes = makeRoutes(9.8);
     site.run([](cold_watch &watch, steady_time now) {
         watch.onReport(0ms, now, now);
@@ -127,13 +127,13 @@
     };
     CHECK((isKnown ? waitUntil(hasStatement) : hasStatement()) == isKnown);
     CHECK(site.isCold() == isCold);
-    // An upstream that does not answer with a statement is not asked again at once.
+    // An upstream whose response states nothing is not checked again at once.
     site.tick(&routes);
     CHECK(site.checks() == 1);
 }
 
 // Guards against checks and delays for services without a cold limit.
-TEST_CASE("an upstream without a tolerated rate is neither asked nor limited", "[router][cold]")
+TEST_CASE("an upstream without a tolerated rate is neither checked nor limited", "[router][cold]")
 {
     watch_site site("60000");
     const route_table routes = makeRoutes(0);
@@ -155,8 +155,9 @@
     site.run([](cold_watch &watch, steady_time now) { watch.onRestartSign(now); });
     site.tick(&routes);
     REQUIRE(waitUntil([&] { return site.checks() == 1; }));
-    // Once the response is handled, an upstream that stated nothing is not asked again for seconds.
-    REQUIRE(waitUntil(
-        [&] { return !site.limit().needsStatement(std::chrono::steady_clock::now() + 1s); }));
+    // Once the response is handled, an upstream that stated nothing is not checked again for
+    // seconds.
+    REQUIRE(
+        waitUntil([&] { return !site.limit().needsCheck(std::chrono::steady_clock::now() + 1s); }));
     CHECK(site.isCold());
 }
--- a/src/persimmonrail/router/tests/zone_census_test.cpp
+++ b/src/persimmonrail/router/tests/zone_load_monitor_test.cpp
@@ -1,4 +1,4 @@
-#include "persimmonrail/router/zone_census.h"
+#include "persimmonrail/router/zone_load_monitor.h"
 
 #include <catch2/catch.hpp>
 
@@ -24,9 +24,9 @@
     return {{4, 1, 9, 90ms}, member.id, true};
 }
 
-zone_state stateOf(const zone_census &census, const std::string &zone)
+zone_load stateOf(const zone_load_monitor &monitor, const std::string &zone)
 {
-    for (const zone_state &state : census.states()) {
+    for (const zone_load &state : monitor.states()) {
         if (state.zone == zone) {
             return state;
         }
@@ -34,21 +34,21 @@
     return {};
 }
 
-void recordArrivals(zone_census &census, const std::string &zone, int perSecond)
+void recordArrivals(zone_load_monitor &monitor, const std::string &zone, int perSecond)
 {
     for (int i = 0; i < 5 * perSecond; ++i) {
-        census.recordArrival(zone, start - 5s + i * 1000ms / perSecond);
+        monitor.recordArrival(zone, start - 5s + i * 1000ms / perSecond);
     }
 }
 
 } // namespace
 
 // Each upstream sees a part of each zone's demand; a zone's demand is their sum.
-TEST_CASE("the census adds the queues and arrivals of all upstreams", "[zone]")
+TEST_CASE("the monitor adds the queues and arrivals of all upstreams", "[zone]")
 {
-    zone_census first;
-    zone_census second;
-    zone_census third;
+    zone_load_monitor first;
+    zone_load_monitor second;
+    zone_load_monitor third;
     recordArrivals(first, "nord", 40);
     recordArrivals(second, "nord", 20);
     recordArrivals(second, "sued", 10);
@@ -58,7 +58,7 @@
                        start + 500ms);
     third.update(members, statusOf(s1),
                  {{statusOf(n1), 700ms, false}, {statusOf(n2), 200ms, false}}, start + 500ms);
-    const zone_state nord = stateOf(third, "nord");
+    const zone_load nord = stateOf(third, "nord");
     CHECK(nord.upstreams == 2);
     CHECK(nord.slots == 18);
     CHECK(nord.running == 8);
@@ -73,34 +73,34 @@
 // A cold upstream reports a limit and a service time whose quotient is its permitted rate.
 TEST_CASE("a cold upstream counts with its permitted rate", "[zone]")
 {
-    zone_census census;
-    census.update({&n1}, {{0, 0, 1, 100ms}, n1.id, true}, {}, start);
-    CHECK(stateOf(census, "nord").capacity == Approx(10));
+    zone_load_monitor monitor;
+    monitor.update({&n1}, {{0, 0, 1, 100ms}, n1.id, true}, {}, start);
+    CHECK(stateOf(monitor, "nord").capacity == Approx(10));
 }
 
 // Guards against all traffic leaving a zone because one daemon does not know it yet or is cut off.
 TEST_CASE("what is unknown is not taken for lost", "[zone]")
 {
-    zone_census census;
-    census.update(members, statusOf(s1), {{statusOf(n1), 100ms, false}}, start);
-    CHECK(stateOf(census, "nord").zone.empty());
-    CHECK(stateOf(census, "sued").upstreams == 1);
+    zone_load_monitor monitor;
+    monitor.update(members, statusOf(s1), {{statusOf(n1), 100ms, false}}, start);
+    CHECK(stateOf(monitor, "nord").zone.empty());
+    CHECK(stateOf(monitor, "sued").upstreams == 1);
     // A single poll without response tells nothing yet.
-    census.update(members, statusOf(s1),
-                  {{statusOf(n1), 700ms, true}, {statusOf(n2), 100ms, false}}, start);
-    CHECK(stateOf(census, "nord").upstreams == 2);
-    census.update(members, statusOf(s1), {{statusOf(n1), 3s, true}, {statusOf(n2), 3s, true}},
-                  start);
-    CHECK(census.states().empty());
+    monitor.update(members, statusOf(s1),
+                   {{statusOf(n1), 700ms, true}, {statusOf(n2), 100ms, false}}, start);
+    CHECK(stateOf(monitor, "nord").upstreams == 2);
+    monitor.update(members, statusOf(s1), {{statusOf(n1), 3s, true}, {statusOf(n2), 3s, true}},
+                   start);
+    CHECK(monitor.states().empty());
 }
 
 // Fault: the only upstream of a zone is lost. A report of a daemon that reaches it would be newer.
 TEST_CASE("a lost zone has no capacity", "[zone]")
 {
-    zone_census census;
-    census.update(members, statusOf(n1), {{statusOf(n2), 100ms, false}, {statusOf(s1), 3s, true}},
-                  start);
-    const zone_state sued = stateOf(census, "sued");
+    zone_load_monitor monitor;
+    monitor.update(members, statusOf(n1), {{statusOf(n2), 100ms, false}, {statusOf(s1), 3s, true}},
+                   start);
+    const zone_load sued = stateOf(monitor, "sued");
     CHECK(sued.zone == "sued");
     CHECK(sued.capacity == 0);
     CHECK(sued.reportedAt == start - 2s);
@@ -109,14 +109,15 @@
 // Daemons of earlier releases skip lines that they can't parse.
 TEST_CASE("lines of arrivals are no statuses, and malformed ones are ignored", "[zone]")
 {
-    zone_census census;
-    recordArrivals(census, "nord", 40);
-    const std::string text = encodeStatuses(statusOf(n1), {}) + census.encodeArrivals(n1.id, start);
+    zone_load_monitor monitor;
+    recordArrivals(monitor, "nord", 40);
+    const std::string text =
+        encodeStatuses(statusOf(n1), {}) + monitor.encodeArrivals(n1.id, start);
     CHECK(parseStatuses(text).size() == 1);
     const std::string line =
         GENERATE("arrivals;", "arrivals;n1;1;nord=nan;0", "arrivals;n1;1;nord=-1;0",
                  "arrivals;n1;1;nord=1;9999", "arrivals;n1;1;no rd=1;0", "arrivals;n1;x;nord=1;0");
-    zone_census other;
+    zone_load_monitor other;
     other.readArrivals("\n" + line, start);
     CHECK(other.encodeArrivals({}, start).empty());
 }
--- a/src/persimmonrail/router/zone_census.cpp
+++ b/src/persimmonrail/router/zone_load_monitor.cpp
@@ -1,4 +1,4 @@
-#include "persimmonrail/router/zone_census.h"
+#include "persimmonrail/router/zone_load_monitor.h"
 
 #include "persimmonrail/base/text.h"
 #include "persimmonrail/routing/zone_summary.h"
@@ -69,7 +69,7 @@
 
 } // namespace
 
-void zone_census::recordArrival(std::string_view zone, steady_time now)
+void zone_load_monitor::recordArrival(std::string_view zone, steady_time now)
 {
     if (!isPlainZoneName(zone)) {
         return;
@@ -79,7 +79,7 @@
     m_hasArrivals = true;
 }
 
-void zone_census::readArrivals(std::string_view statuses, steady_time now)
+void zone_load_monitor::readArrivals(std::string_view statuses, steady_time now)
 {
     const std::lock_guard lock(m_mutex);
     for (const absl::string_view line : absl::StrSplit(toAbsl(statuses), '\n')) {
@@ -89,7 +89,7 @@
     }
 }
 
-void zone_census::readLine(std::string_view line, steady_time now)
+void zone_load_monitor::readLine(std::string_view line, steady_time now)
 {
     const std::vector<std::string> fields = absl::StrSplit(toAbsl(line), ';');
     upstream_arrivals arrivals;
@@ -109,7 +109,7 @@
     }
 }
 
-std::string zone_census::encodeArrivals(const upstream_id &self, steady_time now) const
+std::string zone_load_monitor::encodeArrivals(const upstream_id &self, steady_time now) const
 {
     const std::lock_guard lock(m_mutex);
     std::string text;
@@ -125,11 +125,11 @@
     return text;
 }
 
-void zone_census::addUpstream(std::map<std::string, zone_state> &zones,
-                              const upstream_member &member, const queue_report &queue,
-                              steady_time reportedAt) const
+void zone_load_monitor::addUpstream(std::map<std::string, zone_load> &zones,
+                                    const upstream_member &member, const queue_report &queue,
+                                    steady_time reportedAt) const
 {
-    zone_state &zone = zones[member.availabilityZone];
+    zone_load &zone = zones[member.availabilityZone];
     const double serviceTime = std::chrono::duration<double>(queue.meanServiceTime).count();
     const int limit = std::max(queue.limit, 1);
     zone.reportedAt = zone.upstreams == 0 ? reportedAt : std::min(zone.reportedAt, reportedAt);
@@ -140,7 +140,7 @@
     zone.capacity += limit / (serviceTime > 0 ? serviceTime : initialServiceSeconds);
 }
 
-void zone_census::addDemand(std::map<std::string, zone_state> &zones, steady_time now) const
+void zone_load_monitor::addDemand(std::map<std::string, zone_load> &zones, steady_time now) const
 {
     for (const auto &[zone, rate] : m_own.rates(now)) {
         zones[zone].demand += rate;
@@ -155,9 +155,9 @@
     }
 }
 
-void zone_census::update(const std::vector<const upstream_member *> &members,
-                         const peer_status &self, const std::vector<forwarded_status> &peers,
-                         steady_time now)
+void zone_load_monitor::update(const std::vector<const upstream_member *> &members,
+                               const peer_status &self, const std::vector<forwarded_status> &peers,
+                               steady_time now)
 {
     const std::lock_guard lock(m_mutex);
     m_self = self.upstream;
@@ -165,7 +165,7 @@
     for (const forwarded_status &peer : peers) {
         statuses[peer.status.upstream] = &peer;
     }
-    std::map<std::string, zone_state> zones;
+    std::map<std::string, zone_load> zones;
     std::set<std::string, std::less<>> names;
     std::set<std::string, std::less<>> unknownZones;
     std::set<std::string, std::less<>> unreachableZones;
@@ -210,7 +210,7 @@
     }
 }
 
-std::vector<zone_state> zone_census::states() const
+std::vector<zone_load> zone_load_monitor::states() const
 {
     const std::lock_guard lock(m_mutex);
     return m_states;
--- a/src/persimmonrail/router/zone_census.h
+++ b/src/persimmonrail/router/zone_load_monitor.h
@@ -17,7 +17,7 @@
 // upstream receives, counted by the zone of the caller; daemons pass these counts on as further
 // lines of their statuses, which daemons of earlier releases skip. No messages are added. Functions
 // take the time as a parameter and read no clock. Thread safe.
-class zone_census
+class zone_load_monitor
 {
 public:
     // Counts a first attempt from a caller in this zone at the local upstream.
@@ -33,7 +33,7 @@
     void update(const std::vector<const upstream_member *> &members, const peer_status &self,
                 const std::vector<forwarded_status> &peers, steady_time now);
     // Returns the states as of the last update().
-    std::vector<zone_state> states() const;
+    std::vector<zone_load> states() const;
 
 private:
     struct upstream_arrivals
@@ -43,9 +43,9 @@
         steady_time reportedAt{};
     };
     void readLine(std::string_view line, steady_time now);
-    void addUpstream(std::map<std::string, zone_state> &zones, const upstream_member &member,
+    void addUpstream(std::map<std::string, zone_load> &zones, const upstream_member &member,
                      const queue_report &queue, steady_time reportedAt) const;
-    void addDemand(std::map<std::string, zone_state> &zones, steady_time now) const;
+    void addDemand(std::map<std::string, zone_load> &zones, steady_time now) const;
 
     mutable std::mutex m_mutex;
     arrival_rates m_own;
@@ -54,7 +54,7 @@
     upstream_id m_self;
     // By upstream name; at most as many as the service has members.
     std::map<std::string, upstream_arrivals, std::less<>> m_arrivals;
-    std::vector<zone_state> m_states;
+    std::vector<zone_load> m_states;
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/routing/tests/zone_share_test.cpp
+++ b/src/persimmonrail/routing/tests/zone_share_test.cpp
@@ -31,7 +31,7 @@
 }
 
 // Demand and capacity of the zones as multiples of the usual capacity.
-struct zone_load
+struct simulated_load
 {
     std::array<double, zoneCount> demand{};
     std::array<double, zoneCount> capacity{1, 1, 1, 1};
@@ -52,7 +52,7 @@
     // Sets the time after which daemons get no new reports.
     void stopReportsAt(steady_time end) { m_reportsEnd = end; }
 
-    void run(const zone_load &load, milliseconds duration)
+    void run(const simulated_load &load, milliseconds duration)
     {
         for (const steady_time end = m_now + duration; m_now < end; m_now += tick) {
             step(load);
@@ -87,7 +87,7 @@
         int count = 0;
     };
 
-    void step(const zone_load &load)
+    void step(const simulated_load &load)
     {
         std::array<std::array<double, zoneCount>, zoneCount> sent{};
         for (int from = 0; from < zoneCount; ++from) {
@@ -119,7 +119,7 @@
         ++m_step;
     }
 
-    void serve(const zone_load &load,
+    void serve(const simulated_load &load,
                const std::array<std::array<double, zoneCount>, zoneCount> &sent)
     {
         const double elapsed = std::chrono::duration<double>(tick).count();
@@ -143,9 +143,9 @@
         }
     }
 
-    void report(const zone_load &load)
+    void report(const simulated_load &load)
     {
-        std::vector<zone_state> zones;
+        std::vector<zone_load> zones;
         for (int zone = 0; zone < zoneCount; ++zone) {
             // The demand is a moving average over 500 ms.
             m_demand[zone] += (load.demand[zone] * usualCapacity - m_demand[zone]) * 0.04;
@@ -192,7 +192,7 @@
     steady_time m_now = start;
     size_t m_step = 0;
     std::vector<zone_share> m_daemons;
-    std::deque<std::vector<zone_state>> m_history;
+    std::deque<std::vector<zone_load>> m_history;
     std::array<double, zoneCount> m_waiting{};
     std::array<double, zoneCount> m_demand{};
     std::array<double, zoneCount> m_lostByOrigin{};
@@ -202,7 +202,7 @@
     int m_bothWays = 0;
 };
 
-zone_state stateOf(int zone, double demand, double capacity = 1, steady_time reportedAt = start)
+zone_load stateOf(int zone, double demand, double capacity = 1, steady_time reportedAt = start)
 {
     return {zoneName(zone),         6,         54, 0, 0, capacity * usualCapacity,
             demand * usualCapacity, reportedAt};
@@ -293,7 +293,7 @@
     CAPTURE(daemons, age.count());
     zone_simulation simulation(daemons, age);
     for (int turn = 0; turn < 8; ++turn) {
-        zone_load load{{0.4, 0.4, 0.4, 0.4}};
+        simulated_load load{{0.4, 0.4, 0.4, 0.4}};
         load.demand[turn % 2] = 1.8;
         simulation.run(load, 4s);
     }
@@ -362,7 +362,7 @@
 TEST_CASE("large requests stay in the zone", "[zone]")
 {
     zone_share share(zoneName(0), options());
-    const std::vector<zone_state> zones{stateOf(0, 1.3), stateOf(1, 0.3), stateOf(2, 0.3)};
+    const std::vector<zone_load> zones{stateOf(0, 1.3), stateOf(1, 0.3), stateOf(2, 0.3)};
     share.update(zones, start);
     const double expected = share.split().leaving();
     REQUIRE(expected > 0.1);
--- a/src/persimmonrail/routing/tests/zone_summary_test.cpp
+++ b/src/persimmonrail/routing/tests/zone_summary_test.cpp
@@ -16,8 +16,8 @@
 // Guards against a summary whose ages refer to the clock of another daemon.
 TEST_CASE("an encoded summary of zones is parsed unchanged", "[zone]")
 {
-    const std::vector<zone_state> zones{{"nord", 6, 54, 20, 3, 411.5, 300.25, start - 700ms},
-                                        {"sued", 0, 0, 0, 0, 0, 12, start}};
+    const std::vector<zone_load> zones{{"nord", 6, 54, 20, 3, 411.5, 300.25, start - 700ms},
+                                       {"sued", 0, 0, 0, 0, 0, 12, start}};
     const auto parsed = parseZoneSummary(encodeZoneSummary(zones, start), start + 5s);
     REQUIRE(parsed.size() == 2);
     CHECK(parsed[0].zone == "nord");
@@ -44,7 +44,7 @@
 // The header field must stay small however many zones a daemon knows.
 TEST_CASE("a summary has at most 8 zones and 1,024 characters", "[zone]")
 {
-    std::vector<zone_state> zones;
+    std::vector<zone_load> zones;
     zones.reserve(21);
     for (int i = 0; i < 20; ++i) {
         zones.push_back(
--- a/src/persimmonrail/routing/zone_share.cpp
+++ b/src/persimmonrail/routing/zone_share.cpp
@@ -34,7 +34,7 @@
 // A zone while the plan is made. Rates are in requests a second.
 struct planned_zone
 {
-    const zone_state *state = nullptr;
+    const zone_load *state = nullptr;
     double load = 0;
     // Own demand that has not been sent elsewhere.
     double movable = 0;
@@ -47,7 +47,7 @@
 // Returns the time in seconds that a request waits in the zone, by Sakasegawa's approximation. The
 // service time is left out: a zone with some slow upstreams sends what the zone can't serve, not
 // what its fast upstreams serve as well as others.
-double waitingTime(const zone_state &zone, double load)
+double waitingTime(const zone_load &zone, double load)
 {
     if (zone.capacity <= 0) {
         return std::numeric_limits<double>::infinity();
@@ -65,7 +65,7 @@
 }
 
 // Returns the weight of a report, which falls linearly between the two ages.
-double reportWeight(const zone_state &zone, const zone_share_options &options, steady_time now)
+double reportWeight(const zone_load &zone, const zone_share_options &options, steady_time now)
 {
     const double age = seconds(now - zone.reportedAt);
     const double full = seconds(options.fullReportAge);
@@ -73,8 +73,7 @@
     return std::clamp((end - age) / (end - full), 0.0, 1.0);
 }
 
-planned_zone plannedZone(const zone_state &state, const zone_share_options &options,
-                         steady_time now)
+planned_zone plannedZone(const zone_load &state, const zone_share_options &options, steady_time now)
 {
     planned_zone zone;
     zone.state = &state;
@@ -136,10 +135,10 @@
     }
 }
 
-const zone_state *findZone(const std::vector<zone_state> &zones, std::string_view name)
+const zone_load *findZone(const std::vector<zone_load> &zones, std::string_view name)
 {
     const auto found = std::find_if(zones.begin(), zones.end(),
-                                    [&](const zone_state &zone) { return zone.zone == name; });
+                                    [&](const zone_load &zone) { return zone.zone == name; });
     return found == zones.end() ? nullptr : &*found;
 }
 
@@ -173,12 +172,12 @@
                            [](double sum, const auto &entry) { return sum + entry.second; });
 }
 
-zone_split planZoneSplit(const std::vector<zone_state> &zones, std::string_view ownZone,
+zone_split planZoneSplit(const std::vector<zone_load> &zones, std::string_view ownZone,
                          const zone_share_options &options, steady_time now)
 {
     zone_split split;
-    const zone_state *own = findZone(zones, ownZone);
-    const bool hasRecent = std::any_of(zones.begin(), zones.end(), [&](const zone_state &zone) {
+    const zone_load *own = findZone(zones, ownZone);
+    const bool hasRecent = std::any_of(zones.begin(), zones.end(), [&](const zone_load &zone) {
         return zone.zone != ownZone && zone.capacity > 0 && reportWeight(zone, options, now) > 0;
     });
     if (own == nullptr || !hasRecent || reportWeight(*own, options, now) <= 0) {
@@ -186,7 +185,7 @@
     }
     std::vector<planned_zone> planned;
     double demand = 0;
-    for (const zone_state &zone : zones) {
+    for (const zone_load &zone : zones) {
         planned.push_back(plannedZone(zone, options, now));
         demand += planned.back().movable;
     }
@@ -242,7 +241,7 @@
     , m_options(options)
 { }
 
-void zone_share::update(const std::vector<zone_state> &zones, steady_time now)
+void zone_share::update(const std::vector<zone_load> &zones, steady_time now)
 {
     follow(planZoneSplit(zones, m_ownZone, m_options, now), now);
     m_updatedAt = now;
@@ -276,7 +275,7 @@
         stays && plan.reason == share_reason::Overload ? share_reason::Spare : plan.reason;
 }
 
-void zone_share::noteChange(const std::vector<zone_state> &zones, steady_time now)
+void zone_share::noteChange(const std::vector<zone_load> &zones, steady_time now)
 {
     const double share = m_split.leaving();
     const bool hasStarted = (share > 0) != (m_loggedShare > 0);
@@ -290,7 +289,7 @@
     }
     m_loggedAt = now;
     share_change change{m_loggedShare, share, m_split.reason};
-    for (const zone_state &zone : zones) {
+    for (const zone_load &zone : zones) {
         const bool isOwn = zone.zone == m_ownZone;
         (isOwn ? change.ownDemand : change.otherDemand) += zone.demand;
         (isOwn ? change.ownCapacity : change.otherCapacity) += zone.capacity;
--- a/src/persimmonrail/routing/zone_share.h
+++ b/src/persimmonrail/routing/zone_share.h
@@ -11,7 +11,7 @@
 namespace persimmonrail {
 
 // What is known of one service in one availability zone.
-struct zone_state
+struct zone_load
 {
     std::string zone;
     // Upstreams that accept requests.
@@ -83,7 +83,7 @@
 // wait longest to the one in which they wait least, until crossing costs more than it saves or the
 // others are filled to maxHelpUtilization. All daemons with the same reports get the same plan, in
 // which a zone either sends or receives. What a zone takes falls with the age of its report.
-zone_split planZoneSplit(const std::vector<zone_state> &zones, std::string_view ownZone,
+zone_split planZoneSplit(const std::vector<zone_load> &zones, std::string_view ownZone,
                          const zone_share_options &options, steady_time now);
 
 // A change of the decision that is worth a log line.
@@ -109,7 +109,7 @@
     zone_share(std::string ownZone, zone_share_options options);
 
     // Takes the reports that are known at `now` and moves the share towards the plan.
-    void update(const std::vector<zone_state> &zones, steady_time now);
+    void update(const std::vector<zone_load> &zones, steady_time now);
     // Returns the zone for a request; `fraction` is a random number in [0, 1) and `bytes` the
     // expected size of the request and its response. Requests with more bytes leave less often and
     // others more often, so that the share stays the same.
@@ -121,7 +121,7 @@
 
 private:
     void follow(const zone_split &plan, steady_time now);
-    void noteChange(const std::vector<zone_state> &zones, steady_time now);
+    void noteChange(const std::vector<zone_load> &zones, steady_time now);
     // Returns the factor on the share for a request of this size.
     double sizeFactor(double bytes);
 
--- a/src/persimmonrail/routing/zone_summary.cpp
+++ b/src/persimmonrail/routing/zone_summary.cpp
@@ -33,10 +33,10 @@
     return absl::SimpleAtod(text, &value) && value >= 0 && value <= maxRate;
 }
 
-std::optional<zone_state> parseZone(absl::string_view text, steady_time now)
+std::optional<zone_load> parseZone(absl::string_view text, steady_time now)
 {
     const std::vector<std::string> fields = absl::StrSplit(text, ':');
-    zone_state zone;
+    zone_load zone;
     int64_t age = 0;
     if (fields.size() != 8 || !isPlainZoneName(fields[0]) || !parseCount(fields[1], zone.upstreams)
         || !parseCount(fields[2], zone.slots) || !parseCount(fields[3], zone.running)
@@ -61,11 +61,11 @@
            });
 }
 
-std::string encodeZoneSummary(const std::vector<zone_state> &zones, steady_time now)
+std::string encodeZoneSummary(const std::vector<zone_load> &zones, steady_time now)
 {
     std::string text;
     size_t count = 0;
-    for (const zone_state &zone : zones) {
+    for (const zone_load &zone : zones) {
         if (!isPlainZoneName(zone.zone) || count == maxZones) {
             continue;
         }
@@ -78,9 +78,9 @@
     return text;
 }
 
-std::vector<zone_state> parseZoneSummary(std::string_view text, steady_time now)
+std::vector<zone_load> parseZoneSummary(std::string_view text, steady_time now)
 {
-    std::vector<zone_state> zones;
+    std::vector<zone_load> zones;
     if (text.empty() || text.size() > maxLength) {
         return zones;
     }
