Compute where a request would go, by the functions that decide it

Cause: nobody could ask a daemon why a request goes where it goes; one had to send it and read the log. Change: the deciding functions of upstream_picker, slot_queue, overload_throttle, peer_liveness, attempt_age and zone_share have const counterparts that share their code. Decisions of proxied_call that depend only on their arguments move to proxy/call_decisions. request_explainer puts them together; it counts nothing and draws no random numbers of the request path. Decisions are unchanged.

--- a/src/persimmonrail/proxy/blocking_slot_queue.cpp
+++ b/src/persimmonrail/proxy/blocking_slot_queue.cpp
@@ -197,6 +197,12 @@
     return m_state->queue.coldLimit();
 }
 
+slot_queue blocking_slot_queue::snapshot() const
+{
+    const std::lock_guard lock(m_state->mutex);
+    return m_state->queue;
+}
+
 uint64_t blocking_slot_queue::delayedCount() const
 {
     const std::lock_guard lock(m_state->mutex);
--- a/src/persimmonrail/proxy/blocking_slot_queue.h
+++ b/src/persimmonrail/proxy/blocking_slot_queue.h
@@ -49,6 +49,8 @@
     cold_rate_limit coldLimit() const;
     // Returns how many requests the limit has delayed so far.
     uint64_t delayedCount() const;
+    // Returns a copy of the queue.
+    slot_queue snapshot() const;
     // Returns the mean service time of a request at the upstream.
     std::chrono::microseconds meanServiceTime() const;
     // Returns the current state of the queue for other daemons. The quotient of the limit and the
--- a/src/persimmonrail/proxy/overload_throttle.cpp
+++ b/src/persimmonrail/proxy/overload_throttle.cpp
@@ -43,6 +43,28 @@
     return entry;
 }
 
+double overload_throttle::rejectionChance(const record &entry) const
+{
+    if (entry.rejected + entry.rejectedLocally < m_options.minRejections) {
+        return 0;
+    }
+    const double demand = entry.accepted + entry.rejected + entry.rejectedLocally;
+    return (demand - m_options.sentPerAccepted * entry.accepted) / (demand + 1);
+}
+
+overload_throttle::expectation overload_throttle::expect(const request_class &requestClass,
+                                                         steady_time now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(requestClass);
+    if (found == m_records.end()) {
+        return {};
+    }
+    record entry = found->second;
+    decay(entry, now);
+    return {std::clamp(rejectionChance(entry), 0.0, 1.0), entry.retryAfter};
+}
+
 std::optional<milliseconds> overload_throttle::rejectLocally(const request_class &requestClass,
                                                              double randomFraction, steady_time now)
 {
@@ -53,10 +75,7 @@
     }
     record &entry = found->second;
     decay(entry, now);
-    const double demand = entry.accepted + entry.rejected + entry.rejectedLocally;
-    const double excess = demand - m_options.sentPerAccepted * entry.accepted;
-    if (entry.rejected + entry.rejectedLocally < m_options.minRejections
-        || randomFraction >= excess / (demand + 1)) {
+    if (randomFraction >= rejectionChance(entry)) {
         return std::nullopt;
     }
     ++entry.rejectedLocally;
--- a/src/persimmonrail/proxy/overload_throttle.h
+++ b/src/persimmonrail/proxy/overload_throttle.h
@@ -51,6 +51,15 @@
     // uniform in [0, 1).
     std::optional<milliseconds> rejectLocally(const request_class &requestClass,
                                               double randomFraction, steady_time now);
+    // What rejectLocally() would decide.
+    struct expectation
+    {
+        // Probability of a rejection, in [0, 1].
+        double rejectionChance = 0;
+        milliseconds retryAfter{0};
+    };
+    // Returns the expectation for a request that arrives now, and records nothing.
+    expectation expect(const request_class &requestClass, steady_time now) const;
     // Records that the upstream accepted a request. `hasCapacity` tells that the upstream has a
     // free slot, which ends the throttling of the class.
     void recordAccepted(const request_class &requestClass, bool hasCapacity, steady_time now);
@@ -71,10 +80,13 @@
     };
     // Decays the counts of the record to `now`.
     void decay(record &entry, steady_time now) const;
+    // Returns the probability of a rejection for a record that is decayed to the present; not above
+    // 0 for none.
+    double rejectionChance(const record &entry) const;
     record &findOrCreateRecord(const request_class &requestClass, steady_time now);
 
     const overload_throttle_options m_options;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     // Only classes with recent rejections.
     std::map<request_class, record> m_records;
 };
--- a/src/persimmonrail/proxy/peer_client.h
+++ b/src/persimmonrail/proxy/peer_client.h
@@ -31,6 +31,7 @@
                          server_exchange &exchange, response_sink &sink);
     // Returns which peers have not responded to probes.
     peer_liveness &liveness() { return m_liveness; }
+    const peer_liveness &liveness() const { return m_liveness; }
 
 private:
     // Returns whether a request without progress is given up after this result of a probe.
--- a/src/persimmonrail/proxy/peer_liveness.cpp
+++ b/src/persimmonrail/proxy/peer_liveness.cpp
@@ -52,6 +52,18 @@
     return now - std::max(peer.testedAt, peer.checkedAt) >= m_options.testInterval;
 }
 
+bool peer_liveness::mayBegin(const entry &peer, steady_time now) const
+{
+    return !isUnresponsiveFor(peer, m_options.unresponsiveTimeout, now) || isTestDue(peer, now);
+}
+
+bool peer_liveness::mayBegin(std::string_view address, steady_time now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto known = m_peers.find(address);
+    return known == m_peers.end() || mayBegin(known->second, now);
+}
+
 bool peer_liveness::isUnresponsive(std::string_view address, steady_time now) const
 {
     const std::lock_guard lock(m_mutex);
@@ -77,12 +89,11 @@
         return true;
     }
     entry &peer = known->second;
-    const bool mayBegin =
-        !isUnresponsiveFor(peer, m_options.unresponsiveTimeout, now) || isTestDue(peer, now);
-    if (mayBegin) {
-        peer.testedAt = now;
+    if (!mayBegin(peer, now)) {
+        return false;
     }
-    return mayBegin;
+    peer.testedAt = now;
+    return true;
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/peer_liveness.h
+++ b/src/persimmonrail/proxy/peer_liveness.h
@@ -41,6 +41,8 @@
     // Returns whether requests that may go to any upstream should avoid the peer now. Returns false
     // if the peer is due for a test.
     bool shouldAvoid(std::string_view address, steady_time now) const;
+    // Returns what tryBegin() would return, and records nothing.
+    bool mayBegin(std::string_view address, steady_time now) const;
     // Returns whether a request may be sent to the peer: the peer is not unresponsive, or the
     // request is the next test.
     bool tryBegin(std::string_view address, steady_time now);
@@ -57,6 +59,7 @@
     };
     bool isUnresponsiveFor(const entry &peer, milliseconds time, steady_time now) const;
     bool isTestDue(const entry &peer, steady_time now) const;
+    bool mayBegin(const entry &peer, steady_time now) const;
 
     const peer_liveness_options m_options;
     mutable std::mutex m_mutex;
--- a/src/persimmonrail/proxy/proxied_call.cpp
+++ b/src/persimmonrail/proxy/proxied_call.cpp
@@ -3,6 +3,7 @@
 #include "persimmonrail/base/header_names.h"
 #include "persimmonrail/base/text.h"
 #include "persimmonrail/gateway/caller_sink.h"
+#include "persimmonrail/proxy/call_decisions.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
@@ -14,26 +15,12 @@
 
 // Another attempt is very unlikely to succeed with less time left.
 constexpr milliseconds minTimeForAttempt{15};
-// For requests that state no timeout.
-constexpr milliseconds defaultTimeout{30000};
-constexpr milliseconds minRetryAfter{50};
-// Retry-After while all upstreams of a service are in evacuated zones. Operators decide when that
-// ends, seldom within less.
-constexpr milliseconds evacuatedRetryAfter{1000};
 
 steady_time clockNow()
 {
     return std::chrono::steady_clock::now();
 }
 
-// Returns whether the reason suggests that the key is moving to another owner.
-bool isKeyMoving(proxy_reason reason)
-{
-    return reason == proxy_reason::NotOwner || reason == proxy_reason::OtherUpstream
-        || reason == proxy_reason::KeyNotHeld || reason == proxy_reason::Draining
-        || reason == proxy_reason::Evacuated;
-}
-
 } // namespace
 
 proxied_call::proxied_call(request_proxy &proxy, server_exchange &exchange)
@@ -60,20 +47,13 @@
     removeConnectionFields(m_request.message);
     removePersimmonrailFields(m_request.message);
     m_table = m_proxy.m_hooks.routes();
-    if (m_table == nullptr) {
-        return notRunResult(proxy_reason::NoDesiredState, milliseconds(500));
-    }
     const auto &head = m_exchange.request();
-    m_route = m_table->find(head.getHost(), head.getURI());
-    if (m_route == nullptr) {
-        return notRunResult(proxy_reason::NoRoute);
-    }
-    if (fields.isMalformed || fields.requestId.empty()
-        || !m_table->hasOneRoute(head.getHost(), head.getURI())) {
-        return notRunResult(proxy_reason::MalformedRequest);
-    }
-    if (m_proxy.m_hooks.isClosed()) {
-        return notRunResult(proxy_reason::Stopping);
+    const route_decision decided =
+        decideRoute(m_table.get(), head.getHost(), head.getURI(),
+                    fields.isMalformed || fields.requestId.empty(), m_proxy.m_hooks.isClosed());
+    m_route = decided.found;
+    if (decided.reason != proxy_reason::None) {
+        return notRunResult(decided.reason, decided.retryAfter);
     }
     m_request.service = chooseTrafficShare(*m_route, m_proxy.randomBits()).service;
     const service_rule *rule = m_table->findService(m_request.service);
@@ -83,13 +63,9 @@
         }
         m_request.key = fields.key;
     }
-    m_request.route = m_route->name;
-    m_request.objective = m_route->objective;
-    m_request.rank = m_route->rank;
-    m_request.repeatable = m_route->repeatable;
-    const milliseconds timeout = fields.timeout.value_or(defaultTimeout);
-    m_request.deadline = std::min(m_startedAt + std::min(timeout, m_route->timeout),
-                                  m_proxy.m_hooks.shutdownDeadline());
+    applyRoute(m_request, *m_route);
+    m_request.deadline =
+        callDeadline(fields.timeout, *m_route, m_startedAt, m_proxy.m_hooks.shutdownDeadline());
     m_request.objectiveEnd = m_startedAt + m_route->objective - callerRetryAge(fields.timeout);
     m_exchange.setDeadline(m_request.deadline);
     return {};
@@ -176,13 +152,8 @@
     if (result.outcome == request_outcome::NotRun && !isRetryable(result.reason)) {
         return false;
     }
-    if (m_overloadRejections >= m_proxy.m_options.maxOverloadRejections
-        || result.reason == proxy_reason::OverloadExpected || m_isServiceEvacuated) {
-        return false;
-    }
-    // A key has one owner. Waiting for the owner helps only while the key moves; a full queue,
-    // a lost host or a restart takes longer than a caller should wait.
-    if (m_request.key && !isKeyMoving(result.reason)) {
+    if (m_overloadRejections >= m_proxy.m_options.maxOverloadRejections || m_isServiceEvacuated
+        || !mayHelpToRetry(result.reason, m_request.key.has_value())) {
         return false;
     }
     return sentAttempts < m_route->maxAttempts
@@ -194,12 +165,11 @@
     const auto directory = m_proxy.m_hooks.directory();
     const upstream_member *member =
         m_request.key ? findOwner(*directory, service) : pickUpstream(*directory, service, now);
-    if (member == nullptr && isServiceEvacuated(*directory, m_request.service)) {
-        return evacuatedResult();
-    }
     if (member == nullptr) {
-        return notRunResult(isOwnerEntryDue(*directory) ? proxy_reason::OtherUpstream
-                                                        : proxy_reason::NoUpstream);
+        const proxy_result missing =
+            missingMemberResult(*directory, m_request.service, m_request.key);
+        m_isServiceEvacuated = missing.reason == proxy_reason::Evacuated;
+        return missing;
     }
     m_request.upstream = member->id;
     if (m_request.key && service.picker.isPenalized(member->id, now)) {
@@ -208,7 +178,7 @@
     }
     prepareZoneFields(service, now);
     const bool isLocal = member->id == m_proxy.m_dispatcher.local().id;
-    const overload_throttle::request_class requestClass = throttleClass(member->id);
+    const overload_throttle::request_class requestClass = throttleClassOf(m_request, member->id);
     if (!isLocal) {
         if (const auto retryAfter =
                 service.throttle.rejectLocally(requestClass, m_proxy.randomFraction(), now)) {
@@ -244,17 +214,12 @@
     logAttempt(result, clockNow() - sentAt, directory->revision());
     if (result.reason == proxy_reason::Evacuated
         && isServiceEvacuated(*directory, m_request.service)) {
-        return evacuatedResult();
+        m_isServiceEvacuated = true;
+        return serviceEvacuatedResult();
     }
     return result;
 }
 
-proxy_result proxied_call::evacuatedResult()
-{
-    m_isServiceEvacuated = true;
-    return notRunResult(proxy_reason::Evacuated, evacuatedRetryAfter);
-}
-
 void proxied_call::prepareZoneFields(const request_proxy::service_state &service, steady_time now)
 {
     m_usesZoneShare = !m_request.key && service.picker.usesZoneShare();
@@ -328,11 +293,6 @@
     }
 }
 
-overload_throttle::request_class proxied_call::throttleClass(const upstream_id &upstream) const
-{
-    return {m_request.key ? upstream : upstream_id(), m_request.rank, m_request.objective};
-}
-
 void proxied_call::recordLoad(overload_throttle &throttle,
                               const overload_throttle::request_class &requestClass,
                               const proxy_result &result) const
@@ -350,38 +310,18 @@
 const upstream_member *proxied_call::findOwner(const fleet_directory &directory,
                                                request_proxy::service_state &service) const
 {
-    const fleet_directory::versioned_placement *versionedPlacement =
-        directory.findPlacement(m_request.service);
-    if (versionedPlacement == nullptr) {
-        return nullptr;
-    }
-    const owned_range &range = versionedPlacement->placement.rangeOf(*m_request.key);
-    const auto *versionedMember = directory.findMember(range.owner.name);
-    if (versionedMember == nullptr || versionedMember->member.id != range.owner
-        || (range.takeoverDelay.count() > 0 && !range.isCarriedOver())) {
-        return nullptr;
-    }
-    service.picker.begin(range.owner);
-    return &versionedMember->member;
-}
-
-bool proxied_call::isOwnerEntryDue(const fleet_directory &directory) const
-{
-    const auto *placement = m_request.key ? directory.findPlacement(m_request.service) : nullptr;
-    if (placement == nullptr) {
-        return false;
+    const upstream_member *owner = findServingOwner(directory, m_request.service, *m_request.key);
+    if (owner != nullptr) {
+        service.picker.begin(owner->id);
     }
-    const upstream_id &owner = placement->placement.rangeOf(*m_request.key).owner;
-    const auto *known = directory.findMember(owner.name);
-    return !owner.isEmpty() && (known == nullptr || known->member.id.startedAt < owner.startedAt);
+    return owner;
 }
 
 const upstream_member *proxied_call::pickUpstream(const fleet_directory &directory,
                                                   request_proxy::service_state &service,
                                                   steady_time now) const
 {
-    std::vector<const upstream_member *> members = directory.membersOf(m_request.service);
-    std::erase_if(members, [](const upstream_member *member) { return member->isDraining; });
+    const std::vector<const upstream_member *> members = openMembers(directory, m_request.service);
     std::vector<const upstream_member *> responsive = members;
     std::erase_if(responsive, [&](const upstream_member *member) {
         return m_proxy.m_peers.liveness().shouldAvoid(member->peerAddress, now);
@@ -459,9 +399,7 @@
     head.set(reasonHeader, std::string(toString(result.reason)));
     if (result.outcome == request_outcome::NotRun && head.getStatus() == 503) {
         const milliseconds retryAfter =
-            std::max(minRetryAfter,
-                     result.retryAfter.count() > 0 ? result.retryAfter
-                                                   : m_proxy.m_options.defaultRetryAfter);
+            statedRetryAfter(result.retryAfter, m_proxy.m_options.defaultRetryAfter);
         head.set("Retry-After",
                  absl::StrFormat("%.3f", std::chrono::duration<double>(retryAfter).count()));
     }
--- a/src/persimmonrail/proxy/proxied_call.h
+++ b/src/persimmonrail/proxy/proxied_call.h
@@ -40,10 +40,6 @@
     // Chooses an upstream and sends the request to it once.
     proxy_result attemptOnce(request_proxy::service_state &service, steady_time now);
 
-    // Returns the rejection of a request while all upstreams of the service are in evacuated zones.
-    // The request is not tried again.
-    proxy_result evacuatedResult();
-
     // Sets the fields that tell the demand of this zone and ask for the states of the zones.
     void prepareZoneFields(const request_proxy::service_state &service, steady_time now);
 
@@ -62,11 +58,6 @@
     // kept away from the owner only if no connection to the host of the owner can be established.
     upstream_picker::result pickerResult(const proxy_result &attempted) const;
 
-    // Requests with a key are throttled per owner. Other requests may go to any upstream, and a
-    // daemon with many upstreams contacts each too seldom to learn its load, so all upstreams of
-    // the service are counted together.
-    overload_throttle::request_class throttleClass(const upstream_id &upstream) const;
-
     void recordLoad(overload_throttle &throttle,
                     const overload_throttle::request_class &requestClass,
                     const proxy_result &result) const;
@@ -76,10 +67,6 @@
     const upstream_member *findOwner(const fleet_directory &directory,
                                      request_proxy::service_state &service) const;
 
-    // Returns whether the directory lacks the member entry of the key's recorded owner. The entry
-    // arrives after the record if the owner has just joined, or if a restore of the store lost it.
-    bool isOwnerEntryDue(const fleet_directory &directory) const;
-
     // Returns an upstream that is not draining and has not been tried; null if there is none.
     // Prefers upstreams whose daemons have responded recently.
     const upstream_member *pickUpstream(const fleet_directory &directory,
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -3,6 +3,7 @@
 #include "persimmonrail/base/text.h"
 #include "persimmonrail/proxy/peer_fields.h"
 #include "persimmonrail/proxy/proxied_call.h"
+#include "persimmonrail/proxy/request_explainer.h"
 #include "persimmonrail/routing/zone_summary.h"
 
 #include <absl/strings/str_cat.h>
@@ -111,6 +112,18 @@
     return *state;
 }
 
+const request_proxy::service_state *request_proxy::findService(const std::string &service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : found->second.get();
+}
+
+request_explanation request_proxy::explain(const explained_request &request, steady_time now) const
+{
+    return request_explainer(*this, request, now).explain();
+}
+
 void request_proxy::serveCaller(server_exchange &exchange)
 {
     const in_flight_guard guard(m_inFlight);
--- a/src/persimmonrail/proxy/request_proxy.h
+++ b/src/persimmonrail/proxy/request_proxy.h
@@ -6,6 +6,7 @@
 #include "persimmonrail/proxy/keyed_loss.h"
 #include "persimmonrail/proxy/overload_throttle.h"
 #include "persimmonrail/proxy/peer_client.h"
+#include "persimmonrail/proxy/request_explanation.h"
 #include "persimmonrail/proxy/upstream_dispatcher.h"
 #include "persimmonrail/proxy/upstream_picker.h"
 #include "persimmonrail/routes/route_table.h"
@@ -93,6 +94,9 @@
     // Serves a request that another daemon has forwarded for the local upstream, or a probe of a
     // request in flight.
     void servePeer(server_exchange &exchange);
+    // Returns what would happen to a request of a caller that arrives now. Sends, counts and
+    // changes nothing. Holds each lock that requests use only while it copies what the lock guards.
+    request_explanation explain(const explained_request &request, steady_time now) const;
     // Returns the number of requests that are being served.
     int inFlight() const { return m_inFlight; }
     // Returns the requests for keys that were not served in time since the last call, by cause and
@@ -101,6 +105,7 @@
 
 private:
     friend class proxied_call;
+    friend class request_explainer;
     class peer_request_guard;
 
     // State of the requests to one service.
@@ -114,6 +119,8 @@
         retry_budget retries;
     };
     service_state &findOrCreateService(const std::string &service, steady_time now);
+    // Returns null if no request to the service has been served.
+    const service_state *findService(const std::string &service) const;
     // Counts a first attempt at the local upstream in the demand of its caller's zone.
     void recordArrival(const proxied_request &request);
     // Returns the states of the zones that a response tells; empty if the request asks for none.
@@ -137,7 +144,7 @@
     outbound_link m_outboundLink;
     std::atomic<int> m_inFlight{0};
     // Guards the members below.
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     random_source m_random;
     std::map<std::string, std::unique_ptr<service_state>> m_services;
     // IDs of requests that run here on behalf of other daemons.
--- a/src/persimmonrail/proxy/slot_queue.cpp
+++ b/src/persimmonrail/proxy/slot_queue.cpp
@@ -40,11 +40,6 @@
     return usual * m_workFactor;
 }
 
-double slot_queue::expectedWait(const slot_request &request, steady_time now) const
-{
-    return std::max(expectedWaitForSlot(request, now), expectedWaitForLimit(request, now));
-}
-
 double slot_queue::expectedWaitForLimit(const slot_request &request, steady_time now) const
 {
     if (!m_coldLimit.isCold(now)) {
@@ -152,23 +147,43 @@
     load.offered += serviceTimeOf(request.route) / seconds(m_options.loadDecayTime);
 }
 
-std::optional<uint64_t> slot_queue::submit(const slot_request &request, steady_time now,
-                                           rejection &rejected)
+void slot_queue::prepare(const slot_request &request, steady_time now)
 {
     updateOrder(now);
     m_workFactor = m_recentWorkFactor.factor(now);
     recordArrival(request, now);
-    const double wait = expectedWait(request, now);
-    const double serviceTime = serviceTimeOf(request.route);
-    const double maxTime =
-        std::min(seconds(request.objectiveEnd - now) * m_options.maxObjectiveShare,
-                 seconds(request.deadline - now));
-    if (wait > 0 && wait + serviceTime > maxTime) {
+}
+
+slot_queue::expectation slot_queue::assess(const slot_request &request, steady_time now) const
+{
+    expectation expected{expectedWaitForSlot(request, now), expectedWaitForLimit(request, now),
+                         serviceTimeOf(request.route),
+                         std::min(seconds(request.objectiveEnd - now) * m_options.maxObjectiveShare,
+                                  seconds(request.deadline - now)),
+                         std::nullopt};
+    const double time = expected.wait() + expected.serviceTime;
+    if (expected.wait() > 0 && time > expected.maxTime) {
         // A request that can't meet its objective any more is accepted once there is no wait.
-        const double usableTime = std::max(maxTime, serviceTime);
-        const auto excess =
-            static_cast<int64_t>(std::ceil((wait + serviceTime - usableTime) * 1000));
-        rejected.retryAfter = std::max(minRetryAfter, milliseconds(excess));
+        const double usableTime = std::max(expected.maxTime, expected.serviceTime);
+        const auto excess = static_cast<int64_t>(std::ceil((time - usableTime) * 1000));
+        expected.rejected = rejection{std::max(minRetryAfter, milliseconds(excess))};
+    }
+    return expected;
+}
+
+slot_queue::expectation slot_queue::expect(const slot_request &request, steady_time now) const
+{
+    slot_queue copy = *this;
+    copy.prepare(request, now);
+    return copy.assess(request, now);
+}
+
+std::optional<uint64_t> slot_queue::submit(const slot_request &request, steady_time now,
+                                           rejection &rejected)
+{
+    prepare(request, now);
+    if (const auto rejection = assess(request, now).rejected) {
+        rejected = *rejection;
         return std::nullopt;
     }
     const auto position =
--- a/src/persimmonrail/proxy/slot_queue.h
+++ b/src/persimmonrail/proxy/slot_queue.h
@@ -84,6 +84,21 @@
         // Time after which a request of this route is expected to be accepted.
         milliseconds retryAfter{0};
     };
+    // What decides whether a request is accepted, in seconds.
+    struct expectation
+    {
+        // Until a slot is free, and until the limit on the starts at a cold upstream allows it.
+        double waitForSlot = 0;
+        double waitForLimit = 0;
+        double serviceTime = 0;
+        // Time in which a request that has to wait must be expected to end.
+        double maxTime = 0;
+        // Set if the request is rejected.
+        std::optional<rejection> rejected;
+        double wait() const { return waitForSlot > waitForLimit ? waitForSlot : waitForLimit; }
+    };
+    // Returns what submit() would expect of the request, and changes nothing.
+    expectation expect(const slot_request &request, steady_time now) const;
     // Adds a request and returns its ID. Returns nullopt and sets `rejected` if the request is not
     // expected to end in time.
     std::optional<uint64_t> submit(const slot_request &request, steady_time now,
@@ -139,9 +154,11 @@
     // Returns the expected service time of the route in seconds, at the work factor of the last
     // submit().
     double serviceTimeOf(const std::string &route) const;
-    // Returns the expected time in seconds until the request would start.
-    double expectedWait(const slot_request &request, steady_time now) const;
-    // The parts of expectedWait(): until a slot is free, and until the limit allows the start.
+    // Takes the arrival of a request into the order, the work factor and the offered loads.
+    void prepare(const slot_request &request, steady_time now);
+    // Returns the expectation for a request whose arrival was taken by prepare().
+    expectation assess(const slot_request &request, steady_time now) const;
+    // The parts of the expected wait: until a slot is free, and until the limit allows the start.
     double expectedWaitForSlot(const slot_request &request, steady_time now) const;
     double expectedWaitForLimit(const slot_request &request, steady_time now) const;
     // Orders the waiting requests anew if the upstream has become cold or warm.
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -58,6 +58,12 @@
             request.message.get("Host", "") + request.message.getURI(), request.key.value_or(0)};
 }
 
+slot_request slotRequestOf(const proxied_request &request)
+{
+    return {request.route,        request.rank,     request.objective,
+            request.objectiveEnd, request.deadline, request.isRetry};
+}
+
 // A connection that ended before its response suggests that the upstream has crashed.
 crash_quarantine::run_end runEndOf(exchange_state state)
 {
@@ -92,8 +98,8 @@
 }
 
 std::optional<proxy_result>
-upstream_dispatcher::checkTarget(const proxied_request &request,
-                                 const local_upstream_state &target) const
+upstream_dispatcher::checkTarget(const proxied_request &request, const local_upstream_state &target,
+                                 const std::function<key_state(shard_key)> &keyState) const
 {
     if (target.id != request.upstream || target.service != request.service) {
         return notRunResult(proxy_reason::OtherUpstream);
@@ -105,7 +111,7 @@
     if (!request.key) {
         return std::nullopt;
     }
-    const key_state state = m_hooks.keyState(*request.key);
+    const key_state state = keyState(*request.key);
     if (state == key_state::Served) {
         return std::nullopt;
     }
@@ -138,9 +144,7 @@
         return notRunResult(proxy_reason::LinkBusy,
                             std::chrono::ceil<milliseconds>(expectedEnd - request.objectiveEnd));
     }
-    const slot_request slotRequest{request.route,        request.rank,     request.objective,
-                                   request.objectiveEnd, request.deadline, request.isRetry};
-    slot_result acquired = m_slotQueue.acquire(slotRequest, arrived);
+    slot_result acquired = m_slotQueue.acquire(slotRequestOf(request), arrived);
     if (const auto *rejected = std::get_if<slot_queue::rejection>(&acquired)) {
         const bool hasEnded = std::chrono::steady_clock::now() >= m_end.load();
         return notRunResult(hasEnded ? proxy_reason::Stopping : proxy_reason::Overload,
@@ -167,6 +171,41 @@
     return result;
 }
 
+dispatch_assessment upstream_dispatcher::assess(const proxied_request &request, bool hasBody,
+                                                steady_time now) const
+{
+    dispatch_assessment result;
+    const local_upstream_state target = m_hooks.local();
+    result.rejectReason = request.key ? target.keyedRejectReason : target.rejectReason;
+    result.rejected = checkTarget(request, target, m_hooks.peekKeyState);
+    if (request.key) {
+        result.key = m_hooks.peekKeyState(*request.key);
+    }
+    if (m_quarantine.rejectsAny(now)) {
+        const auto remaining =
+            m_quarantine.remainingRejectionTime(headFingerprint(request).value(), now);
+        result.quarantine = hasBody ? quarantine_state::DependsOnBody
+            : remaining             ? quarantine_state::Rejected
+                                    : quarantine_state::Accepted;
+        if (!result.rejected && result.quarantine == quarantine_state::Rejected) {
+            result.rejected = notRunResult(proxy_reason::Quarantined, *remaining);
+        }
+    }
+    const slot_queue queue = m_slotQueue.snapshot();
+    result.queue = m_slotQueue.report();
+    result.expectation = queue.expect(slotRequestOf(request), now);
+    if (!result.rejected && result.expectation.rejected) {
+        result.rejected =
+            notRunResult(proxy_reason::Overload, result.expectation.rejected->retryAfter);
+    }
+    const cold_rate_limit &limit = queue.coldLimit();
+    result.isCold = limit.isCold(now);
+    result.coldRemaining = limit.coldRemaining(now);
+    result.coldPermittedPerSecond = limit.isEnabled() ? limit.permittedPerSecond() : 0;
+    result.recentStarts = limit.recentStarts(now);
+    return result;
+}
+
 std::optional<proxy_result> upstream_dispatcher::checkQuarantine(const proxied_request &request,
                                                                  fingerprinted_body &body)
 {
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -42,6 +42,36 @@
     std::function<void(const upstream_id &id)> onConnectionRefused;
     // Called when the upstream has responded.
     std::function<void(const upstream_id &id)> onResponse;
+    // The same as keyState, but counts nothing.
+    std::function<key_state(shard_key key)> peekKeyState = {};
+};
+
+// Whether crash_quarantine rejects a request.
+enum class quarantine_state {
+    Accepted,
+    Rejected,
+    // Some requests are rejected; whether this one is depends on its body.
+    DependsOnBody,
+};
+
+// What dispatch() would do with a request that arrives now.
+struct dispatch_assessment
+{
+    // Set if the request would be rejected.
+    std::optional<proxy_result> rejected;
+    // Why the upstream takes no requests.
+    proxy_reason rejectReason = proxy_reason::None;
+    // State of the key, if the request has one.
+    std::optional<key_state> key;
+    quarantine_state quarantine = quarantine_state::Accepted;
+    queue_report queue;
+    slot_queue::expectation expectation;
+    // The limit on the starts at a cold upstream.
+    bool isCold = false;
+    // The maximum if unknown.
+    milliseconds coldRemaining{0};
+    int coldPermittedPerSecond = 0;
+    int recentStarts = 0;
 };
 
 // Dispatches requests to the local upstream. Thread safe; each request runs on the thread of its
@@ -59,6 +89,9 @@
     // before the response begins.
     proxy_result dispatch(const proxied_request &request, server_exchange &exchange,
                           response_sink &sink, dispatch_times &times);
+    // Returns what dispatch() would do with a request for the local upstream, and changes nothing.
+    // `hasBody` tells whether the request has a body.
+    dispatch_assessment assess(const proxied_request &request, bool hasBody, steady_time now) const;
     // Returns the state of the queue for the upstream.
     queue_report queue() const { return m_slotQueue.report(); }
     // Sets the number of requests that the upstream may run at the same time.
@@ -86,8 +119,14 @@
 
 private:
     // Returns the rejection of a request that can't be dispatched now; nullopt if it can.
+    std::optional<proxy_result>
+    checkTarget(const proxied_request &request, const local_upstream_state &target,
+                const std::function<key_state(shard_key)> &keyState) const;
     std::optional<proxy_result> checkTarget(const proxied_request &request,
-                                            const local_upstream_state &target) const;
+                                            const local_upstream_state &target) const
+    {
+        return checkTarget(request, target, m_hooks.keyState);
+    }
     // Returns the rejection of a request whose fingerprint is quarantined or whose body can't be
     // read; nullopt if the request may be dispatched.
     static std::optional<proxy_result> checkQuarantine(const proxied_request &request,
--- a/src/persimmonrail/proxy/upstream_picker.cpp
+++ b/src/persimmonrail/proxy/upstream_picker.cpp
@@ -20,6 +20,46 @@
 // Zones of which reports are kept; their names come from other daemons.
 constexpr size_t maxZones = 16;
 
+using member_list = std::vector<const upstream_member *>;
+
+// Removes the members outside the zone, unless none is in it.
+void narrowToZone(member_list &members, std::string_view zone)
+{
+    const auto otherZones =
+        std::stable_partition(members.begin(), members.end(), [&](const upstream_member *member) {
+            return member->availabilityZone == zone;
+        });
+    if (otherZones != members.begin()) {
+        members.erase(otherZones, members.end());
+    }
+}
+
+// Adds to the chances of the members what they are if two random ones of `candidates` are compared,
+// times `weight`. Of two with the same expected time, either is the first with equal probability.
+void addChances(std::vector<member_assessment> &members, const member_list &candidates,
+                double weight)
+{
+    std::vector<member_assessment *> drawn;
+    std::vector<double> times;
+    const std::set<const upstream_member *> names(candidates.begin(), candidates.end());
+    for (member_assessment &entry : members) {
+        if (names.contains(entry.member)) {
+            drawn.push_back(&entry);
+            times.push_back(entry.time.seconds());
+        }
+    }
+    std::sort(times.begin(), times.end());
+    const auto count = static_cast<double>(drawn.size());
+    for (member_assessment *entry : drawn) {
+        const auto [first, last] =
+            std::equal_range(times.begin(), times.end(), entry->time.seconds());
+        const auto slower = static_cast<double>(times.end() - last);
+        const auto equal = static_cast<double>(last - first - 1);
+        entry->chance +=
+            weight * (drawn.size() == 1 ? 1 : (2 * slower + equal) / (count * (count - 1)));
+    }
+}
+
 } // namespace
 
 std::string encodeQueueReport(const queue_report &report)
@@ -51,48 +91,112 @@
     , m_share(m_availabilityZone, options.zoneShare)
 { }
 
-double upstream_picker::expectedTime(const upstream_member &member, steady_time now) const
+expected_time upstream_picker::expectedTime(const upstream_member &member, steady_time now) const
 {
     const auto found = m_entries.find(member.id);
-    double serviceTime = initialServiceSeconds;
-    double outstanding = 1;
-    double limit = std::max(member.slots, 1);
-    if (found != m_entries.end()) {
-        const upstream_load &entry = found->second;
-        outstanding += entry.inFlight;
-        if (entry.report) {
-            const double age = std::chrono::duration<double>(now - entry.reportedAt).count();
-            const double lifetime = std::chrono::duration<double>(m_options.reportLifetime).count();
-            const double weight = std::max(0.0, 1 - age / lifetime);
-            outstanding += weight * (entry.report->running + entry.report->waiting);
-            limit = entry.report->limit;
-            if (entry.report->meanServiceTime.count() > 0) {
-                serviceTime = std::chrono::duration<double>(entry.report->meanServiceTime).count();
-            }
+    expected_time time;
+    time.serviceSeconds = initialServiceSeconds;
+    time.limit = std::max(member.slots, 1);
+    time.zoneFactor = member.availabilityZone == m_availabilityZone ? 1 : m_options.crossZoneFactor;
+    if (found == m_entries.end()) {
+        return time;
+    }
+    const upstream_load &entry = found->second;
+    time.inFlight = entry.inFlight;
+    time.outstanding += entry.inFlight;
+    if (entry.report) {
+        time.report = entry.report;
+        time.reportAge = now - entry.reportedAt;
+        const double age = std::chrono::duration<double>(time.reportAge).count();
+        const double lifetime = std::chrono::duration<double>(m_options.reportLifetime).count();
+        const double weight = std::max(0.0, 1 - age / lifetime);
+        time.outstanding += weight * (entry.report->running + entry.report->waiting);
+        time.limit = entry.report->limit;
+        if (entry.report->meanServiceTime.count() > 0) {
+            time.serviceSeconds =
+                std::chrono::duration<double>(entry.report->meanServiceTime).count();
         }
     }
-    const double load = outstanding / limit;
-    const double zone =
-        member.availabilityZone == m_availabilityZone ? 1 : m_options.crossZoneFactor;
-    return zone * serviceTime * (1 + load * load);
+    return time;
 }
 
-const upstream_member *upstream_picker::pick(const std::vector<const upstream_member *> &members,
-                                             const std::vector<upstream_id> &tried, steady_time now,
-                                             double bytes)
+upstream_picker::member_choice
+upstream_picker::untriedMembers(const std::vector<const upstream_member *> &members,
+                                const std::vector<upstream_id> &tried, steady_time now) const
 {
-    const std::lock_guard lock(m_mutex);
-    updateShare(members, now);
-    std::vector<const upstream_member *> healthy;
-    std::vector<const upstream_member *> penalized;
+    member_choice choice;
     for (const upstream_member *member : members) {
         if (std::find(tried.begin(), tried.end(), member->id) != tried.end()) {
             continue;
         }
         const auto entry = m_entries.find(member->id);
         const bool isHealthy = entry == m_entries.end() || now >= entry->second.penaltyEnd;
-        (isHealthy ? healthy : penalized).push_back(member);
+        (isHealthy ? choice.healthy : choice.penalized).push_back(member);
+    }
+    return choice;
+}
+
+member_assessment upstream_picker::assessMember(const upstream_member &member,
+                                                steady_time now) const
+{
+    member_assessment result;
+    result.member = &member;
+    result.time = expectedTime(member, now);
+    if (const auto entry = m_entries.find(member.id); entry != m_entries.end()) {
+        result.failures = entry->second.failures;
+        result.penaltyLeft = std::max<std::chrono::nanoseconds>(entry->second.penaltyEnd - now,
+                                                                std::chrono::nanoseconds(0));
+    }
+    return result;
+}
+
+picker_assessment upstream_picker::assess(const std::vector<const upstream_member *> &members,
+                                          const std::vector<const upstream_member *> &candidates,
+                                          steady_time now, double bytes) const
+{
+    picker_assessment result;
+    std::unique_lock lock(m_mutex);
+    for (const upstream_member *member : members) {
+        result.members.push_back(assessMember(*member, now));
     }
+    const auto [healthy, penalized] = untriedMembers(candidates, {}, now);
+    for (const auto &[name, zone] : m_zones) {
+        result.zonesAge =
+            std::max<std::chrono::nanoseconds>(result.zonesAge, now - zone.reportedAt);
+    }
+    zone_share share = m_share;
+    const bool isDue = isShareDue(now);
+    const std::vector<zone_load> zones = recentZones(candidates, now);
+    lock.unlock();
+    if (isDue) {
+        share.update(zones, now);
+    }
+    result.split = share.split();
+    if (healthy.empty() || !usesZoneShare() || result.split.reason == share_reason::NoReports) {
+        addChances(result.members, healthy.empty() ? penalized : healthy, 1);
+        return result;
+    }
+    std::map<std::string, double> chances = share.chances(bytes);
+    double stays = 1;
+    for (const auto &[zone, chance] : chances) {
+        stays -= chance;
+    }
+    chances[m_availabilityZone] += std::max(stays, 0.0);
+    for (const auto &[zone, chance] : chances) {
+        member_list inZone = healthy;
+        narrowToZone(inZone, zone);
+        addChances(result.members, inZone, chance);
+    }
+    return result;
+}
+
+const upstream_member *upstream_picker::pick(const std::vector<const upstream_member *> &members,
+                                             const std::vector<upstream_id> &tried, steady_time now,
+                                             double bytes)
+{
+    const std::lock_guard lock(m_mutex);
+    updateShare(members, now);
+    auto [healthy, penalized] = untriedMembers(members, tried, now);
     keepChosenZone(healthy, bytes);
     std::vector<const upstream_member *> &candidates = healthy.empty() ? penalized : healthy;
     if (candidates.empty()) {
@@ -102,7 +206,7 @@
     const upstream_member *chosen = candidates.front();
     if (candidates.size() > 1) {
         const upstream_member *other = candidates[1 + randomBelow(m_random, candidates.size() - 1)];
-        if (expectedTime(*other, now) < expectedTime(*chosen, now)) {
+        if (expectedTime(*other, now).seconds() < expectedTime(*chosen, now).seconds()) {
             chosen = other;
         }
     }
@@ -119,27 +223,39 @@
 void upstream_picker::updateShare(const std::vector<const upstream_member *> &members,
                                   steady_time now)
 {
-    if (!usesZoneShare() || now - m_shareUpdatedAt < m_options.zoneShareInterval) {
+    if (!isShareDue(now)) {
         return;
     }
     m_shareUpdatedAt = now;
+    std::erase_if(m_zones, [&](const auto &entry) {
+        return now - entry.second.reportedAt > m_options.zoneShare.maxReportAge;
+    });
+    m_share.update(recentZones(members, now), now);
+}
+
+std::vector<zone_load>
+upstream_picker::recentZones(const std::vector<const upstream_member *> &members,
+                             steady_time now) const
+{
     std::set<std::string, std::less<>> zonesWithMembers;
     for (const upstream_member *member : members) {
         zonesWithMembers.insert(member->availabilityZone);
     }
-    std::erase_if(m_zones, [&](const auto &entry) {
-        return now - entry.second.reportedAt > m_options.zoneShare.maxReportAge;
-    });
     std::vector<zone_load> zones;
+    bool isOwnReported = false;
     for (auto [name, zone] : m_zones) {
+        if (now - zone.reportedAt > m_options.zoneShare.maxReportAge) {
+            continue;
+        }
+        isOwnReported = isOwnReported || name == m_availabilityZone;
         // The directory shows sooner than reports that a zone has no upstream.
         zone.capacity = zonesWithMembers.contains(name) ? zone.capacity : 0;
         zones.push_back(zone);
     }
-    if (!m_zones.contains(m_availabilityZone) && !zonesWithMembers.contains(m_availabilityZone)) {
+    if (!isOwnReported && !zonesWithMembers.contains(m_availabilityZone)) {
         zones.push_back({m_availabilityZone, 0, 0, 0, 0, 0, 0, now});
     }
-    m_share.update(zones, now);
+    return zones;
 }
 
 void upstream_picker::keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes)
@@ -147,14 +263,7 @@
     if (!usesZoneShare() || m_share.split().reason == share_reason::NoReports) {
         return;
     }
-    const std::string &zone = m_share.choose(randomFraction(m_random), bytes);
-    const auto otherZones =
-        std::stable_partition(healthy.begin(), healthy.end(), [&](const upstream_member *member) {
-            return member->availabilityZone == zone;
-        });
-    if (otherZones != healthy.begin()) {
-        healthy.erase(otherZones, healthy.end());
-    }
+    narrowToZone(healthy, m_share.choose(randomFraction(m_random), bytes));
 }
 
 void upstream_picker::learnZones(const std::vector<zone_load> &zones, steady_time now)
--- a/src/persimmonrail/proxy/upstream_picker.h
+++ b/src/persimmonrail/proxy/upstream_picker.h
@@ -48,6 +48,49 @@
     milliseconds zoneShareInterval{200};
 };
 
+// The expected time of a request at one upstream, and what it follows from.
+struct expected_time
+{
+    double serviceSeconds = 0;
+    // Requests at the upstream, this one included, as far as this daemon knows.
+    double outstanding = 1;
+    double limit = 1;
+    double zoneFactor = 1;
+    // Requests that this daemon has in flight there.
+    int inFlight = 0;
+    // Latest report of the upstream's queue, and its age.
+    std::optional<queue_report> report;
+    std::chrono::nanoseconds reportAge{0};
+
+    // Returns the time in seconds, weighted by the zone factor.
+    double seconds() const
+    {
+        const double load = outstanding / limit;
+        return zoneFactor * serviceSeconds * (1 + load * load);
+    }
+};
+
+// What upstream_picker knows of one member.
+struct member_assessment
+{
+    const upstream_member *member = nullptr;
+    expected_time time;
+    // Consecutive failed attempts, and the remaining time of the penalty for them.
+    int failures = 0;
+    std::chrono::nanoseconds penaltyLeft{0};
+    // Probability with which pick() chooses the member for a first attempt.
+    double chance = 0;
+};
+
+struct picker_assessment
+{
+    std::vector<member_assessment> members;
+    // What leaves the zone, and why; NoReports if a fixed factor decides.
+    zone_split split;
+    // Age of the oldest report of a zone.
+    std::chrono::nanoseconds zonesAge{0};
+};
+
 // Chooses among the upstreams of one service by the expected time of a request there. Thread safe.
 class upstream_picker
 {
@@ -64,6 +107,12 @@
     const upstream_member *pick(const std::vector<const upstream_member *> &members,
                                 const std::vector<upstream_id> &tried, steady_time now,
                                 double bytes = 0);
+    // Returns what pick() would choose from for a first attempt among `candidates`, and changes
+    // nothing. Draws no random numbers. `members` holds the candidates and may hold others, whose
+    // chance is 0.
+    picker_assessment assess(const std::vector<const upstream_member *> &members,
+                             const std::vector<const upstream_member *> &candidates,
+                             steady_time now, double bytes = 0) const;
     // Takes reports of the service's zones, unless those known of a zone are newer.
     void learnZones(const std::vector<zone_load> &zones, steady_time now);
     // Returns whether the share that leaves the zone is decided by reports of the zones.
@@ -103,13 +152,30 @@
         int failures = 0;
         steady_time penaltyEnd{};
     };
+    struct member_choice
+    {
+        std::vector<const upstream_member *> healthy;
+        // Chosen only if no other member is left.
+        std::vector<const upstream_member *> penalized;
+    };
+    // Returns the members that are not in `tried`. Must be called with the mutex held.
+    member_choice untriedMembers(const std::vector<const upstream_member *> &members,
+                                 const std::vector<upstream_id> &tried, steady_time now) const;
+    bool isShareDue(steady_time now) const
+    {
+        return usesZoneShare() && now - m_shareUpdatedAt >= m_options.zoneShareInterval;
+    }
+    // Returns the reports of the zones that are recent enough to decide the share.
+    std::vector<zone_load> recentZones(const std::vector<const upstream_member *> &members,
+                                       steady_time now) const;
     // Decides the share anew if it is due.
     void updateShare(const std::vector<const upstream_member *> &members, steady_time now);
     // Removes the members outside the zone chosen for a request of this size, unless none is left.
     void keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes);
-    // Returns the expected time of a request, in seconds, weighted by the zone factor. Must be
-    // called with the mutex held.
-    double expectedTime(const upstream_member &member, steady_time now) const;
+    // Must be called with the mutex held.
+    expected_time expectedTime(const upstream_member &member, steady_time now) const;
+    // Returns what is known of a member, with a chance of 0. Must be called with the mutex held.
+    member_assessment assessMember(const upstream_member &member, steady_time now) const;
 
     const std::string m_availabilityZone;
     const upstream_picker_options m_options;
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -193,6 +193,12 @@
     return state;
 }
 
+key_state range_controller::peekState(shard_key key) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_leaseManager.canServe(key, bootNow()) ? key_state::Served : unservedState(key);
+}
+
 key_state range_controller::unservedState(shard_key key) const
 {
     const auto &moving = m_leaseManager.moving();
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -40,7 +40,8 @@
 
 // Controls the key ranges of the local upstream: grants, renewals, releases and changes of the
 // recorded owners. All functions must be called on the control thread, except for stateOf(),
-// canServe() and countKeyRequest(), which are thread safe. Blocking calls run on workers.
+// peekState(), canServe() and countKeyRequest(), which are thread safe. Blocking calls run on
+// workers.
 class range_controller
 {
 public:
@@ -103,6 +104,8 @@
     // Returns whether the local upstream may serve requests for this key now, and counts the
     // request if it may not.
     key_state stateOf(shard_key key);
+    // Returns what stateOf() would return, and counts nothing.
+    key_state peekState(shard_key key) const;
     bool canServe(shard_key key) { return stateOf(key) == key_state::Served; }
     // Counts one request for this key, for the rates from which moves are chosen.
     void countKeyRequest(shard_key key) { m_rates.count(key); }
--- a/src/persimmonrail/routing/attempt_age.h
+++ b/src/persimmonrail/routing/attempt_age.h
@@ -29,6 +29,9 @@
     // Records the timeout that a request of the route states, and returns the estimated time since
     // its caller sent it first.
     milliseconds estimate(const std::string &route, milliseconds statedTimeout, steady_time now);
+    // Returns what estimate() would return, and records nothing.
+    milliseconds peekEstimate(const std::string &route, milliseconds statedTimeout,
+                              steady_time now) const;
     // Records that a request of the route was refused or failed, so that its caller may retry.
     void recordFailure(const std::string &route, steady_time now);
 
@@ -44,12 +47,15 @@
         window_record current;
         window_record previous;
     };
+    // Moves the windows of the record on to `now`.
+    void advance(route_record &record, steady_time now) const;
+    milliseconds ageOf(const route_record &record, milliseconds statedTimeout) const;
     // Returns the record of the route, with the windows moved on to `now`. Must be called with the
     // mutex held.
     route_record &recordOf(const std::string &route, steady_time now);
 
     const attempt_age_options m_options;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::map<std::string, route_record> m_routes;
 };
 
--- a/src/persimmonrail/routing/zone_share.cpp
+++ b/src/persimmonrail/routing/zone_share.cpp
@@ -315,6 +315,28 @@
     return inverse / m_meanInverseCost;
 }
 
+double zone_share::leavingChance(double factor) const
+{
+    const double leaving = m_split.leaving();
+    // A share near 1 leaves no choice between requests.
+    return leaving >= 0.99 ? leaving : std::min(leaving * factor, 1.0);
+}
+
+std::map<std::string, double> zone_share::chances(double bytes) const
+{
+    std::map<std::string, double> result;
+    const double leaving = m_split.leaving();
+    if (leaving <= 0) {
+        return result;
+    }
+    zone_share copy = *this;
+    const double wanted = leavingChance(copy.sizeFactor(bytes));
+    for (const auto &[zone, share] : m_split.shares) {
+        result[zone] = share / leaving * wanted;
+    }
+    return result;
+}
+
 const std::string &zone_share::choose(double fraction, double bytes)
 {
     const double leaving = m_split.leaving();
@@ -322,8 +344,7 @@
     if (leaving <= 0) {
         return m_ownZone;
     }
-    // A share near 1 leaves no choice between requests.
-    const double wanted = leaving >= 0.99 ? leaving : std::min(leaving * factor, 1.0);
+    const double wanted = leavingChance(factor);
     double position = fraction;
     for (const auto &[zone, share] : m_split.shares) {
         position -= share / leaving * wanted;
--- a/src/persimmonrail/routing/zone_share.h
+++ b/src/persimmonrail/routing/zone_share.h
@@ -114,6 +114,8 @@
     // expected size of the request and its response. Requests with more bytes leave less often and
     // others more often, so that the share stays the same.
     const std::string &choose(double fraction, double bytes);
+    // Returns the probability of each other zone with which choose() would return it now.
+    std::map<std::string, double> chances(double bytes) const;
     const zone_split &split() const { return m_split; }
     // Returns the last change of the decision that was not returned yet; there is at most one in a
     // second.
@@ -124,6 +126,8 @@
     void noteChange(const std::vector<zone_load> &zones, steady_time now);
     // Returns the factor on the share for a request of this size.
     double sizeFactor(double bytes);
+    // Returns the probability with which a request with this factor leaves the zone.
+    double leavingChance(double factor) const;
 
     const std::string m_ownZone;
     const zone_share_options m_options;
