Explain requests on the metrics address

Cause: explanations need an address at which operators can read them. Change: GET /v1/explain on the metrics address returns the explanation of a request as JSON, with the age of what it rests on. Other paths return the metrics as before.

--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -85,6 +85,7 @@
     , m_upstream({settings.reportInterval, 3})
     , m_directory(std::make_shared<fleet_directory>())
     , m_evacuation(m_platform.evacuationPrefix, settings.evacuationTimeout)
+    , m_explainEndpoint(makeExplainHooks())
 {
     const auto onObject = [this](const stored_object &object) { applyObject(object); };
     addPlacementWriter();
@@ -178,9 +179,8 @@
                        [this](server_exchange &exchange) { serveReady(exchange); }));
     if (!m_settings.metricsAddress.empty()) {
         status.Update(open(m_metricsServer, m_settings.metricsAddress, maxAuxiliaryConnections,
-                           callerIdleTimeout, [this](server_exchange &exchange) {
-                               exchange.respond(200, m_metrics.renderText(), "text/plain");
-                           }));
+                           callerIdleTimeout,
+                           [this](server_exchange &exchange) { serveMetrics(exchange); }));
     }
     return status;
 }
@@ -291,6 +291,7 @@
     upstream_dispatcher_hooks hooks;
     hooks.local = [this] { return localUpstreamState(); };
     hooks.keyState = [this](shard_key key) { return m_ranges->stateOf(key); };
+    hooks.peekKeyState = [this](shard_key key) { return m_ranges->peekState(key); };
     hooks.countKeyRequest = [this](shard_key key) { m_ranges->countKeyRequest(key); };
     hooks.onConnectionRefused = [this](const upstream_id &id) {
         m_loop.post([this, id](steady_time) { onConnectionRefused(id); });
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -5,6 +5,7 @@
 #include "persimmonrail/fleet/zone_evacuation.h"
 #include "persimmonrail/proxy/request_proxy.h"
 #include "persimmonrail/router/cold_watch.h"
+#include "persimmonrail/router/explain_endpoint.h"
 #include "persimmonrail/router/member_publisher.h"
 #include "persimmonrail/router/object_watcher.h"
 #include "persimmonrail/router/peer_monitor.h"
@@ -115,6 +116,9 @@
 
     // Ports.
     void serveReady(server_exchange &exchange);
+    // Serves metrics and explanations.
+    void serveMetrics(server_exchange &exchange);
+    explain_hooks makeExplainHooks();
     std::string renderStatuses() const;
     void servePeer(server_exchange &exchange);
     // Takes the present members and statuses of the local service into the monitor of its zones.
@@ -174,6 +178,11 @@
     std::shared_ptr<const route_table> m_routes;
     std::shared_ptr<const fleet_directory> m_directory;
     bool m_isDirectoryListed = false;
+    // When m_routes was received, when the store or a relay last confirmed m_directory, and when
+    // the evacuations were last received.
+    std::optional<steady_time> m_routesReceivedAt;
+    std::optional<steady_time> m_directoryConfirmedAt;
+    std::optional<steady_time> m_evacuationsReceivedAt;
     local_upstream_state m_target;
     zone_evacuation m_evacuation;
     // Evacuation of the own zone.
@@ -195,6 +204,7 @@
     std::unique_ptr<upstream_dispatcher> m_dispatcher;
     std::unique_ptr<cold_watch> m_coldWatch;
     std::unique_ptr<request_proxy> m_proxy;
+    explain_endpoint m_explainEndpoint;
     std::unique_ptr<object_watcher> m_desiredStateWatcher;
     std::unique_ptr<object_watcher> m_fleetWatcher;
     // Null if zones are not evacuated on this platform.
--- a/src/persimmonrail/router/router_state_evacuation.cpp
+++ b/src/persimmonrail/router/router_state_evacuation.cpp
@@ -54,6 +54,7 @@
             m_evacuation.apply(objects, receivedAt);
         }
         m_ownEvacuation = m_evacuation.stateOf(m_settings.availabilityZone);
+        m_evacuationsReceivedAt = receivedAt;
     }
     m_loop.post([this, receivedAt](steady_time) { showEvacuations(receivedAt); });
 }
--- a/src/persimmonrail/router/router_state_store.cpp
+++ b/src/persimmonrail/router/router_state_store.cpp
@@ -139,6 +139,7 @@
             continue;
         }
         m_routes = *table;
+        m_routesReceivedAt = std::chrono::steady_clock::now();
         m_log.write(log_level::Info,
                     absl::StrCat("desired-state in force version=", m_routes->version(),
                                  " store_epoch=", epochOf(object.version),
@@ -178,6 +179,9 @@
     {
         const std::lock_guard lock(m_mutex);
         m_isDirectoryListed = true;
+        // What a relay passes on without knowing its age counts from its arrival.
+        m_directoryConfirmedAt = std::chrono::steady_clock::now() - (bootNow() - sentAt)
+            - objects.age.value_or(milliseconds(0));
     }
     publishDirectory(
         objects.age ? std::optional(store_confirmation{objects.revision, sentAt - *objects.age})
