--- a/src/persimmonrail/cli/command_line.cpp
+++ b/src/persimmonrail/cli/command_line.cpp
@@ -2,13 +2,16 @@
 
 #include "persimmonrail/base/socket_address.h"
 #include "persimmonrail/cli/apply_command.h"
+#include "persimmonrail/cli/explain_command.h"
 #include "persimmonrail/cli/read_commands.h"
 #include "persimmonrail/document/document_parser.h"
+#include "persimmonrail/keyspace/key_interval.h"
 #include "persimmonrail/settings/flag_parser.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <limits>
 #include <set>
 
 namespace persimmonrail {
@@ -21,6 +24,14 @@
 constexpr char expectFlag[] = "expect-version";
 constexpr char waitFlag[] = "wait-ms";
 constexpr char daemonFlag[] = "daemon";
+constexpr char routerFlag[] = "router";
+constexpr char methodFlag[] = "method";
+constexpr char hostFlag[] = "host";
+constexpr char pathFlag[] = "path";
+constexpr char keyFlag[] = "key";
+constexpr char bytesFlag[] = "bytes";
+constexpr char timeoutFlag[] = "timeout-ms";
+constexpr char jsonFlag[] = "json";
 
 const std::vector<flag_description> &cliFlags()
 {
@@ -29,6 +40,14 @@
         {expectFlag, "N", "apply: version that the stored document must have"},
         {waitFlag, "N", "apply: time limit of the command in milliseconds (default 30000)"},
         {daemonFlag, "IP:PORT", "explain: admin address of a daemon"},
+        {routerFlag, "IP:PORT", "explain: metrics address of a router daemon"},
+        {methodFlag, "M", "explain --router: method of the request (default GET)"},
+        {hostFlag, "H", "explain --router: host of the request"},
+        {pathFlag, "P", "explain --router: path and query of the request"},
+        {keyFlag, "N", "explain --router: key of the request"},
+        {bytesFlag, "N", "explain --router: length of the request body (default 0)"},
+        {timeoutFlag, "N", "explain --router: how long the caller waits"},
+        {jsonFlag, "", "explain --router: print the daemon's JSON"},
         {"version", "", "print the version and exit"},
         {"help", "", "print this text and exit"},
     };
@@ -42,6 +61,8 @@
     "  show SERVICE            print the document, the accepted version and the status\n"
     "  status [SERVICE]        print the status of one service or of all services\n"
     "  explain SERVICE KEY     print how a daemon routes a key; needs --daemon\n"
+    "  explain                 print where a router daemon would send a request now, and why;\n"
+    "                          needs --router, --host and --path\n"
     "  members                 print the members of the fleet\n\n";
 
 // One command of persimmonctl with the operands and flags that the command accepts.
@@ -75,6 +96,39 @@
         session, {operands[0], readNumberFlag(values, expectFlag), milliseconds(timeoutMs)});
 }
 
+// Flags of explain --router that become query parameters of the same meaning.
+const std::vector<std::pair<std::string, std::string>> &explainParameters()
+{
+    static const std::vector<std::pair<std::string, std::string>> parameters = {
+        {methodFlag, "method"}, {hostFlag, "host"},   {pathFlag, "path"},
+        {keyFlag, "key"},       {bytesFlag, "bytes"}, {timeoutFlag, "timeout"}};
+    return parameters;
+}
+
+cli_exit runExplainRequest(const cli_session &session, const std::vector<std::string> &,
+                           const flag_values &values)
+{
+    router_question question{values.at(routerFlag), {}, values.contains(jsonFlag)};
+    for (const auto &[flag, parameter] : explainParameters()) {
+        if (const auto found = values.find(flag); found != values.end()) {
+            question.parameters.emplace_back(parameter, found->second);
+        }
+    }
+    return explainRequest(session, question);
+}
+
+// The command "explain" with --router.
+const command_description &explainRequestCommand()
+{
+    static const command_description command = {
+        0,
+        0,
+        false,
+        {routerFlag, methodFlag, hostFlag, pathFlag, keyFlag, bytesFlag, timeoutFlag, jsonFlag},
+        runExplainRequest};
+    return command;
+}
+
 const std::map<std::string, command_description> &commands()
 {
     using operand_list = std::vector<std::string>;
@@ -135,7 +189,7 @@
             errors.push_back(absl::StrCat("--", flag, ": does not apply to this command"));
         }
     }
-    for (const char *flag : {platformFlag, daemonFlag}) {
+    for (const char *flag : {platformFlag, daemonFlag, routerFlag}) {
         if (!command.flags.contains(flag)) {
             continue;
         }
@@ -148,9 +202,20 @@
                 absl::StrCat("--", flag, ": ", std::string(address.status().message())));
         }
     }
-    for (const char *flag : {expectFlag, waitFlag}) {
+    for (const char *flag : {hostFlag, pathFlag}) {
+        if (command.flags.contains(flag) && !values.contains(flag)) {
+            errors.push_back(absl::StrCat("--", flag, ": is required"));
+        }
+    }
+    constexpr uint64_t noMaximum = std::numeric_limits<uint64_t>::max();
+    const std::pair<const char *, uint64_t> numberFlags[] = {{expectFlag, noMaximum},
+                                                             {waitFlag, maxWaitMs},
+                                                             {keyFlag, lastKey},
+                                                             {bytesFlag, noMaximum},
+                                                             {timeoutFlag, noMaximum}};
+    for (const auto &[flag, maximum] : numberFlags) {
         const auto number = readNumberFlag(values, flag);
-        if (values.contains(flag) && (!number || (flag == waitFlag && *number > maxWaitMs))) {
+        if (values.contains(flag) && (!number || *number > maximum)) {
             errors.push_back(absl::StrCat(
                 "--", flag, ": must be a non-negative integer in the range of this flag"));
         }
@@ -191,7 +256,8 @@
     if (found == commands().end()) {
         return reportUsageErrors(err, {absl::StrCat("unknown command '", parsed.operands[0], "'")});
     }
-    const auto &command = found->second;
+    const bool asksRouter = found->first == "explain" && parsed.values.contains(routerFlag);
+    const auto &command = asksRouter ? explainRequestCommand() : found->second;
     const std::vector<std::string> operands(parsed.operands.begin() + 1, parsed.operands.end());
     if (operands.size() < command.minOperands || operands.size() > command.maxOperands) {
         return reportUsageErrors(err, {absl::StrCat(found->first, ": wrong number of arguments")});
--- a/src/persimmonrail/cli/command_line.h
+++ b/src/persimmonrail/cli/command_line.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "persimmonrail/base/clock.h"
+#include "persimmonrail/objects/http_connection_pool.h"
 #include "persimmonrail/objects/object_api.h"
 #include "persimmonrail/settings/daemon_settings.h"
 
@@ -23,6 +24,10 @@
     std::function<absl::StatusOr<std::string>(const std::string &address,
                                               const std::string &pathAndQuery)>
         httpGet;
+    // Returns the response to GET `pathAndQuery` at "ip:port", whatever its status.
+    std::function<absl::StatusOr<http_response>(const std::string &address,
+                                                const std::string &pathAndQuery)>
+        httpExchange;
     // Returns the content of a file, cut off one byte past maxDocumentBytes.
     std::function<absl::StatusOr<std::string>(const std::string &path)> readFile;
     std::function<steady_time()> now;
@@ -33,7 +38,17 @@
 cli_hooks makeCliHooks();
 
 // Exit codes of persimmonctl.
-enum class cli_exit { Ok = 0, Failed = 1, Usage = 2 };
+enum class cli_exit {
+    Ok = 0,
+    Failed = 1,
+    Usage = 2,
+    // explain --router: the desired state has no route for the request, its service needs a key,
+    // the daemon knows no desired state, the daemon does not respond.
+    NoRoute = 3,
+    MissingKey = 4,
+    NoDesiredState = 5,
+    DaemonUnreachable = 6,
+};
 
 // Runs one command of persimmonctl and returns its exit code. `arguments` excludes the program
 // name. Results are written to `out`, error messages to `err`.
--- a/src/persimmonrail/cli/system_hooks.cpp
+++ b/src/persimmonrail/cli/system_hooks.cpp
@@ -16,14 +16,20 @@
 // milliseconds. A longer timeout would only delay the error message if they are down.
 constexpr milliseconds callTimeout{5'000};
 
-absl::StatusOr<std::string> httpGet(const std::string &address, const std::string &pathAndQuery)
+absl::StatusOr<http_response> httpExchange(const std::string &address,
+                                           const std::string &pathAndQuery)
 {
     const auto socketAddress = parseSocketAddress(address);
     if (!socketAddress.ok()) {
         return socketAddress.status();
     }
     http_connection_pool pool(*socketAddress, callTimeout);
-    auto response = pool.exchange({"GET", pathAndQuery, "", callTimeout, true});
+    return pool.exchange({"GET", pathAndQuery, "", callTimeout, true});
+}
+
+absl::StatusOr<std::string> httpGet(const std::string &address, const std::string &pathAndQuery)
+{
+    auto response = httpExchange(address, pathAndQuery);
     if (!response.ok()) {
         return response.status();
     }
@@ -56,6 +62,7 @@
         return makeHttpObjectApi(address, callTimeout);
     };
     hooks.httpGet = httpGet;
+    hooks.httpExchange = httpExchange;
     hooks.readFile = readFile;
     hooks.now = [] { return std::chrono::steady_clock::now(); };
     hooks.sleepFor = [](milliseconds duration) { std::this_thread::sleep_for(duration); };
--- a/src/persimmonrail/cli/tests/command_line_test.cpp
+++ b/src/persimmonrail/cli/tests/command_line_test.cpp
@@ -321,6 +321,98 @@
     CHECK(explained.out == "key: ledger/a&b=c\nowner.name: ledger-1\n");
 }
 
+namespace {
+
+// The explanation of a request that a hot owner may reject, as a router daemon states it.
+const std::string explanationText =
+    R"({"request":{"method":"GET","host":"h","path":"/k/x","bytes":0,"key":5},"zone":"nord",)"
+    R"("desired_state":{"version":7,"age_ms":12},"directory":{"epoch":1,"revision":44,"age_ms":8},)"
+    R"("evacuations":{},"route":{"name":"k\u001b","host":"h","path_prefix":"/k/","rank":1,)"
+    R"("objective_ms":500,"timeout_ms":2000,"max_attempts":2,"repeatable":true,)"
+    R"("estimated_retry_age_ms":0},"services":[{"service":"keyed","share":1,"keyed":true,)"
+    R"("owner":{"upstream":"i-a/1","serving":true,"fence":9,"first_key":0,"last_key":99,)"
+    R"("takeover_delay_ms":0,"placement_epoch":1,"placement_revision":40},"upstreams":[)"
+    R"({"upstream":"i-a/1","zone":"sued","daemon":"127.0.0.1:1","local":false,"chance":1,)"
+    R"("expected_ms":230,"service_ms":100,"outstanding":9,"limit":9,"in_flight":1,)"
+    R"("zone_factor":1.15,"report":{"running":8,"waiting":0,"limit":9,"mean_service_ms":100,)"
+    R"("age_ms":40},"failures":2,"penalty_ms":250,"draining":true,"zone_evacuated":true,)"
+    R"("daemon_silent":true}],"upstreams_left_out":0,"rejections":[{"reason":"overload-expected",)"
+    R"("by":"caller-daemon","chance":0.25,"status":503,"retry_after_ms":80,"tried_again":false}]}]})";
+
+} // namespace
+
+TEST_CASE("explain --router prints the explanation as text or as JSON", "[cli]")
+{
+    cli_fixture f;
+    std::string asked;
+    f.hooks.httpExchange = [&asked](const std::string &address, const std::string &target) {
+        asked = address + target;
+        return http_response{200, explanationText};
+    };
+    std::vector<std::string> arguments = {"explain",  "--router=127.0.0.1:7",
+                                          "--host=h", "--path=/k/x?a=1&b",
+                                          "--key=5",  "--timeout-ms=900"};
+    const auto text = f.run(arguments);
+    CHECK(text.code == cli_exit::Ok);
+    CHECK(asked == "127.0.0.1:7/v1/explain?host=h&path=%2Fk%2Fx%3Fa%3D1%26b&key=5&timeout=900");
+    for (const char *part :
+         {"request: GET h/k/x, key 5, 0 bytes\n", "desired state: version 7, received 12 ms ago\n",
+          "route: k\\x1b (h/k/), rank 1, objective 500 ms", "owner: i-a/1, keys 0-99, fence 9",
+          "expected 230 ms: service 100 ms x (1 + (outstanding 9 / limit 9)^2) x zone factor 1.15",
+          "reported 40 ms ago: 8 running, 0 waiting, limit 9", "penalty for another 250 ms after 2",
+          "its zone is evacuated\n", "its daemon has not responded lately\n",
+          "rejected with probability 0.25: overload-expected, by the daemon asked, status 503, "
+          "Retry-After 80 ms\n"}) {
+        checkContains(text.out, part);
+    }
+    arguments.push_back("--json");
+    CHECK(f.run(arguments).out == explanationText + "\n");
+}
+
+// Guards against scripts that can't tell why there is no explanation.
+TEST_CASE("explain --router has an exit code for each reason against an explanation", "[cli]")
+{
+    struct row
+    {
+        absl::StatusOr<http_response> response;
+        cli_exit code;
+        const char *message;
+    };
+    const std::vector<row> rows = {
+        {http_response{404, R"({"error":"no-route","message":"none"})"}, cli_exit::NoRoute,
+         "status 404, no-route: none"},
+        {http_response{400, R"({"error":"missing-key","message":"m"})"}, cli_exit::MissingKey,
+         "missing-key: m"},
+        {http_response{503, R"({"error":"no-desired-state","message":"m"})"},
+         cli_exit::NoDesiredState, "no-desired-state"},
+        {absl::UnavailableError("connection refused"), cli_exit::DaemonUnreachable,
+         "no response from the daemon at 127.0.0.1:7: connection refused"},
+        {absl::UnknownError("timeout"), cli_exit::DaemonUnreachable, "timeout"},
+        {http_response{503, R"({"error":"busy","message":"ask again"})"}, cli_exit::Failed,
+         "busy: ask again"},
+        {http_response{503, "gone"}, cli_exit::Failed, "status 503\n"},
+        {http_response{200, "persimmonrail_ready 1\n"}, cli_exit::Failed, "earlier release"},
+        {http_response{200, "{}"}, cli_exit::Failed, "does not explain requests"}};
+    cli_fixture f;
+    for (const row &expected : rows) {
+        f.hooks.httpExchange = [&expected](const std::string &, const std::string &) {
+            return expected.response;
+        };
+        const auto result =
+            f.run({"explain", "--router=127.0.0.1:7", "--host=h", "--path=/", "--json"});
+        CAPTURE(expected.message);
+        CHECK(result.code == expected.code);
+        CHECK(result.out.empty());
+        checkContains(result.err, expected.message);
+    }
+    CHECK(static_cast<int>(cli_exit::NoRoute) == 3);
+    CHECK(static_cast<int>(cli_exit::DaemonUnreachable) == 6);
+    // A daemon that really is not there.
+    f.hooks.httpExchange = makeCliHooks().httpExchange;
+    CHECK(f.run({"explain", "--router=127.0.0.1:1", "--host=h", "--path=/"}).code
+          == cli_exit::DaemonUnreachable);
+}
+
 TEST_CASE("a usage error returns exit code 2 and sends no request", "[cli]")
 {
     cli_fixture f;
@@ -335,6 +427,15 @@
         {"status", "--shiny"},
         {"explain", "ledger", "7"},
         {"explain", "ledger", "7", "--daemon=host:1"},
+        {"explain", "ledger", "7", "--daemon=127.0.0.1:1", "--host=h"},
+        {"explain", "--router=host:1", "--host=h", "--path=/"},
+        {"explain", "--router=127.0.0.1:1", "--path=/"},
+        {"explain", "--router=127.0.0.1:1", "--host=h"},
+        {"explain", "--router=127.0.0.1:1", "--host=h", "--path=/", "extra"},
+        {"explain", "--router=127.0.0.1:1", "--daemon=127.0.0.1:1", "--host=h", "--path=/"},
+        {"explain", "--router=127.0.0.1:1", "--host=h", "--path=/", "--key=65536"},
+        {"explain", "--router=127.0.0.1:1", "--host=h", "--path=/", "--bytes=-1"},
+        {"explain", "--router=127.0.0.1:1", "--host=h", "--path=/", "--timeout-ms=2s"},
         {"members", "--expect-version=1"},
     }));
     const auto rejected = f.run(arguments);
