Explain the upstream beside the daemon asked in every answer

Cause: the queue and the cold limit of the local upstream were stated only if it could get the request itself. Change: "local_upstream" at the top of an explanation states them always; "local" of a service keeps what depends on the request. The lint findings of the new tests and of proxied_call are mended.

--- a/src/persimmonrail/cli/explanation_text.cpp
+++ b/src/persimmonrail/cli/explanation_text.cpp
@@ -63,6 +63,32 @@
                                 : "";
 }
 
+std::string queueText(const object_reader &queue)
+{
+    return absl::StrCat(queue.text("running"), " running, ", queue.text("waiting"),
+                        " waiting, limit ", queue.text("limit"), ", mean service time ",
+                        queue.text("mean_service_ms"), " ms");
+}
+
+std::string localUpstreamText(const object_reader &local)
+{
+    if (local.text("upstream").empty()) {
+        return "upstream beside it: none has reported yet\n";
+    }
+    std::string text =
+        absl::StrCat("upstream beside it: ", local.text("upstream"), ", service ",
+                     local.text("service"), "\n  queue: ", queueText(local.object("queue")), "\n");
+    if (local.isTrue("cold")) {
+        absl::StrAppend(
+            &text, "  cold for ",
+            local.has("cold_remaining_ms") ? absl::StrCat(local.text("cold_remaining_ms"), " ms")
+                                           : "an unknown time",
+            ": ", local.text("recent_starts"), " of ", local.text("cold_permitted_per_s"),
+            " permitted starts used in the last second\n");
+    }
+    return text;
+}
+
 std::string headText(const object_reader &root)
 {
     const object_reader request = root.object("request");
@@ -82,11 +108,12 @@
     if (evacuations.has("age_ms")) {
         absl::StrAppend(&text, "evacuated zones: known", ageText(evacuations, "received"), "\n");
     }
-    absl::StrAppend(&text, "zone of the daemon asked: ", root.text("zone"),
-                    "\nroute: ", route.text("name"), " (", route.text("host"),
-                    route.text("path_prefix"), "), rank ", route.text("rank"), ", objective ",
-                    route.text("objective_ms"), " ms, timeout ", route.text("timeout_ms"),
-                    " ms, at most ", route.text("max_attempts"), " attempts",
+    absl::StrAppend(&text, "zone of the daemon asked: ", root.text("zone"), "\n",
+                    localUpstreamText(root.object("local_upstream")), "route: ", route.text("name"),
+                    " (", route.text("host"), route.text("path_prefix"), "), rank ",
+                    route.text("rank"), ", objective ", route.text("objective_ms"), " ms, timeout ",
+                    route.text("timeout_ms"), " ms, at most ", route.text("max_attempts"),
+                    " attempts",
                     route.isTrue("repeatable") ? ", repeatable" : ", runs at most once", "\n");
     if (route.text("estimated_retry_age_ms") != "0") {
         absl::StrAppend(&text, "counts as a caller's retry: first sent ",
@@ -105,13 +132,6 @@
         "\n");
 }
 
-std::string queueText(const object_reader &queue)
-{
-    return absl::StrCat(queue.text("running"), " running, ", queue.text("waiting"),
-                        " waiting, limit ", queue.text("limit"), ", mean service time ",
-                        queue.text("mean_service_ms"), " ms");
-}
-
 std::string memberText(const object_reader &member)
 {
     std::string text =
@@ -151,19 +171,10 @@
         local.text("state") == "none" ? "the upstream takes requests"
                                       : absl::StrCat("the upstream is ", local.text("state")),
         local.has("key_state") ? absl::StrCat(", key ", local.text("key_state")) : "",
-        "\n    queue: ", queueText(local.object("queue")), "\n    expected wait ",
-        local.text("expected_wait_ms"), " ms (slot ", local.text("wait_for_slot_ms"),
-        " ms, cold limit ", local.text("wait_for_cold_limit_ms"), " ms), service ",
-        local.text("service_ms"), " ms; must end within ", local.text("must_end_within_ms"),
-        " ms\n");
-    if (local.isTrue("cold")) {
-        absl::StrAppend(
-            &text, "    cold for ",
-            local.has("cold_remaining_ms") ? absl::StrCat(local.text("cold_remaining_ms"), " ms")
-                                           : "an unknown time",
-            ": ", local.text("recent_starts"), " of ", local.text("cold_permitted_per_s"),
-            " permitted starts used in the last second\n");
-    }
+        "\n    expected wait ", local.text("expected_wait_ms"), " ms (slot ",
+        local.text("wait_for_slot_ms"), " ms, cold limit ", local.text("wait_for_cold_limit_ms"),
+        " ms), service ", local.text("service_ms"), " ms; must end within ",
+        local.text("must_end_within_ms"), " ms\n");
     if (local.text("quarantine") != "accepted") {
         absl::StrAppend(&text, "    quarantine of requests that crash upstreams: ",
                         local.text("quarantine"), "\n");
--- a/src/persimmonrail/cli/tests/command_line_test.cpp
+++ b/src/persimmonrail/cli/tests/command_line_test.cpp
@@ -326,6 +326,9 @@
 // The explanation of a request that a hot owner may reject, as a router daemon states it.
 const std::string explanationText =
     R"({"request":{"method":"GET","host":"h","path":"/k/x","bytes":0,"key":5},"zone":"nord",)"
+    R"("local_upstream":{"upstream":"i-b/1","service":"keyed","state":"none","queue":{"running":1,)"
+    R"("waiting":0,"limit":9,"mean_service_ms":90},"cold":true,"cold_remaining_ms":700,)"
+    R"("cold_permitted_per_s":14,"recent_starts":3},)"
     R"("desired_state":{"version":7,"age_ms":12},"directory":{"epoch":1,"revision":44,"age_ms":8},)"
     R"("evacuations":{},"route":{"name":"k\u001b","host":"h","path_prefix":"/k/","rank":1,)"
     R"("objective_ms":500,"timeout_ms":2000,"max_attempts":2,"repeatable":true,)"
@@ -357,12 +360,14 @@
     CHECK(asked == "127.0.0.1:7/v1/explain?host=h&path=%2Fk%2Fx%3Fa%3D1%26b&key=5&timeout=900");
     for (const char *part :
          {"request: GET h/k/x, key 5, 0 bytes\n", "desired state: version 7, received 12 ms ago\n",
+          "upstream beside it: i-b/1, service keyed\n  queue: 1 running",
+          "  cold for 700 ms: 3 of 14 permitted starts used in the last second\n",
           "route: k\\x1b (h/k/), rank 1, objective 500 ms", "owner: i-a/1, keys 0-99, fence 9",
           "expected 230 ms: service 100 ms x (1 + (outstanding 9 / limit 9)^2) x zone factor 1.15",
           "reported 40 ms ago: 8 running, 0 waiting, limit 9", "penalty for another 250 ms after 2",
           "its zone is evacuated\n", "its daemon has not responded lately\n",
-          "rejected with probability 0.25: overload-expected, by the daemon asked, status 503, "
-          "Retry-After 80 ms\n"}) {
+          "rejected with probability 0.25: overload-expected, by the daemon asked, status 503",
+          ", Retry-After 80 ms\n"}) {
         checkContains(text.out, part);
     }
     arguments.push_back("--json");
--- a/src/persimmonrail/proxy/proxied_call.cpp
+++ b/src/persimmonrail/proxy/proxied_call.cpp
@@ -166,8 +166,7 @@
     const upstream_member *member =
         m_request.key ? findOwner(*directory, service) : pickUpstream(*directory, service, now);
     if (member == nullptr) {
-        const proxy_result missing =
-            missingMemberResult(*directory, m_request.service, m_request.key);
+        proxy_result missing = missingMemberResult(*directory, m_request.service, m_request.key);
         m_isServiceEvacuated = missing.reason == proxy_reason::Evacuated;
         return missing;
     }
--- a/src/persimmonrail/proxy/request_explainer.cpp
+++ b/src/persimmonrail/proxy/request_explainer.cpp
@@ -41,6 +41,8 @@
 {
     request_explanation result;
     result.zone = m_proxy.m_options.availabilityZone;
+    result.local = m_proxy.m_dispatcher.local();
+    result.localLoad = m_proxy.m_dispatcher.load(m_now);
     result.table = m_proxy.m_hooks.routes();
     result.directoryRevision = m_directory->revision();
     result.directoryEpoch = m_directory->epoch();
--- a/src/persimmonrail/proxy/request_explanation.h
+++ b/src/persimmonrail/proxy/request_explanation.h
@@ -99,6 +99,9 @@
     explained_rejection rejected;
     // Zone of the daemon asked.
     std::string zone;
+    // The upstream beside the daemon asked, whether or not it may get the request.
+    local_upstream_state local;
+    local_load localLoad;
     // The desired state in force, and the route in it; null if there is none.
     std::shared_ptr<const route_table> table;
     const route *found = nullptr;
--- a/src/persimmonrail/proxy/tests/decision_assessment_test.cpp
+++ b/src/persimmonrail/proxy/tests/decision_assessment_test.cpp
@@ -66,6 +66,7 @@
         now += milliseconds(random.below(120));
         if (random.below(4) == 0) {
             std::vector<zone_load> zones;
+            zones.reserve(3);
             for (int i = 0; i < 3; ++i) {
                 zones.push_back({"z" + std::to_string(i), 2, 18, 3, 0, 100.0 * random.below(3),
                                  20.0 * random.below(10), now - milliseconds(random.below(5000))});
--- a/src/persimmonrail/proxy/tests/request_explanation_test.cpp
+++ b/src/persimmonrail/proxy/tests/request_explanation_test.cpp
@@ -11,6 +11,7 @@
 
 #include <mutex>
 #include <random>
+#include <thread>
 
 using namespace persimmonrail;
 using namespace std::chrono_literals;
@@ -311,3 +312,40 @@
     CHECK(asked.counters() == other.counters());
     CHECK(asked.losses() == other.losses());
 }
+
+// Guards against explanations that block requests, or that read what requests write without the
+// lock: as many explanations as a daemon serves at a time run while requests are served.
+TEST_CASE("requests are served while explanations run", "[explain]")
+{
+    uint64_t seed = 1;
+    const auto isSent = [&seed] {
+        const request_explanation explained = explained_site(seed).explain("/p/x");
+        return explained.services.size() == 1 && explained.services[0].rejections.empty();
+    };
+    while (!isSent()) {
+        ++seed;
+    }
+    explained_site site(seed);
+    std::atomic<bool> isOver{false};
+    std::atomic<int> explanations{0};
+    std::vector<std::thread> asking;
+    asking.reserve(4);
+    for (int i = 0; i < 4; ++i) {
+        asking.emplace_back([&] {
+            while (!isOver) {
+                site.explain("/p/x");
+                ++explanations;
+            }
+        });
+    }
+    int served = 0;
+    for (int i = 0; i < 200 || explanations < 1000; ++i) {
+        served += site.send("/p/x").starts_with("HTTP/1.1 200") ? 1 : 0;
+    }
+    isOver = true;
+    for (std::thread &thread : asking) {
+        thread.join();
+    }
+    CHECK(served >= 200);
+    CHECK(static_cast<size_t>(served) == site.reached().size());
+}
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -191,21 +191,21 @@
             result.rejected = notRunResult(proxy_reason::Quarantined, *remaining);
         }
     }
-    const slot_queue queue = m_slotQueue.snapshot();
-    result.queue = m_slotQueue.report();
-    result.expectation = queue.expect(slotRequestOf(request), now);
+    result.expectation = m_slotQueue.snapshot().expect(slotRequestOf(request), now);
     if (!result.rejected && result.expectation.rejected) {
         result.rejected =
             notRunResult(proxy_reason::Overload, result.expectation.rejected->retryAfter);
     }
-    const cold_rate_limit &limit = queue.coldLimit();
-    result.isCold = limit.isCold(now);
-    result.coldRemaining = limit.coldRemaining(now);
-    result.coldPermittedPerSecond = limit.isEnabled() ? limit.permittedPerSecond() : 0;
-    result.recentStarts = limit.recentStarts(now);
     return result;
 }
 
+local_load upstream_dispatcher::load(steady_time now) const
+{
+    const cold_rate_limit limit = m_slotQueue.coldLimit();
+    return {m_slotQueue.report(), limit.isCold(now), limit.coldRemaining(now),
+            limit.isEnabled() ? limit.permittedPerSecond() : 0, limit.recentStarts(now)};
+}
+
 std::optional<proxy_result> upstream_dispatcher::checkQuarantine(const proxied_request &request,
                                                                  fingerprinted_body &body)
 {
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -54,6 +54,18 @@
     DependsOnBody,
 };
 
+// Load of the local upstream, and the limit on the starts while it is cold.
+struct local_load
+{
+    queue_report queue;
+    bool isCold = false;
+    // The maximum if unknown.
+    milliseconds coldRemaining{0};
+    // 0 if there is no limit.
+    int coldPermittedPerSecond = 0;
+    int recentStarts = 0;
+};
+
 // What dispatch() would do with a request that arrives now.
 struct dispatch_assessment
 {
@@ -64,14 +76,7 @@
     // State of the key, if the request has one.
     std::optional<key_state> key;
     quarantine_state quarantine = quarantine_state::Accepted;
-    queue_report queue;
     slot_queue::expectation expectation;
-    // The limit on the starts at a cold upstream.
-    bool isCold = false;
-    // The maximum if unknown.
-    milliseconds coldRemaining{0};
-    int coldPermittedPerSecond = 0;
-    int recentStarts = 0;
 };
 
 // Dispatches requests to the local upstream. Thread safe; each request runs on the thread of its
@@ -92,6 +97,7 @@
     // Returns what dispatch() would do with a request for the local upstream, and changes nothing.
     // `hasBody` tells whether the request has a body.
     dispatch_assessment assess(const proxied_request &request, bool hasBody, steady_time now) const;
+    local_load load(steady_time now) const;
     // Returns the state of the queue for the upstream.
     queue_report queue() const { return m_slotQueue.report(); }
     // Sets the number of requests that the upstream may run at the same time.
--- a/src/persimmonrail/router/explanation_json.cpp
+++ b/src/persimmonrail/router/explanation_json.cpp
@@ -152,21 +152,31 @@
     if (local.key) {
         object.set("key_state", std::string(toString(*local.key)));
     }
-    object.set("queue", renderReport(local.queue));
     object.set("expected_wait_ms", inMilliseconds(local.expectation.wait()));
     object.set("wait_for_slot_ms", inMilliseconds(local.expectation.waitForSlot));
     object.set("wait_for_cold_limit_ms", inMilliseconds(local.expectation.waitForLimit));
     object.set("service_ms", inMilliseconds(local.expectation.serviceTime));
     object.set("must_end_within_ms", inMilliseconds(local.expectation.maxTime));
-    object.set("cold", local.isCold);
-    if (local.isCold && local.coldRemaining != milliseconds::max()) {
-        object.set("cold_remaining_ms", local.coldRemaining.count());
+    object.set("quarantine", wordFor(local.quarantine));
+    return object;
+}
+
+Object renderLocalUpstream(const local_upstream_state &local, const local_load &load)
+{
+    Object object;
+    object.set("upstream", toString(local.id));
+    object.set("service", local.service);
+    object.set("state", std::string(toString(local.rejectReason)));
+    object.set("state_for_keys", std::string(toString(local.keyedRejectReason)));
+    object.set("queue", renderReport(load.queue));
+    object.set("cold", load.isCold);
+    if (load.isCold && load.coldRemaining != milliseconds::max()) {
+        object.set("cold_remaining_ms", load.coldRemaining.count());
     }
-    if (local.coldPermittedPerSecond > 0) {
-        object.set("cold_permitted_per_s", local.coldPermittedPerSecond);
-        object.set("recent_starts", local.recentStarts);
+    if (load.coldPermittedPerSecond > 0) {
+        object.set("cold_permitted_per_s", load.coldPermittedPerSecond);
+        object.set("recent_starts", load.recentStarts);
     }
-    object.set("quarantine", wordFor(local.quarantine));
     return object;
 }
 
@@ -226,6 +236,7 @@
     Object object;
     object.set("request", renderRequest(request));
     object.set("zone", explanation.zone);
+    object.set("local_upstream", renderLocalUpstream(explanation.local, explanation.localLoad));
     if (explanation.table != nullptr) {
         Object desiredState;
         desiredState.set("version", explanation.table->version());
--- a/src/persimmonrail/router/tests/explain_endpoint_test.cpp
+++ b/src/persimmonrail/router/tests/explain_endpoint_test.cpp
@@ -124,6 +124,7 @@
     };
     explain_endpoint endpoint(hooks);
     std::vector<std::future<explain_response>> running;
+    running.reserve(4);
     for (int i = 0; i < 4; ++i) {
         running.push_back(
             std::async(std::launch::async, [&] { return endpoint.serve("GET", good); }));
