Correct when requests leave their zone after a loss or a rejection

Tests showed:

- A zone that lost its upstreams was used as warm when the directory showed them again: the reports from before the loss applied for up to 6 s, and the fixed factor after that.
Now all requests leave until a newer report.
- When half of a zone's upstreams could not be reached, the other half got all requests until the reports showed it (1.5 s and more).
The capacity of a zone is now reduced by the share of its upstreams that are under a penalty.
- A request that a full upstream of the own zone had rejected was tried there again, though other zones had room.
It now goes to a zone with room after all planned requests, if there is one.
- The plan ignored bytes: a service of 60 KB requests left its zone as early as one of lookups.
The plan now uses the harmonic mean of the crossing costs.
- A share that is no longer needed was taken back with the time constant of 400 ms; with reports without delay, 0.14 of the requests still left 900 ms after the demand fell from 1.8 to 0.4 times the capacity.
It falls with 150 ms now (below 0.05 in the same test).

Values for zone-crossing-cost, derived and not measured in a fleet: with 0.5 ms one way, a crossing costs 1 ms on a reused and 2 ms on a new connection, and each doubling of a body above 14 KB costs 1 ms, 0.03 ms per KB at 60 KB. The link of 10 to 200 Mbit/s carries the same bytes to any other host, in the zone or outside it, so it adds nothing. Where only objectives of 200 ms and more count, 2ms and 0.05 follow. 5ms and 0.5 keep more inside the zone: with four zones of 18 upstreams in all, 9 slots and 100 ms, requests begin to leave at a utilization of 0.76 (0.69 with 2ms, 0.82 with 10ms) if the others are at 0.5.

The three new cases in zone_picker_test fail with the old picker.

--- a/src/persimmonrail/proxy/tests/zone_picker_test.cpp
+++ b/src/persimmonrail/proxy/tests/zone_picker_test.cpp
@@ -137,3 +137,57 @@
     picker.learnZones(states(400, 20, start - 2s), start);
     CHECK(zone_site::shareOfOther(picker, site.all, start) == 0);
 }
+
+// Fault: a zone loses its upstreams, and they return cold. The reports from before the loss show a
+// warm zone; requests must not return before a report does.
+TEST_CASE("a zone that returns is used by new reports only", "[zone]")
+{
+    const zone_site site;
+    const auto outage = GENERATE(1s, 4s, 20s);
+    upstream_picker picker("nord", seeded(), costly());
+    picker.learnZones(states(50, 20, start), start);
+    CHECK(zone_site::shareOfOther(picker, site.all, start) == 0);
+    steady_time now = start;
+    for (; now < start + outage; now += 500ms) {
+        picker.learnZones({{"sued", 2, 18, 0, 0, 100, 20, now}}, now);
+        CHECK(picker.pick({&site.s1, &site.s2}, {}, now) != nullptr);
+    }
+    CHECK(zone_site::shareOfOther(picker, site.all, now + 300ms) == 1);
+    now += 1s;
+    picker.learnZones({{"nord", 2, 18, 0, 0, 10, 50, now}, {"sued", 2, 18, 0, 0, 100, 20, now}},
+                      now);
+    const double share = zone_site::shareOfOther(picker, site.all, now);
+    CHECK(share > 0.7);
+    CHECK(share < 0.95);
+}
+
+// Fault: half of the zone's upstreams can't be reached. The reports show it 1.5 s later; until
+// then the other half must not get all requests.
+TEST_CASE("failed attempts reduce the zone's capacity", "[zone]")
+{
+    const zone_site site;
+    upstream_picker picker("nord", seeded(), costly());
+    picker.learnZones(states(60, 20, start), start);
+    CHECK(zone_site::shareOfOther(picker, site.all, start) == 0);
+    picker.begin(site.n1.id);
+    picker.finish(site.n1.id, result::Failed, std::nullopt, start + 900ms);
+    double share = 0;
+    for (steady_time now = start + 900ms; now <= start + 1100ms; now += 200ms) {
+        share = zone_site::shareOfOther(picker, site.all, now);
+    }
+    CHECK(share > 0.2);
+}
+
+// Load: an upstream of the zone is full and rejects a request before the reports show it. The next
+// attempt goes to the zone that has room, but stays if the upstream was not full.
+TEST_CASE("a request rejected as overload is tried in another zone", "[zone]")
+{
+    const zone_site site;
+    const auto [running, expected] = GENERATE(table<int, std::string>({{9, "sued"}, {3, "nord"}}));
+    upstream_picker picker("nord", seeded(), costly());
+    picker.learnZones(states(50, 20, start), start);
+    CHECK(zone_site::shareOfOther(picker, site.all, start) == 0);
+    picker.begin(site.n1.id);
+    picker.finish(site.n1.id, result::Reached, queue_report{running, 4, 9, 90ms}, start);
+    CHECK(picker.pick(site.all, {site.n1.id}, start)->availabilityZone == expected);
+}
--- a/src/persimmonrail/proxy/upstream_picker.cpp
+++ b/src/persimmonrail/proxy/upstream_picker.cpp
@@ -7,7 +7,6 @@
 #include "persimmonrail/base/text.h"
 
 #include <algorithm>
-#include <set>
 
 namespace persimmonrail {
 namespace {
@@ -20,6 +19,13 @@
 // Zones of which reports are kept; their names come from other daemons.
 constexpr size_t maxZones = 16;
 
+// Members of one zone in the directory.
+struct zone_members
+{
+    // Those that are not under a penalty.
+    int healthy = 0;
+};
+
 } // namespace
 
 std::string encodeQueueReport(const queue_report &report)
@@ -89,11 +95,9 @@
         if (std::find(tried.begin(), tried.end(), member->id) != tried.end()) {
             continue;
         }
-        const auto entry = m_entries.find(member->id);
-        const bool isHealthy = entry == m_entries.end() || now >= entry->second.penaltyEnd;
-        (isHealthy ? healthy : penalized).push_back(member);
+        (isHealthy(member->id, now) ? healthy : penalized).push_back(member);
     }
-    keepChosenZone(healthy, bytes);
+    keepChosenZone(healthy, bytes, wasRejectedByOwnZone(members, tried));
     std::vector<const upstream_member *> &candidates = healthy.empty() ? penalized : healthy;
     if (candidates.empty()) {
         return nullptr;
@@ -116,6 +120,24 @@
     return chosen;
 }
 
+bool upstream_picker::isHealthy(const upstream_id &id, steady_time now) const
+{
+    const auto entry = m_entries.find(id);
+    return entry == m_entries.end() || now >= entry->second.penaltyEnd;
+}
+
+bool upstream_picker::wasRejectedByOwnZone(const std::vector<const upstream_member *> &members,
+                                           const std::vector<upstream_id> &tried) const
+{
+    return std::any_of(members.begin(), members.end(), [&](const upstream_member *member) {
+        const auto entry = m_entries.find(member->id);
+        return member->availabilityZone == m_availabilityZone
+            && std::find(tried.begin(), tried.end(), member->id) != tried.end()
+            && entry != m_entries.end() && entry->second.report
+            && entry->second.report->running >= entry->second.report->limit;
+    });
+}
+
 void upstream_picker::updateShare(const std::vector<const upstream_member *> &members,
                                   steady_time now)
 {
@@ -123,31 +145,46 @@
         return;
     }
     m_shareUpdatedAt = now;
-    std::set<std::string, std::less<>> zonesWithMembers;
+    std::map<std::string, zone_members, std::less<>> zoneMembers;
     for (const upstream_member *member : members) {
-        zonesWithMembers.insert(member->availabilityZone);
+        zone_members &zone = zoneMembers[member->availabilityZone];
+        zone.healthy += isHealthy(member->id, now) ? 1 : 0;
     }
     std::erase_if(m_zones, [&](const auto &entry) {
         return now - entry.second.reportedAt > m_options.zoneShare.maxReportAge;
     });
+    if (!zoneMembers.contains(m_availabilityZone)) {
+        // Reports from before the own zone lost its upstreams say nothing about those that return.
+        zone_load &own = m_zones[m_availabilityZone];
+        own.zone = m_availabilityZone;
+        own.reportedAt = now;
+    }
     std::vector<zone_load> zones;
-    for (auto [name, zone] : m_zones) {
-        // The directory shows sooner than reports that a zone has no upstream.
-        zone.capacity = zonesWithMembers.contains(name) ? zone.capacity : 0;
+    for (auto &[name, zone] : m_zones) {
+        const auto found = zoneMembers.find(name);
+        if (found == zoneMembers.end()) {
+            // The directory shows sooner than reports that a zone has no upstream.
+            zone.capacity = 0;
+        }
         zones.push_back(zone);
-    }
-    if (!m_zones.contains(m_availabilityZone) && !zonesWithMembers.contains(m_availabilityZone)) {
-        zones.push_back({m_availabilityZone, 0, 0, 0, 0, 0, 0, now});
+        if (found != zoneMembers.end() && zone.upstreams > found->second.healthy) {
+            // Failed attempts show sooner than reports that a zone has lost a part of its
+            // upstreams. Reports that show the loss count fewer upstreams.
+            zones.back().capacity *= found->second.healthy / static_cast<double>(zone.upstreams);
+        }
     }
     m_share.update(zones, now);
 }
 
-void upstream_picker::keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes)
+void upstream_picker::keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes,
+                                     bool wasRejected)
 {
     if (!usesZoneShare() || m_share.split().reason == share_reason::NoReports) {
         return;
     }
-    const std::string &zone = m_share.choose(randomFraction(m_random), bytes);
+    const double fraction = randomFraction(m_random);
+    const std::string &zone =
+        wasRejected ? m_share.chooseAfterRejection(fraction) : m_share.choose(fraction, bytes);
     const auto otherZones =
         std::stable_partition(healthy.begin(), healthy.end(), [&](const upstream_member *member) {
             return member->availabilityZone == zone;
@@ -223,8 +260,7 @@
 bool upstream_picker::isPenalized(const upstream_id &id, steady_time now) const
 {
     const std::lock_guard lock(m_mutex);
-    const auto entry = m_entries.find(id);
-    return entry != m_entries.end() && now < entry->second.penaltyEnd;
+    return !isHealthy(id, now);
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/upstream_picker.h
+++ b/src/persimmonrail/proxy/upstream_picker.h
@@ -106,7 +106,13 @@
     // Decides the share anew if it is due.
     void updateShare(const std::vector<const upstream_member *> &members, steady_time now);
     // Removes the members outside the zone chosen for a request of this size, unless none is left.
-    void keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes);
+    void keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes,
+                        bool wasRejected);
+    // Returns whether the upstream is under no penalty. Must be called with the mutex held.
+    bool isHealthy(const upstream_id &id, steady_time now) const;
+    // Returns whether an upstream of the own zone that was tried is full.
+    bool wasRejectedByOwnZone(const std::vector<const upstream_member *> &members,
+                              const std::vector<upstream_id> &tried) const;
     // Returns the expected time of a request, in seconds, weighted by the zone factor. Must be
     // called with the mutex held.
     double expectedTime(const upstream_member &member, steady_time now) const;
--- a/src/persimmonrail/routing/tests/zone_share_test.cpp
+++ b/src/persimmonrail/routing/tests/zone_share_test.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cmath>
 #include <deque>
+#include <random>
 
 using namespace persimmonrail;
 using namespace std::chrono_literals;
@@ -49,6 +50,8 @@
         }
     }
 
+    // Reported demands and capacities deviate by up to this share, independently in each report.
+    void setNoise(double noise) { m_noise = noise; }
     // Sets the time after which daemons get no new reports.
     void stopReportsAt(steady_time end) { m_reportsEnd = end; }
 
@@ -149,9 +152,10 @@
         for (int zone = 0; zone < zoneCount; ++zone) {
             // The demand is a moving average over 500 ms.
             m_demand[zone] += (load.demand[zone] * usualCapacity - m_demand[zone]) * 0.04;
-            const double capacity = load.capacity[zone] * usualCapacity;
+            const double capacity = load.capacity[zone] * usualCapacity * deviation();
             zones.push_back({zoneName(zone), capacity > 0 ? 6 : 0, 54, 0,
-                             static_cast<int>(m_waiting[zone]), capacity, m_demand[zone], m_now});
+                             static_cast<int>(m_waiting[zone]), capacity,
+                             m_demand[zone] * deviation(), m_now});
         }
         m_history.push_back(std::move(zones));
         if (m_history.size() > 400) {
@@ -159,6 +163,11 @@
         }
     }
 
+    double deviation()
+    {
+        return 1 + m_noise * std::uniform_real_distribution<double>(-1, 1)(m_random);
+    }
+
     void decide(zone_share &daemon, size_t index)
     {
         // Daemons get their reports at intervals of their own, so that ages vary over time.
@@ -188,6 +197,8 @@
     }
 
     const milliseconds m_maxAge;
+    double m_noise = 0;
+    std::mt19937_64 m_random{7};
     steady_time m_reportsEnd = steady_time::max();
     steady_time m_now = start;
     size_t m_step = 0;
@@ -382,6 +393,68 @@
     CHECK(bytesLeft / bytes < expected / 3);
 }
 
+// Each request costs 35 ms to cross, more than it waits in the zone; small ones would leave.
+TEST_CASE("a service of large requests leaves later", "[zone]")
+{
+    const std::vector<zone_load> zones{stateOf(0, 0.92), stateOf(1, 0.3), stateOf(2, 0.3)};
+    for (const double bytes : {1000.0, 60000.0}) {
+        zone_share share(zoneName(0), options());
+        for (int i = 0; i < 200; ++i) {
+            share.choose(0.5, bytes);
+        }
+        share.update(zones, start);
+        CAPTURE(bytes);
+        CHECK((share.split().leaving() > 0.05) == (bytes < 2000));
+    }
+}
+
+// Fault: an upstream of the own zone has rejected a request. A second attempt goes where there is
+// room after all planned requests, in proportion to it, and stays if there is none.
+TEST_CASE("a rejected request goes where there is room", "[zone]")
+{
+    zone_share share(zoneName(0), options());
+    CHECK(share.chooseAfterRejection(0.5) == zoneName(0));
+    share.update({stateOf(0, 0.5), stateOf(1, 0.48), stateOf(2, 0.78)}, start);
+    CHECK(share.split().leaving() == 0);
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 1000; ++i) {
+        ++chosen[share.chooseAfterRejection(i / 1000.0)];
+    }
+    CHECK(chosen[zoneName(1)] == 800);
+    CHECK(chosen[zoneName(2)] == 200);
+    share.update({stateOf(0, 0.5), stateOf(1, 0.95)}, start + 1s);
+    CHECK(share.chooseAfterRejection(0.5) == zoneName(0));
+}
+
+// Load: a zone that sends half of its requests has spare capacity again. The share must be gone
+// once the reports and the moving average of the demand show it.
+TEST_CASE("a share is taken back at once", "[zone]")
+{
+    const auto age = GENERATE(0ms, 1000ms, 2000ms);
+    zone_simulation simulation(20, age);
+    simulation.run({{1.8, 0.4, 0.4, 0.4}}, 5s);
+    CHECK(simulation.leaving(0) > 0.45);
+    simulation.run({{0.4, 0.4, 0.4, 0.4}}, age + 900ms);
+    CAPTURE(age.count(), simulation.leaving(0));
+    CHECK(simulation.leaving(0) < 0.05);
+}
+
+// Load: zones near their capacity, with reports that deviate by 15%. Bounds: ticks in which a zone
+// sends and receives more than 5% of its capacity, reversals in 20 s, and requests lost.
+TEST_CASE("deviating reports don't make zones send to each other", "[zone]")
+{
+    const auto demand = GENERATE(0.7, 0.8, 0.9, 1.0, 1.1);
+    const auto age = GENERATE(0ms, 1000ms, 3000ms);
+    zone_simulation simulation(20, age);
+    simulation.run({{0.5, 0.5, 0.5, 0.5}}, 4s);
+    simulation.setNoise(0.15);
+    simulation.run({{demand, demand, demand, demand}}, 20s);
+    CAPTURE(demand, age.count(), simulation.reversals(0), simulation.lost());
+    // Of 4,000 ticks of a zone.
+    CHECK(simulation.bothWays() <= (age > 1000ms ? 40 : 0));
+    CHECK(simulation.reversals(0) <= 2);
+}
+
 // One line for each change, so that a log reader sees why requests began to leave.
 TEST_CASE("a change of the share is reported once", "[zone]")
 {
--- a/src/persimmonrail/routing/zone_share.cpp
+++ b/src/persimmonrail/routing/zone_share.cpp
@@ -173,7 +173,7 @@
 }
 
 zone_split planZoneSplit(const std::vector<zone_load> &zones, std::string_view ownZone,
-                         const zone_share_options &options, steady_time now)
+                         const zone_share_options &options, steady_time now, double bytes)
 {
     zone_split split;
     const zone_load *own = findZone(zones, ownZone);
@@ -190,7 +190,7 @@
         demand += planned.back().movable;
     }
     const double step = std::max(demand, 1.0) / planSteps;
-    const double cost = crossingSeconds(options, 0);
+    const double cost = crossingSeconds(options, bytes);
     std::map<std::string, double> moved;
     split.reason = share_reason::Spare;
     for (int i = 0; i < maxPlanSteps; ++i) {
@@ -217,6 +217,11 @@
             moved[receiver->state->zone] += step;
         }
     }
+    for (const planned_zone &zone : planned) {
+        if (zone.state != own && !zone.isSender && zone.maxHelp > zone.load) {
+            split.room[zone.state->zone] = zone.maxHelp - zone.load;
+        }
+    }
     if (own->capacity <= 0) {
         const auto self = std::find_if(planned.begin(), planned.end(),
                                        [&](const auto &zone) { return zone.state == own; });
@@ -243,7 +248,9 @@
 
 void zone_share::update(const std::vector<zone_load> &zones, steady_time now)
 {
-    follow(planZoneSplit(zones, m_ownZone, m_options, now), now);
+    zone_split plan = planZoneSplit(zones, m_ownZone, m_options, now, meanBytes());
+    m_split.room = std::move(plan.room);
+    follow(plan, now);
     m_updatedAt = now;
     noteChange(zones, now);
 }
@@ -254,9 +261,10 @@
     // A zone without upstreams can't wait, and neither can one that has them back.
     const bool isImmediate = plan.reason == share_reason::NoUpstream
         || m_split.reason == share_reason::NoUpstream || m_updatedAt == steady_time{};
-    const double weight =
-        isImmediate ? 1 : 1 - std::exp(-elapsed / seconds(m_options.smoothingTime));
     const double planned = plan.leaving();
+    const milliseconds time =
+        planned < m_split.leaving() ? m_options.returnTime : m_options.smoothingTime;
+    const double weight = isImmediate ? 1 : 1 - std::exp(-elapsed / seconds(time));
     const bool stays =
         planned < (m_split.leaving() > 0 ? m_options.minShare : m_options.firstShare);
     for (auto &[zone, share] : m_split.shares) {
@@ -306,6 +314,15 @@
     return std::exchange(m_change, std::nullopt);
 }
 
+double zone_share::meanBytes() const
+{
+    if (m_meanInverseCost <= 0 || m_options.crossingCostPerKb <= 0) {
+        return 0;
+    }
+    const double cost = 1 / m_meanInverseCost - seconds(m_options.crossingCost);
+    return std::max(0.0, cost / m_options.crossingCostPerKb * 1e6);
+}
+
 double zone_share::sizeFactor(double bytes)
 {
     const double inverse = 1 / std::max(crossingSeconds(m_options, bytes), 1e-6);
@@ -334,4 +351,20 @@
     return m_ownZone;
 }
 
+const std::string &zone_share::chooseAfterRejection(double fraction) const
+{
+    double room = 0;
+    for (const auto &[zone, rate] : m_split.room) {
+        room += rate;
+    }
+    double position = fraction * room;
+    for (const auto &[zone, rate] : m_split.room) {
+        position -= rate;
+        if (position < 0) {
+            return zone;
+        }
+    }
+    return m_ownZone;
+}
+
 } // namespace persimmonrail
--- a/src/persimmonrail/routing/zone_share.h
+++ b/src/persimmonrail/routing/zone_share.h
@@ -43,6 +43,8 @@
     // Time constant with which the share follows the plan; about the interval of reports, so that
     // one deviating report does not decide alone.
     milliseconds smoothingTime{400};
+    // The same for a share that falls, since a zone with spare capacity should serve its callers.
+    milliseconds returnTime{150};
     // Reports count in full up to the first age and not at all from the second. Reports travel
     // over two polls of up to 1 s and one response.
     milliseconds fullReportAge{3000};
@@ -74,6 +76,8 @@
     // Share of the requests for each other zone; the rest stays.
     std::map<std::string, double> shares;
     share_reason reason = share_reason::NoReports;
+    // Requests a second that each other zone may still take, after its own and those of the plan.
+    std::map<std::string, double> room;
 
     // Returns the share that leaves the zone.
     double leaving() const;
@@ -82,9 +86,10 @@
 // Plans for all zones and returns the part of `ownZone`. Requests move from the zone in which they
 // wait longest to the one in which they wait least, until crossing costs more than it saves or the
 // others are filled to maxHelpUtilization. All daemons with the same reports get the same plan, in
-// which a zone either sends or receives. What a zone takes falls with the age of its report.
+// which a zone either sends or receives. What a zone takes falls with the age of its report. A
+// crossing costs as much as that of a request with `bytes`, body and response together.
 zone_split planZoneSplit(const std::vector<zone_load> &zones, std::string_view ownZone,
-                         const zone_share_options &options, steady_time now);
+                         const zone_share_options &options, steady_time now, double bytes = 0);
 
 // A change of the decision that is worth a log line.
 struct share_change
@@ -114,6 +119,10 @@
     // expected size of the request and its response. Requests with more bytes leave less often and
     // others more often, so that the share stays the same.
     const std::string &choose(double fraction, double bytes);
+    // Returns the zone for another attempt at a request that a full upstream of the own zone has
+    // rejected: another zone that may take more, by how much more, or the own zone if there is
+    // none. `fraction` is a random number in [0, 1).
+    const std::string &chooseAfterRejection(double fraction) const;
     const zone_split &split() const { return m_split; }
     // Returns the last change of the decision that was not returned yet; there is at most one in a
     // second.
@@ -124,6 +133,9 @@
     void noteChange(const std::vector<zone_load> &zones, steady_time now);
     // Returns the factor on the share for a request of this size.
     double sizeFactor(double bytes);
+    // Returns the size of a request that costs the harmonic mean of all requests. Small requests
+    // leave first, so they weigh more.
+    double meanBytes() const;
 
     const std::string m_ownZone;
     const zone_share_options m_options;
