Count slow links and transfer times when choosing an upstream

The crossing cost was the same for each zone, whatever its link: a cut link showed only through the penalties of its members, a slow or lossy one not at all. routing/link_delay measures, for each forwarded request, the time to the first byte of the response less the time that the other daemon states. Active with zone-crossing-cost.

Cold upstreams state their rate in each response, which is known up to 3 s before the reports of the zones show it. The picker now reduces the capacity of the zone by it, and a share follows a collapse of the own zone's capacity without smoothing.

With the new setting body-budget, the picker adds the time that a body of known length needs on the links of both hosts to the expected time, and compares the upstream on the own host as well if that time is 5 ms or more.

Metrics persimmonrail_zone_share and persimmonrail_zone_link_excess_ms, log line zone-link.

--- a/src/persimmonrail/proxy/proxied_call.cpp
+++ b/src/persimmonrail/proxy/proxied_call.cpp
@@ -34,6 +34,28 @@
         || reason == proxy_reason::Evacuated;
 }
 
+double inMilliseconds(std::chrono::microseconds time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+// Returns whether a forwarded request got no response from the other daemon. A daemon that responds
+// states its queue. A deadline may also pass while the upstream is slow, which probes tell.
+bool isWithoutResponse(const proxy_result &result)
+{
+    switch (result.reason) {
+    case proxy_reason::DeadlineExceeded:
+        return result.unansweredProbes > 0;
+    case proxy_reason::PeerUnreachable:
+    case proxy_reason::PeerSilent:
+    case proxy_reason::SilentConnection:
+    case proxy_reason::NoResponse:
+        return !result.queue && !result.callerDisconnected;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 proxied_call::proxied_call(request_proxy &proxy, server_exchange &exchange)
@@ -219,7 +241,8 @@
     }
     const steady_time sentAt = clockNow();
     proxy_result result;
-    proxy_sink sink(m_exchange, {});
+    std::optional<steady_time> respondedAt;
+    proxy_sink sink(m_exchange, [&](Poco::Net::HTTPResponse &) { respondedAt = clockNow(); });
     if (isLocal) {
         m_proxy.recordArrival(m_request);
         dispatch_times times;
@@ -232,6 +255,7 @@
     } else {
         result = m_proxy.m_peers.forward(m_request, member->peerAddress, m_exchange, sink);
         recordLoad(service.throttle, requestClass, result);
+        recordLink(*member, result, sentAt, respondedAt);
         const bool isOverloaded = result.reason == proxy_reason::Overload
             || result.reason == proxy_reason::TooManyConnections;
         m_overloadRejections += isOverloaded ? 1 : 0;
@@ -274,6 +298,15 @@
     return framing.type == body_framing::kind::Length ? framing.length : 0;
 }
 
+body_transfer proxied_call::bodyTransfer() const
+{
+    if (!m_proxy.m_options.countsTransferTime) {
+        return {};
+    }
+    return {static_cast<double>(requestBytes()), m_proxy.m_options.linkBytesPerSecond,
+            m_proxy.m_dispatcher.local().id};
+}
+
 void proxied_call::recordZones(request_proxy::service_state &service, const upstream_member &member,
                                const proxy_result &result, size_t responseBytes)
 {
@@ -290,6 +323,7 @@
     m_proxy.m_metrics.count("persimmonrail_zone_bytes_total", labels,
                             requestBytes() + responseBytes);
     logShareChange(service);
+    logLinkChanges();
 }
 
 void proxied_call::logShareChange(request_proxy::service_state &service)
@@ -301,11 +335,53 @@
     m_proxy.m_log.write(log_level::Info,
                         absl::StrFormat("zone-share service=%s zone=%s from=%.2f to=%.2f reason=%s "
                                         "own_demand=%.1f own_capacity=%.1f other_demand=%.1f "
-                                        "other_capacity=%.1f oldest_report_ms=%d",
+                                        "other_capacity=%.1f oldest_report_ms=%d "
+                                        "largest_link_excess_ms=%.1f",
                                         m_request.service, m_proxy.m_options.availabilityZone,
                                         change->from, change->to, toAbsl(toString(change->reason)),
                                         change->ownDemand, change->ownCapacity, change->otherDemand,
-                                        change->otherCapacity, change->oldestReport.count()));
+                                        change->otherCapacity, change->oldestReport.count(),
+                                        inMilliseconds(change->largestLinkExcess)));
+    for (const auto &[zone, share] : change->shares) {
+        m_proxy.m_metrics.addGauge("persimmonrail_zone_share",
+                                   absl::StrCat("service=\"", escapeLabel(m_request.service),
+                                                "\",zone=\"", escapeLabel(zone), "\""),
+                                   [value = share] { return value; });
+    }
+}
+
+void proxied_call::recordLink(const upstream_member &member, const proxy_result &result,
+                              steady_time sentAt, std::optional<steady_time> respondedAt)
+{
+    if (m_proxy.m_options.zoneShare.crossingCost.count() == 0) {
+        return;
+    }
+    link_delay &links = m_proxy.m_linkDelay;
+    if (respondedAt && result.timeSpent) {
+        const auto delay = *respondedAt - sentAt - result.timeSpent->inTotal;
+        links.recordResponse(member.availabilityZone, member.id.name,
+                             std::chrono::duration_cast<std::chrono::microseconds>(delay),
+                             clockNow());
+    } else if (isWithoutResponse(result)) {
+        links.recordLoss(member.availabilityZone, member.id.name, clockNow());
+    }
+}
+
+void proxied_call::logLinkChanges()
+{
+    link_delay &links = m_proxy.m_linkDelay;
+    while (const auto change = links.takeChange()) {
+        m_proxy.m_metrics.addGauge("persimmonrail_zone_link_excess_ms",
+                                   absl::StrCat("zone=\"", escapeLabel(change->zone), "\""),
+                                   [value = inMilliseconds(change->to)] { return value; });
+        m_proxy.m_log.write(
+            log_level::Info,
+            absl::StrFormat("zone-link zone=%s to_zone=%s from_ms=%.1f to_ms=%.1f lost=%.2f "
+                            "measurements=%d",
+                            m_proxy.m_options.availabilityZone, change->zone,
+                            inMilliseconds(change->from), inMilliseconds(change->to),
+                            change->lossShare, change->measurements));
+    }
 }
 
 upstream_picker::result proxied_call::pickerResult(const proxy_result &attempted) const
@@ -387,8 +463,9 @@
         return m_proxy.m_peers.liveness().shouldAvoid(member->peerAddress, now);
     });
     const double bytes = expectedBytes(service);
-    const upstream_member *picked = service.picker.pick(responsive, m_tried, now, bytes);
-    return picked != nullptr ? picked : service.picker.pick(members, m_tried, now, bytes);
+    const body_transfer body = bodyTransfer();
+    const upstream_member *picked = service.picker.pick(responsive, m_tried, now, bytes, body);
+    return picked != nullptr ? picked : service.picker.pick(members, m_tried, now, bytes, body);
 }
 
 void proxied_call::logAttempt(const proxy_result &result, std::chrono::nanoseconds took,
--- a/src/persimmonrail/proxy/proxied_call.h
+++ b/src/persimmonrail/proxy/proxied_call.h
@@ -52,12 +52,23 @@
 
     size_t requestBytes() const;
 
+    // Returns what the transfer time of the body depends on; nothing to transfer if it does not
+    // count.
+    body_transfer bodyTransfer() const;
+
     // Learns from an attempt at a request without a key, and counts where it went.
     void recordZones(request_proxy::service_state &service, const upstream_member &member,
                      const proxy_result &result, size_t responseBytes);
 
     void logShareChange(request_proxy::service_state &service);
 
+    // Measures the link to the zone of the upstream by an attempt that was forwarded.
+    // `respondedAt` is when the response began; nullopt if none did.
+    void recordLink(const upstream_member &member, const proxy_result &result, steady_time sentAt,
+                    std::optional<steady_time> respondedAt);
+
+    void logLinkChanges();
+
     // Returns what an attempt says about its upstream. A key has one owner, so its requests are
     // kept away from the owner only if no connection to the host of the owner can be established.
     upstream_picker::result pickerResult(const proxy_result &attempted) const;
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -17,13 +17,6 @@
     return std::chrono::steady_clock::now();
 }
 
-upstream_picker_options pickerOptions(const request_proxy_options &options)
-{
-    upstream_picker_options result;
-    result.zoneShare = options.zoneShare;
-    return result;
-}
-
 // Counts a request in flight during its lifetime.
 class in_flight_guard
 {
@@ -68,8 +61,9 @@
 };
 
 request_proxy::service_state::service_state(const request_proxy_options &options,
+                                            upstream_picker_options pickerOptions,
                                             random_source random, steady_time now)
-    : picker(options.availabilityZone, std::move(random), pickerOptions(options))
+    : picker(options.availabilityZone, std::move(random), std::move(pickerOptions))
     , retries(now, options.retries)
 { }
 
@@ -83,6 +77,7 @@
     , m_log(log)
     , m_metrics(values)
     , m_peers(m_hooks.isStopping, m_hooks.shutdownDeadline)
+    , m_linkDelay(m_options.availabilityZone)
     , m_outboundLink{large_response_queue(),
                      link_pacer(m_options.linkBytesPerSecond * m_options.largeResponseShare)}
     , m_random(m_hooks.makeRandom())
@@ -100,13 +95,22 @@
     return static_cast<double>(randomBits() >> 11U) * 0x1.0p-53;
 }
 
+upstream_picker_options request_proxy::pickerOptions()
+{
+    upstream_picker_options result;
+    result.zoneShare = m_options.zoneShare;
+    result.linkExcess = [this](steady_time now) { return m_linkDelay.excess(now); };
+    return result;
+}
+
 request_proxy::service_state &request_proxy::findOrCreateService(const std::string &service,
                                                                  steady_time now)
 {
     const std::lock_guard lock(m_mutex);
     auto &state = m_services[service];
     if (state == nullptr) {
-        state = std::make_unique<service_state>(m_options, m_hooks.makeRandom(), now);
+        state =
+            std::make_unique<service_state>(m_options, pickerOptions(), m_hooks.makeRandom(), now);
     }
     return *state;
 }
--- a/src/persimmonrail/proxy/request_proxy.h
+++ b/src/persimmonrail/proxy/request_proxy.h
@@ -10,6 +10,7 @@
 #include "persimmonrail/proxy/upstream_picker.h"
 #include "persimmonrail/routes/route_table.h"
 #include "persimmonrail/routing/attempt_age.h"
+#include "persimmonrail/routing/link_delay.h"
 #include "persimmonrail/routing/retry_budget.h"
 #include "persimmonrail/routing/route_bytes.h"
 #include "persimmonrail/routing/zone_share.h"
@@ -54,6 +55,8 @@
     double largeResponseShare = 0.95;
     // What leaving the availability zone costs; a crossing cost of 0 keeps the fixed factor.
     zone_share_options zoneShare;
+    // Whether the time to transfer a request body counts in the choice of an upstream.
+    bool countsTransferTime = false;
 };
 
 // Access to the state of the daemon. All functions must be thread safe.
@@ -106,13 +109,14 @@
     // State of the requests to one service.
     struct service_state
     {
-        explicit service_state(const request_proxy_options &options, random_source random,
-                               steady_time now);
+        service_state(const request_proxy_options &options, upstream_picker_options pickerOptions,
+                      random_source random, steady_time now);
         upstream_picker picker;
         overload_throttle throttle;
         route_bytes responseBytes;
         retry_budget retries;
     };
+    upstream_picker_options pickerOptions();
     service_state &findOrCreateService(const std::string &service, steady_time now);
     // Counts a first attempt at the local upstream in the demand of its caller's zone.
     void recordArrival(const proxied_request &request);
@@ -133,6 +137,8 @@
     peer_client m_peers;
     keyed_loss_ledger m_losses;
     attempt_age m_attemptAges;
+    // Measured only with a crossing cost, by the requests to all services.
+    link_delay m_linkDelay;
     // Shared by large responses to other daemons.
     outbound_link m_outboundLink;
     std::atomic<int> m_inFlight{0};
--- a/src/persimmonrail/proxy/tests/zone_picker_test.cpp
+++ b/src/persimmonrail/proxy/tests/zone_picker_test.cpp
@@ -191,3 +191,27 @@
     picker.finish(site.n1.id, result::Reached, queue_report{running, 4, 9, 90ms}, start);
     CHECK(picker.pick(site.all, {site.n1.id}, start)->availabilityZone == expected);
 }
+
+// Fault: the zone's upstreams become cold. Their responses state that before the reports of the
+// zones do. Upstreams in a slow span must not be taken for cold ones.
+TEST_CASE("a zone whose upstreams become cold is left at once", "[zone]")
+{
+    const zone_site site;
+    const auto [queue, least, most] = GENERATE(table<queue_report, double, double>(
+        {{{1, 0, 1, 700ms}, 0.85, 0.99}, {{9, 0, 9, 540ms}, 0.0, 0.0}}));
+    upstream_picker picker("nord", seeded(), costly());
+    picker.learnZones(states(50, 20, start), start);
+    CHECK(zone_site::shareOfOther(picker, site.all, start) == 0);
+    for (const upstream_member *slow : {&site.n1, &site.n2}) {
+        picker.begin(slow->id);
+        picker.finish(slow->id, result::Reached, queue, start + 100ms);
+    }
+    int other = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const upstream_member *picked = picker.pick(site.all, {}, start + 200ms);
+        other += picked->availabilityZone == "nord" ? 0 : 1;
+        picker.finish(picked->id, result::Neutral, std::nullopt, start + 200ms);
+    }
+    CHECK(other / 1000.0 >= least);
+    CHECK(other / 1000.0 <= most);
+}
--- a/src/persimmonrail/proxy/tests/zone_request_test.cpp
+++ b/src/persimmonrail/proxy/tests/zone_request_test.cpp
@@ -17,8 +17,11 @@
 class zone_site
 {
 public:
-    explicit zone_site(milliseconds crossingCost, int rejections = 0)
+    // Responses from "sued" are on the way for `suedDelay`; if that is above 0, no response tells
+    // of the zones.
+    explicit zone_site(milliseconds crossingCost, int rejections = 0, milliseconds suedDelay = 0ms)
         : m_rejections(rejections)
+        , m_suedDelay(suedDelay)
     {
         m_peer = std::move(
             *http_server::listen({}, [this](server_exchange &exchange) { servePeer(exchange); }));
@@ -74,7 +77,16 @@
         }
         Poco::Net::HTTPResponse head;
         head.set(outcomeHeader, "run");
-        head.set(zonesHeader, encodeZoneSummary(zones, now));
+        head.set(timeSpentHeader, encodeTimeSpent({0us, 200us, 300us}));
+        if (m_suedDelay.count() == 0) {
+            head.set(zonesHeader, encodeZoneSummary(zones, now));
+        } else {
+            // The upstream that was used last looks fuller, so that both are used in turn.
+            head.set(queueHeader, encodeQueueReport({9, 9, 9, 50ms}));
+        }
+        if (exchange.request().get(upstreamHeader, "") == "in-sued") {
+            std::this_thread::sleep_for(m_suedDelay);
+        }
         exchange.respond(head, "whole");
     }
     request_proxy_hooks makeHooks()
@@ -107,6 +119,7 @@
     }
 
     std::atomic<int> m_rejections;
+    const milliseconds m_suedDelay;
     std::mutex m_mutex;
     std::vector<Poco::Net::HTTPRequest> m_received;
     decision_log m_log{{log_level::Off, "", 100, false}};
@@ -164,3 +177,20 @@
     CHECK(received[0].has(originZoneHeader));
     CHECK_FALSE(received[1].has(originZoneHeader));
 }
+
+// Fault: the link to the other zone is slow. The time that the other daemon doesn't state as its
+// own must show as the excess of the link.
+TEST_CASE("a slow link to a zone is measured", "[zone]")
+{
+    zone_site site(5ms, 0, 40ms);
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    const std::string gauge = "persimmonrail_zone_link_excess_ms{zone=\"sued\"}";
+    while (site.metricsText().find(gauge) == std::string::npos
+           && std::chrono::steady_clock::now() < end) {
+        site.send();
+    }
+    const std::string text = site.metricsText();
+    const size_t found = text.find(gauge);
+    REQUIRE(found != std::string::npos);
+    CHECK(std::stod(text.substr(found + gauge.size())) > 25);
+}
--- a/src/persimmonrail/proxy/upstream_picker.cpp
+++ b/src/persimmonrail/proxy/upstream_picker.cpp
@@ -13,9 +13,16 @@
 
 // Assumed service time of an upstream that has not reported one.
 constexpr double initialServiceSeconds = 0.05;
+// Shorter transfers matter less than what reports of queues leave open, so they don't make the
+// upstream on the own host a third candidate.
+constexpr double minTransferSeconds = 0.005;
 // Entries without requests in flight are erased when there are more entries than this, since no
 // directory may name their upstreams any more.
 constexpr size_t maxEntries = 4096;
+// An upstream that reports less than this share of the mean capacity of its zone counts with what
+// it reports. Cold upstreams report less than a fifth; a slow span makes an upstream 3 times as
+// slow, which the reports of the zones show well enough.
+constexpr double coldCapacityShare = 0.25;
 // Zones of which reports are kept; their names come from other daemons.
 constexpr size_t maxZones = 16;
 
@@ -23,7 +30,7 @@
 struct zone_members
 {
     // Those that are not under a penalty.
-    int healthy = 0;
+    std::vector<const upstream_member *> healthy;
 };
 
 } // namespace
@@ -83,9 +90,43 @@
     return zone * serviceTime * (1 + load * load);
 }
 
+double transferTime(const body_transfer &body, const upstream_member &member)
+{
+    if (body.bytes <= 0 || member.id == body.local) {
+        return 0;
+    }
+    const double memberLink = member.host.linkMbps * 1e6 / 8;
+    return (body.ownLinkBytesPerSecond > 0 ? body.bytes / body.ownLinkBytesPerSecond : 0)
+        + (memberLink > 0 ? body.bytes / memberLink : 0);
+}
+
+const upstream_member *
+upstream_picker::chooseByTime(std::vector<const upstream_member *> &candidates,
+                              const body_transfer &body, steady_time now)
+{
+    const auto timeAt = [&](const upstream_member *member) {
+        return expectedTime(*member, now) + transferTime(body, *member);
+    };
+    std::swap(candidates.front(), candidates[randomBelow(m_random, candidates.size())]);
+    const upstream_member *chosen = candidates.front();
+    if (candidates.size() > 1) {
+        const upstream_member *other = candidates[1 + randomBelow(m_random, candidates.size() - 1)];
+        if (timeAt(other) < timeAt(chosen)) {
+            chosen = other;
+        }
+    }
+    if (transferTime(body, *chosen) < minTransferSeconds) {
+        return chosen;
+    }
+    const auto local =
+        std::find_if(candidates.begin(), candidates.end(),
+                     [&](const upstream_member *member) { return member->id == body.local; });
+    return local != candidates.end() && timeAt(*local) < timeAt(chosen) ? *local : chosen;
+}
+
 const upstream_member *upstream_picker::pick(const std::vector<const upstream_member *> &members,
                                              const std::vector<upstream_id> &tried, steady_time now,
-                                             double bytes)
+                                             double bytes, const body_transfer &body)
 {
     const std::lock_guard lock(m_mutex);
     updateShare(members, now);
@@ -102,14 +143,7 @@
     if (candidates.empty()) {
         return nullptr;
     }
-    std::swap(candidates.front(), candidates[randomBelow(m_random, candidates.size())]);
-    const upstream_member *chosen = candidates.front();
-    if (candidates.size() > 1) {
-        const upstream_member *other = candidates[1 + randomBelow(m_random, candidates.size() - 1)];
-        if (expectedTime(*other, now) < expectedTime(*chosen, now)) {
-            chosen = other;
-        }
-    }
+    const upstream_member *chosen = chooseByTime(candidates, body, now);
     upstream_load &entry = m_entries[chosen->id];
     ++entry.inFlight;
     if (entry.failures > 0) {
@@ -138,6 +172,30 @@
     });
 }
 
+double upstream_picker::presentCapacity(const zone_load &zone,
+                                        const std::vector<const upstream_member *> &healthy) const
+{
+    if (zone.upstreams == 0) {
+        return zone.capacity;
+    }
+    const double mean = zone.capacity / zone.upstreams;
+    // Reports that show a loss count fewer upstreams.
+    double present = mean * std::min<double>(zone.upstreams, static_cast<double>(healthy.size()));
+    for (const upstream_member *member : healthy) {
+        const auto entry = m_entries.find(member->id);
+        if (entry == m_entries.end() || !entry->second.report
+            || entry->second.reportedAt <= zone.reportedAt
+            || entry->second.report->meanServiceTime.count() == 0) {
+            continue;
+        }
+        const queue_report &report = *entry->second.report;
+        const double capacity =
+            report.limit / std::chrono::duration<double>(report.meanServiceTime).count();
+        present -= capacity < mean * coldCapacityShare ? mean - capacity : 0;
+    }
+    return std::max(present, 0.0);
+}
+
 void upstream_picker::updateShare(const std::vector<const upstream_member *> &members,
                                   steady_time now)
 {
@@ -148,7 +206,9 @@
     std::map<std::string, zone_members, std::less<>> zoneMembers;
     for (const upstream_member *member : members) {
         zone_members &zone = zoneMembers[member->availabilityZone];
-        zone.healthy += isHealthy(member->id, now) ? 1 : 0;
+        if (isHealthy(member->id, now)) {
+            zone.healthy.push_back(member);
+        }
     }
     std::erase_if(m_zones, [&](const auto &entry) {
         return now - entry.second.reportedAt > m_options.zoneShare.maxReportAge;
@@ -159,18 +219,22 @@
         own.zone = m_availabilityZone;
         own.reportedAt = now;
     }
+    const auto linkExcess = m_options.linkExcess
+        ? m_options.linkExcess(now)
+        : std::map<std::string, std::chrono::microseconds>();
     std::vector<zone_load> zones;
     for (auto &[name, zone] : m_zones) {
+        const auto excess = linkExcess.find(name);
+        zone.linkExcess =
+            excess == linkExcess.end() ? std::chrono::microseconds(0) : excess->second;
         const auto found = zoneMembers.find(name);
         if (found == zoneMembers.end()) {
             // The directory shows sooner than reports that a zone has no upstream.
             zone.capacity = 0;
         }
         zones.push_back(zone);
-        if (found != zoneMembers.end() && zone.upstreams > found->second.healthy) {
-            // Failed attempts show sooner than reports that a zone has lost a part of its
-            // upstreams. Reports that show the loss count fewer upstreams.
-            zones.back().capacity *= found->second.healthy / static_cast<double>(zone.upstreams);
+        if (found != zoneMembers.end()) {
+            zones.back().capacity = presentCapacity(zone, found->second.healthy);
         }
     }
     m_share.update(zones, now);
--- a/src/persimmonrail/proxy/upstream_picker.h
+++ b/src/persimmonrail/proxy/upstream_picker.h
@@ -5,6 +5,7 @@
 #include "persimmonrail/fleet/upstream_member.h"
 #include "persimmonrail/routing/zone_share.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -29,6 +30,21 @@
 // Returns nullopt if the text is not a valid report.
 std::optional<queue_report> parseQueueReport(std::string_view text);
 
+// What the time to transfer a request body to an upstream on another host depends on.
+struct body_transfer
+{
+    // Length of the body; 0 if it is unknown or does not count.
+    double bytes = 0;
+    // Bandwidth of the link of this host; 0 if unknown.
+    double ownLinkBytesPerSecond = 0;
+    // The upstream on this host, to which nothing is transferred; empty if there is none.
+    upstream_id local = {};
+};
+
+// Returns the time in seconds that the body needs on the links of this host and of the host of
+// `member`, one after the other. Links of unknown bandwidth take no time.
+double transferTime(const body_transfer &body, const upstream_member &member);
+
 struct upstream_picker_options
 {
     // Penalty after the first failed attempt; it doubles with each further failure.
@@ -46,6 +62,10 @@
     // Interval at which the share is decided anew. Reports change more slowly than requests arrive,
     // so a plan for each request would only cost processor time.
     milliseconds zoneShareInterval{200};
+    // Returns what crossing to other zones costs in addition, by measurements of the links. Called
+    // with the mutex of the picker held. May be empty.
+    std::function<std::map<std::string, std::chrono::microseconds>(steady_time now)> linkExcess =
+        {};
 };
 
 // Chooses among the upstreams of one service by the expected time of a request there. Thread safe.
@@ -60,10 +80,11 @@
     // penalty are chosen only if no other is left. Returns null if no member is left. With a
     // crossing cost, the share that leaves the zone first decides the zone, by the expected size of
     // the request and its response in bytes; members of other zones are chosen if that zone has
-    // none that is healthy.
+    // none that is healthy. The time to transfer `body` adds to the expected time. If it is
+    // considerable, the upstream on this host is compared as well.
     const upstream_member *pick(const std::vector<const upstream_member *> &members,
                                 const std::vector<upstream_id> &tried, steady_time now,
-                                double bytes = 0);
+                                double bytes = 0, const body_transfer &body = {});
     // Takes reports of the service's zones, unless those known of a zone are newer.
     void learnZones(const std::vector<zone_load> &zones, steady_time now);
     // Returns whether the share that leaves the zone is decided by reports of the zones.
@@ -105,6 +126,11 @@
     };
     // Decides the share anew if it is due.
     void updateShare(const std::vector<const upstream_member *> &members, steady_time now);
+    // Returns the capacity of a zone as far as failed attempts and responses show sooner than the
+    // reports of the zones that upstreams are lost or cold. `healthy` are its members under no
+    // penalty.
+    double presentCapacity(const zone_load &zone,
+                           const std::vector<const upstream_member *> &healthy) const;
     // Removes the members outside the zone chosen for a request of this size, unless none is left.
     void keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes,
                         bool wasRejected);
@@ -113,6 +139,10 @@
     // Returns whether an upstream of the own zone that was tried is full.
     bool wasRejectedByOwnZone(const std::vector<const upstream_member *> &members,
                               const std::vector<upstream_id> &tried) const;
+    // Returns the one of two random candidates with the shorter time, or the upstream on this host.
+    // There must be a candidate.
+    const upstream_member *chooseByTime(std::vector<const upstream_member *> &candidates,
+                                        const body_transfer &body, steady_time now);
     // Returns the expected time of a request, in seconds, weighted by the zone factor. Must be
     // called with the mutex held.
     double expectedTime(const upstream_member &member, steady_time now) const;
--- a/src/persimmonrail/router/router_settings.h
+++ b/src/persimmonrail/router/router_settings.h
@@ -68,6 +68,8 @@
     // selects a fixed factor instead.
     milliseconds zoneCrossingCost{0};
     double zoneCrossingCostPerKb = 0;
+    // Whether bytes of bodies are limited, and count in the choice of an upstream.
+    bool usesBodyBudget = false;
     int maxCallerConnections = 512;
     int maxPeerConnections = 1024;
     log_level level = log_level::Info;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -115,6 +115,7 @@
     options.retries = {m_settings.retryRatio * routedShareOfRetries, 0.2, 2.0};
     options.detectsCallerRetries = m_settings.detectsCallerRetries;
     options.linkBytesPerSecond = m_settings.linkMbps * 1e6 / 8;
+    options.countsTransferTime = m_settings.usesBodyBudget;
     options.zoneShare.crossingCost = m_settings.zoneCrossingCost;
     options.zoneShare.crossingCostPerKb = m_settings.zoneCrossingCostPerKb;
     m_proxy = std::make_unique<request_proxy>(options, makeProxyHooks(), m_platform.codec,
--- a/src/persimmonrail/router/tests/peer_health_test.cpp
+++ b/src/persimmonrail/router/tests/peer_health_test.cpp
@@ -259,6 +259,8 @@
     REQUIRE(settings.ok());
     CHECK(settings->reportInterval == 870ms);
     CHECK(settings->retrySlack == 60);
+    CHECK_FALSE(settings->usesBodyBudget);
+    CHECK(parseRouterSettings(valid + "body-budget = on\n")->usesBodyBudget);
     const auto [line, expectedText] = GENERATE(table<std::string, std::string>({
         {"service = t\n", "given twice"},
         {"colour = red\n", "unknown setting"},
@@ -267,6 +269,7 @@
         {"metrics-address = host:1\n", "metrics-address: invalid"},
         {"log-level = loud\n", "log-level: invalid"},
         {"link-mbps = -1\n", "link-mbps: invalid"},
+        {"body-budget = 1\n", "body-budget: invalid"},
         {"processor-share = much\n", "processor-share: invalid"},
         {"processor-speed = -1\n", "processor-speed: invalid"},
     }));
--- a/src/persimmonrail/routing/zone_share.cpp
+++ b/src/persimmonrail/routing/zone_share.cpp
@@ -19,6 +19,11 @@
 constexpr double planSteps = 256;
 // Ends the loop in any case; above planSteps, since rounding may add steps.
 constexpr int maxPlanSteps = 1024;
+// A rejected request is not tried again over a link that costs more; it has little time left.
+constexpr milliseconds maxRetryExcess{100};
+// A zone whose capacity falls below this share of the previous one has lost upstreams, or they are
+// cold.
+constexpr double collapsedShare = 0.5;
 // Weight of one request in the mean of the inverse cost.
 constexpr double costSmoothingWeight = 0.02;
 // Changes of the share below this are not logged.
@@ -100,9 +105,16 @@
     return found;
 }
 
-// Returns the zone in which another request waits least; null if all are full.
+// Returns what a request costs in the zone, in seconds: its wait, and what the link of this daemon
+// adds if it is sent by the own zone.
+double costAt(const planned_zone &zone, double load, bool isOwnRequest)
+{
+    return waitingTime(*zone.state, load) + (isOwnRequest ? seconds(zone.state->linkExcess) : 0);
+}
+
+// Returns the zone in which another request costs least; null if all are full.
 planned_zone *findReceiver(std::vector<planned_zone> &zones, const planned_zone &sender,
-                           double step)
+                           bool isOwnRequest, double step)
 {
     planned_zone *found = nullptr;
     double shortest = std::numeric_limits<double>::infinity();
@@ -110,9 +122,9 @@
         if (&zone == &sender || zone.isSender || zone.load + step > zone.maxHelp) {
             continue;
         }
-        const double wait = waitingTime(*zone.state, zone.load + step);
-        if (wait < shortest) {
-            shortest = wait;
+        const double cost = costAt(zone, zone.load + step, isOwnRequest);
+        if (cost < shortest) {
+            shortest = cost;
             found = &zone;
         }
     }
@@ -198,14 +210,15 @@
         if (sender == nullptr) {
             break;
         }
-        planned_zone *receiver = findReceiver(planned, *sender, step);
+        const bool isOwn = sender->state == own;
+        planned_zone *receiver = findReceiver(planned, *sender, isOwn, step);
         if (receiver == nullptr) {
             const bool pays = own->capacity > 0 && own->demand > own->capacity;
             split.reason = pays ? share_reason::OthersFull : split.reason;
             break;
         }
         if (waitingTime(*sender->state, sender->load)
-                - waitingTime(*receiver->state, receiver->load + step)
+                - costAt(*receiver, receiver->load + step, isOwn)
             <= cost) {
             break;
         }
@@ -213,12 +226,13 @@
         sender->movable -= step;
         sender->load -= step;
         receiver->load += step;
-        if (sender->state == own) {
+        if (isOwn) {
             moved[receiver->state->zone] += step;
         }
     }
     for (const planned_zone &zone : planned) {
-        if (zone.state != own && !zone.isSender && zone.maxHelp > zone.load) {
+        if (zone.state != own && !zone.isSender && zone.maxHelp > zone.load
+            && zone.state->linkExcess < maxRetryExcess) {
             split.room[zone.state->zone] = zone.maxHelp - zone.load;
         }
     }
@@ -250,16 +264,20 @@
 {
     zone_split plan = planZoneSplit(zones, m_ownZone, m_options, now, meanBytes());
     m_split.room = std::move(plan.room);
-    follow(plan, now);
+    const zone_load *own = findZone(zones, m_ownZone);
+    const double capacity = own != nullptr ? own->capacity : 0;
+    const bool hasCollapsed = own != nullptr && capacity < m_ownCapacity * collapsedShare;
+    m_ownCapacity = capacity;
+    follow(plan, now, hasCollapsed);
     m_updatedAt = now;
     noteChange(zones, now);
 }
 
-void zone_share::follow(const zone_split &plan, steady_time now)
+void zone_share::follow(const zone_split &plan, steady_time now, bool hasCollapsed)
 {
     const double elapsed = seconds(now - m_updatedAt);
-    // A zone without upstreams can't wait, and neither can one that has them back.
-    const bool isImmediate = plan.reason == share_reason::NoUpstream
+    // A zone whose upstreams are lost or cold can't wait, and neither can one that has them back.
+    const bool isImmediate = hasCollapsed || plan.reason == share_reason::NoUpstream
         || m_split.reason == share_reason::NoUpstream || m_updatedAt == steady_time{};
     const double planned = plan.leaving();
     const milliseconds time =
@@ -301,6 +319,11 @@
         const bool isOwn = zone.zone == m_ownZone;
         (isOwn ? change.ownDemand : change.otherDemand) += zone.demand;
         (isOwn ? change.ownCapacity : change.otherCapacity) += zone.capacity;
+        change.largestLinkExcess = std::max(change.largestLinkExcess, zone.linkExcess);
+        if (!isOwn) {
+            const auto found = m_split.shares.find(zone.zone);
+            change.shares[zone.zone] = found == m_split.shares.end() ? 0 : found->second;
+        }
         change.oldestReport = std::max(
             change.oldestReport, std::chrono::duration_cast<milliseconds>(now - zone.reportedAt));
     }
--- a/src/persimmonrail/routing/zone_share.h
+++ b/src/persimmonrail/routing/zone_share.h
@@ -26,6 +26,9 @@
     double demand = 0;
     // When the oldest of the reports was made.
     steady_time reportedAt{};
+    // What a request of this daemon to the zone costs in addition to the crossing cost, by its own
+    // measurements; not part of reports.
+    std::chrono::microseconds linkExcess{0};
 };
 
 struct zone_share_options
@@ -103,6 +106,9 @@
     double otherDemand = 0;
     double otherCapacity = 0;
     milliseconds oldestReport{0};
+    // Share for each other zone that is known, 0 included, and what the most expensive link adds.
+    std::map<std::string, double> shares = {};
+    std::chrono::microseconds largestLinkExcess{0};
 };
 
 // Decides which share of a service's requests leaves the own availability zone, and for where. The
@@ -129,7 +135,8 @@
     std::optional<share_change> takeChange();
 
 private:
-    void follow(const zone_split &plan, steady_time now);
+    // Moves the share towards the plan, at once if the capacity of the own zone has collapsed.
+    void follow(const zone_split &plan, steady_time now, bool hasCollapsed);
     void noteChange(const std::vector<zone_load> &zones, steady_time now);
     // Returns the factor on the share for a request of this size.
     double sizeFactor(double bytes);
@@ -141,6 +148,8 @@
     const zone_share_options m_options;
     zone_split m_split;
     steady_time m_updatedAt{};
+    // Capacity of the own zone at the last update.
+    double m_ownCapacity = 0;
     // Moving average of the inverse cost of crossing over all requests.
     double m_meanInverseCost = 0;
     steady_time m_loggedAt{};
