--- a/src/persimmonrail/proxy/upstream_picker.cpp
+++ b/src/persimmonrail/proxy/upstream_picker.cpp
@@ -7,19 +7,32 @@
 #include "persimmonrail/base/text.h"
 
 #include <algorithm>
-#include <set>
 
 namespace persimmonrail {
 namespace {
 
 // Assumed service time of an upstream that has not reported one.
 constexpr double initialServiceSeconds = 0.05;
+// Shorter transfers matter less than what reports of queues leave open, so they don't make the
+// upstream on the own host a third candidate.
+constexpr double minTransferSeconds = 0.005;
 // Entries without requests in flight are erased when there are more entries than this, since no
 // directory may name their upstreams any more.
 constexpr size_t maxEntries = 4096;
+// An upstream that reports less than this share of the mean capacity of its zone counts with what
+// it reports. Cold upstreams report less than a fifth; a slow span makes an upstream 3 times as
+// slow, which the reports of the zones show well enough.
+constexpr double coldCapacityShare = 0.25;
 // Zones of which reports are kept; their names come from other daemons.
 constexpr size_t maxZones = 16;
 
+// Members of one zone in the directory.
+struct zone_members
+{
+    // Those that are not under a penalty.
+    std::vector<const upstream_member *> healthy;
+};
+
 } // namespace
 
 std::string encodeQueueReport(const queue_report &report)
@@ -77,9 +90,43 @@
     return zone * serviceTime * (1 + load * load);
 }
 
+double transferTime(const body_transfer &body, const upstream_member &member)
+{
+    if (body.bytes <= 0 || member.id == body.local) {
+        return 0;
+    }
+    const double memberLink = member.host.linkMbps * 1e6 / 8;
+    return (body.ownLinkBytesPerSecond > 0 ? body.bytes / body.ownLinkBytesPerSecond : 0)
+        + (memberLink > 0 ? body.bytes / memberLink : 0);
+}
+
+const upstream_member *
+upstream_picker::chooseByTime(std::vector<const upstream_member *> &candidates,
+                              const body_transfer &body, steady_time now)
+{
+    const auto timeAt = [&](const upstream_member *member) {
+        return expectedTime(*member, now) + transferTime(body, *member);
+    };
+    std::swap(candidates.front(), candidates[randomBelow(m_random, candidates.size())]);
+    const upstream_member *chosen = candidates.front();
+    if (candidates.size() > 1) {
+        const upstream_member *other = candidates[1 + randomBelow(m_random, candidates.size() - 1)];
+        if (timeAt(other) < timeAt(chosen)) {
+            chosen = other;
+        }
+    }
+    if (transferTime(body, *chosen) < minTransferSeconds) {
+        return chosen;
+    }
+    const auto local =
+        std::find_if(candidates.begin(), candidates.end(),
+                     [&](const upstream_member *member) { return member->id == body.local; });
+    return local != candidates.end() && timeAt(*local) < timeAt(chosen) ? *local : chosen;
+}
+
 const upstream_member *upstream_picker::pick(const std::vector<const upstream_member *> &members,
                                              const std::vector<upstream_id> &tried, steady_time now,
-                                             double bytes)
+                                             double bytes, const body_transfer &body)
 {
     const std::lock_guard lock(m_mutex);
     updateShare(members, now);
@@ -89,23 +136,14 @@
         if (std::find(tried.begin(), tried.end(), member->id) != tried.end()) {
             continue;
         }
-        const auto entry = m_entries.find(member->id);
-        const bool isHealthy = entry == m_entries.end() || now >= entry->second.penaltyEnd;
-        (isHealthy ? healthy : penalized).push_back(member);
+        (isHealthy(member->id, now) ? healthy : penalized).push_back(member);
     }
-    keepChosenZone(healthy, bytes);
+    keepChosenZone(healthy, bytes, wasRejectedByOwnZone(members, tried));
     std::vector<const upstream_member *> &candidates = healthy.empty() ? penalized : healthy;
     if (candidates.empty()) {
         return nullptr;
     }
-    std::swap(candidates.front(), candidates[randomBelow(m_random, candidates.size())]);
-    const upstream_member *chosen = candidates.front();
-    if (candidates.size() > 1) {
-        const upstream_member *other = candidates[1 + randomBelow(m_random, candidates.size() - 1)];
-        if (expectedTime(*other, now) < expectedTime(*chosen, now)) {
-            chosen = other;
-        }
-    }
+    const upstream_member *chosen = chooseByTime(candidates, body, now);
     upstream_load &entry = m_entries[chosen->id];
     ++entry.inFlight;
     if (entry.failures > 0) {
@@ -116,6 +154,48 @@
     return chosen;
 }
 
+bool upstream_picker::isHealthy(const upstream_id &id, steady_time now) const
+{
+    const auto entry = m_entries.find(id);
+    return entry == m_entries.end() || now >= entry->second.penaltyEnd;
+}
+
+bool upstream_picker::wasRejectedByOwnZone(const std::vector<const upstream_member *> &members,
+                                           const std::vector<upstream_id> &tried) const
+{
+    return std::any_of(members.begin(), members.end(), [&](const upstream_member *member) {
+        const auto entry = m_entries.find(member->id);
+        return member->availabilityZone == m_availabilityZone
+            && std::find(tried.begin(), tried.end(), member->id) != tried.end()
+            && entry != m_entries.end() && entry->second.report
+            && entry->second.report->running >= entry->second.report->limit;
+    });
+}
+
+double upstream_picker::presentCapacity(const zone_load &zone,
+                                        const std::vector<const upstream_member *> &healthy) const
+{
+    if (zone.upstreams == 0) {
+        return zone.capacity;
+    }
+    const double mean = zone.capacity / zone.upstreams;
+    // Reports that show a loss count fewer upstreams.
+    double present = mean * std::min<double>(zone.upstreams, static_cast<double>(healthy.size()));
+    for (const upstream_member *member : healthy) {
+        const auto entry = m_entries.find(member->id);
+        if (entry == m_entries.end() || !entry->second.report
+            || entry->second.reportedAt <= zone.reportedAt
+            || entry->second.report->meanServiceTime.count() == 0) {
+            continue;
+        }
+        const queue_report &report = *entry->second.report;
+        const double capacity =
+            report.limit / std::chrono::duration<double>(report.meanServiceTime).count();
+        present -= capacity < mean * coldCapacityShare ? mean - capacity : 0;
+    }
+    return std::max(present, 0.0);
+}
+
 void upstream_picker::updateShare(const std::vector<const upstream_member *> &members,
                                   steady_time now)
 {
@@ -123,31 +203,52 @@
         return;
     }
     m_shareUpdatedAt = now;
-    std::set<std::string, std::less<>> zonesWithMembers;
+    std::map<std::string, zone_members, std::less<>> zoneMembers;
     for (const upstream_member *member : members) {
-        zonesWithMembers.insert(member->availabilityZone);
+        zone_members &zone = zoneMembers[member->availabilityZone];
+        if (isHealthy(member->id, now)) {
+            zone.healthy.push_back(member);
+        }
     }
     std::erase_if(m_zones, [&](const auto &entry) {
         return now - entry.second.reportedAt > m_options.zoneShare.maxReportAge;
     });
+    if (!zoneMembers.contains(m_availabilityZone)) {
+        // Reports from before the own zone lost its upstreams say nothing about those that return.
+        zone_load &own = m_zones[m_availabilityZone];
+        own.zone = m_availabilityZone;
+        own.reportedAt = now;
+    }
+    const auto linkExcess = m_options.linkExcess
+        ? m_options.linkExcess(now)
+        : std::map<std::string, std::chrono::microseconds>();
     std::vector<zone_load> zones;
-    for (auto [name, zone] : m_zones) {
-        // The directory shows sooner than reports that a zone has no upstream.
-        zone.capacity = zonesWithMembers.contains(name) ? zone.capacity : 0;
+    for (auto &[name, zone] : m_zones) {
+        const auto excess = linkExcess.find(name);
+        zone.linkExcess =
+            excess == linkExcess.end() ? std::chrono::microseconds(0) : excess->second;
+        const auto found = zoneMembers.find(name);
+        if (found == zoneMembers.end()) {
+            // The directory shows sooner than reports that a zone has no upstream.
+            zone.capacity = 0;
+        }
         zones.push_back(zone);
-    }
-    if (!m_zones.contains(m_availabilityZone) && !zonesWithMembers.contains(m_availabilityZone)) {
-        zones.push_back({m_availabilityZone, 0, 0, 0, 0, 0, 0, now});
+        if (found != zoneMembers.end()) {
+            zones.back().capacity = presentCapacity(zone, found->second.healthy);
+        }
     }
     m_share.update(zones, now);
 }
 
-void upstream_picker::keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes)
+void upstream_picker::keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes,
+                                     bool wasRejected)
 {
     if (!usesZoneShare() || m_share.split().reason == share_reason::NoReports) {
         return;
     }
-    const std::string &zone = m_share.choose(randomFraction(m_random), bytes);
+    const double fraction = randomFraction(m_random);
+    const std::string &zone =
+        wasRejected ? m_share.chooseAfterRejection(fraction) : m_share.choose(fraction, bytes);
     const auto otherZones =
         std::stable_partition(healthy.begin(), healthy.end(), [&](const upstream_member *member) {
             return member->availabilityZone == zone;
@@ -223,8 +324,7 @@
 bool upstream_picker::isPenalized(const upstream_id &id, steady_time now) const
 {
     const std::lock_guard lock(m_mutex);
-    const auto entry = m_entries.find(id);
-    return entry != m_entries.end() && now < entry->second.penaltyEnd;
+    return !isHealthy(id, now);
 }
 
 } // namespace persimmonrail
