Schedule the returns of rejected callers

All callers that an overloaded queue rejects were told the time at which one request would be accepted, so they came back together, most of them to be rejected again, and those that were accepted were late and had taken the slot of a first attempt.

With the new setting schedule-returns, the daemon beside the upstream gives each rejection a later time, at the rate at which it expects capacity for returns. The caller's daemon recognizes returns by their deadline, route and key, and tells the owner's daemon in a new field. Retries wait behind first attempts of their rank, for a bounded time and in a bounded number; those that come before their announced time don't wait. Callers of daemons that send no such field are treated as before.

--- a/src/persimmonrail/proxy/blocking_slot_queue.cpp
+++ b/src/persimmonrail/proxy/blocking_slot_queue.cpp
@@ -145,6 +145,7 @@
     if (!id) {
         return rejected;
     }
+    const steady_time requestEnd = m_state->queue.waitEnd(*id);
     state::waiter self;
     m_state->waiters.emplace(*id, &self);
     // The request may have arrived some time ago, since its body was read first. The limit counts
@@ -154,7 +155,7 @@
     while (!self.hasStarted) {
         const steady_time woken = std::chrono::steady_clock::now();
         // The end may be set while the thread waits.
-        const steady_time waitEnd = std::min(request.deadline, m_state->end);
+        const steady_time waitEnd = std::min(requestEnd, m_state->end);
         if (woken >= waitEnd) {
             break;
         }
@@ -203,6 +204,18 @@
     return m_state->queue.delayedCount();
 }
 
+uint64_t blocking_slot_queue::returnsAnnounced() const
+{
+    const std::lock_guard lock(m_state->mutex);
+    return m_state->queue.returns().announcedCount();
+}
+
+int blocking_slot_queue::returnsDue(steady_time now) const
+{
+    const std::lock_guard lock(m_state->mutex);
+    return m_state->queue.returns().due(now);
+}
+
 std::chrono::microseconds blocking_slot_queue::meanServiceTime() const
 {
     const std::lock_guard lock(m_state->mutex);
--- a/src/persimmonrail/proxy/blocking_slot_queue.h
+++ b/src/persimmonrail/proxy/blocking_slot_queue.h
@@ -36,7 +36,7 @@
     // As slot_queue::recordWorkFactor().
     void recordWorkFactor(double factor, steady_time now);
     // Waits until the request may start. Returns a rejection if the queue does not accept the
-    // request or its deadline passes first.
+    // request, or if its deadline or the time for which the queue lets it wait passes first.
     slot_result acquire(const slot_request &request, steady_time now);
     // Sets the time at which all requests that still wait are rejected, because the process ends
     // soon afterwards.
@@ -49,6 +49,9 @@
     cold_rate_limit coldLimit() const;
     // Returns how many requests the limit has delayed so far.
     uint64_t delayedCount() const;
+    // As return_schedule::announcedCount() and due().
+    uint64_t returnsAnnounced() const;
+    int returnsDue(steady_time now) const;
     // Returns the mean service time of a request at the upstream.
     std::chrono::microseconds meanServiceTime() const;
     // Returns the current state of the queue for other daemons. The quotient of the limit and the
--- a/src/persimmonrail/proxy/overload_throttle.cpp
+++ b/src/persimmonrail/proxy/overload_throttle.cpp
@@ -67,12 +67,15 @@
                                        steady_time now)
 {
     const std::lock_guard lock(m_mutex);
-    const auto found = m_records.find(requestClass);
-    if (found == m_records.end()) {
+    if (hasCapacity) {
+        request_class sameClass = requestClass;
+        sameClass.isCallerRetry = !requestClass.isCallerRetry;
+        m_records.erase(requestClass);
+        m_records.erase(sameClass);
         return;
     }
-    if (hasCapacity) {
-        m_records.erase(found);
+    const auto found = m_records.find(requestClass);
+    if (found == m_records.end()) {
         return;
     }
     decay(found->second, now);
--- a/src/persimmonrail/proxy/overload_throttle.h
+++ b/src/persimmonrail/proxy/overload_throttle.h
@@ -37,10 +37,12 @@
         upstream_id upstream;
         int rank = 0;
         milliseconds objective{0};
+        // Queues that schedule returns accept fewer retries of callers than first attempts.
+        bool isCallerRetry = false;
         bool operator<(const request_class &other) const
         {
-            return std::tie(upstream, rank, objective)
-                < std::tie(other.upstream, other.rank, other.objective);
+            return std::tie(upstream, rank, objective, isCallerRetry)
+                < std::tie(other.upstream, other.rank, other.objective, other.isCallerRetry);
         }
     };
 
@@ -52,7 +54,7 @@
     std::optional<milliseconds> rejectLocally(const request_class &requestClass,
                                               double randomFraction, steady_time now);
     // Records that the upstream accepted a request. `hasCapacity` tells that the upstream has a
-    // free slot, which ends the throttling of the class.
+    // free slot, which ends the throttling of the class, of callers' retries too.
     void recordAccepted(const request_class &requestClass, bool hasCapacity, steady_time now);
     // Records that the upstream rejected a request because it is overloaded.
     void recordRejected(const request_class &requestClass, milliseconds retryAfter,
--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -71,6 +71,9 @@
     if (request.isRetry) {
         message.set(retryHeader, "1");
     }
+    if (request.callerAttempt != caller_attempt::Unknown) {
+        message.set(callerAttemptHeader, std::string(toString(request.callerAttempt)));
+    }
     message.set(deadlineHeader, formatMilliseconds(request.deadline - now));
     message.set(objectiveLeftHeader, formatMilliseconds(request.objectiveEnd - now));
     if (request.key) {
@@ -269,6 +272,7 @@
     request.callerService = message.get(callerServiceHeader, "");
     request.repeatable = message.get(repeatableHeader, "") == "1";
     request.isRetry = message.get(retryHeader, "") == "1";
+    request.callerAttempt = parseCallerAttempt(message.get(callerAttemptHeader, ""));
     request.route = message.get(routeHeader, "");
     request.originZone = message.get(originZoneHeader, "");
     request.wantsZones = message.get(zonesWantedHeader, "") == "1";
--- a/src/persimmonrail/proxy/peer_fields.h
+++ b/src/persimmonrail/proxy/peer_fields.h
@@ -15,6 +15,9 @@
 inline constexpr char repeatableHeader[] = "Persimmonrail-Repeatable";
 // "1" if an earlier attempt at the request has reached an upstream; older daemons ignore it.
 inline constexpr char retryHeader[] = "Persimmonrail-Retry";
+// What is known of the caller's attempts, as toString(caller_attempt) writes it; absent if nothing
+// is. Older daemons ignore it.
+inline constexpr char callerAttemptHeader[] = "Persimmonrail-Caller-Attempt";
 inline constexpr char routeHeader[] = "Persimmonrail-Route";
 // Latency objective of the request, in milliseconds.
 inline constexpr char objectiveHeader[] = "Persimmonrail-Objective-Ms";
--- a/src/persimmonrail/proxy/proxied_call.cpp
+++ b/src/persimmonrail/proxy/proxied_call.cpp
@@ -92,9 +92,35 @@
                                   m_proxy.m_hooks.shutdownDeadline());
     m_request.objectiveEnd = m_startedAt + m_route->objective - callerRetryAge(fields.timeout);
     m_exchange.setDeadline(m_request.deadline);
+    if (m_proxy.m_options.schedulesReturns && fields.timeout) {
+        recognizeReturn(*fields.timeout);
+    }
     return {};
 }
 
+void proxied_call::recognizeReturn(milliseconds statedTimeout)
+{
+    m_asSent = caller_returns::request{m_route->name, m_request.key, statedTimeout, m_startedAt};
+    const auto earlier = m_proxy.m_returns.takeEarlier(*m_asSent);
+    if (!earlier) {
+        const bool isRetry = m_request.objectiveEnd < m_startedAt + m_route->objective;
+        m_request.callerAttempt = isRetry ? caller_attempt::DueRetry : caller_attempt::First;
+        return;
+    }
+    m_firstArrivedAt = earlier->firstArrivedAt;
+    m_request.objectiveEnd = m_firstArrivedAt + m_route->objective;
+    m_request.callerAttempt = m_proxy.m_returns.isDue(*earlier, m_startedAt)
+        ? caller_attempt::DueRetry
+        : caller_attempt::EarlyRetry;
+}
+
+void proxied_call::recordFailureOfCaller(milliseconds retryAfter, steady_time now)
+{
+    if (m_asSent) {
+        m_proxy.m_returns.recordFailure(*m_asSent, {m_firstArrivedAt, now + retryAfter}, now);
+    }
+}
+
 milliseconds proxied_call::callerRetryAge(const std::optional<milliseconds> &timeout)
 {
     return m_proxy.m_options.detectsCallerRetries && timeout
@@ -330,7 +356,8 @@
 
 overload_throttle::request_class proxied_call::throttleClass(const upstream_id &upstream) const
 {
-    return {m_request.key ? upstream : upstream_id(), m_request.rank, m_request.objective};
+    return {m_request.key ? upstream : upstream_id(), m_request.rank, m_request.objective,
+            isCallerRetry(m_request.callerAttempt)};
 }
 
 void proxied_call::recordLoad(overload_throttle &throttle,
@@ -453,18 +480,22 @@
 
 void proxied_call::respondWithFailure(const proxy_result &result)
 {
+    milliseconds retryAfter{0};
     Poco::Net::HTTPResponse head(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(statusFor(result.reason, result.outcome)));
     head.setContentType("text/plain");
     head.set(reasonHeader, std::string(toString(result.reason)));
     if (result.outcome == request_outcome::NotRun && head.getStatus() == 503) {
-        const milliseconds retryAfter =
-            std::max(minRetryAfter,
-                     result.retryAfter.count() > 0 ? result.retryAfter
-                                                   : m_proxy.m_options.defaultRetryAfter);
+        retryAfter = std::max(minRetryAfter,
+                              result.retryAfter.count() > 0 ? result.retryAfter
+                                                            : m_proxy.m_options.defaultRetryAfter);
         head.set("Retry-After",
                  absl::StrFormat("%.3f", std::chrono::duration<double>(retryAfter).count()));
     }
+    // Before the response, since the caller may return at once.
+    if (head.getStatus() >= 500) {
+        recordFailureOfCaller(retryAfter, clockNow());
+    }
     m_exchange.respond(head, absl::StrCat(toAbsl(toString(result.reason)), "\n"));
 }
 
--- a/src/persimmonrail/proxy/proxied_call.h
+++ b/src/persimmonrail/proxy/proxied_call.h
@@ -25,6 +25,14 @@
     // timeout does not tell.
     milliseconds callerRetryAge(const std::optional<milliseconds> &timeout);
 
+    // Finds out whether the caller has sent the request before. Its objective then counts from the
+    // first attempt.
+    void recognizeReturn(milliseconds statedTimeout);
+
+    // Records that the request has failed, so that its return is recognized. A `retryAfter` of 0
+    // means that the caller was told no time.
+    void recordFailureOfCaller(milliseconds retryAfter, steady_time now);
+
     // Attempts the request until it succeeds, can't be retried, or the retry budget is spent.
     proxy_result attemptWithRetries();
 
@@ -113,6 +121,10 @@
     bool m_hasUnknownOutcome = false;
     bool m_isServiceEvacuated = false;
     bool m_isRetryBudgetSpent = false;
+    // The request as its caller has sent it, if the caller states how long it waits, and the
+    // arrival of the caller's first attempt.
+    std::optional<caller_returns::request> m_asSent;
+    steady_time m_firstArrivedAt = m_startedAt;
     // Whether the request's zone is chosen by the share that leaves the zone.
     bool m_usesZoneShare = false;
 };
--- a/src/persimmonrail/proxy/proxy_types.h
+++ b/src/persimmonrail/proxy/proxy_types.h
@@ -5,6 +5,7 @@
 #include "persimmonrail/fleet/upstream_member.h"
 #include "persimmonrail/keyspace/key_placement.h"
 #include "persimmonrail/keyspace/key_state.h"
+#include "persimmonrail/proxy/caller_attempt.h"
 #include "persimmonrail/proxy/keyed_loss.h"
 #include "persimmonrail/proxy/link_pacer.h"
 #include "persimmonrail/proxy/proxy_reason.h"
@@ -40,6 +41,8 @@
     bool repeatable = false;
     // Whether an earlier attempt at the request has reached an upstream.
     bool isRetry = false;
+    // Whether the caller has sent the request before.
+    caller_attempt callerAttempt = caller_attempt::Unknown;
     // The caller waits for the response until this time.
     steady_time deadline;
     // Latency objective, and the time at which it ends.
--- a/src/persimmonrail/proxy/request_proxy.h
+++ b/src/persimmonrail/proxy/request_proxy.h
@@ -10,6 +10,7 @@
 #include "persimmonrail/proxy/upstream_picker.h"
 #include "persimmonrail/routes/route_table.h"
 #include "persimmonrail/routing/attempt_age.h"
+#include "persimmonrail/routing/caller_returns.h"
 #include "persimmonrail/routing/retry_budget.h"
 #include "persimmonrail/routing/route_bytes.h"
 #include "persimmonrail/routing/zone_share.h"
@@ -47,6 +48,9 @@
     retry_budget_options retries;
     // Whether the latency objective of a caller's retry counts from the caller's first attempt.
     bool detectsCallerRetries = false;
+    // Whether callers that send a request again are recognized, so that queues can let them wait
+    // behind first attempts.
+    bool schedulesReturns = false;
     // Bandwidth of this host's link; 0 if unknown.
     double linkBytesPerSecond = 0;
     // Share of the bandwidth that large responses use. The rest is for small responses and framing
@@ -133,6 +137,7 @@
     peer_client m_peers;
     keyed_loss_ledger m_losses;
     attempt_age m_attemptAges;
+    caller_returns m_returns;
     // Shared by large responses to other daemons.
     outbound_link m_outboundLink;
     std::atomic<int> m_inFlight{0};
--- a/src/persimmonrail/proxy/slot_queue.cpp
+++ b/src/persimmonrail/proxy/slot_queue.cpp
@@ -9,16 +9,24 @@
 namespace {
 
 constexpr milliseconds minRetryAfter{20};
+// Time constant of the mean work factor. Spans in which an upstream is slow come every few seconds.
+constexpr milliseconds meanFactorTime{4000};
 
 double seconds(std::chrono::nanoseconds time)
 {
     return std::chrono::duration<double>(time).count();
 }
 
+queue_position positionOf(const slot_request &request)
+{
+    return {request.rank, request.objective};
+}
+
 } // namespace
 
 slot_queue::slot_queue(slot_queue_options options)
     : m_options(options)
+    , m_returns(options.returns)
 { }
 
 bool slot_queue::isBefore(const slot_request &a, const slot_request &b) const
@@ -32,12 +40,20 @@
     return a.objective < b.objective;
 }
 
-double slot_queue::serviceTimeOf(const std::string &route) const
+bool slot_queue::isReservedBefore(const slot_request &a, const slot_request &b) const
+{
+    return m_options.schedulesReturns ? positionOf(a) < positionOf(b) : isBefore(a, b);
+}
+
+double slot_queue::usualServiceTimeOf(const std::string &route) const
 {
     const auto entry = m_serviceTimes.find(route);
-    const double usual =
-        entry == m_serviceTimes.end() ? seconds(m_options.initialServiceTime) : entry->second;
-    return usual * m_workFactor;
+    return entry == m_serviceTimes.end() ? seconds(m_options.initialServiceTime) : entry->second;
+}
+
+double slot_queue::serviceTimeOf(const std::string &route) const
+{
+    return usualServiceTimeOf(route) * m_workFactor;
 }
 
 double slot_queue::expectedWait(const slot_request &request, steady_time now) const
@@ -61,8 +77,9 @@
         equalPosition += isEarlier || isLater ? 0 : 1;
     }
     // Every laterStartInterval-th start goes to a later request, even while earlier ones wait.
-    const int starts =
-        earlierWaits ? std::min(position, equalPosition * m_options.laterStartInterval) : position;
+    const int starts = earlierWaits && !isDeferred(request)
+        ? std::min(position, equalPosition * m_options.laterStartInterval)
+        : position;
     return seconds(m_coldLimit.startOfNth(starts, now) - now);
 }
 
@@ -70,12 +87,13 @@
 {
     // Slots that this request may use. The remaining slots serve requests that come earlier in the
     // order.
-    const int usable = std::max(1, m_slots - slotsNeededBefore(request));
+    const int usable =
+        std::max(1, m_slots - std::max(slotsNeededBefore(request), slotsKeptFrom(request)));
     // Times until the usable slots become free, soonest first. Each waiting request ahead takes the
     // next slot.
     std::priority_queue<double, std::vector<double>, std::greater<>> freeAt;
     for (const auto &[id, running] : m_running) {
-        if (isBefore(running.request, request)) {
+        if (isReservedBefore(running.request, request)) {
             continue;
         }
         // The remaining time of a request that has run for longer than its mean is unknown; a
@@ -114,14 +132,15 @@
     // Every laterStartInterval-th start goes to a later request, even while earlier ones wait.
     const double waitByInterval =
         equalPosition * interval * m_meanServiceTime * m_workFactor / m_slots;
-    return earlierWaits ? std::min(waitInOrder, waitByInterval) : waitInOrder;
+    return earlierWaits && !isDeferred(request) ? std::min(waitInOrder, waitByInterval)
+                                                : waitInOrder;
 }
 
 int slot_queue::slotsNeededBefore(const slot_request &request) const
 {
     double offered = 0;
     for (const auto &[route, load] : m_loads) {
-        if (isBefore(load.latestRequest, request)) {
+        if (isReservedBefore(load.latestRequest, request)) {
             offered += load.offered;
         }
     }
@@ -130,10 +149,15 @@
     return static_cast<int>(std::min(needed, std::floor(m_slots * m_options.maxReservedShare)));
 }
 
+int slot_queue::slotsKeptFrom(const slot_request &request) const
+{
+    return isDeferred(request) ? std::min(m_options.slotsKeptFromDeferred, m_slots - 1) : 0;
+}
+
 int slot_queue::slotsReservedBefore(const slot_request &request) const
 {
     const auto inUse = std::count_if(m_running.begin(), m_running.end(), [&](const auto &entry) {
-        return isBefore(entry.second.request, request);
+        return isReservedBefore(entry.second.request, request);
     });
     return std::max(0, slotsNeededBefore(request) - static_cast<int>(inUse));
 }
@@ -142,40 +166,122 @@
 {
     const double remainingWeight =
         std::exp(-seconds(now - m_loadsUpdatedAt) / seconds(m_options.loadDecayTime));
+    const double factorWeight =
+        std::exp(-seconds(now - m_loadsUpdatedAt) / seconds(meanFactorTime));
+    m_meanSpeed = 1 / m_workFactor + (m_meanSpeed - 1 / m_workFactor) * factorWeight;
     m_loadsUpdatedAt = now;
     for (auto &[route, load] : m_loads) {
         load.offered *= remainingWeight;
+        load.firstAttemptRate *= remainingWeight;
     }
     std::erase_if(m_loads, [](const auto &entry) { return entry.second.offered < 1e-4; });
     route_load &load = m_loads[request.route];
     load.latestRequest = request;
     load.offered += serviceTimeOf(request.route) / seconds(m_options.loadDecayTime);
+    const bool isFirst = !request.isRetry && !isCallerRetry(request.callerAttempt);
+    load.firstAttemptRate += isFirst ? 1 / seconds(m_options.loadDecayTime) : 0;
+}
+
+slot_request slot_queue::classify(const slot_request &request, steady_time now)
+{
+    slot_request classified = request;
+    if (m_options.schedulesReturns && isCallerRetry(request.callerAttempt)) {
+        const bool isDue = request.callerAttempt == caller_attempt::DueRetry
+            && seconds(request.objectiveEnd - now) > serviceTimeOf(request.route)
+            && m_returns.takeDue(positionOf(request), now);
+        classified.isRetry = request.isRetry || !isDue;
+    }
+    return classified;
+}
+
+slot_queue::capacity slot_queue::capacityFor(const slot_request &request, steady_time now) const
+{
+    double offered = 0;
+    double firstAttempts = 0;
+    for (const auto &[route, load] : m_loads) {
+        if (positionOf(load.latestRequest) <= positionOf(request)) {
+            offered += load.firstAttemptRate * usualServiceTimeOf(route) / m_meanSpeed;
+            firstAttempts += load.firstAttemptRate;
+        }
+    }
+    const double serviceTime = usualServiceTimeOf(request.route) / m_meanSpeed;
+    capacity result{m_slots / serviceTime, (m_slots - offered) / serviceTime};
+    if (m_coldLimit.isCold(now)) {
+        result.total = std::min<double>(result.total, m_coldLimit.permittedPerSecond());
+        result.spare = std::min(result.spare, result.total - firstAttempts);
+    }
+    return result;
+}
+
+milliseconds slot_queue::scheduleReturn(const slot_request &request, milliseconds earliest,
+                                        steady_time now)
+{
+    const std::chrono::duration<double> serviceTime(usualServiceTimeOf(request.route)
+                                                    / m_meanSpeed);
+    const capacity available = capacityFor(request, now);
+    const return_schedule::rejected_request rejected{
+        positionOf(request), now + earliest, request.deadline, serviceTime,
+        std::max(available.spare, available.total * m_options.minReturnShare)};
+    const steady_time at = request.callerAttempt == caller_attempt::First
+        ? m_returns.announce(rejected, now)
+        : m_returns.expectedReturn(rejected, now);
+    return std::max(minRetryAfter, std::chrono::ceil<milliseconds>(at - now));
+}
+
+bool slot_queue::mayWaitDeferred(const slot_request &request, double wait, steady_time now) const
+{
+    const auto deferred =
+        std::count_if(m_waiting.begin(), m_waiting.end(), [this](const waiting_request &waiting) {
+            return isDeferred(waiting.request);
+        });
+    return request.callerAttempt != caller_attempt::EarlyRetry
+        && deferred < m_slots * m_options.maxDeferredPerSlot
+        && wait < seconds(deferredWaitEnd(request, now) - now);
+}
+
+steady_time slot_queue::deferredWaitEnd(const slot_request &request, steady_time now) const
+{
+    const std::chrono::duration<double> left = request.deadline - now;
+    const std::chrono::duration<double> serviceTime(serviceTimeOf(request.route));
+    return now
+        + std::chrono::duration_cast<steady_time::duration>(
+               std::min(left * m_options.maxDeferredWaitShare, left - serviceTime));
 }
 
-std::optional<uint64_t> slot_queue::submit(const slot_request &request, steady_time now,
+std::optional<uint64_t> slot_queue::submit(const slot_request &submitted, steady_time now,
                                            rejection &rejected)
 {
     updateOrder(now);
     m_workFactor = m_recentWorkFactor.factor(now);
+    const slot_request request = classify(submitted, now);
     recordArrival(request, now);
     const double wait = expectedWait(request, now);
     const double serviceTime = serviceTimeOf(request.route);
     const double maxTime =
         std::min(seconds(request.objectiveEnd - now) * m_options.maxObjectiveShare,
                  seconds(request.deadline - now));
-    if (wait > 0 && wait + serviceTime > maxTime) {
+    const bool isAccepted = isDeferred(request) ? wait <= 0 || mayWaitDeferred(request, wait, now)
+                                                : wait <= 0 || wait + serviceTime <= maxTime;
+    if (!isAccepted) {
         // A request that can't meet its objective any more is accepted once there is no wait.
         const double usableTime = std::max(maxTime, serviceTime);
         const auto excess =
             static_cast<int64_t>(std::ceil((wait + serviceTime - usableTime) * 1000));
         rejected.retryAfter = std::max(minRetryAfter, milliseconds(excess));
+        // A return that is not recognized would count as a first attempt although it can only be
+        // late, so it should come as soon as possible.
+        if (m_options.schedulesReturns && request.callerAttempt != caller_attempt::Unknown) {
+            rejected.retryAfter = scheduleReturn(request, rejected.retryAfter, now);
+        }
         return std::nullopt;
     }
+    const steady_time waitEnd =
+        isDeferred(request) ? deferredWaitEnd(request, now) : request.deadline;
     const auto position =
         std::find_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_request &waiting) {
             return isBefore(request, waiting.request);
         });
-    m_waiting.insert(position, {++m_lastId, request, false});
+    m_waiting.insert(position, {++m_lastId, request, false, waitEnd});
     return m_lastId;
 }
 
@@ -184,13 +290,16 @@
     const auto first = m_waiting.begin();
     const auto other =
         std::find_if(first, m_waiting.end(), [this, first](const waiting_request &waiting) {
-            return isBefore(first->request, waiting.request);
+            return isBefore(first->request, waiting.request)
+                && (isDeferred(first->request) || !isDeferred(waiting.request));
         });
     if (other != m_waiting.end() && ++m_startsWhileLaterWait >= m_options.laterStartInterval) {
         m_startsWhileLaterWait = 0;
         return other;
     }
-    return m_slots - running() > slotsReservedBefore(first->request) ? first : m_waiting.end();
+    const int reserved =
+        std::max(slotsReservedBefore(first->request), slotsKeptFrom(first->request));
+    return m_slots - running() > reserved ? first : m_waiting.end();
 }
 
 std::vector<uint64_t> slot_queue::startRequests(steady_time now)
@@ -216,11 +325,11 @@
 
 void slot_queue::updateOrder(steady_time now)
 {
-    const bool isCold = m_coldLimit.isCold(now);
-    if (isCold == m_defersRetries) {
+    const bool defersRetries = m_options.schedulesReturns || m_coldLimit.isCold(now);
+    if (defersRetries == m_defersRetries) {
         return;
     }
-    m_defersRetries = isCold;
+    m_defersRetries = defersRetries;
     m_waiting.sort([this](const waiting_request &a, const waiting_request &b) {
         return isBefore(a.request, b.request);
     });
@@ -247,6 +356,14 @@
     return next > now ? next : steady_time::max();
 }
 
+steady_time slot_queue::waitEnd(uint64_t id) const
+{
+    const auto found =
+        std::find_if(m_waiting.begin(), m_waiting.end(),
+                     [id](const waiting_request &waiting) { return waiting.id == id; });
+    return found == m_waiting.end() ? steady_time::max() : found->waitEnd;
+}
+
 void slot_queue::cancel(uint64_t id)
 {
     m_waiting.remove_if([id](const waiting_request &waiting) { return waiting.id == id; });
--- a/src/persimmonrail/proxy/slot_queue.h
+++ b/src/persimmonrail/proxy/slot_queue.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "persimmonrail/base/clock.h"
+#include "persimmonrail/proxy/caller_attempt.h"
 #include "persimmonrail/proxy/cold_rate_limit.h"
 #include "persimmonrail/proxy/recent_work_factor.h"
+#include "persimmonrail/proxy/return_schedule.h"
 
 #include <cstdint>
 #include <list>
@@ -29,6 +31,19 @@
     milliseconds loadDecayTime{1000};
     // Largest share of the slots that is reserved for requests earlier in the order.
     double maxReservedShare = 0.5;
+    // Whether rejected callers are told to return at different times, when capacity for them is
+    // expected, and retries wait behind first attempts.
+    bool schedulesReturns = false;
+    // Share of the capacity in which returns are announced while first attempts need all of it.
+    double minReturnShare = 0.03;
+    // Retries that may wait behind first attempts, for each slot, and the share of the time until
+    // their deadline for which each of them may. Whether a slot becomes free for them in time is
+    // not known, since first attempts may arrive.
+    double maxDeferredPerSlot = 2;
+    double maxDeferredWaitShare = 0.75;
+    // Slots that stay free for first attempts when such a retry starts.
+    int slotsKeptFromDeferred = 1;
+    return_schedule_options returns;
 };
 
 // A request for a slot.
@@ -45,6 +60,8 @@
     steady_time deadline;
     // Whether an earlier attempt at the request has reached an upstream.
     bool isRetry = false;
+    // Whether the caller itself has sent the request before.
+    caller_attempt callerAttempt = caller_attempt::Unknown;
 };
 
 // Decides which requests use the slots of one upstream. This daemon must be the only sender of
@@ -81,16 +98,19 @@
 
     struct rejection
     {
-        // Time after which a request of this route is expected to be accepted.
+        // Time after which the caller should send the request again: when a request of this route
+        // is expected to be accepted, or when the return of this caller is announced.
         milliseconds retryAfter{0};
     };
     // Adds a request and returns its ID. Returns nullopt and sets `rejected` if the request is not
     // expected to end in time.
-    std::optional<uint64_t> submit(const slot_request &request, steady_time now,
+    std::optional<uint64_t> submit(const slot_request &submitted, steady_time now,
                                    rejection &rejected);
     // Starts waiting requests on free slots and returns their IDs. Must be called after submit(),
     // finish() and cancel().
     std::vector<uint64_t> startRequests(steady_time now);
+    // Returns until when a waiting request may wait; then it must be cancelled and rejected.
+    steady_time waitEnd(uint64_t id) const;
     // Removes a request that has not started.
     void cancel(uint64_t id);
     // Releases the slot of a started request. `isRepresentative` tells whether its time counts in
@@ -111,6 +131,8 @@
     std::chrono::microseconds meanServiceTime(steady_time now) const;
     // Returns how many requests the limit has delayed so far.
     uint64_t delayedCount() const { return m_delayedCount; }
+    // The announced returns of rejected callers; empty unless they are scheduled.
+    const return_schedule &returns() const { return m_returns; }
 
 private:
     struct waiting_request
@@ -119,6 +141,8 @@
         slot_request request;
         // Whether the request counts as delayed by the limit.
         bool isDelayed = false;
+        // When the request is rejected if it has not started.
+        steady_time waitEnd;
     };
     struct running_request
     {
@@ -132,10 +156,41 @@
         // Decayed mean number of slots that the route's requests would use if all of them were
         // started.
         double offered = 0;
+        // Decayed number of first attempts a second.
+        double firstAttemptRate = 0;
     };
 
     // Returns whether `a` comes before `b` in the order.
     bool isBefore(const slot_request &a, const slot_request &b) const;
+    // Returns whether slots are reserved for the route of `a` against requests like `b`.
+    bool isReservedBefore(const slot_request &a, const slot_request &b) const;
+    // Returns the request with isRetry set if it has to wait behind first attempts. A caller that
+    // returns at its announced time counts as a first attempt.
+    slot_request classify(const slot_request &request, steady_time now);
+    // Returns the time after which the caller of a rejected request should return. `earliest` is
+    // the time after which one request of this route would be accepted.
+    milliseconds scheduleReturn(const slot_request &request, milliseconds earliest,
+                                steady_time now);
+    // Returns how many requests like this one the upstream can serve in a second, in all and beside
+    // the first attempts at the same position and earlier ones; the latter is negative if these
+    // exceed the capacity.
+    struct capacity
+    {
+        double total = 0;
+        double spare = 0;
+    };
+    capacity capacityFor(const slot_request &request, steady_time now) const;
+    // Returns whether the request waits behind the first attempts of its rank.
+    bool isDeferred(const slot_request &request) const
+    {
+        return m_options.schedulesReturns && request.isRetry;
+    }
+    // Returns whether a deferred request with this expected wait in seconds may wait.
+    bool mayWaitDeferred(const slot_request &request, double wait, steady_time now) const;
+    // Returns until when a deferred request may wait.
+    steady_time deferredWaitEnd(const slot_request &request, steady_time now) const;
+    // Returns the usual service time of the route in seconds.
+    double usualServiceTimeOf(const std::string &route) const;
     // Returns the expected service time of the route in seconds, at the work factor of the last
     // submit().
     double serviceTimeOf(const std::string &route) const;
@@ -152,7 +207,9 @@
     // of these they do not use now.
     int slotsNeededBefore(const slot_request &request) const;
     int slotsReservedBefore(const slot_request &request) const;
-    // Adds the request to the offered load of its route.
+    // Returns the number of slots that must be free after a start of the request.
+    int slotsKeptFrom(const slot_request &request) const;
+    // Adds the request to the offered load of its route, and follows the mean work factor.
     void recordArrival(const slot_request &request, steady_time now);
     // Returns the waiting request that may start now, or the end of the list if there is none.
     std::list<waiting_request>::iterator chooseNext();
@@ -177,6 +234,9 @@
     // Whether first attempts come before retries in the order of m_waiting.
     bool m_defersRetries = false;
     uint64_t m_delayedCount = 0;
+    return_schedule m_returns;
+    // Mean speed of the upstream over several slow spans, the inverse of the work factor.
+    double m_meanSpeed = 1;
 };
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/tests/slot_queue_test.cpp
+++ b/src/persimmonrail/proxy/tests/slot_queue_test.cpp
@@ -403,3 +403,87 @@
     CHECK(rejected.retryAfter > 50ms);
     CHECK(rejected.retryAfter <= 150ms);
 }
+
+namespace {
+
+slot_request makeAttempt(caller_attempt attempt, steady_time now, milliseconds age = 0ms)
+{
+    slot_request request = makeRequest("r", 0, 800ms, now - age, 3000ms);
+    request.callerAttempt = attempt;
+    return request;
+}
+
+// Returns a queue whose slots are in use for a second, and in which a first attempt waits.
+slot_queue makeBusyQueue(bool schedulesReturns)
+{
+    slot_queue_options options;
+    options.schedulesReturns = schedulesReturns;
+    options.initialServiceTime = 200ms;
+    slot_queue queue(options);
+    queue.setSlots(2);
+    for (int i = 0; i < 3; ++i) {
+        add(queue, makeAttempt(caller_attempt::First, start), start);
+    }
+    queue.startRequests(start);
+    return queue;
+}
+
+} // namespace
+
+// Guards against retries that displace first attempts while requests wait.
+TEST_CASE("retries wait behind first attempts if returns are scheduled", "[proxy][returns]")
+{
+    const bool schedulesReturns = GENERATE(true, false);
+    slot_queue queue = makeBusyQueue(schedulesReturns);
+    const uint64_t retry = add(queue, makeAttempt(caller_attempt::DueRetry, start, 100ms), start);
+    const uint64_t first = add(queue, makeAttempt(caller_attempt::First, start), start);
+    CHECK(queue.running() == 2);
+    queue.finish(1, false, start);
+    CHECK(queue.startRequests(start) == std::vector<uint64_t>{3});
+    queue.finish(2, false, start);
+    CHECK(queue.startRequests(start) == std::vector<uint64_t>{schedulesReturns ? first : retry});
+    // One slot is kept free for first attempts.
+    queue.finish(3, false, start);
+    CHECK(queue.startRequests(start).size() == (schedulesReturns ? 0 : 1));
+}
+
+// Guards against callers that ignore Retry-After and gain from it.
+TEST_CASE("a retry before its announced time does not wait", "[proxy][returns]")
+{
+    slot_queue queue = makeBusyQueue(true);
+    slot_queue::rejection rejected;
+    CHECK_FALSE(queue.submit(makeAttempt(caller_attempt::EarlyRetry, start), start, rejected));
+    CHECK(rejected.retryAfter > 0ms);
+    CHECK(queue.returns().announcedCount() == 0);
+    int waiting = 0;
+    const slot_request due = makeAttempt(caller_attempt::DueRetry, start, 700ms);
+    while (queue.submit(due, start, rejected)) {
+        ++waiting;
+    }
+    CHECK(waiting == 4);
+    // The first attempt that waits is not delayed by any of them.
+    queue.finish(1, false, start);
+    CHECK(queue.startRequests(start) == std::vector<uint64_t>{3});
+}
+
+// Guards against a return that comes as announced and is sent behind first attempts, although it
+// can still be in time.
+TEST_CASE("a return at its announced time counts as a first attempt", "[proxy][returns]")
+{
+    slot_queue queue = makeBusyQueue(true);
+    slot_queue::rejection rejected;
+    while (queue.submit(makeAttempt(caller_attempt::First, start), start, rejected)) { }
+    CHECK(queue.returns().announcedCount() == 1);
+    const steady_time now = start + rejected.retryAfter;
+    queue.finish(1, false, now);
+    queue.finish(2, false, now);
+    queue.startRequests(now);
+    const int waiting = queue.waiting();
+    slot_request returned = makeAttempt(caller_attempt::DueRetry, now, rejected.retryAfter);
+    const uint64_t asFirst = add(queue, returned, now);
+    const uint64_t asRetry = add(queue, returned, now);
+    CHECK(queue.waitEnd(asFirst) == returned.deadline);
+    CHECK(queue.waitEnd(asRetry) < returned.deadline);
+    CHECK(queue.waiting() == waiting + 2);
+    CHECK(queue.returns().due(now) == 0);
+}
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -75,10 +75,12 @@
 } // namespace
 
 upstream_dispatcher::upstream_dispatcher(exchange_codec codec, upstream_dispatcher_hooks hooks,
-                                         crash_quarantine &quarantine)
+                                         crash_quarantine &quarantine,
+                                         const slot_queue_options &queueOptions)
     : m_codec(std::move(codec))
     , m_hooks(std::move(hooks))
     , m_quarantine(quarantine)
+    , m_slotQueue(queueOptions)
     , m_pool(std::make_shared<connection_pool>(
           connection_pool_options{64, 128, upstreamIdleTimeout, upstreamFreshTime}))
     , m_client(m_pool)
@@ -139,7 +141,8 @@
                             std::chrono::ceil<milliseconds>(expectedEnd - request.objectiveEnd));
     }
     const slot_request slotRequest{request.route,        request.rank,     request.objective,
-                                   request.objectiveEnd, request.deadline, request.isRetry};
+                                   request.objectiveEnd, request.deadline, request.isRetry,
+                                   request.callerAttempt};
     slot_result acquired = m_slotQueue.acquire(slotRequest, arrived);
     if (const auto *rejected = std::get_if<slot_queue::rejection>(&acquired)) {
         const bool hasEnded = std::chrono::steady_clock::now() >= m_end.load();
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -51,7 +51,7 @@
 public:
     // `quarantine` must outlive the object.
     upstream_dispatcher(exchange_codec codec, upstream_dispatcher_hooks hooks,
-                        crash_quarantine &quarantine);
+                        crash_quarantine &quarantine, const slot_queue_options &queueOptions = {});
 
     // Waits for a slot, sends the request to the upstream and passes the response on to `sink`.
     // `exchange` supplies the request body and is watched for the requester's disconnection.
@@ -71,6 +71,10 @@
     cold_rate_limit coldLimit() const { return m_slotQueue.coldLimit(); }
     // Returns how many requests the limit has delayed so far.
     uint64_t coldDelayedCount() const { return m_slotQueue.delayedCount(); }
+    // Return how many returns of rejected callers have been announced so far, and how many are due
+    // now.
+    uint64_t returnsAnnounced() const { return m_slotQueue.returnsAnnounced(); }
+    int returnsDue(steady_time now) const { return m_slotQueue.returnsDue(now); }
     // Limits the requests that are sent again after a reused connection was closed.
     void setResendBudget(const retry_budget_options &options, steady_time now)
     {
--- a/src/persimmonrail/router/router_settings.h
+++ b/src/persimmonrail/router/router_settings.h
@@ -68,6 +68,9 @@
     // selects a fixed factor instead.
     milliseconds zoneCrossingCost{0};
     double zoneCrossingCostPerKb = 0;
+    // Whether rejected callers are told to return at different times, when capacity for them is
+    // expected, and their retries wait behind first attempts.
+    bool schedulesReturns = false;
     int maxCallerConnections = 512;
     int maxPeerConnections = 1024;
     log_level level = log_level::Info;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -102,8 +102,10 @@
         };
     }
     m_peers = std::make_unique<peer_monitor>(m_loop, peer_monitor_options(), onStatuses);
+    slot_queue_options queueOptions;
+    queueOptions.schedulesReturns = m_settings.schedulesReturns;
     m_dispatcher = std::make_unique<upstream_dispatcher>(m_platform.codec, makeDispatcherHooks(),
-                                                         m_quarantine);
+                                                         m_quarantine, queueOptions);
     m_coldWatch = std::make_unique<cold_watch>(
         cold_watch_options{m_settings.service, m_settings.coldOvershoot, m_settings.coldSlack},
         m_platform.codec, *m_dispatcher, m_loop, m_log, m_metrics);
@@ -114,6 +116,7 @@
     // itself a share of its own requests and a small constant rate.
     options.retries = {m_settings.retryRatio * routedShareOfRetries, 0.2, 2.0};
     options.detectsCallerRetries = m_settings.detectsCallerRetries;
+    options.schedulesReturns = m_settings.schedulesReturns;
     options.linkBytesPerSecond = m_settings.linkMbps * 1e6 / 8;
     options.zoneShare.crossingCost = m_settings.zoneCrossingCost;
     options.zoneShare.crossingCostPerKb = m_settings.zoneCrossingCostPerKb;
@@ -212,6 +215,14 @@
     m_metrics.addGauge("persimmonrail_pipeline_bytes", [this] {
         return m_callerServer ? static_cast<double>(m_callerServer->heldResponseBytes()) : 0.0;
     });
+    if (m_settings.schedulesReturns) {
+        m_metrics.addGauge("persimmonrail_returns_announced_total", [this] {
+            return static_cast<double>(m_dispatcher->returnsAnnounced());
+        });
+        m_metrics.addGauge("persimmonrail_returns_due", [this] {
+            return static_cast<double>(m_dispatcher->returnsDue(std::chrono::steady_clock::now()));
+        });
+    }
     m_metrics.addGauge("persimmonrail_in_flight",
                        [this] { return static_cast<double>(m_proxy->inFlight()); });
     m_metrics.addGauge("persimmonrail_upstream_running",
