--- a/src/persimmonrail/proxy/request_proxy.h
+++ b/src/persimmonrail/proxy/request_proxy.h
@@ -10,6 +10,7 @@
 #include "persimmonrail/proxy/upstream_picker.h"
 #include "persimmonrail/routes/route_table.h"
 #include "persimmonrail/routing/attempt_age.h"
+#include "persimmonrail/routing/caller_returns.h"
 #include "persimmonrail/routing/link_delay.h"
 #include "persimmonrail/routing/retry_budget.h"
 #include "persimmonrail/routing/route_bytes.h"
@@ -48,6 +49,9 @@
     retry_budget_options retries;
     // Whether the latency objective of a caller's retry counts from the caller's first attempt.
     bool detectsCallerRetries = false;
+    // Whether callers that send a request again are recognized, so that queues can let them wait
+    // behind first attempts.
+    bool schedulesReturns = false;
     // Bandwidth of this host's link; 0 if unknown.
     double linkBytesPerSecond = 0;
     // Share of the bandwidth that large responses use. The rest is for small responses and framing
@@ -139,6 +143,7 @@
     attempt_age m_attemptAges;
     // Measured only with a crossing cost, by the requests to all services.
     link_delay m_linkDelay;
+    caller_returns m_returns;
     // Shared by large responses to other daemons.
     outbound_link m_outboundLink;
     std::atomic<int> m_inFlight{0};
--- a/src/persimmonrail/router/router_settings.h
+++ b/src/persimmonrail/router/router_settings.h
@@ -70,6 +70,9 @@
     double zoneCrossingCostPerKb = 0;
     // Whether bytes of bodies are limited, and count in the choice of an upstream.
     bool usesBodyBudget = false;
+    // Whether rejected callers are told to return at different times, when capacity for them is
+    // expected, and their retries wait behind first attempts.
+    bool schedulesReturns = false;
     int maxCallerConnections = 512;
     int maxPeerConnections = 1024;
     log_level level = log_level::Info;
