Reset no connection that is established while a server stops listening

Cause: when a server stops, it accepted the connections in its backlog and then closed the listener. The system resets connections that are established between these two steps. A stopping daemon closes the connection after each response, so other daemons open a new one for each request; one that was reset had a request on it, which ended with 502 (no-answer) although it had not run.

Change: the listener first gets a socket filter that drops SYN segments, so no handshake begins any more. It stays open for 50 to 100 ms more, accepts what completes meanwhile, and then closes. Without support for filters it closes at once, as before. Each port takes up to 100 ms longer to stop, and connection attempts in this time get no answer until they are repeated.

--- a/src/persimmonrail/http/http_server_state.cpp
+++ b/src/persimmonrail/http/http_server_state.cpp
@@ -3,6 +3,7 @@
 #include "persimmonrail/http/http_server_state.h"
 
 #include "persimmonrail/http/accept_batch.h"
+#include "persimmonrail/http/listener_drain.h"
 #include "persimmonrail/http/overload_response.h"
 
 #include <Poco/Exception.h>
@@ -20,6 +21,9 @@
 // After the server has shut down its sending direction, bounds the wait until the client closes the
 // connection.
 constexpr milliseconds lingerTimeout{500};
+// Time for which the listener stays open after it drops connection attempts, so that handshakes
+// that have begun complete. Longer than a round trip between hosts.
+constexpr milliseconds handshakeTimeout{50};
 // Bounds the wait of stopListening() until the polling thread has closed the listener.
 constexpr milliseconds listenerCloseTimeout{1000};
 // Maximum interval between checks for expired connections.
@@ -161,9 +165,7 @@
             acceptConnections(maxAcceptsPerRound);
         }
         if (m_isClosing && !m_closedAt) {
-            // Connections that the kernel has established already must not be reset.
-            acceptConnections(listenBacklog);
-            closeListener(now);
+            drainListener(now);
         }
         closeExpiredConnections(now);
     }
@@ -285,6 +287,19 @@
     m_connectionsChanged.notify_all();
 }
 
+void http_server::state::drainListener(steady_time now)
+{
+    if (!m_listenerDrainEnd) {
+        m_listenerDrainEnd = dropConnectionAttempts(m_listener) ? now + handshakeTimeout : now;
+    }
+    if (now >= *m_listenerDrainEnd) {
+        // Connections that the kernel has established already must not be reset. The backlog holds
+        // one more than its size.
+        acceptConnections(listenBacklog + 1);
+        closeListener(now);
+    }
+}
+
 void http_server::state::closeListener(steady_time now)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/persimmonrail/http/http_server_state.h
+++ b/src/persimmonrail/http/http_server_state.h
@@ -175,6 +175,10 @@
     // Closes a connection and deletes its object. Call closeConnection() with the mutex held.
     void closeConnection(connection &target);
 
+    // Lets the kernel drop connection attempts, and closes the listener once the handshakes that
+    // had begun are complete. Called by the polling thread until the listener is closed.
+    void drainListener(steady_time now);
+
     // Closes the listener. Called once, by the polling thread.
     void closeListener(steady_time now);
 
@@ -191,10 +195,12 @@
     std::atomic<bool> m_isStopping = false;
     // Set once no new connections are to be accepted.
     std::atomic<bool> m_isClosing = false;
-    // Only the polling thread uses the following four members while it runs.
+    // Only the polling thread uses the following five members while it runs.
     Poco::Net::ServerSocket m_listener;
     std::vector<connection *> m_deferred;
     std::optional<steady_time> m_acceptRetryAt;
+    // When the listener is to be closed, once it drops connection attempts.
+    std::optional<steady_time> m_listenerDrainEnd;
     steady_time m_nextExpiryCheckAt;
     connection_poller m_poller;
     mutable std::mutex m_mutex;
--- a/src/persimmonrail/http/tests/http_server_test.cpp
+++ b/src/persimmonrail/http/tests/http_server_test.cpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <filesystem>
 #include <random>
 #include <thread>
@@ -302,6 +303,54 @@
     CHECK_THROWS_AS(Poco::Net::StreamSocket(address), Poco::Net::ConnectionRefusedException);
 }
 
+// Guards against connections that are established while the listener closes: the system would reset
+// them, and their clients, which have sent a request, would not learn that it has not run.
+TEST_CASE("stopListening resets no connection that is being established", "[http]")
+{
+    constexpr int stopCount = 25;
+    constexpr int clientCount = 4;
+    constexpr size_t maxOpenPerClient = 50;
+    std::atomic<int> responses{0};
+    std::atomic<int> resets{0};
+    const auto readResponse = [&](Poco::Net::StreamSocket &socket) {
+        const bool hasResponse = readToEnd(socket).starts_with("HTTP/1.1 ");
+        ++(hasResponse ? responses : resets);
+    };
+    const auto connectUntilRefused = [&](const Poco::Net::SocketAddress &address) {
+        std::deque<Poco::Net::StreamSocket> sockets;
+        try {
+            for (;;) {
+                Poco::Net::StreamSocket socket;
+                socket.connect(address, Poco::Timespan(0, 100'000));
+                sockets.push_back(socket);
+                sendText(socket, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+                if (sockets.size() > maxOpenPerClient) {
+                    readResponse(sockets.front());
+                    sockets.pop_front();
+                }
+            }
+        } catch (const Poco::Exception &) {
+            // The server no longer accepts connections.
+        }
+        std::for_each(sockets.begin(), sockets.end(), readResponse);
+    };
+    for (int i = 0; i < stopCount; ++i) {
+        const auto server = *http_server::listen({}, [](server_exchange &exchange) {
+            exchange.closeAfterResponse();
+            exchange.respond(200, "", "text/plain");
+        });
+        std::vector<std::jthread> clients;
+        clients.reserve(clientCount);
+        for (int client = 0; client < clientCount; ++client) {
+            clients.emplace_back(connectUntilRefused, Poco::Net::SocketAddress(server->address()));
+        }
+        std::this_thread::sleep_for(2ms);
+        server->stopListening();
+    }
+    CHECK(responses > 0);
+    CHECK(resets == 0);
+}
+
 // Guards against a server that serves no request for seconds after a burst of requests, because
 // the threads of the burst end slowly on a busy host.
 TEST_CASE("threads that end slowly do not delay later requests", "[http]")
