--- a/src/persimmonrail/proxy/upstream_picker.cpp
+++ b/src/persimmonrail/proxy/upstream_picker.cpp
@@ -59,9 +59,9 @@
 upstream_picker::upstream_picker(std::string availabilityZone, random_source random,
                                  upstream_picker_options options)
     : m_availabilityZone(std::move(availabilityZone))
-    , m_options(options)
+    , m_options(std::move(options))
     , m_random(std::move(random))
-    , m_share(m_availabilityZone, options.zoneShare)
+    , m_share(m_availabilityZone, m_options.zoneShare)
 { }
 
 double upstream_picker::expectedTime(const upstream_member &member, steady_time now) const
--- a/src/persimmonrail/routing/tests/link_delay_test.cpp
+++ b/src/persimmonrail/routing/tests/link_delay_test.cpp
@@ -152,3 +152,42 @@
     CHECK(split.room.contains("sued") == (excess < 100ms));
     CHECK(planZoneSplit(zones, "west", options, start).leaving() == usual);
 }
+
+// Load: 60 s of a zone at 1.4 times its capacity with a slow link to one of two others. An avoided
+// link is measured again from time to time, by few requests, and used again once it has recovered.
+TEST_CASE("a slow link is tried again with few requests", "[zone]")
+{
+    const bool recovers = GENERATE(false, true);
+    zone_share_options options;
+    options.crossingCost = 5ms;
+    zone_share share("nord", options);
+    link_delay links("nord");
+    double sent = 0;
+    double toSlow = 0;
+    double untaken = 0;
+    for (int step = 0; step < 300; ++step) {
+        const steady_time now = start + step * 200ms;
+        const auto excess = links.excess(now);
+        std::vector<zone_load> zones{{"nord", 6, 54, 0, 0, 600, 840, now},
+                                     {"sued", 6, 54, 0, 0, 600, 210, now},
+                                     {"west", 6, 54, 0, 0, 600, 210, now}};
+        zones[1].linkExcess = excess.contains("sued") ? excess.at("sued") : microseconds(0);
+        share.update(zones, now);
+        const auto split = share.split().shares;
+        const double part = split.contains("sued") ? split.at("sued") : 0;
+        // One of 20 daemons.
+        sent += 840 * 0.2 / 20;
+        toSlow += part * 840 * 0.2 / 20;
+        const microseconds delay = recovers && step >= 150 ? 1500us : 60ms;
+        for (untaken += part * 840 * 0.2 / 20; untaken >= 1; --untaken) {
+            links.recordResponse("sued", "sued" + std::to_string(step % 4), delay, now);
+        }
+        links.recordResponse("nord", "nord0", 500us, now);
+    }
+    CAPTURE(recovers, toSlow / sent);
+    if (recovers) {
+        CHECK(share.split().shares.at("sued") > 0.1);
+    } else {
+        CHECK(toSlow / sent < 0.05);
+    }
+}
