Placement writer: no read after a recorded move, ten batches a second

Cause: with placement-writer on, the calls to the store nearly doubled, since each move cost a read by its owner, and the writer wrote a record every 25 to 30 ms while changes kept arriving.

Change: an owner whose change the writer has recorded keeps the keys as moving until the record that it knows shows that the change is settled. The writer begins two batches at least 100 ms apart; the first change after a pause still waits for 20 ms. The outcome is decided 250 ms after the gathering began, so that the owner gets a response in time.

--- a/src/persimmonrail/router/placement_update.h
+++ b/src/persimmonrail/router/placement_update.h
@@ -43,10 +43,12 @@
     std::optional<stored_object> object;
     boot_time confirmedAt{};
     // Whether another daemon may still write the same change, also after later changes of the
-    // record. Only updateThroughWriter() sets this and the following member.
+    // record. Only updateThroughWriter() sets this and the following members.
     bool isChangeOpen = false;
     // Whether another daemon wrote the change.
     bool isWriterUsed = false;
+    // Whether another daemon reported that it wrote the change, and the record was not read.
+    bool isRecordAwaited = false;
 };
 
 // Changes the placement record of `service` and of the epoch of `base` by conditional writes,
--- a/src/persimmonrail/router/placement_writer.cpp
+++ b/src/persimmonrail/router/placement_writer.cpp
@@ -124,9 +124,21 @@
     return {pending->isTaken ? change_outcome::Unknown : change_outcome::NotApplied, 0};
 }
 
+milliseconds placement_writer::gatherTime() const
+{
+    if (!m_lastBatchAt) {
+        return m_options.gatherTime;
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        *m_lastBatchAt + m_options.batchInterval - m_hooks.update.now());
+    return std::clamp(left, m_options.gatherTime,
+                      std::max(m_options.batchInterval, m_options.gatherTime));
+}
+
 void placement_writer::writeBatch()
 {
-    m_hooks.update.pause(m_options.gatherTime);
+    const milliseconds gathered = gatherTime();
+    m_hooks.update.pause(gathered);
     std::vector<queued_change> changes;
     pending_list taken;
     {
@@ -144,9 +156,11 @@
     const auto base = newestRecord();
     batch_result result;
     result.responses.resize(changes.size(), {change_outcome::NotApplied, 0});
+    m_lastBatchAt = m_hooks.update.now();
     if (base) {
-        result = writeChanges(m_store, m_service, *base, changes,
-                              m_hooks.update.now() + m_options.maxWait, m_hooks.update);
+        // The owner of the first change has waited since before the time of gathering.
+        const boot_time deadline = *m_lastBatchAt + m_options.maxWait - gathered;
+        result = writeChanges(m_store, m_service, *base, changes, deadline, m_hooks.update);
     }
     if (result.update.object) {
         const auto placement = parsePlacement(result.update.object->value);
--- a/src/persimmonrail/router/placement_writer.h
+++ b/src/persimmonrail/router/placement_writer.h
@@ -52,9 +52,14 @@
 {
     // Changes beyond this number are not taken.
     size_t maxQueued = 128;
-    // Time for which the changes of several owners are gathered before they are written. Every
-    // daemon decodes each version of the record, which takes slow hosts some milliseconds.
+    // Time for which the changes of several owners are gathered before they are written, if the
+    // last batch is at least batchInterval ago.
     milliseconds gatherTime{20};
+    // Least time between the beginnings of two batches, so that a service's moves cost 10 writes a
+    // second at most. Each version of the record is sent to all relays and decoded by every daemon.
+    // Less than half of changeLifetime, so that a change that arrives right after the beginning of
+    // a batch still has time for a conflict.
+    milliseconds batchInterval{100};
     // Longest time for which submit() waits for the outcome of a change. Less than the `timeout` of
     // placement_writer_client_options, so that the response arrives in time.
     milliseconds maxWait{250};
@@ -103,6 +108,8 @@
 
     // Returns when the change expires; nothing if it can't be taken.
     std::optional<boot_time> expiryOf(const change_request &request) const;
+    // Returns for how long to gather changes before the next batch. Must be called on the worker.
+    milliseconds gatherTime() const;
     void writeBatch();
     // Returns the newer one of the record that is known from the store's changes and the one that
     // was written last. Must be called on the worker.
@@ -115,6 +122,7 @@
     const placement_writer_options m_options;
     // Used only by the worker.
     std::optional<fleet_directory::versioned_placement> m_lastWritten;
+    std::optional<boot_time> m_lastBatchAt;
     mutable std::mutex m_mutex;
     std::condition_variable m_responded;
     pending_list m_queue;
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -99,6 +99,7 @@
     if (isNewRecord) {
         logCarriedOver(*record);
     }
+    checkAwaitedRecord();
     if (changed) {
         renewGrants();
         releaseUnownedRanges();
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -172,6 +172,8 @@
     // Handles a write of a move whose change another daemon may still write as well.
     void onOpenMoveWritten(const std::vector<released_range> &releasedRanges,
                            const placement_update_result &result);
+    // Ends a move that a writer has recorded once the known record shows it.
+    void checkAwaitedRecord();
     // Returns the loads of peers from which keys to be moved are chosen.
     std::vector<owner_load> usableLoads() const;
     // `result` tells how the move ended, for the log.
@@ -250,7 +252,7 @@
     // When the current move began. Its keys are served no longer from then on, or from the response
     // to the next heartbeat.
     steady_time m_moveBeganAt{};
-    // When the last move ended.
+    // When the last move was recorded, or given up.
     steady_time m_lastMoveEndedAt{};
     std::optional<steady_time> m_membersStableSince;
     size_t m_lastMemberCount = 0;
@@ -265,6 +267,11 @@
     // Whether the current move was given up while its change is open: its keys get a new fence, and
     // the owner keeps them.
     bool m_isWithdrawing = false;
+    // Until when the owner waits to learn of the record with the current move, which a writer has
+    // reported; nothing if it does not wait.
+    std::optional<steady_time> m_recordAwaitedUntil;
+    // When the current move was recorded, as far as this daemon knows.
+    std::optional<steady_time> m_moveRecordedAt;
     traffic_onset m_trafficOnset;
     move_history m_moveHistory;
     overload_timer m_overload;
--- a/src/persimmonrail/router/submitted_update.cpp
+++ b/src/persimmonrail/router/submitted_update.cpp
@@ -11,6 +11,14 @@
                                             const placement_update_hooks &hooks)
 {
     const change_submission submission = submit();
+    if (submission.isOpen() && submission.response.outcome == change_outcome::Recorded) {
+        placement_update_result recorded;
+        recorded.result = write_result::Written;
+        recorded.isChangeOpen = true;
+        recorded.isWriterUsed = true;
+        recorded.isRecordAwaited = true;
+        return recorded;
+    }
     std::optional<stored_object> seen;
     const boot_time readAt = hooks.now();
     if (submission.isOpen()) {
@@ -31,8 +39,12 @@
         result.confirmedAt = readAt;
     }
     result.isChangeOpen = submission.isOpen();
-    result.isWriterUsed = submission.response.outcome == change_outcome::Recorded;
     return result;
 }
 
+change_submitter alreadySubmitted()
+{
+    return [] { return change_submission{true, {change_outcome::Unknown, 0}}; };
+}
+
 } // namespace persimmonrail
--- a/src/persimmonrail/router/tests/range_controller_test.cpp
+++ b/src/persimmonrail/router/tests/range_controller_test.cpp
@@ -32,6 +32,7 @@
     {
         object_api api;
         api.get = [this](const std::string &) -> absl::StatusOr<stored_object> {
+            ++reads;
             if (m_isSilent || m_isRejecting) {
                 return absl::UnavailableError("down");
             }
@@ -52,6 +53,13 @@
         const std::lock_guard lock(m_mutex);
         return m_placement.rangeOf(key).owner;
     }
+    // Writes a change as a writer does. Returns the version of the record.
+    uint64_t writeChange(const owner_change &change)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_placement = applyChange(m_placement, change);
+        return ++m_version;
+    }
     // Lets another owner change the record right before each of the next writes.
     void setConflicts(int conflicts)
     {
@@ -92,10 +100,14 @@
         }
     }
 
+    std::atomic<int> reads{0};
+    std::atomic<int> writes{0};
+
 private:
     absl::StatusOr<uint64_t> write(uint64_t expectedVersion, const std::string &value)
     {
         const std::lock_guard lock(m_mutex);
+        ++writes;
         if (m_isRejecting) {
             return absl::UnavailableError("down");
         }
@@ -185,6 +197,17 @@
         });
     }
     bool canServe(shard_key key) { return m_controller.canServe(key); }
+    // Shows the present record of the store, as a watch of the relay does.
+    void showRecord()
+    {
+        m_loop.postAndWait([this](steady_time) { apply(store.read()); });
+    }
+    bool isMoving()
+    {
+        bool isMoving = false;
+        m_loop.postAndWait([&](steady_time) { isMoving = !m_controller.isIdle(); });
+        return isMoving;
+    }
     // Performs what is due after `delay`, beside the periodic ticks.
     void tickAfter(milliseconds delay)
     {
@@ -373,6 +396,50 @@
     CHECK(waitUntil([&] { return upstream.store.ownerOf(5) != a; }));
 }
 
+// Guards against a read of the store for each move that a writer has recorded, and against two
+// owners of one key: an owner that grants moved keys again by the record that it knew before.
+TEST_CASE("an owner waits for the record of a writer before it reads it", "[router]")
+{
+    std::atomic<controlled_upstream *> self{nullptr};
+    std::atomic<bool> isRecorded{false};
+    controlled_upstream upstream(
+        true, {{a, 9}, {b, 9}, {c, 9}},
+        [&](const owner_change &change, const std::vector<std::string> &) {
+            const uint64_t version = self.load()->store.writeChange(change);
+            isRecorded = true;
+            return change_submission{true, {change_outcome::Recorded, version}};
+        });
+    self = &upstream;
+    REQUIRE(waitUntil([&] { return upstream.canServe(5); }));
+    const int readsBefore = upstream.store.reads;
+    upstream.drain();
+    REQUIRE(waitUntil([&] { return isRecorded.load(); }));
+    CHECK(upstream.isMoving());
+    SECTION("the watch shows the record in time")
+    {
+        upstream.showRecord();
+        CHECK(waitUntil([&] { return !upstream.isMoving(); }));
+        CHECK(upstream.store.reads == readsBefore);
+    }
+    SECTION("the watch is lost")
+    {
+        CHECK(waitUntil([&] { return !upstream.isMoving(); }));
+        CHECK(upstream.store.reads == readsBefore + 1);
+    }
+    SECTION("the store fails as well")
+    {
+        upstream.store.setRejecting(true);
+        upstream.tickAfter(1s);
+        upstream.tickAfter(8s);
+        CHECK(upstream.isMoving());
+        upstream.store.setRejecting(false);
+        CHECK(waitUntil([&] { return !upstream.isMoving(); }));
+    }
+    CHECK(upstream.grantsAfterRelease == 0);
+    CHECK(upstream.store.ownerOf(5) != a);
+    CHECK(upstream.store.writes <= 2);
+}
+
 // Guards against OWNER: a daemon that starts grants keys which its killed predecessor has released,
 // and the predecessor's write of their new owner takes effect later.
 TEST_CASE("no late move of an earlier process takes effect once keys are granted", "[router]")
