Order waiting requests by zone and let returns be in time after slow spans

Within an upstream all requests of one rank and objective waited in one order, so a zone that helps served its own callers no better than others, and one zone's excess delayed the callers of all. Requests that were accepted and whose upstream became slow started although they could only be late. Announced returns came late after a short slow span, although the queue was nearly empty by then.

With zone-crossing-cost, requests without a key from callers in the upstream's own zone start first; otherwise, with schedule-returns, zones that had at most an equal share of the last second's starts do. A new field tells the zone of the caller's daemon; the expected wait follows the order, and what waits too long to be in time is rejected. Returns that the queue has room for are announced without a gap, the capacity is estimated from the mean time of requests over several slow spans, deferred retries leave a fifth of the slots free and are not counted in the reported queue.

--- a/src/persimmonrail/proxy/blocking_slot_queue.cpp
+++ b/src/persimmonrail/proxy/blocking_slot_queue.cpp
@@ -16,7 +16,7 @@
         bool hasStarted = false;
     };
 
-    explicit state(slot_queue_options options)
+    explicit state(const slot_queue_options &options)
         : queue(options)
     { }
 
@@ -99,7 +99,7 @@
 // gives for a request, so that load and service time fit each other.
 queue_report reportOf(const slot_queue &queue, steady_time now)
 {
-    queue_report report{queue.running(), queue.waiting(), std::max(queue.slots(), 1),
+    queue_report report{queue.running(), queue.waitingBeforeRetries(), std::max(queue.slots(), 1),
                         queue.meanServiceTime(now)};
     const cold_rate_limit &limit = queue.coldLimit();
     if (!limit.isCold(now)) {
@@ -119,7 +119,7 @@
 
 } // namespace
 
-blocking_slot_queue::blocking_slot_queue(slot_queue_options options)
+blocking_slot_queue::blocking_slot_queue(const slot_queue_options &options)
     : m_state(std::make_shared<state>(options))
 { }
 
@@ -156,6 +156,10 @@
         const steady_time woken = std::chrono::steady_clock::now();
         // The end may be set while the thread waits.
         const steady_time waitEnd = std::min(requestEnd, m_state->end);
+        if (woken >= requestEnd) {
+            rejected = m_state->queue.expire(*id, woken);
+            m_state->startWaiters(woken);
+        }
         if (woken >= waitEnd) {
             break;
         }
--- a/src/persimmonrail/proxy/blocking_slot_queue.h
+++ b/src/persimmonrail/proxy/blocking_slot_queue.h
@@ -29,7 +29,7 @@
 class blocking_slot_queue
 {
 public:
-    explicit blocking_slot_queue(slot_queue_options options = {});
+    explicit blocking_slot_queue(const slot_queue_options &options = {});
     ~blocking_slot_queue();
 
     void setSlots(int slots);
--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -82,6 +82,9 @@
     if (!request.originZone.empty()) {
         message.set(originZoneHeader, request.originZone);
     }
+    if (!request.callerZone.empty()) {
+        message.set(callerZoneHeader, request.callerZone);
+    }
     if (request.wantsZones) {
         message.set(zonesWantedHeader, "1");
     }
@@ -275,6 +278,7 @@
     request.callerAttempt = parseCallerAttempt(message.get(callerAttemptHeader, ""));
     request.route = message.get(routeHeader, "");
     request.originZone = message.get(originZoneHeader, "");
+    request.callerZone = message.get(callerZoneHeader, "");
     request.wantsZones = message.get(zonesWantedHeader, "") == "1";
     milliseconds deadlineLeft{0};
     milliseconds objectiveLeft{0};
--- a/src/persimmonrail/proxy/peer_fields.h
+++ b/src/persimmonrail/proxy/peer_fields.h
@@ -36,6 +36,8 @@
 // Availability zone of the caller; only in the first attempt at a request, so that each request
 // counts once in the demand of its zone.
 inline constexpr char originZoneHeader[] = "Persimmonrail-Origin-Zone";
+// Availability zone of the caller, for the order of waiting requests; older daemons ignore it.
+inline constexpr char callerZoneHeader[] = "Persimmonrail-Caller-Zone";
 // "1" if the response should tell about the zones, since the requester's knowledge is old.
 inline constexpr char zonesWantedHeader[] = "Persimmonrail-Zones-Wanted";
 // States of the service in each availability zone, as encodeZoneSummary() writes them.
--- a/src/persimmonrail/proxy/proxied_call.cpp
+++ b/src/persimmonrail/proxy/proxied_call.cpp
@@ -92,6 +92,10 @@
                                   m_proxy.m_hooks.shutdownDeadline());
     m_request.objectiveEnd = m_startedAt + m_route->objective - callerRetryAge(fields.timeout);
     m_exchange.setDeadline(m_request.deadline);
+    if (m_proxy.m_options.schedulesReturns
+        || m_proxy.m_options.zoneShare.crossingCost.count() > 0) {
+        m_request.callerZone = m_proxy.m_options.availabilityZone;
+    }
     if (m_proxy.m_options.schedulesReturns && fields.timeout) {
         recognizeReturn(*fields.timeout);
     }
--- a/src/persimmonrail/proxy/proxy_types.h
+++ b/src/persimmonrail/proxy/proxy_types.h
@@ -52,6 +52,9 @@
     link_pacer::estimate linkEstimate;
     // Availability zone of the caller in a first attempt; empty if it does not count.
     std::string originZone;
+    // Availability zone of the caller's daemon, for the order of waiting requests; empty if unknown
+    // or if no order depends on it.
+    std::string callerZone;
     // Whether the response should tell about the zones of the service.
     bool wantsZones = false;
 };
--- a/src/persimmonrail/proxy/return_schedule.h
+++ b/src/persimmonrail/proxy/return_schedule.h
@@ -2,9 +2,9 @@
 
 #include "persimmonrail/base/clock.h"
 
-#include <compare>
 #include <cstdint>
 #include <map>
+#include <tuple>
 
 namespace persimmonrail {
 
@@ -24,7 +24,11 @@
     // 0 is the most urgent.
     int rank = 0;
     milliseconds objective{0};
-    auto operator<=>(const queue_position &) const = default;
+    bool operator==(const queue_position &other) const = default;
+    bool operator<(const queue_position &other) const
+    {
+        return std::tie(rank, objective) < std::tie(other.rank, other.objective);
+    }
 };
 
 // Spreads the times at which rejected callers return over the time in which capacity for them is
@@ -51,6 +55,8 @@
         // Returns of this position and earlier ones that the upstream can serve in a second; above
         // 0.
         double returnsPerSecond = 0;
+        // Returns that the queue can take at once in addition, by making them wait.
+        double queueRoom = 0;
     };
     // Reserves capacity for the return of a rejected request, and returns the time at which its
     // caller should return. Without capacity before the last useful time, returns that time and
--- a/src/persimmonrail/proxy/tests/blocking_slot_queue_test.cpp
+++ b/src/persimmonrail/proxy/tests/blocking_slot_queue_test.cpp
@@ -98,3 +98,31 @@
     CHECK(report.running == running);
     CHECK(report.meanServiceTime == serviceTime);
 }
+
+// Guards against a retry that waits until its deadline while first attempts use all slots, and
+// against peers that take waiting retries for a queue that delays first attempts.
+TEST_CASE("a retry that has waited for as long as it may is rejected", "[relay][returns]")
+{
+    slot_queue_options options;
+    options.schedulesReturns = true;
+    blocking_slot_queue queue(options);
+    queue.setSlots(1);
+    const steady_time begin = clockNow();
+    slot_request request{"r", 0, 60s, begin + 60s, begin + 60s};
+    const slot_result running = queue.acquire(request, begin);
+    REQUIRE(std::holds_alternative<std::unique_ptr<slot_permit>>(running));
+    request.callerAttempt = caller_attempt::DueRetry;
+    request.objectiveEnd = begin;
+    request.deadline = begin + 1s;
+    auto waiting =
+        std::async(std::launch::async, [&] { return queue.acquire(request, clockNow()); });
+    while (queue.report().running == 1 && clockNow() < begin + 200ms) {
+        CHECK(queue.report().waiting == 0);
+        std::this_thread::sleep_for(10ms);
+    }
+    const slot_result result = waiting.get();
+    REQUIRE(std::holds_alternative<slot_queue::rejection>(result));
+    CHECK(std::get<slot_queue::rejection>(result).retryAfter > 0ms);
+    CHECK(clockNow() >= begin + 700ms);
+    CHECK(clockNow() < begin + 950ms);
+}
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -104,6 +104,9 @@
     m_peers = std::make_unique<peer_monitor>(m_loop, peer_monitor_options(), onStatuses);
     slot_queue_options queueOptions;
     queueOptions.schedulesReturns = m_settings.schedulesReturns;
+    if (m_settings.zoneCrossingCost.count() > 0) {
+        queueOptions.precedingZone = m_settings.availabilityZone;
+    }
     m_dispatcher = std::make_unique<upstream_dispatcher>(m_platform.codec, makeDispatcherHooks(),
                                                          m_quarantine, queueOptions);
     m_coldWatch = std::make_unique<cold_watch>(
