Make the tests of returns independent of the load of the host

The tolerance is an option of request_proxy now, 5 s in this test; the exact tolerance is tested without a clock in caller_returns_test. No check was removed.

--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -83,6 +83,7 @@
     , m_log(log)
     , m_metrics(values)
     , m_peers(m_hooks.isStopping, m_hooks.shutdownDeadline)
+    , m_returns(m_options.callerReturns)
     , m_outboundLink{large_response_queue(),
                      link_pacer(m_options.linkBytesPerSecond * m_options.largeResponseShare)}
     , m_random(m_hooks.makeRandom())
--- a/src/persimmonrail/proxy/request_proxy.h
+++ b/src/persimmonrail/proxy/request_proxy.h
@@ -51,6 +51,7 @@
     // Whether callers that send a request again are recognized, so that queues can let them wait
     // behind first attempts.
     bool schedulesReturns = false;
+    caller_returns_options callerReturns;
     // Bandwidth of this host's link; 0 if unknown.
     double linkBytesPerSecond = 0;
     // Share of the bandwidth that large responses use. The rest is for small responses and framing
