Placement writer: move keys by load only if that is worth its cost

Cause: with placement-writer on, owners moved keys below their capacity and for small excesses, and whenever their upstream was slow for 400 ms; each batch of moves costs a write and a watch response of each relay.

Change: with the setting on, a move by load is made only if at least 10 requests above the owner's capacity are expected to be served elsewhere in 3 s. Owners below their capacity, slightly above it, or with one key that exceeds it move none. The least time of overload of 200 ms is replaced by that, and by a mean of the service time over about 2 s.

--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -178,6 +178,7 @@
     const double utilization =
         static_cast<double>(queue.running + queue.waiting) / std::max(queue.limit, 1);
     m_utilization += (utilization - m_utilization) * utilizationSmoothingWeight;
+    m_meanSlotTime.update(queue.meanServiceTime, queue.limit);
     m_trafficOnset.update(queue.running + queue.waiting > 0, std::chrono::steady_clock::now());
 }
 
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -274,7 +274,7 @@
     std::optional<steady_time> m_moveRecordedAt;
     traffic_onset m_trafficOnset;
     move_history m_moveHistory;
-    overload_timer m_overload;
+    mean_slot_time m_meanSlotTime;
     // Declared last, because the workers' threads use the members above until the threads have
     // ended.
     std::unique_ptr<background_worker> m_releaseWorker;
--- a/src/persimmonrail/router/tests/move_interval_test.cpp
+++ b/src/persimmonrail/router/tests/move_interval_test.cpp
@@ -39,6 +39,50 @@
     CHECK(targetsForOverload(heavily, {}, {}) == 8);
 }
 
+// Guards against moves that cost more calls to the store than the requests that they save, and
+// against moves from an owner that stays overloaded by a single key.
+TEST_CASE("an owner moves keys only if enough requests are served elsewhere", "[router]")
+{
+    struct row
+    {
+        std::string name;
+        double rate;
+        // Requests per second of key 500 in addition.
+        double hotKeyRate;
+        bool isWorthwhile;
+    };
+    constexpr double capacity = 40;
+    constexpr shard_key keys = 1000;
+    const std::vector<row> rows = {
+        {"below its capacity", 38, 0, false}, {"slightly above its capacity", 42, 0, false},
+        {"above its capacity", 60, 0, true},  {"far above its capacity", 300, 0, true},
+        {"one key has most", 20, 100, false}, {"one key has a third", 60, 30, true},
+    };
+    const std::vector<owner_load> others(40, owner_load{{"p", 1}, 9, 0.3});
+    for (const row &row : rows) {
+        CAPTURE(row.name);
+        const auto rate = [&](shard_key key) {
+            return row.rate / keys + (key == 500 ? row.hotKeyRate : 0);
+        };
+        const owner_load self{{"a", 1}, 9, (row.rate + row.hotKeyRate) / capacity};
+        const auto moves = chooseWorthwhileMoves({{0, keys - 1}}, rate, self, others);
+        CHECK(moves.empty() != row.isWorthwhile);
+    }
+}
+
+// Guards against moves each time that an upstream is slow for 400 ms, and against moves from an
+// upstream that has just become cold that wait for seconds.
+TEST_CASE("a short slow span changes the mean service time little", "[router]")
+{
+    mean_slot_time time;
+    for (int tick = 0; tick < 100; ++tick) {
+        time.update(tick % 20 >= 16 ? 300ms : 100ms, 9);
+        CHECK(time.serviceTime() < 185ms);
+    }
+    time.update(900ms, 3);
+    CHECK(time.serviceTime() == 900ms);
+}
+
 // Guards against moves by loads from before the traffic, which all owners made in its first two
 // seconds, and against a peer that gets keys again before its load shows the ones before.
 TEST_CASE("loads count only if they show the traffic and the last move", "[router]")
