Count the calls to the store by kind and object

Cause: each call to the store costs money, and operators could not see which daemons and which objects cost how many.

Change: metric persimmonrail_store_calls_total{call,object} at the one client of the store, below the proxy for peers, so that calls for peers count at the daemon that sends them. The objects are named by prefix, so their number is bounded.

--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -1,6 +1,7 @@
 #include "persimmonrail/router/router_state.h"
 
 #include "persimmonrail/base/text.h"
+#include "persimmonrail/router/store_call_counter.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -74,7 +75,7 @@
 
 router::state::state(const router_settings &settings, router_platform platform)
     : m_settings(settings)
-    , m_platform(std::move(platform))
+    , m_platform(withCountedStore(std::move(platform)))
     , m_store(makeProxiedStore(m_platform.store, makeStoreProxyHooks()))
     , m_log({settings.level, "", maxLogLinesPerSecond, true})
     , m_feed(makeFeedId())
@@ -121,6 +122,19 @@
                                               *m_dispatcher, m_log, m_metrics);
 }
 
+router_platform router::state::withCountedStore(router_platform platform)
+{
+    platform.store =
+        countStoreCalls(std::move(platform.store),
+                        routerObjects(platform.desiredStatePrefix, platform.evacuationPrefix),
+                        [this](std::string_view call, std::string_view object) {
+                            m_metrics.count("persimmonrail_store_calls_total",
+                                            absl::StrCat("call=\"", toAbsl(call), "\",object=\"",
+                                                         toAbsl(object), "\""));
+                        });
+    return platform;
+}
+
 router::state::~state()
 {
     m_feed.stop();
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -127,6 +127,9 @@
     void logLosses(steady_time now);
     // Counts and logs a batch of placement changes that this daemon wrote for owners.
     void onPlacementBatch(size_t changes, const placement_update_result &result);
+    // Returns the platform with a store whose calls are counted. The store may be called only after
+    // the construction, since m_metrics is constructed later.
+    router_platform withCountedStore(router_platform platform);
     placement_writer_hooks makePlacementWriterHooks();
     placement_writer_client_hooks makeWriterClientHooks();
     range_controller::hooks makeRangeHooks();
