Reject requests whose bodies exceed the bytes in flight, before reading them

Cause: bodies were read and forwarded whatever was in flight already.

Change: proxy/body_budget decides from the stated length and the bytes in flight, for the memory of the daemon (an eighth of memory-mb), the local upstream (4 MB) and each direction of the link. The callers' and the owner's daemon ask it. A rejection is a 503 "not run" with reason body-budget and the body unread; between daemons it is link-busy with the exact reason in its own field, which earlier releases understand. A request without a key that the link can't carry is tried at the local upstream. With the setting on, bodies above 16 KB cross between daemons only after "100 Continue". The transfer time in the choice of the upstream is not part of this change.

--- a/src/persimmonrail/http/http_server.h
+++ b/src/persimmonrail/http/http_server.h
@@ -43,6 +43,8 @@
     // Body of the request. A body of at most maxBodyPieceBytes bytes is buffered while it is read,
     // so that it can be read again after rewind().
     body_framing framing() const override { return m_reader.framing(); }
+    // Returns the unread bytes of a body whose length is stated; 0 for others.
+    uint64_t unreadBodyBytes() const { return m_reader.unreadBytes(); }
     io_status read(std::string &piece, steady_time until) override;
     bool rewind() override;
     // Waits until the first `bytes` bytes of the body, or the whole body, have arrived, and sets
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -132,6 +132,11 @@
     // Returns whether the whole body was read.
     bool isComplete() const { return m_isComplete; }
     const body_framing &framing() const { return m_framing; }
+    // Returns the unread bytes of a body with stated length; 0 for others.
+    uint64_t unreadBytes() const
+    {
+        return m_framing.type == body_framing::kind::Length ? m_remaining : 0;
+    }
 
 private:
     // Reads the line with the size of the next chunk; for the last chunk, the trailers too.
--- a/src/persimmonrail/proxy/keyed_loss.cpp
+++ b/src/persimmonrail/proxy/keyed_loss.cpp
@@ -94,6 +94,7 @@
         return loss_cause::OwnerLeaving;
     case proxy_reason::Overload:
     case proxy_reason::LinkBusy:
+    case proxy_reason::BodyBudget:
     case proxy_reason::DeadlineUnreachable:
         return loss_cause::OwnerFull;
     case proxy_reason::OverloadExpected:
--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -111,11 +111,18 @@
     return absl::SimpleAtoi(message.get(name, ""), &value);
 }
 
-// Returns the reason that daemons of all releases know. Daemons from before zone_evacuation take an
-// unknown reason for a broken response, which they don't retry.
+// Returns the reason that daemons of all releases know. Earlier ones take an unknown reason for a
+// broken response, which they don't retry.
 proxy_reason reasonOnWire(proxy_reason reason)
 {
-    return reason == proxy_reason::Evacuated ? proxy_reason::Draining : reason;
+    switch (reason) {
+    case proxy_reason::Evacuated:
+        return proxy_reason::Draining;
+    case proxy_reason::BodyBudget:
+        return proxy_reason::LinkBusy;
+    default:
+        return reason;
+    }
 }
 
 // Fills `result` from a peer's response to a request for which the peer passes on no upstream
@@ -140,9 +147,10 @@
 } // namespace
 
 peer_client::peer_client(std::function<bool()> isStopping,
-                         std::function<steady_time()> shutdownDeadline)
+                         std::function<steady_time()> shutdownDeadline, size_t maxUnaskedBodyBytes)
     : m_isStopping(std::move(isStopping))
     , m_shutdownDeadline(std::move(shutdownDeadline))
+    , m_maxUnaskedBodyBytes(maxUnaskedBodyBytes)
     , m_pool(std::make_shared<connection_pool>(connection_pool_options{
           maxIdlePerPeer, maxIdleConnections, peerIdleTimeout, peerFreshTime, peerConnectTimeout}))
     , m_probeConnections({0, 0, milliseconds(0), milliseconds(0), probeConnectTimeout})
@@ -175,7 +183,7 @@
     if (call.body != nullptr) {
         const body_framing framing = call.body->framing();
         call.expectContinue =
-            framing.type == body_framing::kind::Chunked || framing.length > maxBodyPieceBytes;
+            framing.type == body_framing::kind::Chunked || framing.length > m_maxUnaskedBodyBytes;
     }
     call.repeatable = request.repeatable;
     call.deadline = request.deadline;
@@ -361,6 +369,17 @@
 }
 
 bool proxy_sink::send(std::string_view bytes)
+{
+    if (m_bodies == nullptr) {
+        return sendPaced(bytes);
+    }
+    m_bodies->addResponseBytes(bytes.size());
+    const bool wasSent = sendPaced(bytes);
+    m_bodies->removeResponseBytes(bytes.size());
+    return wasSent;
+}
+
+bool proxy_sink::sendPaced(std::string_view bytes)
 {
     m_bodyBytes += bytes.size();
     while (m_isLarge && bytes.size() > pacedChunkBytes) {
--- a/src/persimmonrail/proxy/peer_client.h
+++ b/src/persimmonrail/proxy/peer_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "persimmonrail/http/http_server.h"
+#include "persimmonrail/proxy/body_budget.h"
 #include "persimmonrail/proxy/exchange_codec.h"
 #include "persimmonrail/proxy/large_response_queue.h"
 #include "persimmonrail/proxy/link_pacer.h"
@@ -21,7 +22,10 @@
 public:
     // `isStopping` returns whether this daemon is stopping. `shutdownDeadline` returns the time at
     // which requests in flight are abandoned, as in request_proxy_hooks. Both must be thread safe.
-    peer_client(std::function<bool()> isStopping, std::function<steady_time()> shutdownDeadline);
+    // Bodies longer than `maxUnaskedBodyBytes`, and chunked ones, are sent once the peer asks for
+    // them with "100 Continue".
+    peer_client(std::function<bool()> isStopping, std::function<steady_time()> shutdownDeadline,
+                size_t maxUnaskedBodyBytes = maxBodyPieceBytes);
 
     // Sends the request to the peer and passes the response of its upstream on to `sink`.
     // `exchange` supplies the request body and is watched for the caller's disconnection. Blocks
@@ -39,6 +43,7 @@
 
     const std::function<bool()> m_isStopping;
     const std::function<steady_time()> m_shutdownDeadline;
+    const size_t m_maxUnaskedBodyBytes;
     std::shared_ptr<connection_pool> m_pool;
     // Establishes the connections of probes.
     connection_pool m_probeConnections;
@@ -79,6 +84,8 @@
                std::string_view first, bool isComplete) override;
     bool write(std::string_view piece) override;
     bool finish() override;
+    // Counts the bytes that wait for the requester in `bodies`, which must outlive the object.
+    void countUnreadBytes(body_budget &bodies) { m_bodies = &bodies; }
     // Returns the number of body bytes that were passed on.
     size_t bodyBytes() const { return m_bodyBytes; }
 
@@ -86,9 +93,10 @@
     // Registers the response with the link and waits for a permit if `bytes` make the response
     // large.
     void enterQueueIfLarge(size_t bytes);
-    // Sends body bytes, paced if the response is large. Returns false if the requester has
-    // disconnected.
+    // Sends body bytes and counts them meanwhile. Returns false if the requester has disconnected.
     bool send(std::string_view bytes);
+    // The same without counting; paced if the response is large.
+    bool sendPaced(std::string_view bytes);
     // Waits until the link may take `bytes`. Returns false if the requester disconnects first.
     bool waitForLink(size_t bytes);
 
@@ -97,6 +105,8 @@
     outbound_link *m_outboundLink;
     const std::string m_route;
     std::unique_ptr<large_response_queue::permit> m_permit;
+    // Null if unread bytes are not counted.
+    body_budget *m_bodies = nullptr;
     bool m_isLarge = false;
     size_t m_bodyBytes = 0;
     // Bytes that were announced to the pacer and for which no link time is reserved yet.
--- a/src/persimmonrail/proxy/proxied_call.cpp
+++ b/src/persimmonrail/proxy/proxied_call.cpp
@@ -20,6 +20,9 @@
 // Retry-After while all upstreams of a service are in evacuated zones. Operators decide when that
 // ends, seldom within less.
 constexpr milliseconds evacuatedRetryAfter{1000};
+// After a rejection by its own budget for the link, the daemon tries the local upstream; after one
+// by that of the local upstream, another daemon.
+constexpr int maxBodyRejections = 2;
 
 steady_time clockNow()
 {
@@ -45,6 +48,9 @@
 void proxied_call::serve()
 {
     proxy_result result = resolveRoute();
+    if (result.reason == proxy_reason::None) {
+        result = admitBody();
+    }
     if (result.reason == proxy_reason::None) {
         result = attemptWithRetries();
     }
@@ -102,6 +108,32 @@
         : milliseconds(0);
 }
 
+proxy_result proxied_call::admitBody()
+{
+    body_demand demand;
+    demand.bytes = expectedBodyBytes(m_exchange.framing());
+    demand.usesDaemon = true;
+    return m_proxy.admitBody(demand, m_body).value_or(proxy_result());
+}
+
+std::optional<proxy_result> proxied_call::admitAttempt(bool isLocal, body_reservation &admitted)
+{
+    body_demand demand;
+    demand.bytes = expectedBodyBytes(m_exchange.framing());
+    demand.usesUpstream = isLocal;
+    if (!isLocal) {
+        demand.link = link_direction::Outbound;
+        demand.objectiveEnd = m_request.objectiveEnd;
+    }
+    auto rejected = m_proxy.admitBody(demand, admitted);
+    if (rejected) {
+        ++m_bodyRejections;
+        m_bodyRejection = rejected;
+        m_isLinkFull = m_isLinkFull || !isLocal;
+    }
+    return rejected;
+}
+
 proxy_result proxied_call::attemptWithRetries()
 {
     auto &service = m_proxy.findOrCreateService(m_request.service, m_startedAt);
@@ -177,7 +209,8 @@
         return false;
     }
     if (m_overloadRejections >= m_proxy.m_options.maxOverloadRejections
-        || result.reason == proxy_reason::OverloadExpected || m_isServiceEvacuated) {
+        || result.reason == proxy_reason::OverloadExpected || m_isServiceEvacuated
+        || m_bodyRejections >= maxBodyRejections) {
         return false;
     }
     // A key has one owner. Waiting for the owner helps only while the key moves; a full queue,
@@ -197,6 +230,11 @@
     if (member == nullptr && isServiceEvacuated(*directory, m_request.service)) {
         return evacuatedResult();
     }
+    if (member == nullptr && m_bodyRejection) {
+        // Unlike the absence of upstreams, it tells when to retry.
+        m_bodyRejections = maxBodyRejections;
+        return *m_bodyRejection;
+    }
     if (member == nullptr) {
         return notRunResult(isOwnerEntryDue(*directory) ? proxy_reason::OtherUpstream
                                                         : proxy_reason::NoUpstream);
@@ -217,9 +255,16 @@
             return notRunResult(proxy_reason::OverloadExpected, *retryAfter);
         }
     }
+    body_reservation body;
+    if (const auto rejected = admitAttempt(isLocal, body)) {
+        service.picker.finish(member->id, upstream_picker::result::Neutral, std::nullopt, now);
+        m_tried.push_back(member->id);
+        return *rejected;
+    }
     const steady_time sentAt = clockNow();
     proxy_result result;
     proxy_sink sink(m_exchange, {});
+    sink.countUnreadBytes(m_proxy.m_bodies);
     if (isLocal) {
         m_proxy.recordArrival(m_request);
         dispatch_times times;
@@ -233,9 +278,14 @@
         result = m_proxy.m_peers.forward(m_request, member->peerAddress, m_exchange, sink);
         recordLoad(service.throttle, requestClass, result);
         const bool isOverloaded = result.reason == proxy_reason::Overload
-            || result.reason == proxy_reason::TooManyConnections;
+            || result.reason == proxy_reason::TooManyConnections
+            || result.reason == proxy_reason::BodyBudget;
         m_overloadRejections += isOverloaded ? 1 : 0;
+        if (result.reason == proxy_reason::BodyBudget) {
+            m_bodyRejection = notRunResult(proxy_reason::BodyBudget, result.retryAfter);
+        }
     }
+    body.returnLinkTime(m_exchange.unreadBodyBytes(), clockNow());
     service.picker.finish(member->id, pickerResult(result), result.queue, clockNow());
     if (m_usesZoneShare) {
         recordZones(service, *member, result, sink.bodyBytes());
@@ -381,7 +431,10 @@
                                                   steady_time now) const
 {
     std::vector<const upstream_member *> members = directory.membersOf(m_request.service);
-    std::erase_if(members, [](const upstream_member *member) { return member->isDraining; });
+    const upstream_id local = m_isLinkFull ? m_proxy.m_dispatcher.local().id : upstream_id();
+    std::erase_if(members, [&](const upstream_member *member) {
+        return member->isDraining || (m_isLinkFull && member->id != local);
+    });
     std::vector<const upstream_member *> responsive = members;
     std::erase_if(responsive, [&](const upstream_member *member) {
         return m_proxy.m_peers.liveness().shouldAvoid(member->peerAddress, now);
--- a/src/persimmonrail/proxy/proxied_call.h
+++ b/src/persimmonrail/proxy/proxied_call.h
@@ -25,6 +25,14 @@
     // timeout does not tell.
     milliseconds callerRetryAge(const std::optional<milliseconds> &timeout);
 
+    // Reserves memory of this daemon for the request body, which is still unread. A reason other
+    // than None ends the request.
+    proxy_result admitBody();
+
+    // Reserves what one attempt needs for the request body: a part of the local upstream's budget,
+    // or time on the link to another daemon. Returns the rejection of the attempt if there is none.
+    std::optional<proxy_result> admitAttempt(bool isLocal, body_reservation &admitted);
+
     // Attempts the request until it succeeds, can't be retried, or the retry budget is spent.
     proxy_result attemptWithRetries();
 
@@ -108,6 +116,15 @@
     // When the last attempt began, and why the one before failed.
     steady_time m_lastAttemptAt = m_startedAt;
     loss_cause m_earlierCause = loss_cause::Other;
+    // Memory of this daemon for the request body.
+    body_reservation m_body;
+    // Attempts that the budgets of this daemon rejected.
+    int m_bodyRejections = 0;
+    // The last rejection by a budget of any daemon.
+    std::optional<proxy_result> m_bodyRejection;
+    // Whether the link can't carry the body in time, so that only the local upstream is a
+    // candidate.
+    bool m_isLinkFull = false;
     // Attempts that other daemons rejected because their upstream is overloaded.
     int m_overloadRejections = 0;
     bool m_hasUnknownOutcome = false;
--- a/src/persimmonrail/proxy/proxy_reason.cpp
+++ b/src/persimmonrail/proxy/proxy_reason.cpp
@@ -29,6 +29,7 @@
     {proxy_reason::TooManyConnections, "too-many-connections", true},
     {proxy_reason::OverloadExpected, "overload-expected", true},
     {proxy_reason::LinkBusy, "link-busy", true},
+    {proxy_reason::BodyBudget, "body-budget", true},
     {proxy_reason::DeadlineUnreachable, "deadline-unreachable", true},
     {proxy_reason::PeerUnreachable, "peer-unreachable", true},
     {proxy_reason::PeerSilent, "peer-silent", true},
--- a/src/persimmonrail/proxy/proxy_reason.h
+++ b/src/persimmonrail/proxy/proxy_reason.h
@@ -35,6 +35,8 @@
     OverloadExpected,
     // Large responses queue for the link of the upstream's host.
     LinkBusy,
+    // The body is too large for the bytes that are in flight. It was not read.
+    BodyBudget,
     DeadlineUnreachable,
     // No connection to the peer could be established. If one could when the request was sent, the
     // request may have run.
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -17,6 +17,10 @@
     return std::chrono::steady_clock::now();
 }
 
+// With budgets for bodies, longer ones are sent to another daemon only after it has asked for them.
+// A link of 10 Mbit/s carries this many bytes in 13 ms; asking takes one round trip.
+constexpr size_t maxUnaskedBodyBytes = 16 * 1024;
+
 upstream_picker_options pickerOptions(const request_proxy_options &options)
 {
     upstream_picker_options result;
@@ -82,7 +86,9 @@
     , m_dispatcher(dispatcher)
     , m_log(log)
     , m_metrics(values)
-    , m_peers(m_hooks.isStopping, m_hooks.shutdownDeadline)
+    , m_peers(m_hooks.isStopping, m_hooks.shutdownDeadline,
+              m_options.bodies.isEnabled ? maxUnaskedBodyBytes : maxBodyPieceBytes)
+    , m_bodies(m_options.bodies)
     , m_outboundLink{large_response_queue(),
                      link_pacer(m_options.linkBytesPerSecond * m_options.largeResponseShare)}
     , m_random(m_hooks.makeRandom())
@@ -133,6 +139,39 @@
                                                     : std::vector<zone_load>();
 }
 
+std::optional<proxy_result> request_proxy::admitBody(const body_demand &demand,
+                                                     body_reservation &admitted)
+{
+    auto decision = m_bodies.admit(demand, clockNow());
+    if (const auto *rejection = std::get_if<body_rejection>(&decision)) {
+        m_metrics.count("persimmonrail_body_rejected_total",
+                        absl::StrCat("budget=\"", toAbsl(toString(rejection->limit)), "\""));
+        return notRunResult(proxy_reason::BodyBudget, rejection->retryAfter);
+    }
+    admitted = std::move(std::get<body_reservation>(decision));
+    return std::nullopt;
+}
+
+std::optional<proxy_result> request_proxy::admitPeerBody(const proxied_request &request,
+                                                         const server_exchange &exchange,
+                                                         body_reservation &admitted)
+{
+    body_demand demand;
+    demand.bytes = expectedBodyBytes(exchange.framing());
+    if (demand.bytes == 0 || !m_options.bodies.isEnabled) {
+        return std::nullopt;
+    }
+    // A request for another owner gets that rejection, which tells its daemon to try again.
+    if (auto rejected = m_dispatcher.checkTarget(request)) {
+        return rejected;
+    }
+    demand.usesDaemon = demand.usesUpstream = true;
+    demand.link = link_direction::Inbound;
+    demand.serviceTime = m_dispatcher.queue().meanServiceTime;
+    demand.objectiveEnd = request.objectiveEnd;
+    return admitBody(demand, admitted);
+}
+
 bool request_proxy::isPeerRequestInFlight(const std::string &requestId)
 {
     const std::lock_guard lock(m_mutex);
@@ -172,14 +211,20 @@
         }
     };
     proxy_sink sink(exchange, decorate, &m_outboundLink, request->route);
+    sink.countUnreadBytes(m_bodies);
     request->linkEstimate = m_outboundLink.pacer.estimateFor(request->route, clockNow());
-    proxy_result result = m_dispatcher.dispatch(*request, exchange, sink, times);
+    body_reservation body;
+    const auto rejected = admitPeerBody(*request, exchange, body);
+    proxy_result result =
+        rejected ? *rejected : m_dispatcher.dispatch(*request, exchange, sink, times);
     if (result.outcome != request_outcome::Run && !result.responseStarted
         && !result.callerDisconnected) {
         result.queue = m_dispatcher.queue();
         result.zones = zonesFor(*request);
         respondToPeer(exchange, result);
     }
+    // The response may have read the rest of a small body.
+    body.returnLinkTime(exchange.unreadBodyBytes(), clockNow());
     if (result.outcome != request_outcome::Run && m_log.isEnabled(log_level::Info)) {
         decision entry;
         entry.kind = "hand-over";
--- a/src/persimmonrail/proxy/request_proxy.h
+++ b/src/persimmonrail/proxy/request_proxy.h
@@ -3,6 +3,7 @@
 #include "persimmonrail/base/random_source.h"
 #include "persimmonrail/fleet/fleet_directory.h"
 #include "persimmonrail/http/http_server.h"
+#include "persimmonrail/proxy/body_budget.h"
 #include "persimmonrail/proxy/keyed_loss.h"
 #include "persimmonrail/proxy/overload_throttle.h"
 #include "persimmonrail/proxy/peer_client.h"
@@ -52,6 +53,8 @@
     // Share of the bandwidth that large responses use. The rest is for small responses and framing
     // overhead.
     double largeResponseShare = 0.95;
+    // Limits the bytes of request bodies in flight; off by default.
+    body_budget_options bodies;
     // What leaving the availability zone costs; a crossing cost of 0 keeps the fixed factor.
     zone_share_options zoneShare;
 };
@@ -93,6 +96,7 @@
     // Serves a request that another daemon has forwarded for the local upstream, or a probe of a
     // request in flight.
     void servePeer(server_exchange &exchange);
+    const body_budget &bodies() const { return m_bodies; }
     // Returns the number of requests that are being served.
     int inFlight() const { return m_inFlight; }
     // Returns the requests for keys that were not served in time since the last call, by cause and
@@ -118,6 +122,12 @@
     void recordArrival(const proxied_request &request);
     // Returns the states of the zones that a response tells; empty if the request asks for none.
     std::vector<zone_load> zonesFor(const proxied_request &request) const;
+    // Reserves the bytes of a request body, or returns the rejection of the request.
+    std::optional<proxy_result> admitBody(const body_demand &demand, body_reservation &admitted);
+    // The same for the body of another daemon's request, which is still unread.
+    std::optional<proxy_result> admitPeerBody(const proxied_request &request,
+                                              const server_exchange &exchange,
+                                              body_reservation &admitted);
     bool isPeerRequestInFlight(const std::string &requestId);
     // Returns 64 random bits.
     uint64_t randomBits();
@@ -133,6 +143,7 @@
     peer_client m_peers;
     keyed_loss_ledger m_losses;
     attempt_age m_attemptAges;
+    body_budget m_bodies;
     // Shared by large responses to other daemons.
     outbound_link m_outboundLink;
     std::atomic<int> m_inFlight{0};
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -59,6 +59,12 @@
     // before the response begins.
     proxy_result dispatch(const proxied_request &request, server_exchange &exchange,
                           response_sink &sink, dispatch_times &times);
+    // Returns the rejection of a request that can't be dispatched now, without reading its body;
+    // nullopt if it can.
+    std::optional<proxy_result> checkTarget(const proxied_request &request) const
+    {
+        return checkTarget(request, m_hooks.local());
+    }
     // Returns the state of the queue for the upstream.
     queue_report queue() const { return m_slotQueue.report(); }
     // Sets the number of requests that the upstream may run at the same time.
--- a/src/persimmonrail/router/router_settings.cpp
+++ b/src/persimmonrail/router/router_settings.cpp
@@ -174,6 +174,8 @@
          durationSetter(&s::zoneCrossingCost)},
         {"zone-crossing-cost-per-kb", "milliseconds that each 1,000 bytes add to that cost", false,
          quantitySetter(&s::zoneCrossingCostPerKb)},
+        {"body-budget", "on: requests are rejected if too many bytes of bodies are in flight",
+         false, switchSetter(&s::limitsBodies)},
         {"max-caller-connections", "maximum number of connections from callers", false,
          countSetter(&s::maxCallerConnections)},
         {"max-peer-connections", "maximum number of connections from other daemons", false,
--- a/src/persimmonrail/router/router_settings.h
+++ b/src/persimmonrail/router/router_settings.h
@@ -68,6 +68,8 @@
     // selects a fixed factor instead.
     milliseconds zoneCrossingCost{0};
     double zoneCrossingCostPerKb = 0;
+    // Whether requests are rejected, with their body unread, if too many bytes are in flight.
+    bool limitsBodies = false;
     int maxCallerConnections = 512;
     int maxPeerConnections = 1024;
     log_level level = log_level::Info;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -43,6 +43,10 @@
 constexpr double resentShareOfRetries = 0.25;
 // Share of the memory of the process for responses that wait for earlier ones on their connection.
 constexpr double heldResponseShare = 1.0 / 16;
+// Share of the memory of the process for request bodies and unread responses.
+constexpr double bodyShare = 1.0 / 8;
+// Bytes of request bodies at the local upstream, whose memory is unknown.
+constexpr uint64_t maxUpstreamBodyBytes = 4'000'000;
 constexpr milliseconds storeProxyBodyTimeout{2000};
 // Values in the store have at most 1 MB.
 constexpr size_t maxStoreProxyBodyBytes = 2 * 1024 * 1024;
@@ -70,6 +74,16 @@
     return timing;
 }
 
+body_budget_options bodyBudgets(const router_settings &settings)
+{
+    body_budget_options options;
+    options.isEnabled = settings.limitsBodies;
+    options.daemonBytes = static_cast<uint64_t>(settings.memoryMb * 1e6 * bodyShare);
+    options.upstreamBytes = maxUpstreamBodyBytes;
+    options.linkBytesPerSecond = settings.linkMbps * 1e6 / 8;
+    return options;
+}
+
 } // namespace
 
 router::state::state(const router_settings &settings, router_platform platform)
@@ -115,6 +129,7 @@
     options.retries = {m_settings.retryRatio * routedShareOfRetries, 0.2, 2.0};
     options.detectsCallerRetries = m_settings.detectsCallerRetries;
     options.linkBytesPerSecond = m_settings.linkMbps * 1e6 / 8;
+    options.bodies = bodyBudgets(m_settings);
     options.zoneShare.crossingCost = m_settings.zoneCrossingCost;
     options.zoneShare.crossingCostPerKb = m_settings.zoneCrossingCostPerKb;
     m_proxy = std::make_unique<request_proxy>(options, makeProxyHooks(), m_platform.codec,
@@ -214,6 +229,14 @@
     });
     m_metrics.addGauge("persimmonrail_in_flight",
                        [this] { return static_cast<double>(m_proxy->inFlight()); });
+    for (const body_limit limit : {body_limit::Daemon, body_limit::Upstream,
+                                   body_limit::OutboundLink, body_limit::InboundLink}) {
+        m_metrics.addGauge("persimmonrail_body_bytes",
+                           absl::StrCat("budget=\"", toAbsl(toString(limit)), "\""), [this, limit] {
+                               return static_cast<double>(m_proxy->bodies().usedBytes(
+                                   limit, std::chrono::steady_clock::now()));
+                           });
+    }
     m_metrics.addGauge("persimmonrail_upstream_running",
                        [this] { return static_cast<double>(m_dispatcher->queue().running); });
     m_metrics.addGauge("persimmonrail_upstream_waiting",
