--- a/src/persimmonrail/router/router_settings.cpp
+++ b/src/persimmonrail/router/router_settings.cpp
@@ -175,7 +175,7 @@
         {"zone-crossing-cost-per-kb", "milliseconds that each 1,000 bytes add to that cost", false,
          quantitySetter(&s::zoneCrossingCostPerKb)},
         {"body-budget", "on: bytes of bodies are limited, and count in the choice of an upstream",
-         false, switchSetter(&s::usesBodyBudget)},
+         false, switchSetter(&s::limitsBodies)},
         {"schedule-returns",
          "on: rejected callers return at different times, and wait behind first attempts", false,
          switchSetter(&s::schedulesReturns)},
--- a/src/persimmonrail/router/tests/peer_health_test.cpp
+++ b/src/persimmonrail/router/tests/peer_health_test.cpp
@@ -259,8 +259,8 @@
     REQUIRE(settings.ok());
     CHECK(settings->reportInterval == 870ms);
     CHECK(settings->retrySlack == 60);
-    CHECK_FALSE(settings->usesBodyBudget);
-    CHECK(parseRouterSettings(valid + "body-budget = on\n")->usesBodyBudget);
+    CHECK_FALSE(settings->limitsBodies);
+    CHECK(parseRouterSettings(valid + "body-budget = on\n")->limitsBodies);
     const auto [line, expectedText] = GENERATE(table<std::string, std::string>({
         {"service = t\n", "given twice"},
         {"colour = red\n", "unknown setting"},
