--- a/src/persimmonrail/http/http_server.h
+++ b/src/persimmonrail/http/http_server.h
@@ -43,6 +43,8 @@
     // Body of the request. A body of at most maxBodyPieceBytes bytes is buffered while it is read,
     // so that it can be read again after rewind().
     body_framing framing() const override { return m_reader.framing(); }
+    // Returns the unread bytes of a body whose length is stated; 0 for others.
+    uint64_t unreadBodyBytes() const { return m_reader.unreadBytes(); }
     io_status read(std::string &piece, steady_time until) override;
     bool rewind() override;
     // Waits until the first `bytes` bytes of the body, or the whole body, have arrived, and sets
@@ -158,8 +160,10 @@
     uint64_t pipelinedRequests() const;
     // Returns the bytes of responses that wait for earlier responses.
     size_t heldResponseBytes() const;
-    // Closes the listening socket. Connections with a request in progress are closed after their
-    // response; idle connections are closed soon, unless a request still arrives.
+    // Closes the listening socket, after a moment in which connection attempts get no answer and
+    // the connections that are being established are still accepted. Connections with a request in
+    // progress are closed after their response; idle connections are closed soon, unless a request
+    // still arrives.
     void stopListening();
     // Waits until no connection is open. Returns false if `until` passes first.
     bool waitUntilClosed(steady_time until);
--- a/src/persimmonrail/proxy/blocking_slot_queue.h
+++ b/src/persimmonrail/proxy/blocking_slot_queue.h
@@ -29,14 +29,14 @@
 class blocking_slot_queue
 {
 public:
-    explicit blocking_slot_queue(slot_queue_options options = {});
+    explicit blocking_slot_queue(const slot_queue_options &options = {});
     ~blocking_slot_queue();
 
     void setSlots(int slots);
     // As slot_queue::recordWorkFactor().
     void recordWorkFactor(double factor, steady_time now);
     // Waits until the request may start. Returns a rejection if the queue does not accept the
-    // request or its deadline passes first.
+    // request, or if its deadline or the time for which the queue lets it wait passes first.
     slot_result acquire(const slot_request &request, steady_time now);
     // Sets the time at which all requests that still wait are rejected, because the process ends
     // soon afterwards.
@@ -51,6 +51,9 @@
     uint64_t delayedCount() const;
     // Returns a copy of the queue.
     slot_queue snapshot() const;
+    // As return_schedule::announcedCount() and due().
+    uint64_t returnsAnnounced() const;
+    int returnsDue(steady_time now) const;
     // Returns the mean service time of a request at the upstream.
     std::chrono::microseconds meanServiceTime() const;
     // Returns the current state of the queue for other daemons. The quotient of the limit and the
--- a/src/persimmonrail/proxy/call_decisions.cpp
+++ b/src/persimmonrail/proxy/call_decisions.cpp
@@ -109,7 +109,8 @@
 overload_throttle::request_class throttleClassOf(const proxied_request &request,
                                                  const upstream_id &upstream)
 {
-    return {request.key ? upstream : upstream_id(), request.rank, request.objective};
+    return {request.key ? upstream : upstream_id(), request.rank, request.objective,
+            isCallerRetry(request.callerAttempt)};
 }
 
 bool mayHelpToRetry(proxy_reason reason, bool hasKey)
--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -71,6 +71,9 @@
     if (request.isRetry) {
         message.set(retryHeader, "1");
     }
+    if (request.callerAttempt != caller_attempt::Unknown) {
+        message.set(callerAttemptHeader, std::string(toString(request.callerAttempt)));
+    }
     message.set(deadlineHeader, formatMilliseconds(request.deadline - now));
     message.set(objectiveLeftHeader, formatMilliseconds(request.objectiveEnd - now));
     if (request.key) {
@@ -79,6 +82,9 @@
     if (!request.originZone.empty()) {
         message.set(originZoneHeader, request.originZone);
     }
+    if (!request.callerZone.empty()) {
+        message.set(callerZoneHeader, request.callerZone);
+    }
     if (request.wantsZones) {
         message.set(zonesWantedHeader, "1");
     }
@@ -111,11 +117,18 @@
     return absl::SimpleAtoi(message.get(name, ""), &value);
 }
 
-// Returns the reason that daemons of all releases know. Daemons from before zone_evacuation take an
-// unknown reason for a broken response, which they don't retry.
+// Returns the reason that daemons of all releases know. Earlier ones take an unknown reason for a
+// broken response, which they don't retry.
 proxy_reason reasonOnWire(proxy_reason reason)
 {
-    return reason == proxy_reason::Evacuated ? proxy_reason::Draining : reason;
+    switch (reason) {
+    case proxy_reason::Evacuated:
+        return proxy_reason::Draining;
+    case proxy_reason::BodyBudget:
+        return proxy_reason::LinkBusy;
+    default:
+        return reason;
+    }
 }
 
 // Fills `result` from a peer's response to a request for which the peer passes on no upstream
@@ -140,9 +153,10 @@
 } // namespace
 
 peer_client::peer_client(std::function<bool()> isStopping,
-                         std::function<steady_time()> shutdownDeadline)
+                         std::function<steady_time()> shutdownDeadline, size_t maxUnaskedBodyBytes)
     : m_isStopping(std::move(isStopping))
     , m_shutdownDeadline(std::move(shutdownDeadline))
+    , m_maxUnaskedBodyBytes(maxUnaskedBodyBytes)
     , m_pool(std::make_shared<connection_pool>(connection_pool_options{
           maxIdlePerPeer, maxIdleConnections, peerIdleTimeout, peerFreshTime, peerConnectTimeout}))
     , m_probeConnections({0, 0, milliseconds(0), milliseconds(0), probeConnectTimeout})
@@ -175,7 +189,7 @@
     if (call.body != nullptr) {
         const body_framing framing = call.body->framing();
         call.expectContinue =
-            framing.type == body_framing::kind::Chunked || framing.length > maxBodyPieceBytes;
+            framing.type == body_framing::kind::Chunked || framing.length > m_maxUnaskedBodyBytes;
     }
     call.repeatable = request.repeatable;
     call.deadline = request.deadline;
@@ -269,8 +283,10 @@
     request.callerService = message.get(callerServiceHeader, "");
     request.repeatable = message.get(repeatableHeader, "") == "1";
     request.isRetry = message.get(retryHeader, "") == "1";
+    request.callerAttempt = parseCallerAttempt(message.get(callerAttemptHeader, ""));
     request.route = message.get(routeHeader, "");
     request.originZone = message.get(originZoneHeader, "");
+    request.callerZone = message.get(callerZoneHeader, "");
     request.wantsZones = message.get(zonesWantedHeader, "") == "1";
     milliseconds deadlineLeft{0};
     milliseconds objectiveLeft{0};
@@ -361,6 +377,17 @@
 }
 
 bool proxy_sink::send(std::string_view bytes)
+{
+    if (m_bodies == nullptr) {
+        return sendPaced(bytes);
+    }
+    m_bodies->addResponseBytes(bytes.size());
+    const bool wasSent = sendPaced(bytes);
+    m_bodies->removeResponseBytes(bytes.size());
+    return wasSent;
+}
+
+bool proxy_sink::sendPaced(std::string_view bytes)
 {
     m_bodyBytes += bytes.size();
     while (m_isLarge && bytes.size() > pacedChunkBytes) {
--- a/src/persimmonrail/proxy/peer_fields.h
+++ b/src/persimmonrail/proxy/peer_fields.h
@@ -15,6 +15,9 @@
 inline constexpr char repeatableHeader[] = "Persimmonrail-Repeatable";
 // "1" if an earlier attempt at the request has reached an upstream; older daemons ignore it.
 inline constexpr char retryHeader[] = "Persimmonrail-Retry";
+// What is known of the caller's attempts, as toString(caller_attempt) writes it; absent if nothing
+// is. Older daemons ignore it.
+inline constexpr char callerAttemptHeader[] = "Persimmonrail-Caller-Attempt";
 inline constexpr char routeHeader[] = "Persimmonrail-Route";
 // Latency objective of the request, in milliseconds.
 inline constexpr char objectiveHeader[] = "Persimmonrail-Objective-Ms";
@@ -33,6 +36,8 @@
 // Availability zone of the caller; only in the first attempt at a request, so that each request
 // counts once in the demand of its zone.
 inline constexpr char originZoneHeader[] = "Persimmonrail-Origin-Zone";
+// Availability zone of the caller, for the order of waiting requests; older daemons ignore it.
+inline constexpr char callerZoneHeader[] = "Persimmonrail-Caller-Zone";
 // "1" if the response should tell about the zones, since the requester's knowledge is old.
 inline constexpr char zonesWantedHeader[] = "Persimmonrail-Zones-Wanted";
 // States of the service in each availability zone, as encodeZoneSummary() writes them.
--- a/src/persimmonrail/proxy/proxied_call.cpp
+++ b/src/persimmonrail/proxy/proxied_call.cpp
@@ -15,12 +15,37 @@
 
 // Another attempt is very unlikely to succeed with less time left.
 constexpr milliseconds minTimeForAttempt{15};
+// After a rejection by its own budget for the link, the daemon tries the local upstream; after one
+// by that of the local upstream, another daemon.
+constexpr int maxBodyRejections = 2;
 
 steady_time clockNow()
 {
     return std::chrono::steady_clock::now();
 }
 
+double inMilliseconds(std::chrono::microseconds time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+// Returns whether a forwarded request got no response from the other daemon. A daemon that responds
+// states its queue. A deadline may also pass while the upstream is slow, which probes tell.
+bool isWithoutResponse(const proxy_result &result)
+{
+    switch (result.reason) {
+    case proxy_reason::DeadlineExceeded:
+        return result.unansweredProbes > 0;
+    case proxy_reason::PeerUnreachable:
+    case proxy_reason::PeerSilent:
+    case proxy_reason::SilentConnection:
+    case proxy_reason::NoResponse:
+        return !result.queue && !result.callerDisconnected;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 proxied_call::proxied_call(request_proxy &proxy, server_exchange &exchange)
@@ -32,6 +57,9 @@
 void proxied_call::serve()
 {
     proxy_result result = resolveRoute();
+    if (result.reason == proxy_reason::None) {
+        result = admitBody();
+    }
     if (result.reason == proxy_reason::None) {
         result = attemptWithRetries();
     }
@@ -68,9 +96,39 @@
         callDeadline(fields.timeout, *m_route, m_startedAt, m_proxy.m_hooks.shutdownDeadline());
     m_request.objectiveEnd = m_startedAt + m_route->objective - callerRetryAge(fields.timeout);
     m_exchange.setDeadline(m_request.deadline);
+    if (m_proxy.m_options.schedulesReturns
+        || m_proxy.m_options.zoneShare.crossingCost.count() > 0) {
+        m_request.callerZone = m_proxy.m_options.availabilityZone;
+    }
+    if (m_proxy.m_options.schedulesReturns && fields.timeout) {
+        recognizeReturn(*fields.timeout);
+    }
     return {};
 }
 
+void proxied_call::recognizeReturn(milliseconds statedTimeout)
+{
+    m_asSent = caller_returns::request{m_route->name, m_request.key, statedTimeout, m_startedAt};
+    const auto earlier = m_proxy.m_returns.takeEarlier(*m_asSent);
+    if (!earlier) {
+        const bool isRetry = m_request.objectiveEnd < m_startedAt + m_route->objective;
+        m_request.callerAttempt = isRetry ? caller_attempt::DueRetry : caller_attempt::First;
+        return;
+    }
+    m_firstArrivedAt = earlier->firstArrivedAt;
+    m_request.objectiveEnd = m_firstArrivedAt + m_route->objective;
+    m_request.callerAttempt = m_proxy.m_returns.isDue(*earlier, m_startedAt)
+        ? caller_attempt::DueRetry
+        : caller_attempt::EarlyRetry;
+}
+
+void proxied_call::recordFailureOfCaller(milliseconds retryAfter, steady_time now)
+{
+    if (m_asSent) {
+        m_proxy.m_returns.recordFailure(*m_asSent, {m_firstArrivedAt, now + retryAfter}, now);
+    }
+}
+
 milliseconds proxied_call::callerRetryAge(const std::optional<milliseconds> &timeout)
 {
     return m_proxy.m_options.detectsCallerRetries && timeout
@@ -78,6 +136,32 @@
         : milliseconds(0);
 }
 
+proxy_result proxied_call::admitBody()
+{
+    body_demand demand;
+    demand.bytes = expectedBodyBytes(m_exchange.framing());
+    demand.usesDaemon = true;
+    return m_proxy.admitBody(demand, m_body).value_or(proxy_result());
+}
+
+std::optional<proxy_result> proxied_call::admitAttempt(bool isLocal, body_reservation &admitted)
+{
+    body_demand demand;
+    demand.bytes = expectedBodyBytes(m_exchange.framing());
+    demand.usesUpstream = isLocal;
+    if (!isLocal) {
+        demand.link = link_direction::Outbound;
+        demand.objectiveEnd = m_request.objectiveEnd;
+    }
+    auto rejected = m_proxy.admitBody(demand, admitted);
+    if (rejected) {
+        ++m_bodyRejections;
+        m_bodyRejection = rejected;
+        m_isLinkFull = m_isLinkFull || !isLocal;
+    }
+    return rejected;
+}
+
 proxy_result proxied_call::attemptWithRetries()
 {
     auto &service = m_proxy.findOrCreateService(m_request.service, m_startedAt);
@@ -153,6 +237,7 @@
         return false;
     }
     if (m_overloadRejections >= m_proxy.m_options.maxOverloadRejections || m_isServiceEvacuated
+        || m_bodyRejections >= maxBodyRejections
         || !mayHelpToRetry(result.reason, m_request.key.has_value())) {
         return false;
     }
@@ -168,6 +253,11 @@
     if (member == nullptr) {
         proxy_result missing = missingMemberResult(*directory, m_request.service, m_request.key);
         m_isServiceEvacuated = missing.reason == proxy_reason::Evacuated;
+        if (!m_isServiceEvacuated && m_bodyRejection) {
+            // Unlike the absence of upstreams, it tells when to retry.
+            m_bodyRejections = maxBodyRejections;
+            return *m_bodyRejection;
+        }
         return missing;
     }
     m_request.upstream = member->id;
@@ -186,9 +276,17 @@
             return notRunResult(proxy_reason::OverloadExpected, *retryAfter);
         }
     }
+    body_reservation body;
+    if (const auto rejected = admitAttempt(isLocal, body)) {
+        service.picker.finish(member->id, upstream_picker::result::Neutral, std::nullopt, now);
+        m_tried.push_back(member->id);
+        return *rejected;
+    }
     const steady_time sentAt = clockNow();
     proxy_result result;
-    proxy_sink sink(m_exchange, {});
+    std::optional<steady_time> respondedAt;
+    proxy_sink sink(m_exchange, [&](Poco::Net::HTTPResponse &) { respondedAt = clockNow(); });
+    sink.countUnreadBytes(m_proxy.m_bodies);
     if (isLocal) {
         m_proxy.recordArrival(m_request);
         dispatch_times times;
@@ -201,10 +299,16 @@
     } else {
         result = m_proxy.m_peers.forward(m_request, member->peerAddress, m_exchange, sink);
         recordLoad(service.throttle, requestClass, result);
+        recordLink(*member, result, sentAt, respondedAt);
         const bool isOverloaded = result.reason == proxy_reason::Overload
-            || result.reason == proxy_reason::TooManyConnections;
+            || result.reason == proxy_reason::TooManyConnections
+            || result.reason == proxy_reason::BodyBudget;
         m_overloadRejections += isOverloaded ? 1 : 0;
+        if (result.reason == proxy_reason::BodyBudget) {
+            m_bodyRejection = notRunResult(proxy_reason::BodyBudget, result.retryAfter);
+        }
     }
+    body.returnLinkTime(m_exchange.unreadBodyBytes(), clockNow());
     service.picker.finish(member->id, pickerResult(result), result.queue, clockNow());
     if (m_usesZoneShare) {
         recordZones(service, *member, result, sink.bodyBytes());
@@ -238,6 +342,15 @@
     return framing.type == body_framing::kind::Length ? framing.length : 0;
 }
 
+body_transfer proxied_call::bodyTransfer() const
+{
+    if (!m_proxy.m_options.countsTransferTime) {
+        return {};
+    }
+    return {static_cast<double>(requestBytes()), m_proxy.m_options.linkBytesPerSecond,
+            m_proxy.m_dispatcher.local().id};
+}
+
 void proxied_call::recordZones(request_proxy::service_state &service, const upstream_member &member,
                                const proxy_result &result, size_t responseBytes)
 {
@@ -254,6 +367,7 @@
     m_proxy.m_metrics.count("persimmonrail_zone_bytes_total", labels,
                             requestBytes() + responseBytes);
     logShareChange(service);
+    logLinkChanges();
 }
 
 void proxied_call::logShareChange(request_proxy::service_state &service)
@@ -265,11 +379,53 @@
     m_proxy.m_log.write(log_level::Info,
                         absl::StrFormat("zone-share service=%s zone=%s from=%.2f to=%.2f reason=%s "
                                         "own_demand=%.1f own_capacity=%.1f other_demand=%.1f "
-                                        "other_capacity=%.1f oldest_report_ms=%d",
+                                        "other_capacity=%.1f oldest_report_ms=%d "
+                                        "largest_link_excess_ms=%.1f",
                                         m_request.service, m_proxy.m_options.availabilityZone,
                                         change->from, change->to, toAbsl(toString(change->reason)),
                                         change->ownDemand, change->ownCapacity, change->otherDemand,
-                                        change->otherCapacity, change->oldestReport.count()));
+                                        change->otherCapacity, change->oldestReport.count(),
+                                        inMilliseconds(change->largestLinkExcess)));
+    for (const auto &[zone, share] : change->shares) {
+        m_proxy.m_metrics.addGauge("persimmonrail_zone_share",
+                                   absl::StrCat("service=\"", escapeLabel(m_request.service),
+                                                "\",zone=\"", escapeLabel(zone), "\""),
+                                   [value = share] { return value; });
+    }
+}
+
+void proxied_call::recordLink(const upstream_member &member, const proxy_result &result,
+                              steady_time sentAt, std::optional<steady_time> respondedAt)
+{
+    if (m_proxy.m_options.zoneShare.crossingCost.count() == 0) {
+        return;
+    }
+    link_delay &links = m_proxy.m_linkDelay;
+    if (respondedAt && result.timeSpent) {
+        const auto delay = *respondedAt - sentAt - result.timeSpent->inTotal;
+        links.recordResponse(member.availabilityZone, member.id.name,
+                             std::chrono::duration_cast<std::chrono::microseconds>(delay),
+                             clockNow());
+    } else if (isWithoutResponse(result)) {
+        links.recordLoss(member.availabilityZone, member.id.name, clockNow());
+    }
+}
+
+void proxied_call::logLinkChanges()
+{
+    link_delay &links = m_proxy.m_linkDelay;
+    while (const auto change = links.takeChange()) {
+        m_proxy.m_metrics.addGauge("persimmonrail_zone_link_excess_ms",
+                                   absl::StrCat("zone=\"", escapeLabel(change->zone), "\""),
+                                   [value = inMilliseconds(change->to)] { return value; });
+        m_proxy.m_log.write(
+            log_level::Info,
+            absl::StrFormat("zone-link zone=%s to_zone=%s from_ms=%.1f to_ms=%.1f lost=%.2f "
+                            "measurements=%d",
+                            m_proxy.m_options.availabilityZone, change->zone,
+                            inMilliseconds(change->from), inMilliseconds(change->to),
+                            change->lossShare, change->measurements));
+    }
 }
 
 upstream_picker::result proxied_call::pickerResult(const proxy_result &attempted) const
@@ -320,14 +476,19 @@
                                                   request_proxy::service_state &service,
                                                   steady_time now) const
 {
-    const std::vector<const upstream_member *> members = openMembers(directory, m_request.service);
+    std::vector<const upstream_member *> members = openMembers(directory, m_request.service);
+    if (m_isLinkFull) {
+        const upstream_id local = m_proxy.m_dispatcher.local().id;
+        std::erase_if(members, [&](const upstream_member *member) { return member->id != local; });
+    }
     std::vector<const upstream_member *> responsive = members;
     std::erase_if(responsive, [&](const upstream_member *member) {
         return m_proxy.m_peers.liveness().shouldAvoid(member->peerAddress, now);
     });
     const double bytes = expectedBytes(service);
-    const upstream_member *picked = service.picker.pick(responsive, m_tried, now, bytes);
-    return picked != nullptr ? picked : service.picker.pick(members, m_tried, now, bytes);
+    const body_transfer body = bodyTransfer();
+    const upstream_member *picked = service.picker.pick(responsive, m_tried, now, bytes, body);
+    return picked != nullptr ? picked : service.picker.pick(members, m_tried, now, bytes, body);
 }
 
 void proxied_call::logAttempt(const proxy_result &result, std::chrono::nanoseconds took,
@@ -392,16 +553,20 @@
 
 void proxied_call::respondWithFailure(const proxy_result &result)
 {
+    milliseconds retryAfter{0};
     Poco::Net::HTTPResponse head(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(statusFor(result.reason, result.outcome)));
     head.setContentType("text/plain");
     head.set(reasonHeader, std::string(toString(result.reason)));
     if (result.outcome == request_outcome::NotRun && head.getStatus() == 503) {
-        const milliseconds retryAfter =
-            statedRetryAfter(result.retryAfter, m_proxy.m_options.defaultRetryAfter);
+        retryAfter = statedRetryAfter(result.retryAfter, m_proxy.m_options.defaultRetryAfter);
         head.set("Retry-After",
                  absl::StrFormat("%.3f", std::chrono::duration<double>(retryAfter).count()));
     }
+    // Before the response, since the caller may return at once.
+    if (head.getStatus() >= 500) {
+        recordFailureOfCaller(retryAfter, clockNow());
+    }
     m_exchange.respond(head, absl::StrCat(toAbsl(toString(result.reason)), "\n"));
 }
 
--- a/src/persimmonrail/proxy/proxied_call.h
+++ b/src/persimmonrail/proxy/proxied_call.h
@@ -25,6 +25,21 @@
     // timeout does not tell.
     milliseconds callerRetryAge(const std::optional<milliseconds> &timeout);
 
+    // Finds out whether the caller has sent the request before. Its objective then counts from the
+    // first attempt.
+    void recognizeReturn(milliseconds statedTimeout);
+
+    // Records that the request has failed, so that its return is recognized. A `retryAfter` of 0
+    // means that the caller was told no time.
+    void recordFailureOfCaller(milliseconds retryAfter, steady_time now);
+    // Reserves memory of this daemon for the request body, which is still unread. A reason other
+    // than None ends the request.
+    proxy_result admitBody();
+
+    // Reserves what one attempt needs for the request body: a part of the local upstream's budget,
+    // or time on the link to another daemon. Returns the rejection of the attempt if there is none.
+    std::optional<proxy_result> admitAttempt(bool isLocal, body_reservation &admitted);
+
     // Attempts the request until it succeeds, can't be retried, or the retry budget is spent.
     proxy_result attemptWithRetries();
 
@@ -48,12 +63,23 @@
 
     size_t requestBytes() const;
 
+    // Returns what the transfer time of the body depends on; nothing to transfer if it does not
+    // count.
+    body_transfer bodyTransfer() const;
+
     // Learns from an attempt at a request without a key, and counts where it went.
     void recordZones(request_proxy::service_state &service, const upstream_member &member,
                      const proxy_result &result, size_t responseBytes);
 
     void logShareChange(request_proxy::service_state &service);
 
+    // Measures the link to the zone of the upstream by an attempt that was forwarded.
+    // `respondedAt` is when the response began; nullopt if none did.
+    void recordLink(const upstream_member &member, const proxy_result &result, steady_time sentAt,
+                    std::optional<steady_time> respondedAt);
+
+    void logLinkChanges();
+
     // Returns what an attempt says about its upstream. A key has one owner, so its requests are
     // kept away from the owner only if no connection to the host of the owner can be established.
     upstream_picker::result pickerResult(const proxy_result &attempted) const;
@@ -95,11 +121,24 @@
     // When the last attempt began, and why the one before failed.
     steady_time m_lastAttemptAt = m_startedAt;
     loss_cause m_earlierCause = loss_cause::Other;
+    // Memory of this daemon for the request body.
+    body_reservation m_body;
+    // Attempts that the budgets of this daemon rejected.
+    int m_bodyRejections = 0;
+    // The last rejection by a budget of any daemon.
+    std::optional<proxy_result> m_bodyRejection;
+    // Whether the link can't carry the body in time, so that only the local upstream is a
+    // candidate.
+    bool m_isLinkFull = false;
     // Attempts that other daemons rejected because their upstream is overloaded.
     int m_overloadRejections = 0;
     bool m_hasUnknownOutcome = false;
     bool m_isServiceEvacuated = false;
     bool m_isRetryBudgetSpent = false;
+    // The request as its caller has sent it, if the caller states how long it waits, and the
+    // arrival of the caller's first attempt.
+    std::optional<caller_returns::request> m_asSent;
+    steady_time m_firstArrivedAt = m_startedAt;
     // Whether the request's zone is chosen by the share that leaves the zone.
     bool m_usesZoneShare = false;
 };
--- a/src/persimmonrail/proxy/proxy_types.h
+++ b/src/persimmonrail/proxy/proxy_types.h
@@ -5,6 +5,7 @@
 #include "persimmonrail/fleet/upstream_member.h"
 #include "persimmonrail/keyspace/key_placement.h"
 #include "persimmonrail/keyspace/key_state.h"
+#include "persimmonrail/proxy/caller_attempt.h"
 #include "persimmonrail/proxy/keyed_loss.h"
 #include "persimmonrail/proxy/link_pacer.h"
 #include "persimmonrail/proxy/proxy_reason.h"
@@ -40,6 +41,8 @@
     bool repeatable = false;
     // Whether an earlier attempt at the request has reached an upstream.
     bool isRetry = false;
+    // Whether the caller has sent the request before.
+    caller_attempt callerAttempt = caller_attempt::Unknown;
     // The caller waits for the response until this time.
     steady_time deadline;
     // Latency objective, and the time at which it ends.
@@ -49,6 +52,9 @@
     link_pacer::estimate linkEstimate;
     // Availability zone of the caller in a first attempt; empty if it does not count.
     std::string originZone;
+    // Availability zone of the caller's daemon, for the order of waiting requests; empty if unknown
+    // or if no order depends on it.
+    std::string callerZone;
     // Whether the response should tell about the zones of the service.
     bool wantsZones = false;
 };
--- a/src/persimmonrail/proxy/request_explainer.cpp
+++ b/src/persimmonrail/proxy/request_explainer.cpp
@@ -58,6 +58,9 @@
         result.retryAge =
             m_proxy.m_attemptAges.peekEstimate(decided.found->name, *m_asked.timeout, m_now);
         m_request.objectiveEnd -= result.retryAge;
+        if (m_proxy.m_options.schedulesReturns && result.retryAge.count() > 0) {
+            m_request.callerAttempt = caller_attempt::DueRetry;
+        }
     }
     explainServices(*decided.found, result);
     return result;
@@ -74,6 +77,10 @@
     request.deadline =
         callDeadline(m_asked.timeout, route, m_now, m_proxy.m_hooks.shutdownDeadline());
     request.objectiveEnd = m_now + route.objective;
+    if (m_proxy.m_options.schedulesReturns
+        || m_proxy.m_options.zoneShare.crossingCost.count() > 0) {
+        request.callerZone = m_proxy.m_options.availabilityZone;
+    }
     return request;
 }
 
@@ -110,9 +117,19 @@
     }
     // A service to which no request was sent has the state that its first request creates.
     const service_state *known = m_proxy.findService(service);
+    upstream_picker_options pickerOptions;
+    pickerOptions.zoneShare = m_proxy.m_options.zoneShare;
     const service_state fresh(
-        m_proxy.m_options, [] { return uint64_t{0}; }, m_now);
+        m_proxy.m_options, pickerOptions, [] { return uint64_t{0}; }, m_now);
     const service_state &state = known != nullptr ? *known : fresh;
+    body_demand body;
+    body.usesDaemon = true;
+    if (const auto rejected = bodyRejection(body)) {
+        // The daemon does not attempt the request.
+        add(result, *rejected, 1, false);
+        result.rejections.back().isTriedAgain = false;
+        return result;
+    }
     if (isKeyed) {
         explainOwner(state, result);
     } else {
@@ -174,9 +191,14 @@
     });
     const double bytes =
         static_cast<double>(m_asked.bytes) + state.responseBytes.mean(m_request.route);
+    body_transfer body;
+    if (m_proxy.m_options.countsTransferTime) {
+        body = {static_cast<double>(m_asked.bytes), m_proxy.m_options.linkBytesPerSecond,
+                m_proxy.m_dispatcher.local().id};
+    }
     const picker_assessment assessed =
         state.picker.assess(m_directory->membersOf(result.service),
-                            candidates.empty() ? open : candidates, m_now, bytes);
+                            candidates.empty() ? open : candidates, m_now, bytes, body);
     result.usesZoneShare = state.picker.usesZoneShare();
     result.split = assessed.split;
     result.zonesAge = assessed.zonesAge;
@@ -206,8 +228,17 @@
 void request_explainer::addRejections(const explained_member &member,
                                       explained_service &result) const
 {
+    body_demand body;
+    body.usesUpstream = member.isLocal;
+    if (!member.isLocal) {
+        body.link = link_direction::Outbound;
+        body.objectiveEnd = m_request.objectiveEnd;
+    }
+    const std::optional<proxy_result> bodyRejected = bodyRejection(body);
     if (member.isLocal) {
-        if (result.local && result.local->rejected) {
+        if (bodyRejected) {
+            add(result, *bodyRejected, member.chance, true);
+        } else if (result.local && result.local->rejected) {
             add(result, *result.local->rejected, member.chance, true);
         }
         return;
@@ -215,11 +246,21 @@
     const double throttled = result.throttle.rejectionChance;
     add(result, notRunResult(proxy_reason::OverloadExpected, result.throttle.retryAfter),
         member.chance * throttled, false);
-    if (!m_proxy.m_peers.liveness().mayBegin(member.member.peerAddress, m_now)) {
+    if (bodyRejected) {
+        add(result, *bodyRejected, member.chance * (1 - throttled), false);
+    } else if (!m_proxy.m_peers.liveness().mayBegin(member.member.peerAddress, m_now)) {
         add(result, notRunResult(proxy_reason::PeerSilent), member.chance * (1 - throttled), false);
     }
 }
 
+std::optional<proxy_result> request_explainer::bodyRejection(body_demand demand) const
+{
+    demand.bytes = m_asked.bytes;
+    const auto rejected = m_proxy.m_bodies.peekRejection(demand, m_now);
+    return rejected ? std::optional(notRunResult(proxy_reason::BodyBudget, rejected->retryAfter))
+                    : std::nullopt;
+}
+
 void request_explainer::add(explained_service &result, const proxy_result &rejected, double chance,
                             bool isBesideUpstream) const
 {
--- a/src/persimmonrail/proxy/request_explainer.h
+++ b/src/persimmonrail/proxy/request_explainer.h
@@ -27,6 +27,8 @@
     explained_member describe(const member_assessment &assessed) const;
     // Adds what would reject the request if it were sent to the member.
     void addRejections(const explained_member &member, explained_service &result) const;
+    // Returns the rejection of the request's body; nullopt if it is admitted.
+    std::optional<proxy_result> bodyRejection(body_demand demand) const;
     // Adds a rejection, or its chance to one for the same reason.
     void add(explained_service &result, const proxy_result &rejected, double chance,
              bool isBesideUpstream) const;
--- a/src/persimmonrail/proxy/request_proxy.h
+++ b/src/persimmonrail/proxy/request_proxy.h
@@ -3,6 +3,7 @@
 #include "persimmonrail/base/random_source.h"
 #include "persimmonrail/fleet/fleet_directory.h"
 #include "persimmonrail/http/http_server.h"
+#include "persimmonrail/proxy/body_budget.h"
 #include "persimmonrail/proxy/keyed_loss.h"
 #include "persimmonrail/proxy/overload_throttle.h"
 #include "persimmonrail/proxy/peer_client.h"
@@ -11,6 +12,8 @@
 #include "persimmonrail/proxy/upstream_picker.h"
 #include "persimmonrail/routes/route_table.h"
 #include "persimmonrail/routing/attempt_age.h"
+#include "persimmonrail/routing/caller_returns.h"
+#include "persimmonrail/routing/link_delay.h"
 #include "persimmonrail/routing/retry_budget.h"
 #include "persimmonrail/routing/route_bytes.h"
 #include "persimmonrail/routing/zone_share.h"
@@ -48,13 +51,21 @@
     retry_budget_options retries;
     // Whether the latency objective of a caller's retry counts from the caller's first attempt.
     bool detectsCallerRetries = false;
+    // Whether callers that send a request again are recognized, so that queues can let them wait
+    // behind first attempts.
+    bool schedulesReturns = false;
+    caller_returns_options callerReturns;
     // Bandwidth of this host's link; 0 if unknown.
     double linkBytesPerSecond = 0;
     // Share of the bandwidth that large responses use. The rest is for small responses and framing
     // overhead.
     double largeResponseShare = 0.95;
+    // Limits the bytes of request bodies in flight; off by default.
+    body_budget_options bodies;
     // What leaving the availability zone costs; a crossing cost of 0 keeps the fixed factor.
     zone_share_options zoneShare;
+    // Whether the time to transfer a request body counts in the choice of an upstream.
+    bool countsTransferTime = false;
 };
 
 // Access to the state of the daemon. All functions must be thread safe.
@@ -97,6 +108,7 @@
     // Returns what would happen to a request of a caller that arrives now. Sends, counts and
     // changes nothing. Holds each lock that requests use only while it copies what the lock guards.
     request_explanation explain(const explained_request &request, steady_time now) const;
+    const body_budget &bodies() const { return m_bodies; }
     // Returns the number of requests that are being served.
     int inFlight() const { return m_inFlight; }
     // Returns the requests for keys that were not served in time since the last call, by cause and
@@ -111,13 +123,14 @@
     // State of the requests to one service.
     struct service_state
     {
-        explicit service_state(const request_proxy_options &options, random_source random,
-                               steady_time now);
+        service_state(const request_proxy_options &options, upstream_picker_options pickerOptions,
+                      random_source random, steady_time now);
         upstream_picker picker;
         overload_throttle throttle;
         route_bytes responseBytes;
         retry_budget retries;
     };
+    upstream_picker_options pickerOptions();
     service_state &findOrCreateService(const std::string &service, steady_time now);
     // Returns null if no request to the service has been served.
     const service_state *findService(const std::string &service) const;
@@ -125,6 +138,12 @@
     void recordArrival(const proxied_request &request);
     // Returns the states of the zones that a response tells; empty if the request asks for none.
     std::vector<zone_load> zonesFor(const proxied_request &request) const;
+    // Reserves the bytes of a request body, or returns the rejection of the request.
+    std::optional<proxy_result> admitBody(const body_demand &demand, body_reservation &admitted);
+    // The same for the body of another daemon's request, which is still unread.
+    std::optional<proxy_result> admitPeerBody(const proxied_request &request,
+                                              const server_exchange &exchange,
+                                              body_reservation &admitted);
     bool isPeerRequestInFlight(const std::string &requestId);
     // Returns 64 random bits.
     uint64_t randomBits();
@@ -140,6 +159,10 @@
     peer_client m_peers;
     keyed_loss_ledger m_losses;
     attempt_age m_attemptAges;
+    // Measured only with a crossing cost, by the requests to all services.
+    link_delay m_linkDelay;
+    caller_returns m_returns;
+    body_budget m_bodies;
     // Shared by large responses to other daemons.
     outbound_link m_outboundLink;
     std::atomic<int> m_inFlight{0};
--- a/src/persimmonrail/proxy/tests/decision_assessment_test.cpp
+++ b/src/persimmonrail/proxy/tests/decision_assessment_test.cpp
@@ -52,6 +52,7 @@
                              "z" + std::to_string(random.below(3)),
                              "127.0.0.1:1",
                              1 + random.below(9)});
+            owned.back().host.linkMbps = random.below(3) * 10;
         }
         for (const upstream_member &entry : owned) {
             members.push_back(&entry);
@@ -93,11 +94,18 @@
     steady_time now = start;
 };
 
+// The transfer of a body from the host of i-0.
+body_transfer transferOf(double bytes)
+{
+    return {bytes, 1.25e6, {"i-0", 1}};
+}
+
 std::map<std::string, double> chancesOf(const picker_state &state, double bytes)
 {
     std::map<std::string, double> chances;
     for (const member_assessment &entry :
-         state.picker->assess(state.members, state.members, state.now, bytes).members) {
+         state.picker->assess(state.members, state.members, state.now, bytes, transferOf(bytes))
+             .members) {
         chances[entry.member->id.name] = entry.chance;
     }
     return chances;
@@ -119,7 +127,8 @@
             // A pick changes the state, so each is made in a state of its own.
             const picker_state state(seed);
             state.draws->seed(seed * 1000 + static_cast<uint64_t>(sample));
-            const upstream_member *picked = state.picker->pick(state.members, {}, state.now, bytes);
+            const upstream_member *picked =
+                state.picker->pick(state.members, {}, state.now, bytes, transferOf(bytes));
             REQUIRE((picked == nullptr) == state.members.empty());
             if (picked != nullptr) {
                 ++picks[picked->id.name];
@@ -130,7 +139,7 @@
             CAPTURE(name, chance, picks[name]);
             sum += chance;
             CHECK((chance > 0 || picks[name] == 0));
-            const double deviation = std::sqrt(samples * chance * (1 - chance));
+            const double deviation = std::sqrt(samples * chance * std::max(1 - chance, 0.0));
             CHECK(std::abs(picks[name] - samples * chance) <= 5 * deviation + 1e-6);
         }
         CHECK(sum == Approx(assessed.members.empty() ? 0 : 1));
@@ -144,7 +153,10 @@
     int rejections = 0;
     for (uint64_t seed = 1; seed <= 40; ++seed) {
         generator random(seed);
-        slot_queue queue;
+        slot_queue_options options;
+        options.schedulesReturns = seed % 2 == 0;
+        options.precedingZone = seed % 3 == 0 ? "z0" : "";
+        slot_queue queue(options);
         queue.setSlots(1 + random.below(4));
         steady_time now = start;
         if (random.below(2) == 0) {
@@ -159,7 +171,9 @@
                                        objective,
                                        now + objective - milliseconds(random.below(300)),
                                        now + milliseconds(random.below(2000)),
-                                       random.below(4) == 0};
+                                       random.below(4) == 0,
+                                       static_cast<caller_attempt>(random.below(4)),
+                                       "z" + std::to_string(random.below(2))};
             const slot_queue::expectation expected = queue.expect(request, now);
             const slot_queue::expectation again = queue.expect(request, now);
             CHECK(expected.wait() == again.wait());
--- a/src/persimmonrail/proxy/tests/slot_queue_test.cpp
+++ b/src/persimmonrail/proxy/tests/slot_queue_test.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <string>
+#include <vector>
 
 using namespace persimmonrail;
 using namespace std::chrono_literals;
@@ -403,3 +405,199 @@
     CHECK(rejected.retryAfter > 50ms);
     CHECK(rejected.retryAfter <= 150ms);
 }
+
+namespace {
+
+slot_request makeAttempt(caller_attempt attempt, steady_time now, milliseconds age = 0ms)
+{
+    slot_request request = makeRequest("r", 0, 800ms, now - age, 3000ms);
+    request.callerAttempt = attempt;
+    return request;
+}
+
+// Returns a queue whose slots are in use for a second, and in which a first attempt waits.
+slot_queue makeBusyQueue(bool schedulesReturns)
+{
+    slot_queue_options options;
+    options.schedulesReturns = schedulesReturns;
+    options.initialServiceTime = 200ms;
+    slot_queue queue(options);
+    queue.setSlots(2);
+    for (int i = 0; i < 3; ++i) {
+        add(queue, makeAttempt(caller_attempt::First, start), start);
+    }
+    queue.startRequests(start);
+    return queue;
+}
+
+} // namespace
+
+// Guards against retries that displace first attempts while requests wait.
+TEST_CASE("retries wait behind first attempts if returns are scheduled", "[proxy][returns]")
+{
+    const bool schedulesReturns = GENERATE(true, false);
+    slot_queue queue = makeBusyQueue(schedulesReturns);
+    const uint64_t retry = add(queue, makeAttempt(caller_attempt::DueRetry, start, 100ms), start);
+    const uint64_t first = add(queue, makeAttempt(caller_attempt::First, start), start);
+    CHECK(queue.running() == 2);
+    queue.finish(1, false, start);
+    CHECK(queue.startRequests(start) == std::vector<uint64_t>{3});
+    queue.finish(2, false, start);
+    CHECK(queue.startRequests(start) == std::vector<uint64_t>{schedulesReturns ? first : retry});
+}
+
+// Guards against retries that use the slots which the next first attempts need.
+TEST_CASE("a waiting retry leaves a fifth of the slots free", "[proxy][returns]")
+{
+    slot_queue_options options;
+    options.schedulesReturns = true;
+    slot_queue queue(options);
+    queue.setSlots(10);
+    for (int i = 0; i < 9; ++i) {
+        add(queue, makeAttempt(caller_attempt::First, start), start);
+    }
+    add(queue, makeAttempt(caller_attempt::DueRetry, start, 700ms), start);
+    CHECK(queue.startRequests(start).size() == 9);
+    queue.finish(1, false, start);
+    CHECK(queue.startRequests(start).empty());
+    queue.finish(2, false, start);
+    CHECK(queue.startRequests(start).size() == 1);
+}
+
+// Guards against callers that ignore Retry-After and gain from it.
+TEST_CASE("a retry before its announced time does not wait", "[proxy][returns]")
+{
+    slot_queue queue = makeBusyQueue(true);
+    slot_queue::rejection rejected;
+    CHECK_FALSE(queue.submit(makeAttempt(caller_attempt::EarlyRetry, start), start, rejected));
+    CHECK(rejected.retryAfter > 0ms);
+    CHECK(queue.returns().announcedCount() == 0);
+    int waiting = 0;
+    const slot_request due = makeAttempt(caller_attempt::DueRetry, start, 700ms);
+    while (queue.submit(due, start, rejected)) {
+        ++waiting;
+    }
+    CHECK(waiting == 4);
+    // The first attempt that waits is not delayed by any of them.
+    queue.finish(1, false, start);
+    CHECK(queue.startRequests(start) == std::vector<uint64_t>{3});
+}
+
+// Guards against a return that comes as announced and is sent behind first attempts, although it
+// can still be in time.
+TEST_CASE("a return at its announced time counts as a first attempt", "[proxy][returns]")
+{
+    slot_queue queue = makeBusyQueue(true);
+    slot_queue::rejection rejected;
+    while (queue.submit(makeAttempt(caller_attempt::First, start), start, rejected)) { }
+    CHECK(queue.returns().announcedCount() == 1);
+    const steady_time now = start + rejected.retryAfter;
+    queue.finish(1, false, now);
+    queue.finish(2, false, now);
+    queue.startRequests(now);
+    const int waiting = queue.waiting();
+    slot_request returned = makeAttempt(caller_attempt::DueRetry, now, rejected.retryAfter);
+    const uint64_t asFirst = add(queue, returned, now);
+    const uint64_t asRetry = add(queue, returned, now);
+    // It may wait while it can still be in time, the retry for longer.
+    CHECK(queue.waitEnd(asFirst) == returned.objectiveEnd - 200ms);
+    CHECK(queue.waitEnd(asRetry) > returned.objectiveEnd);
+    CHECK(queue.waitEnd(asRetry) < returned.deadline);
+    CHECK(queue.waiting() == waiting + 2);
+    CHECK(queue.returns().due(now) == 0);
+}
+
+namespace {
+
+slot_request fromZone(const std::string &zone, bool hasKey = false)
+{
+    slot_request request = makeRequest("r", 0, 5000ms, start, 9000ms);
+    request.callerAttempt = caller_attempt::First;
+    request.zone = zone;
+    request.hasKey = hasKey;
+    return request;
+}
+
+// Adds a request of each zone to a queue with one slot, and returns the zones in the order of the
+// starts.
+std::vector<std::string> startOrder(slot_queue &queue, const std::vector<std::string> &zones,
+                                    bool hasKey = false)
+{
+    std::map<uint64_t, std::string> zoneOf;
+    for (const std::string &zone : zones) {
+        zoneOf[add(queue, fromZone(zone, hasKey), start)] = zone;
+    }
+    std::vector<std::string> order;
+    std::vector<uint64_t> started = queue.startRequests(start);
+    while (!started.empty()) {
+        order.push_back(zoneOf.at(started.front()));
+        queue.finish(started.front(), false, start);
+        started = queue.startRequests(start);
+    }
+    return order;
+}
+
+} // namespace
+
+// Guards against a zone that helps and serves its own callers worse than others, and against an
+// order that depends on zones without the settings.
+TEST_CASE("requests of the own zone come first if crossing has a cost", "[proxy][zones]")
+{
+    slot_queue_options options;
+    options.precedingZone = GENERATE("", "nord");
+    const bool hasKey = GENERATE(true, false);
+    slot_queue queue(options);
+    queue.setSlots(1);
+    const std::vector<std::string> zones{"sued", "sued", "nord", "", "nord"};
+    // A key has one owner, so no zone helps another one.
+    const bool isOwnFirst = !options.precedingZone.empty() && !hasKey;
+    CHECK(startOrder(queue, zones, hasKey)
+          == (isOwnFirst ? std::vector<std::string>{"nord", "nord", "sued", "sued", ""} : zones));
+}
+
+// Guards against a request of another zone that is accepted, overtaken, and then served late.
+TEST_CASE("the expected wait follows the order of the zones", "[proxy][zones]")
+{
+    slot_queue_options options;
+    options.initialServiceTime = 1000ms;
+    options.precedingZone = "nord";
+    slot_queue queue(options);
+    queue.setSlots(1);
+    for (const char *zone : {"nord", "sued", "nord"}) {
+        add(queue, fromZone(zone), start);
+        queue.startRequests(start);
+    }
+    // One runs and two wait, so a request that starts after them ends after 4 s of the 4.5 s that
+    // it may take, and one that starts after only one of them after 3 s.
+    const uint64_t last = add(queue, fromZone("sued"), start);
+    slot_queue::rejection rejected;
+    CHECK_FALSE(queue.submit(fromZone("sued"), start, rejected).has_value());
+    const uint64_t preceding = add(queue, fromZone("nord"), start);
+    // The request of the other zone is overtaken; it may wait until it would be late.
+    CHECK(queue.waitEnd(last) == start + 4s);
+    CHECK(queue.expire(last, start + 4s).retryAfter > 0ms);
+    CHECK(queue.waiting() == 3);
+    queue.cancel(preceding);
+    CHECK(queue.waiting() == 2);
+}
+
+// Load: one zone sends ten times as much as the others. Guards against callers of a zone that wait
+// behind the excess of another zone.
+TEST_CASE("zones have equal shares of the starts if returns are scheduled", "[proxy][zones]")
+{
+    const bool schedulesReturns = GENERATE(true, false);
+    slot_queue_options options;
+    options.schedulesReturns = schedulesReturns;
+    slot_queue queue(options);
+    queue.setSlots(1);
+    std::vector<std::string> zones(10, "sued");
+    zones.insert(zones.end(), {"nord", "nord", "west"});
+    const std::vector<std::string> order = startOrder(queue, zones);
+    REQUIRE(order.size() == zones.size());
+    const auto lastOf = [&order](const std::string &zone) {
+        return std::find(order.rbegin(), order.rend(), zone).base() - order.begin();
+    };
+    CHECK(lastOf("west") <= (schedulesReturns ? 4 : 13));
+    CHECK(lastOf("nord") <= (schedulesReturns ? 6 : 13));
+    CHECK((lastOf("sued") == 13) == schedulesReturns);
+}
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -60,8 +60,9 @@
 
 slot_request slotRequestOf(const proxied_request &request)
 {
-    return {request.route,        request.rank,     request.objective,
-            request.objectiveEnd, request.deadline, request.isRetry};
+    return {request.route,         request.rank,       request.objective,
+            request.objectiveEnd,  request.deadline,   request.isRetry,
+            request.callerAttempt, request.callerZone, request.key.has_value()};
 }
 
 // A connection that ended before its response suggests that the upstream has crashed.
@@ -81,10 +82,12 @@
 } // namespace
 
 upstream_dispatcher::upstream_dispatcher(exchange_codec codec, upstream_dispatcher_hooks hooks,
-                                         crash_quarantine &quarantine)
+                                         crash_quarantine &quarantine,
+                                         const slot_queue_options &queueOptions)
     : m_codec(std::move(codec))
     , m_hooks(std::move(hooks))
     , m_quarantine(quarantine)
+    , m_slotQueue(queueOptions)
     , m_pool(std::make_shared<connection_pool>(
           connection_pool_options{64, 128, upstreamIdleTimeout, upstreamFreshTime}))
     , m_client(m_pool)
--- a/src/persimmonrail/proxy/upstream_dispatcher.h
+++ b/src/persimmonrail/proxy/upstream_dispatcher.h
@@ -86,7 +86,7 @@
 public:
     // `quarantine` must outlive the object.
     upstream_dispatcher(exchange_codec codec, upstream_dispatcher_hooks hooks,
-                        crash_quarantine &quarantine);
+                        crash_quarantine &quarantine, const slot_queue_options &queueOptions = {});
 
     // Waits for a slot, sends the request to the upstream and passes the response on to `sink`.
     // `exchange` supplies the request body and is watched for the requester's disconnection.
@@ -98,6 +98,12 @@
     // `hasBody` tells whether the request has a body.
     dispatch_assessment assess(const proxied_request &request, bool hasBody, steady_time now) const;
     local_load load(steady_time now) const;
+    // Returns the rejection of a request that can't be dispatched now, without reading its body;
+    // nullopt if it can.
+    std::optional<proxy_result> checkTarget(const proxied_request &request) const
+    {
+        return checkTarget(request, m_hooks.local());
+    }
     // Returns the state of the queue for the upstream.
     queue_report queue() const { return m_slotQueue.report(); }
     // Sets the number of requests that the upstream may run at the same time.
@@ -110,6 +116,10 @@
     cold_rate_limit coldLimit() const { return m_slotQueue.coldLimit(); }
     // Returns how many requests the limit has delayed so far.
     uint64_t coldDelayedCount() const { return m_slotQueue.delayedCount(); }
+    // Return how many returns of rejected callers have been announced so far, and how many are due
+    // now.
+    uint64_t returnsAnnounced() const { return m_slotQueue.returnsAnnounced(); }
+    int returnsDue(steady_time now) const { return m_slotQueue.returnsDue(now); }
     // Limits the requests that are sent again after a reused connection was closed.
     void setResendBudget(const retry_budget_options &options, steady_time now)
     {
--- a/src/persimmonrail/proxy/upstream_picker.cpp
+++ b/src/persimmonrail/proxy/upstream_picker.cpp
@@ -7,16 +7,22 @@
 #include "persimmonrail/base/text.h"
 
 #include <algorithm>
-#include <set>
 
 namespace persimmonrail {
 namespace {
 
 // Assumed service time of an upstream that has not reported one.
 constexpr double initialServiceSeconds = 0.05;
+// Shorter transfers matter less than what reports of queues leave open, so they don't make the
+// upstream on the own host a third candidate.
+constexpr double minTransferSeconds = 0.005;
 // Entries without requests in flight are erased when there are more entries than this, since no
 // directory may name their upstreams any more.
 constexpr size_t maxEntries = 4096;
+// An upstream that reports less than this share of the mean capacity of its zone counts with what
+// it reports. Cold upstreams report less than a fifth; a slow span makes an upstream 3 times as
+// slow, which the reports of the zones show well enough.
+constexpr double coldCapacityShare = 0.25;
 // Zones of which reports are kept; their names come from other daemons.
 constexpr size_t maxZones = 16;
 
@@ -36,8 +42,9 @@
 
 // Adds to the chances of the members what they are if two random ones of `candidates` are compared,
 // times `weight`. Of two with the same expected time, either is the first with equal probability.
+// The upstream on this host, `local`, replaces those that a body reaches considerably later.
 void addChances(std::vector<member_assessment> &members, const member_list &candidates,
-                double weight)
+                const upstream_id &local, double weight)
 {
     std::vector<member_assessment *> drawn;
     std::vector<double> times;
@@ -55,11 +62,25 @@
             std::equal_range(times.begin(), times.end(), entry->time.seconds());
         const auto slower = static_cast<double>(times.end() - last);
         const auto equal = static_cast<double>(last - first - 1);
-        entry->chance +=
+        const double chance =
             weight * (drawn.size() == 1 ? 1 : (2 * slower + equal) / (count * (count - 1)));
+        const auto own =
+            std::find_if(drawn.begin(), drawn.end(), [&](const member_assessment *other) {
+                return other->member->id == local;
+            });
+        const bool isReplaced = entry->time.transferSeconds >= minTransferSeconds
+            && own != drawn.end() && (*own)->time.seconds() < entry->time.seconds();
+        (isReplaced ? *own : entry)->chance += chance;
     }
 }
 
+// Members of one zone in the directory.
+struct zone_members
+{
+    // Those that are not under a penalty.
+    std::vector<const upstream_member *> healthy;
+};
+
 } // namespace
 
 std::string encodeQueueReport(const queue_report &report)
@@ -86,9 +107,9 @@
 upstream_picker::upstream_picker(std::string availabilityZone, random_source random,
                                  upstream_picker_options options)
     : m_availabilityZone(std::move(availabilityZone))
-    , m_options(options)
+    , m_options(std::move(options))
     , m_random(std::move(random))
-    , m_share(m_availabilityZone, options.zoneShare)
+    , m_share(m_availabilityZone, m_options.zoneShare)
 { }
 
 expected_time upstream_picker::expectedTime(const upstream_member &member, steady_time now) const
@@ -129,9 +150,7 @@
         if (std::find(tried.begin(), tried.end(), member->id) != tried.end()) {
             continue;
         }
-        const auto entry = m_entries.find(member->id);
-        const bool isHealthy = entry == m_entries.end() || now >= entry->second.penaltyEnd;
-        (isHealthy ? choice.healthy : choice.penalized).push_back(member);
+        (isHealthy(member->id, now) ? choice.healthy : choice.penalized).push_back(member);
     }
     return choice;
 }
@@ -152,12 +171,14 @@
 
 picker_assessment upstream_picker::assess(const std::vector<const upstream_member *> &members,
                                           const std::vector<const upstream_member *> &candidates,
-                                          steady_time now, double bytes) const
+                                          steady_time now, double bytes,
+                                          const body_transfer &body) const
 {
     picker_assessment result;
     std::unique_lock lock(m_mutex);
     for (const upstream_member *member : members) {
         result.members.push_back(assessMember(*member, now));
+        result.members.back().time.transferSeconds = transferTime(body, *member);
     }
     const auto [healthy, penalized] = untriedMembers(candidates, {}, now);
     for (const auto &[name, zone] : m_zones) {
@@ -166,14 +187,15 @@
     }
     zone_share share = m_share;
     const bool isDue = isShareDue(now);
-    const std::vector<zone_load> zones = recentZones(candidates, now);
+    std::map<std::string, zone_load> reports = m_zones;
+    const std::vector<zone_load> zones = recentZones(reports, candidates, now);
     lock.unlock();
     if (isDue) {
         share.update(zones, now);
     }
     result.split = share.split();
     if (healthy.empty() || !usesZoneShare() || result.split.reason == share_reason::NoReports) {
-        addChances(result.members, healthy.empty() ? penalized : healthy, 1);
+        addChances(result.members, healthy.empty() ? penalized : healthy, body.local, 1);
         return result;
     }
     std::map<std::string, double> chances = share.chances(bytes);
@@ -185,31 +207,58 @@
     for (const auto &[zone, chance] : chances) {
         member_list inZone = healthy;
         narrowToZone(inZone, zone);
-        addChances(result.members, inZone, chance);
+        addChances(result.members, inZone, body.local, chance);
     }
     return result;
 }
 
+double transferTime(const body_transfer &body, const upstream_member &member)
+{
+    if (body.bytes <= 0 || member.id == body.local) {
+        return 0;
+    }
+    const double memberLink = member.host.linkMbps * 1e6 / 8;
+    return (body.ownLinkBytesPerSecond > 0 ? body.bytes / body.ownLinkBytesPerSecond : 0)
+        + (memberLink > 0 ? body.bytes / memberLink : 0);
+}
+
+const upstream_member *
+upstream_picker::chooseByTime(std::vector<const upstream_member *> &candidates,
+                              const body_transfer &body, steady_time now)
+{
+    const auto timeAt = [&](const upstream_member *member) {
+        return expectedTime(*member, now).seconds() + transferTime(body, *member);
+    };
+    std::swap(candidates.front(), candidates[randomBelow(m_random, candidates.size())]);
+    const upstream_member *chosen = candidates.front();
+    if (candidates.size() > 1) {
+        const upstream_member *other = candidates[1 + randomBelow(m_random, candidates.size() - 1)];
+        if (timeAt(other) < timeAt(chosen)) {
+            chosen = other;
+        }
+    }
+    if (transferTime(body, *chosen) < minTransferSeconds) {
+        return chosen;
+    }
+    const auto local =
+        std::find_if(candidates.begin(), candidates.end(),
+                     [&](const upstream_member *member) { return member->id == body.local; });
+    return local != candidates.end() && timeAt(*local) < timeAt(chosen) ? *local : chosen;
+}
+
 const upstream_member *upstream_picker::pick(const std::vector<const upstream_member *> &members,
                                              const std::vector<upstream_id> &tried, steady_time now,
-                                             double bytes)
+                                             double bytes, const body_transfer &body)
 {
     const std::lock_guard lock(m_mutex);
     updateShare(members, now);
     auto [healthy, penalized] = untriedMembers(members, tried, now);
-    keepChosenZone(healthy, bytes);
+    keepChosenZone(healthy, bytes, wasRejectedByOwnZone(members, tried));
     std::vector<const upstream_member *> &candidates = healthy.empty() ? penalized : healthy;
     if (candidates.empty()) {
         return nullptr;
     }
-    std::swap(candidates.front(), candidates[randomBelow(m_random, candidates.size())]);
-    const upstream_member *chosen = candidates.front();
-    if (candidates.size() > 1) {
-        const upstream_member *other = candidates[1 + randomBelow(m_random, candidates.size() - 1)];
-        if (expectedTime(*other, now).seconds() < expectedTime(*chosen, now).seconds()) {
-            chosen = other;
-        }
-    }
+    const upstream_member *chosen = chooseByTime(candidates, body, now);
     upstream_load &entry = m_entries[chosen->id];
     ++entry.inFlight;
     if (entry.failures > 0) {
@@ -220,6 +269,48 @@
     return chosen;
 }
 
+bool upstream_picker::isHealthy(const upstream_id &id, steady_time now) const
+{
+    const auto entry = m_entries.find(id);
+    return entry == m_entries.end() || now >= entry->second.penaltyEnd;
+}
+
+bool upstream_picker::wasRejectedByOwnZone(const std::vector<const upstream_member *> &members,
+                                           const std::vector<upstream_id> &tried) const
+{
+    return std::any_of(members.begin(), members.end(), [&](const upstream_member *member) {
+        const auto entry = m_entries.find(member->id);
+        return member->availabilityZone == m_availabilityZone
+            && std::find(tried.begin(), tried.end(), member->id) != tried.end()
+            && entry != m_entries.end() && entry->second.report
+            && entry->second.report->running >= entry->second.report->limit;
+    });
+}
+
+double upstream_picker::presentCapacity(const zone_load &zone,
+                                        const std::vector<const upstream_member *> &healthy) const
+{
+    if (zone.upstreams == 0) {
+        return zone.capacity;
+    }
+    const double mean = zone.capacity / zone.upstreams;
+    // Reports that show a loss count fewer upstreams.
+    double present = mean * std::min<double>(zone.upstreams, static_cast<double>(healthy.size()));
+    for (const upstream_member *member : healthy) {
+        const auto entry = m_entries.find(member->id);
+        if (entry == m_entries.end() || !entry->second.report
+            || entry->second.reportedAt <= zone.reportedAt
+            || entry->second.report->meanServiceTime.count() == 0) {
+            continue;
+        }
+        const queue_report &report = *entry->second.report;
+        const double capacity =
+            report.limit / std::chrono::duration<double>(report.meanServiceTime).count();
+        present -= capacity < mean * coldCapacityShare ? mean - capacity : 0;
+    }
+    return std::max(present, 0.0);
+}
+
 void upstream_picker::updateShare(const std::vector<const upstream_member *> &members,
                                   steady_time now)
 {
@@ -227,43 +318,61 @@
         return;
     }
     m_shareUpdatedAt = now;
-    std::erase_if(m_zones, [&](const auto &entry) {
-        return now - entry.second.reportedAt > m_options.zoneShare.maxReportAge;
-    });
-    m_share.update(recentZones(members, now), now);
+    if (m_options.linkExcess) {
+        m_linkExcess = m_options.linkExcess(now);
+    }
+    m_share.update(recentZones(m_zones, members, now), now);
 }
 
 std::vector<zone_load>
-upstream_picker::recentZones(const std::vector<const upstream_member *> &members,
+upstream_picker::recentZones(std::map<std::string, zone_load> &reports,
+                             const std::vector<const upstream_member *> &members,
                              steady_time now) const
 {
-    std::set<std::string, std::less<>> zonesWithMembers;
+    std::map<std::string, zone_members, std::less<>> zoneMembers;
     for (const upstream_member *member : members) {
-        zonesWithMembers.insert(member->availabilityZone);
+        zone_members &zone = zoneMembers[member->availabilityZone];
+        if (isHealthy(member->id, now)) {
+            zone.healthy.push_back(member);
+        }
+    }
+    std::erase_if(reports, [&](const auto &entry) {
+        return now - entry.second.reportedAt > m_options.zoneShare.maxReportAge;
+    });
+    if (!zoneMembers.contains(m_availabilityZone)) {
+        // Reports from before the own zone lost its upstreams say nothing about those that return.
+        zone_load &own = reports[m_availabilityZone];
+        own.zone = m_availabilityZone;
+        own.reportedAt = now;
     }
     std::vector<zone_load> zones;
-    bool isOwnReported = false;
-    for (auto [name, zone] : m_zones) {
-        if (now - zone.reportedAt > m_options.zoneShare.maxReportAge) {
-            continue;
+    for (auto &[name, zone] : reports) {
+        const auto excess = m_linkExcess.find(name);
+        zone.linkExcess =
+            excess == m_linkExcess.end() ? std::chrono::microseconds(0) : excess->second;
+        const auto found = zoneMembers.find(name);
+        if (found == zoneMembers.end()) {
+            // The directory shows sooner than reports that a zone has no upstream.
+            zone.capacity = 0;
         }
-        isOwnReported = isOwnReported || name == m_availabilityZone;
-        // The directory shows sooner than reports that a zone has no upstream.
-        zone.capacity = zonesWithMembers.contains(name) ? zone.capacity : 0;
         zones.push_back(zone);
-    }
-    if (!isOwnReported && !zonesWithMembers.contains(m_availabilityZone)) {
-        zones.push_back({m_availabilityZone, 0, 0, 0, 0, 0, 0, now});
+        if (found != zoneMembers.end()) {
+            zones.back().capacity = presentCapacity(zone, found->second.healthy);
+        }
     }
     return zones;
 }
 
-void upstream_picker::keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes)
+void upstream_picker::keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes,
+                                     bool wasRejected)
 {
     if (!usesZoneShare() || m_share.split().reason == share_reason::NoReports) {
         return;
     }
-    narrowToZone(healthy, m_share.choose(randomFraction(m_random), bytes));
+    const double fraction = randomFraction(m_random);
+    narrowToZone(healthy,
+                 wasRejected ? m_share.chooseAfterRejection(fraction)
+                             : m_share.choose(fraction, bytes));
 }
 
 void upstream_picker::learnZones(const std::vector<zone_load> &zones, steady_time now)
@@ -332,8 +441,7 @@
 bool upstream_picker::isPenalized(const upstream_id &id, steady_time now) const
 {
     const std::lock_guard lock(m_mutex);
-    const auto entry = m_entries.find(id);
-    return entry != m_entries.end() && now < entry->second.penaltyEnd;
+    return !isHealthy(id, now);
 }
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/upstream_picker.h
+++ b/src/persimmonrail/proxy/upstream_picker.h
@@ -5,6 +5,7 @@
 #include "persimmonrail/fleet/upstream_member.h"
 #include "persimmonrail/routing/zone_share.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -29,6 +30,21 @@
 // Returns nullopt if the text is not a valid report.
 std::optional<queue_report> parseQueueReport(std::string_view text);
 
+// What the time to transfer a request body to an upstream on another host depends on.
+struct body_transfer
+{
+    // Length of the body; 0 if it is unknown or does not count.
+    double bytes = 0;
+    // Bandwidth of the link of this host; 0 if unknown.
+    double ownLinkBytesPerSecond = 0;
+    // The upstream on this host, to which nothing is transferred; empty if there is none.
+    upstream_id local = {};
+};
+
+// Returns the time in seconds that the body needs on the links of this host and of the host of
+// `member`, one after the other. Links of unknown bandwidth take no time.
+double transferTime(const body_transfer &body, const upstream_member &member);
+
 struct upstream_picker_options
 {
     // Penalty after the first failed attempt; it doubles with each further failure.
@@ -46,6 +62,10 @@
     // Interval at which the share is decided anew. Reports change more slowly than requests arrive,
     // so a plan for each request would only cost processor time.
     milliseconds zoneShareInterval{200};
+    // Returns what crossing to other zones costs in addition, by measurements of the links. Called
+    // with the mutex of the picker held. May be empty.
+    std::function<std::map<std::string, std::chrono::microseconds>(steady_time now)> linkExcess =
+        {};
 };
 
 // The expected time of a request at one upstream, and what it follows from.
@@ -61,12 +81,14 @@
     // Latest report of the upstream's queue, and its age.
     std::optional<queue_report> report;
     std::chrono::nanoseconds reportAge{0};
+    // Time to transfer the body of the request.
+    double transferSeconds = 0;
 
     // Returns the time in seconds, weighted by the zone factor.
     double seconds() const
     {
         const double load = outstanding / limit;
-        return zoneFactor * serviceSeconds * (1 + load * load);
+        return zoneFactor * serviceSeconds * (1 + load * load) + transferSeconds;
     }
 };
 
@@ -103,16 +125,18 @@
     // penalty are chosen only if no other is left. Returns null if no member is left. With a
     // crossing cost, the share that leaves the zone first decides the zone, by the expected size of
     // the request and its response in bytes; members of other zones are chosen if that zone has
-    // none that is healthy.
+    // none that is healthy. The time to transfer `body` adds to the expected time. If it is
+    // considerable, the upstream on this host is compared as well.
     const upstream_member *pick(const std::vector<const upstream_member *> &members,
                                 const std::vector<upstream_id> &tried, steady_time now,
-                                double bytes = 0);
+                                double bytes = 0, const body_transfer &body = {});
     // Returns what pick() would choose from for a first attempt among `candidates`, and changes
     // nothing. Draws no random numbers. `members` holds the candidates and may hold others, whose
-    // chance is 0.
+    // chance is 0. The excess of links is that of the last decision about the share.
     picker_assessment assess(const std::vector<const upstream_member *> &members,
                              const std::vector<const upstream_member *> &candidates,
-                             steady_time now, double bytes = 0) const;
+                             steady_time now, double bytes = 0,
+                             const body_transfer &body = {}) const;
     // Takes reports of the service's zones, unless those known of a zone are newer.
     void learnZones(const std::vector<zone_load> &zones, steady_time now);
     // Returns whether the share that leaves the zone is decided by reports of the zones.
@@ -165,13 +189,30 @@
     {
         return usesZoneShare() && now - m_shareUpdatedAt >= m_options.zoneShareInterval;
     }
-    // Returns the reports of the zones that are recent enough to decide the share.
-    std::vector<zone_load> recentZones(const std::vector<const upstream_member *> &members,
+    // Removes what is too old from the reports of the zones, and returns those that decide the
+    // share. `reports` are m_zones or a copy.
+    std::vector<zone_load> recentZones(std::map<std::string, zone_load> &reports,
+                                       const std::vector<const upstream_member *> &members,
                                        steady_time now) const;
     // Decides the share anew if it is due.
     void updateShare(const std::vector<const upstream_member *> &members, steady_time now);
+    // Returns the capacity of a zone as far as failed attempts and responses show sooner than the
+    // reports of the zones that upstreams are lost or cold. `healthy` are its members under no
+    // penalty.
+    double presentCapacity(const zone_load &zone,
+                           const std::vector<const upstream_member *> &healthy) const;
     // Removes the members outside the zone chosen for a request of this size, unless none is left.
-    void keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes);
+    void keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes,
+                        bool wasRejected);
+    // Returns whether the upstream is under no penalty. Must be called with the mutex held.
+    bool isHealthy(const upstream_id &id, steady_time now) const;
+    // Returns whether an upstream of the own zone that was tried is full.
+    bool wasRejectedByOwnZone(const std::vector<const upstream_member *> &members,
+                              const std::vector<upstream_id> &tried) const;
+    // Returns the one of two random candidates with the shorter time, or the upstream on this host.
+    // There must be a candidate.
+    const upstream_member *chooseByTime(std::vector<const upstream_member *> &candidates,
+                                        const body_transfer &body, steady_time now);
     // Must be called with the mutex held.
     expected_time expectedTime(const upstream_member &member, steady_time now) const;
     // Returns what is known of a member, with a chance of 0. Must be called with the mutex held.
@@ -185,6 +226,8 @@
     zone_share m_share;
     steady_time m_shareUpdatedAt{};
     std::map<std::string, zone_load> m_zones;
+    // As of the last decision about the share.
+    std::map<std::string, std::chrono::microseconds> m_linkExcess;
     steady_time m_zonesLearnedAt{};
 };
 
--- a/src/persimmonrail/router/explanation_json.cpp
+++ b/src/persimmonrail/router/explanation_json.cpp
@@ -105,6 +105,7 @@
     object.set("limit", entry.time.limit);
     object.set("in_flight", entry.time.inFlight);
     object.set("zone_factor", entry.time.zoneFactor);
+    object.set("transfer_ms", inMilliseconds(entry.time.transferSeconds));
     if (entry.time.report) {
         Object report = renderReport(*entry.time.report);
         report.set("age_ms", inMilliseconds(entry.time.reportAge));
--- a/src/persimmonrail/router/router_settings.h
+++ b/src/persimmonrail/router/router_settings.h
@@ -68,6 +68,12 @@
     // selects a fixed factor instead.
     milliseconds zoneCrossingCost{0};
     double zoneCrossingCostPerKb = 0;
+    // Whether requests are rejected, with their body unread, if too many bytes are in flight, and
+    // the time to transfer a body counts in the choice of an upstream.
+    bool limitsBodies = false;
+    // Whether rejected callers are told to return at different times, when capacity for them is
+    // expected, and their retries wait behind first attempts.
+    bool schedulesReturns = false;
     int maxCallerConnections = 512;
     int maxPeerConnections = 1024;
     log_level level = log_level::Info;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -1,6 +1,7 @@
 #include "persimmonrail/router/router_state.h"
 
 #include "persimmonrail/base/text.h"
+#include "persimmonrail/router/store_call_counter.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -43,6 +44,10 @@
 constexpr double resentShareOfRetries = 0.25;
 // Share of the memory of the process for responses that wait for earlier ones on their connection.
 constexpr double heldResponseShare = 1.0 / 16;
+// Share of the memory of the process for request bodies and unread responses.
+constexpr double bodyShare = 1.0 / 8;
+// Bytes of request bodies at the local upstream, whose memory is unknown.
+constexpr uint64_t maxUpstreamBodyBytes = 4'000'000;
 constexpr milliseconds storeProxyBodyTimeout{2000};
 // Values in the store have at most 1 MB.
 constexpr size_t maxStoreProxyBodyBytes = 2 * 1024 * 1024;
@@ -70,11 +75,21 @@
     return timing;
 }
 
+body_budget_options bodyBudgets(const router_settings &settings)
+{
+    body_budget_options options;
+    options.isEnabled = settings.limitsBodies;
+    options.daemonBytes = static_cast<uint64_t>(settings.memoryMb * 1e6 * bodyShare);
+    options.upstreamBytes = maxUpstreamBodyBytes;
+    options.linkBytesPerSecond = settings.linkMbps * 1e6 / 8;
+    return options;
+}
+
 } // namespace
 
 router::state::state(const router_settings &settings, router_platform platform)
     : m_settings(settings)
-    , m_platform(std::move(platform))
+    , m_platform(withCountedStore(std::move(platform)))
     , m_store(makeProxiedStore(m_platform.store, makeStoreProxyHooks()))
     , m_log({settings.level, "", maxLogLinesPerSecond, true})
     , m_feed(makeFeedId())
@@ -103,8 +118,13 @@
         };
     }
     m_peers = std::make_unique<peer_monitor>(m_loop, peer_monitor_options(), onStatuses);
+    slot_queue_options queueOptions;
+    queueOptions.schedulesReturns = m_settings.schedulesReturns;
+    if (m_settings.zoneCrossingCost.count() > 0) {
+        queueOptions.precedingZone = m_settings.availabilityZone;
+    }
     m_dispatcher = std::make_unique<upstream_dispatcher>(m_platform.codec, makeDispatcherHooks(),
-                                                         m_quarantine);
+                                                         m_quarantine, queueOptions);
     m_coldWatch = std::make_unique<cold_watch>(
         cold_watch_options{m_settings.service, m_settings.coldOvershoot, m_settings.coldSlack},
         m_platform.codec, *m_dispatcher, m_loop, m_log, m_metrics);
@@ -115,13 +135,29 @@
     // itself a share of its own requests and a small constant rate.
     options.retries = {m_settings.retryRatio * routedShareOfRetries, 0.2, 2.0};
     options.detectsCallerRetries = m_settings.detectsCallerRetries;
+    options.schedulesReturns = m_settings.schedulesReturns;
     options.linkBytesPerSecond = m_settings.linkMbps * 1e6 / 8;
+    options.countsTransferTime = m_settings.limitsBodies;
+    options.bodies = bodyBudgets(m_settings);
     options.zoneShare.crossingCost = m_settings.zoneCrossingCost;
     options.zoneShare.crossingCostPerKb = m_settings.zoneCrossingCostPerKb;
     m_proxy = std::make_unique<request_proxy>(options, makeProxyHooks(), m_platform.codec,
                                               *m_dispatcher, m_log, m_metrics);
 }
 
+router_platform router::state::withCountedStore(router_platform platform)
+{
+    platform.store =
+        countStoreCalls(std::move(platform.store),
+                        routerObjects(platform.desiredStatePrefix, platform.evacuationPrefix),
+                        [this](std::string_view call, std::string_view object) {
+                            m_metrics.count("persimmonrail_store_calls_total",
+                                            absl::StrCat("call=\"", toAbsl(call), "\",object=\"",
+                                                         toAbsl(object), "\""));
+                        });
+    return platform;
+}
+
 router::state::~state()
 {
     m_feed.stop();
@@ -212,8 +248,24 @@
     m_metrics.addGauge("persimmonrail_pipeline_bytes", [this] {
         return m_callerServer ? static_cast<double>(m_callerServer->heldResponseBytes()) : 0.0;
     });
+    if (m_settings.schedulesReturns) {
+        m_metrics.addGauge("persimmonrail_returns_announced_total", [this] {
+            return static_cast<double>(m_dispatcher->returnsAnnounced());
+        });
+        m_metrics.addGauge("persimmonrail_returns_due", [this] {
+            return static_cast<double>(m_dispatcher->returnsDue(std::chrono::steady_clock::now()));
+        });
+    }
     m_metrics.addGauge("persimmonrail_in_flight",
                        [this] { return static_cast<double>(m_proxy->inFlight()); });
+    for (const body_limit limit : {body_limit::Daemon, body_limit::Upstream,
+                                   body_limit::OutboundLink, body_limit::InboundLink}) {
+        m_metrics.addGauge("persimmonrail_body_bytes",
+                           absl::StrCat("budget=\"", toAbsl(toString(limit)), "\""), [this, limit] {
+                               return static_cast<double>(m_proxy->bodies().usedBytes(
+                                   limit, std::chrono::steady_clock::now()));
+                           });
+    }
     m_metrics.addGauge("persimmonrail_upstream_running",
                        [this] { return static_cast<double>(m_dispatcher->queue().running); });
     m_metrics.addGauge("persimmonrail_upstream_waiting",
--- a/src/persimmonrail/routing/zone_share.h
+++ b/src/persimmonrail/routing/zone_share.h
@@ -26,6 +26,9 @@
     double demand = 0;
     // When the oldest of the reports was made.
     steady_time reportedAt{};
+    // What a request of this daemon to the zone costs in addition to the crossing cost, by its own
+    // measurements; not part of reports.
+    std::chrono::microseconds linkExcess{0};
 };
 
 struct zone_share_options
@@ -43,6 +46,8 @@
     // Time constant with which the share follows the plan; about the interval of reports, so that
     // one deviating report does not decide alone.
     milliseconds smoothingTime{400};
+    // The same for a share that falls, since a zone with spare capacity should serve its callers.
+    milliseconds returnTime{150};
     // Reports count in full up to the first age and not at all from the second. Reports travel
     // over two polls of up to 1 s and one response.
     milliseconds fullReportAge{3000};
@@ -74,6 +79,8 @@
     // Share of the requests for each other zone; the rest stays.
     std::map<std::string, double> shares;
     share_reason reason = share_reason::NoReports;
+    // Requests a second that each other zone may still take, after its own and those of the plan.
+    std::map<std::string, double> room;
 
     // Returns the share that leaves the zone.
     double leaving() const;
@@ -82,9 +89,10 @@
 // Plans for all zones and returns the part of `ownZone`. Requests move from the zone in which they
 // wait longest to the one in which they wait least, until crossing costs more than it saves or the
 // others are filled to maxHelpUtilization. All daemons with the same reports get the same plan, in
-// which a zone either sends or receives. What a zone takes falls with the age of its report.
+// which a zone either sends or receives. What a zone takes falls with the age of its report. A
+// crossing costs as much as that of a request with `bytes`, body and response together.
 zone_split planZoneSplit(const std::vector<zone_load> &zones, std::string_view ownZone,
-                         const zone_share_options &options, steady_time now);
+                         const zone_share_options &options, steady_time now, double bytes = 0);
 
 // A change of the decision that is worth a log line.
 struct share_change
@@ -98,6 +106,9 @@
     double otherDemand = 0;
     double otherCapacity = 0;
     milliseconds oldestReport{0};
+    // Share for each other zone that is known, 0 included, and what the most expensive link adds.
+    std::map<std::string, double> shares = {};
+    std::chrono::microseconds largestLinkExcess{0};
 };
 
 // Decides which share of a service's requests leaves the own availability zone, and for where. The
@@ -116,23 +127,33 @@
     const std::string &choose(double fraction, double bytes);
     // Returns the probability of each other zone with which choose() would return it now.
     std::map<std::string, double> chances(double bytes) const;
+    // Returns the zone for another attempt at a request that a full upstream of the own zone has
+    // rejected: another zone that may take more, by how much more, or the own zone if there is
+    // none. `fraction` is a random number in [0, 1).
+    const std::string &chooseAfterRejection(double fraction) const;
     const zone_split &split() const { return m_split; }
     // Returns the last change of the decision that was not returned yet; there is at most one in a
     // second.
     std::optional<share_change> takeChange();
 
 private:
-    void follow(const zone_split &plan, steady_time now);
+    // Moves the share towards the plan, at once if the capacity of the own zone has collapsed.
+    void follow(const zone_split &plan, steady_time now, bool hasCollapsed);
     void noteChange(const std::vector<zone_load> &zones, steady_time now);
     // Returns the factor on the share for a request of this size.
     double sizeFactor(double bytes);
     // Returns the probability with which a request with this factor leaves the zone.
     double leavingChance(double factor) const;
+    // Returns the size of a request that costs the harmonic mean of all requests. Small requests
+    // leave first, so they weigh more.
+    double meanBytes() const;
 
     const std::string m_ownZone;
     const zone_share_options m_options;
     zone_split m_split;
     steady_time m_updatedAt{};
+    // Capacity of the own zone at the last update.
+    double m_ownCapacity = 0;
     // Moving average of the inverse cost of crossing over all requests.
     double m_meanInverseCost = 0;
     steady_time m_loggedAt{};
