Keep the demand of a zone without upstreams known

The correction for zones that lose their upstreams gave the own zone's entry the present time, so reports of its demand were taken for older and ignored. With a demand that began later, requests were divided by capacity: 851 of 1,700 went to a zone at 85%. The entry is kept, and its capacity masked until a newer report; the new test (more than 1,600 of 1,700 to the zone with room) fails before and passes now.

--- a/src/persimmonrail/proxy/tests/zone_picker_test.cpp
+++ b/src/persimmonrail/proxy/tests/zone_picker_test.cpp
@@ -215,3 +215,25 @@
     CHECK(other / 1000.0 >= least);
     CHECK(other / 1000.0 <= most);
 }
+
+// Load: the own zone never has upstreams, and its demand begins after 2 s. It must go where the
+// others have capacity to spare, not by their size.
+TEST_CASE("a zone without upstreams fills the others evenly", "[zone]")
+{
+    const upstream_member s1 = member("s1", "sued");
+    const upstream_member w1 = member("w1", "west");
+    upstream_picker picker("nord", seeded(), costly());
+    int west = 0;
+    for (int i = 0; i < 2000; ++i) {
+        const steady_time now = start + i * 10ms;
+        const double demand = i < 200 ? 0 : 50;
+        picker.learnZones({{"nord", 0, 0, 0, 0, 0, demand, now - 1s},
+                           {"sued", 1, 18, 0, 0, 100, 85, now - 1s},
+                           {"west", 1, 18, 0, 0, 100, 20, now - 1s}},
+                          now);
+        const upstream_member *picked = picker.pick({&s1, &w1}, {}, now);
+        picker.finish(picked->id, result::Neutral, std::nullopt, now);
+        west += i >= 300 && picked == &w1 ? 1 : 0;
+    }
+    CHECK(west > 1600);
+}
--- a/src/persimmonrail/proxy/upstream_picker.cpp
+++ b/src/persimmonrail/proxy/upstream_picker.cpp
@@ -214,32 +214,42 @@
         return now - entry.second.reportedAt > m_options.zoneShare.maxReportAge;
     });
     if (!zoneMembers.contains(m_availabilityZone)) {
-        // Reports from before the own zone lost its upstreams say nothing about those that return.
-        zone_load &own = m_zones[m_availabilityZone];
-        own.zone = m_availabilityZone;
-        own.reportedAt = now;
+        m_ownZoneEmptyAt = now;
     }
     const auto linkExcess = m_options.linkExcess
         ? m_options.linkExcess(now)
         : std::map<std::string, std::chrono::microseconds>();
     std::vector<zone_load> zones;
-    for (auto &[name, zone] : m_zones) {
+    for (auto [name, zone] : m_zones) {
         const auto excess = linkExcess.find(name);
         zone.linkExcess =
             excess == linkExcess.end() ? std::chrono::microseconds(0) : excess->second;
+        // The directory shows sooner than reports that a zone has no upstream.
         const auto found = zoneMembers.find(name);
-        if (found == zoneMembers.end()) {
-            // The directory shows sooner than reports that a zone has no upstream.
-            zone.capacity = 0;
-        }
+        zone.capacity =
+            found == zoneMembers.end() ? 0 : presentCapacity(zone, found->second.healthy);
         zones.push_back(zone);
-        if (found != zoneMembers.end()) {
-            zones.back().capacity = presentCapacity(zone, found->second.healthy);
-        }
     }
+    leaveEmptyOwnZone(zones, now);
     m_share.update(zones, now);
 }
 
+void upstream_picker::leaveEmptyOwnZone(std::vector<zone_load> &zones, steady_time now) const
+{
+    if (!m_ownZoneEmptyAt || now - *m_ownZoneEmptyAt > m_options.zoneShare.maxReportAge) {
+        return;
+    }
+    const auto own = std::find_if(zones.begin(), zones.end(), [&](const zone_load &zone) {
+        return zone.zone == m_availabilityZone;
+    });
+    if (own == zones.end()) {
+        zones.push_back({m_availabilityZone, 0, 0, 0, 0, 0, 0, now});
+    } else if (own->reportedAt <= *m_ownZoneEmptyAt) {
+        own->capacity = 0;
+        own->reportedAt = now;
+    }
+}
+
 void upstream_picker::keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes,
                                      bool wasRejected)
 {
--- a/src/persimmonrail/proxy/upstream_picker.h
+++ b/src/persimmonrail/proxy/upstream_picker.h
@@ -126,6 +126,9 @@
     };
     // Decides the share anew if it is due.
     void updateShare(const std::vector<const upstream_member *> &members, steady_time now);
+    // Sets the capacity of the own zone to 0 if the directory shows no upstream there, or showed
+    // none after the last report of the zone: upstreams that have returned may be cold.
+    void leaveEmptyOwnZone(std::vector<zone_load> &zones, steady_time now) const;
     // Returns the capacity of a zone as far as failed attempts and responses show sooner than the
     // reports of the zones that upstreams are lost or cold. `healthy` are its members under no
     // penalty.
@@ -156,6 +159,8 @@
     steady_time m_shareUpdatedAt{};
     std::map<std::string, zone_load> m_zones;
     steady_time m_zonesLearnedAt{};
+    // When the directory showed no upstream in the own zone last.
+    std::optional<steady_time> m_ownZoneEmptyAt;
 };
 
 } // namespace persimmonrail
