Tell callers of overtaken requests when a request is accepted

A request that had waited too long because others overtook it was rejected with the shortest Retry-After, so its caller came back to a queue that was still full. It is now told the time that a new request of its route would be told.

--- a/src/persimmonrail/proxy/slot_queue.cpp
+++ b/src/persimmonrail/proxy/slot_queue.cpp
@@ -340,6 +340,22 @@
                std::min(left * m_options.maxDeferredWaitShare, left - serviceTime));
 }
 
+double slot_queue::longestTime(const slot_request &request, steady_time now) const
+{
+    return std::min(seconds(request.objectiveEnd - now) * m_options.maxObjectiveShare,
+                    seconds(request.deadline - now));
+}
+
+milliseconds slot_queue::retryAfterOf(const slot_request &request, double wait, steady_time now)
+{
+    // A request that can't meet its objective any more is accepted once there is no wait.
+    const double serviceTime = serviceTimeOf(request.route);
+    const double usableTime = std::max(longestTime(request, now), serviceTime);
+    const auto excess = static_cast<int64_t>(std::ceil((wait + serviceTime - usableTime) * 1000));
+    const milliseconds earliest = std::max(minRetryAfter, milliseconds(excess));
+    return schedulesReturnOf(request) ? scheduleReturn(request, earliest, now) : earliest;
+}
+
 std::optional<uint64_t> slot_queue::submit(const slot_request &submitted, steady_time now,
                                            rejection &rejected)
 {
@@ -348,21 +364,11 @@
     const slot_request request = classify(submitted, now);
     recordArrival(request, now);
     const double wait = expectedWait(request, now);
-    const double serviceTime = serviceTimeOf(request.route);
-    const double maxTime =
-        std::min(seconds(request.objectiveEnd - now) * m_options.maxObjectiveShare,
-                 seconds(request.deadline - now));
+    const double time = wait + serviceTimeOf(request.route);
     const bool isAccepted = isDeferred(request) ? wait <= 0 || mayWaitDeferred(request, wait, now)
-                                                : wait <= 0 || wait + serviceTime <= maxTime;
+                                                : wait <= 0 || time <= longestTime(request, now);
     if (!isAccepted) {
-        // A request that can't meet its objective any more is accepted once there is no wait.
-        const double usableTime = std::max(maxTime, serviceTime);
-        const auto excess =
-            static_cast<int64_t>(std::ceil((wait + serviceTime - usableTime) * 1000));
-        rejected.retryAfter = std::max(minRetryAfter, milliseconds(excess));
-        if (schedulesReturnOf(request)) {
-            rejected.retryAfter = scheduleReturn(request, rejected.retryAfter, now);
-        }
+        rejected.retryAfter = retryAfterOf(request, wait, now);
         return std::nullopt;
     }
     const auto position =
@@ -479,9 +485,7 @@
     }
     const slot_request request = found->request;
     m_waiting.erase(found);
-    // The request could start now if nothing waited.
-    return {schedulesReturnOf(request) ? scheduleReturn(request, minRetryAfter, now)
-                                       : minRetryAfter};
+    return {retryAfterOf(request, expectedWait(request, now), now)};
 }
 
 void slot_queue::cancel(uint64_t id)
--- a/src/persimmonrail/proxy/slot_queue.h
+++ b/src/persimmonrail/proxy/slot_queue.h
@@ -213,8 +213,13 @@
     {
         return m_options.schedulesReturns && request.callerAttempt != caller_attempt::Unknown;
     }
-    // Returns the time after which the caller of a rejected request should return. `earliest` is
-    // the time after which one request of this route would be accepted.
+    // Returns how long, in seconds, a request may take until its end.
+    double longestTime(const slot_request &request, steady_time now) const;
+    // Returns the time after which the caller of a rejected request with this expected wait should
+    // return.
+    milliseconds retryAfterOf(const slot_request &request, double wait, steady_time now);
+    // Returns when the caller of a rejected request should return, if returns are scheduled.
+    // `earliest` is the time after which one request of this route would be accepted.
     milliseconds scheduleReturn(const slot_request &request, milliseconds earliest,
                                 steady_time now);
     // Returns how many requests like this one the upstream can serve in a second, in all and beside
