--- a/src/persimmonrail/proxy/slot_queue.cpp
+++ b/src/persimmonrail/proxy/slot_queue.cpp
@@ -333,6 +333,28 @@
                std::min(left * m_options.maxDeferredWaitShare, left - serviceTime));
 }
 
+double slot_queue::longestTime(const slot_request &request, steady_time now) const
+{
+    return std::min(seconds(request.objectiveEnd - now) * m_options.maxObjectiveShare,
+                    seconds(request.deadline - now));
+}
+
+milliseconds slot_queue::earliestRetry(const slot_request &request, double wait,
+                                       steady_time now) const
+{
+    // A request that can't meet its objective any more is accepted once there is no wait.
+    const double serviceTime = serviceTimeOf(request.route);
+    const double usableTime = std::max(longestTime(request, now), serviceTime);
+    const auto excess = static_cast<int64_t>(std::ceil((wait + serviceTime - usableTime) * 1000));
+    return std::max(minRetryAfter, milliseconds(excess));
+}
+
+milliseconds slot_queue::retryAfterOf(const slot_request &request, double wait, steady_time now)
+{
+    const milliseconds earliest = earliestRetry(request, wait, now);
+    return schedulesReturnOf(request) ? scheduleReturn(request, earliest, now) : earliest;
+}
+
 slot_request slot_queue::prepare(const slot_request &submitted, steady_time now)
 {
     updateOrder(now);
@@ -347,18 +369,13 @@
     const std::vector<const slot_request *> ahead = startsBefore(request, now);
     expectation expected{expectedWaitForSlot(request, ahead, now),
                          expectedWaitForLimit(request, ahead, now), serviceTimeOf(request.route),
-                         std::min(seconds(request.objectiveEnd - now) * m_options.maxObjectiveShare,
-                                  seconds(request.deadline - now)),
-                         std::nullopt};
+                         longestTime(request, now), std::nullopt};
     const double wait = expected.wait();
     const double time = wait + expected.serviceTime;
     const bool isAccepted = isDeferred(request) ? wait <= 0 || mayWaitDeferred(request, wait, now)
                                                 : wait <= 0 || time <= expected.maxTime;
     if (!isAccepted) {
-        // A request that can't meet its objective any more is accepted once there is no wait.
-        const double usableTime = std::max(expected.maxTime, expected.serviceTime);
-        const auto excess = static_cast<int64_t>(std::ceil((time - usableTime) * 1000));
-        expected.rejected = rejection{std::max(minRetryAfter, milliseconds(excess))};
+        expected.rejected = rejection{earliestRetry(request, wait, now)};
     }
     return expected;
 }
@@ -366,8 +383,8 @@
 slot_queue::expectation slot_queue::decide(const slot_request &request, steady_time now)
 {
     expectation expected = assess(request, now);
-    if (expected.rejected && schedulesReturnOf(request)) {
-        expected.rejected->retryAfter = scheduleReturn(request, expected.rejected->retryAfter, now);
+    if (expected.rejected) {
+        expected.rejected->retryAfter = retryAfterOf(request, expected.wait(), now);
     }
     return expected;
 }
@@ -502,9 +519,7 @@
     }
     const slot_request request = found->request;
     m_waiting.erase(found);
-    // The request could start now if nothing waited.
-    return {schedulesReturnOf(request) ? scheduleReturn(request, minRetryAfter, now)
-                                       : minRetryAfter};
+    return {retryAfterOf(request, assess(request, now).wait(), now)};
 }
 
 void slot_queue::cancel(uint64_t id)
--- a/src/persimmonrail/proxy/upstream_picker.cpp
+++ b/src/persimmonrail/proxy/upstream_picker.cpp
@@ -188,7 +188,8 @@
     zone_share share = m_share;
     const bool isDue = isShareDue(now);
     std::map<std::string, zone_load> reports = m_zones;
-    const std::vector<zone_load> zones = recentZones(reports, candidates, now);
+    std::optional<steady_time> ownZoneEmptyAt = m_ownZoneEmptyAt;
+    const std::vector<zone_load> zones = recentZones(reports, ownZoneEmptyAt, candidates, now);
     lock.unlock();
     if (isDue) {
         share.update(zones, now);
@@ -321,13 +322,12 @@
     if (m_options.linkExcess) {
         m_linkExcess = m_options.linkExcess(now);
     }
-    m_share.update(recentZones(m_zones, members, now), now);
+    m_share.update(recentZones(m_zones, m_ownZoneEmptyAt, members, now), now);
 }
 
-std::vector<zone_load>
-upstream_picker::recentZones(std::map<std::string, zone_load> &reports,
-                             const std::vector<const upstream_member *> &members,
-                             steady_time now) const
+std::vector<zone_load> upstream_picker::recentZones(
+    std::map<std::string, zone_load> &reports, std::optional<steady_time> &ownZoneEmptyAt,
+    const std::vector<const upstream_member *> &members, steady_time now) const
 {
     std::map<std::string, zone_members, std::less<>> zoneMembers;
     for (const upstream_member *member : members) {
@@ -340,29 +340,41 @@
         return now - entry.second.reportedAt > m_options.zoneShare.maxReportAge;
     });
     if (!zoneMembers.contains(m_availabilityZone)) {
-        // Reports from before the own zone lost its upstreams say nothing about those that return.
-        zone_load &own = reports[m_availabilityZone];
-        own.zone = m_availabilityZone;
-        own.reportedAt = now;
+        ownZoneEmptyAt = now;
     }
     std::vector<zone_load> zones;
-    for (auto &[name, zone] : reports) {
+    for (auto [name, zone] : reports) {
         const auto excess = m_linkExcess.find(name);
         zone.linkExcess =
             excess == m_linkExcess.end() ? std::chrono::microseconds(0) : excess->second;
+        // The directory shows sooner than reports that a zone has no upstream.
         const auto found = zoneMembers.find(name);
-        if (found == zoneMembers.end()) {
-            // The directory shows sooner than reports that a zone has no upstream.
-            zone.capacity = 0;
-        }
+        zone.capacity =
+            found == zoneMembers.end() ? 0 : presentCapacity(zone, found->second.healthy);
         zones.push_back(zone);
-        if (found != zoneMembers.end()) {
-            zones.back().capacity = presentCapacity(zone, found->second.healthy);
-        }
     }
+    leaveEmptyOwnZone(zones, ownZoneEmptyAt, now);
     return zones;
 }
 
+void upstream_picker::leaveEmptyOwnZone(std::vector<zone_load> &zones,
+                                        const std::optional<steady_time> &ownZoneEmptyAt,
+                                        steady_time now) const
+{
+    if (!ownZoneEmptyAt || now - *ownZoneEmptyAt > m_options.zoneShare.maxReportAge) {
+        return;
+    }
+    const auto own = std::find_if(zones.begin(), zones.end(), [&](const zone_load &zone) {
+        return zone.zone == m_availabilityZone;
+    });
+    if (own == zones.end()) {
+        zones.push_back({m_availabilityZone, 0, 0, 0, 0, 0, 0, now});
+    } else if (own->reportedAt <= *ownZoneEmptyAt) {
+        own->capacity = 0;
+        own->reportedAt = now;
+    }
+}
+
 void upstream_picker::keepChosenZone(std::vector<const upstream_member *> &healthy, double bytes,
                                      bool wasRejected)
 {
--- a/src/persimmonrail/proxy/upstream_picker.h
+++ b/src/persimmonrail/proxy/upstream_picker.h
@@ -190,12 +190,17 @@
         return usesZoneShare() && now - m_shareUpdatedAt >= m_options.zoneShareInterval;
     }
     // Removes what is too old from the reports of the zones, and returns those that decide the
-    // share. `reports` are m_zones or a copy.
+    // share. `reports` and `ownZoneEmptyAt` are m_zones and m_ownZoneEmptyAt, or copies.
     std::vector<zone_load> recentZones(std::map<std::string, zone_load> &reports,
+                                       std::optional<steady_time> &ownZoneEmptyAt,
                                        const std::vector<const upstream_member *> &members,
                                        steady_time now) const;
     // Decides the share anew if it is due.
     void updateShare(const std::vector<const upstream_member *> &members, steady_time now);
+    // Sets the capacity of the own zone to 0 if the directory shows no upstream there, or showed
+    // none after the last report of the zone: upstreams that have returned may be cold.
+    void leaveEmptyOwnZone(std::vector<zone_load> &zones,
+                           const std::optional<steady_time> &ownZoneEmptyAt, steady_time now) const;
     // Returns the capacity of a zone as far as failed attempts and responses show sooner than the
     // reports of the zones that upstreams are lost or cold. `healthy` are its members under no
     // penalty.
@@ -229,6 +234,8 @@
     // As of the last decision about the share.
     std::map<std::string, std::chrono::microseconds> m_linkExcess;
     steady_time m_zonesLearnedAt{};
+    // When the directory showed no upstream in the own zone last.
+    std::optional<steady_time> m_ownZoneEmptyAt;
 };
 
 } // namespace persimmonrail
