Wait at most 200 ms for an unread small body before a response

Cause: a response to a request whose small body was not read waited for that body up to the idle timeout of 30 s, so a client that stalls got a rejection late and held a thread (seen in a test of body budgets).

Change: the wait ends after 200 ms; the connection is closed after the response if the body is still incomplete.

--- a/src/persimmonrail/http/server_exchange.cpp
+++ b/src/persimmonrail/http/server_exchange.cpp
@@ -4,6 +4,13 @@
 #include <sstream>
 
 namespace persimmonrail {
+namespace {
+
+// Bounds the wait for an unread small body, which delays the response. A body that is sent together
+// with its head arrives within a few round trips.
+constexpr milliseconds bodyDiscardTimeout{200};
+
+} // namespace
 
 server_exchange::server_exchange(http_stream &stream, const Poco::Net::HTTPRequest &request,
                                  body_framing framing, milliseconds idleTimeout,
@@ -143,7 +150,7 @@
     if (!m_reader.isComplete() && m_reader.framing().type == body_framing::kind::Length
         && m_reader.framing().length <= maxBodyPieceBytes && !m_request.getExpectContinue()) {
         std::string piece;
-        const steady_time until = std::chrono::steady_clock::now() + m_idleTimeout;
+        const steady_time until = std::chrono::steady_clock::now() + bodyDiscardTimeout;
         while (!m_reader.isComplete() && m_reader.read(piece, until) == io_status::Ok) { }
     }
     m_keepAlive = m_keepAlive && m_reader.isComplete();
--- a/src/persimmonrail/http/tests/http_server_test.cpp
+++ b/src/persimmonrail/http/tests/http_server_test.cpp
@@ -303,6 +303,21 @@
     CHECK_THROWS_AS(Poco::Net::StreamSocket(address), Poco::Net::ConnectionRefusedException);
 }
 
+// Guards against a rejection that its client gets only after the idle timeout, and a thread that is
+// held until then, because the client does not send the small body that it has announced.
+TEST_CASE("a response does not wait for a body that does not arrive", "[http]")
+{
+    const auto server = *http_server::listen(
+        {}, [](server_exchange &exchange) { exchange.respond(503, "", "text/plain"); });
+    Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(server->address())};
+    const steady_time start = std::chrono::steady_clock::now();
+    sendText(socket, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n123");
+    const std::string response = readToEnd(socket);
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(response.find("Connection: Close") != std::string::npos);
+    CHECK(std::chrono::steady_clock::now() - start < 5s);
+}
+
 // Guards against connections that are established while the listener closes: the system would reset
 // them, and their clients, which have sent a request, would not learn that it has not run.
 TEST_CASE("stopListening resets no connection that is being established", "[http]")
