--- a/src/persimmonrail/cli/explain_command.h
+++ b/src/persimmonrail/cli/explain_command.h
@@ -15,7 +15,7 @@
     std::string address;
     // Query parameters and their values, not percent-encoded.
     std::vector<std::pair<std::string, std::string>> parameters;
-    // Whether the daemon's response is printed as it is, instead of a text for people.
+    // Whether the daemon's response is printed as it is, instead of as text for people.
     bool asJson = false;
 };
 
--- a/src/persimmonrail/http/http_server.h
+++ b/src/persimmonrail/http/http_server.h
@@ -160,10 +160,10 @@
     uint64_t pipelinedRequests() const;
     // Returns the bytes of responses that wait for earlier responses.
     size_t heldResponseBytes() const;
-    // Closes the listening socket, after a moment in which connection attempts get no answer and
-    // the connections that are being established are still accepted. Connections with a request in
-    // progress are closed after their response; idle connections are closed soon, unless a request
-    // still arrives.
+    // Closes the listening socket. For a short time before, connection attempts get no answer,
+    // while connections that are already being established are still accepted. Connections with a
+    // request in progress are closed after their response; idle connections are closed soon, unless
+    // a request still arrives.
     void stopListening();
     // Waits until no connection is open. Returns false if `until` passes first.
     bool waitUntilClosed(steady_time until);
--- a/src/persimmonrail/http/listener_drain.h
+++ b/src/persimmonrail/http/listener_drain.h
@@ -4,11 +4,11 @@
 
 namespace persimmonrail {
 
-// Lets the kernel drop further connection attempts at a listening socket, while handshakes that
-// have begun still complete and the connections can be accepted. Closing a listener resets the
-// connections in its backlog; after this call and a wait for the handshakes, none can be added
-// between the last accept and the close. Clients see no answer to their attempts until the listener
-// is closed. Returns false if the system doesn't support it; the listener is unchanged then.
+// Makes the kernel drop further connection attempts at a listening socket. Handshakes that have
+// begun still complete, and their connections can be accepted. Closing a listener resets the
+// connections in its backlog; once the handshakes are complete, no connection can be added to the
+// backlog between the last accept and the close. Further attempts get no answer until the listener
+// is closed. Returns false, and leaves the listener unchanged, if the system doesn't support it.
 bool dropConnectionAttempts(Poco::Net::ServerSocket &listener);
 
 } // namespace persimmonrail
--- a/src/persimmonrail/proxy/blocking_slot_queue.h
+++ b/src/persimmonrail/proxy/blocking_slot_queue.h
@@ -51,7 +51,7 @@
     uint64_t delayedCount() const;
     // Returns a copy of the queue.
     slot_queue snapshot() const;
-    // As return_schedule::announcedCount() and due().
+    // Return the values of return_schedule::announcedCount() and due().
     uint64_t returnsAnnounced() const;
     int returnsDue(steady_time now) const;
     // Returns the mean service time of a request at the upstream.
--- a/src/persimmonrail/proxy/body_budget.cpp
+++ b/src/persimmonrail/proxy/body_budget.cpp
@@ -8,7 +8,7 @@
 
 // Length for which a body in the chunked framing counts.
 constexpr uint64_t assumedChunkedBytes = 64 * 1024;
-// A stated length is not checked by anyone. This bound keeps sums of lengths from overflowing.
+// Stated lengths are not checked earlier. This bound keeps sums of lengths from overflowing.
 constexpr uint64_t maxCountedBytes = uint64_t{1} << 40;
 // Bounds the time for one body, so that a very slow link causes no overflow.
 constexpr double maxTransmissionSeconds = 3600;
--- a/src/persimmonrail/proxy/body_budget.h
+++ b/src/persimmonrail/proxy/body_budget.h
@@ -14,7 +14,7 @@
 
 struct body_budget_options
 {
-    // Without it, every body is admitted and nothing is counted.
+    // If false, every body is admitted and nothing is counted.
     bool isEnabled = false;
     // Bytes that this daemon may have in flight; 0: no limit.
     uint64_t daemonBytes = 0;
@@ -31,10 +31,10 @@
 // Returns the name of the budget in metrics.
 std::string_view toString(body_limit limit);
 
-// Returns the length of a body as far as its head tells; an assumed one if it is chunked.
+// Returns the length that the request head states; an assumed one if the body is chunked.
 uint64_t expectedBodyBytes(const body_framing &framing);
 
-// A request body that asks for admission, and the budgets that it asks.
+// A request body to be admitted, and the budgets that it needs.
 struct body_demand
 {
     // Length of the body; 0 if the request has none.
@@ -44,7 +44,7 @@
     // Set if the body crosses the link.
     std::optional<link_direction> link;
     // Expected time from the end of the body on the link until the response, and the time at which
-    // the latency objective of the request ends. Only the budget of a link looks at them.
+    // the latency objective of the request ends. Only the budget of a link uses them.
     std::chrono::nanoseconds serviceTime{0};
     steady_time objectiveEnd = steady_time::max();
 };
@@ -87,13 +87,13 @@
 
 // Decides whether the body of a request may be read and forwarded, from its length and the bytes in
 // flight. A body larger than a budget is admitted while no other body is in flight, so that no
-// request is unservable for ever. Thread safe.
+// request is always rejected. Thread safe.
 class body_budget
 {
 public:
     explicit body_budget(const body_budget_options &options);
 
-    // Reserves the bytes of the body in all budgets that it asks, or in none.
+    // Reserves the bytes of the body in all budgets that it needs, or in none.
     std::variant<body_reservation, body_rejection> admit(const body_demand &demand,
                                                          steady_time now);
     // Returns why admit() would reject the body, and reserves nothing; nullopt if it would not.
@@ -120,7 +120,8 @@
     std::optional<body_rejection> findRejection(const body_demand &demand, steady_time now) const;
     std::optional<body_rejection> findLinkRejection(const body_demand &demand,
                                                     steady_time now) const;
-    // Returns the rejection by a budget of held bytes, which has to lose some to admit the body.
+    // Returns the rejection by a budget of held bytes, some of which must be released before the
+    // body can be admitted.
     body_rejection rejectionBy(body_limit limit, const held_bytes_budget &budget,
                                uint64_t bytes) const;
     // Returns the time for which the link is busy with bodies admitted earlier.
--- a/src/persimmonrail/proxy/call_decisions.h
+++ b/src/persimmonrail/proxy/call_decisions.h
@@ -14,7 +14,7 @@
 // request_explainer both use them, so that an explanation can't differ from what happens.
 namespace persimmonrail {
 
-// What follows from the head of a caller's request.
+// The route of a caller's request, or why the request is rejected.
 struct route_decision
 {
     // None if the request may be sent.
@@ -29,9 +29,9 @@
 // can't be used, `isClosed` whether the daemon rejects new requests.
 route_decision decideRoute(const route_table *table, const std::string &host,
                            const std::string &uri, bool isMalformed, bool isClosed);
-// Takes the fields of the request that the route states.
+// Sets the fields of the request that follow from its route.
 void applyRoute(proxied_request &request, const route &route);
-// Returns the time until which a caller waits that states `timeout` or no timeout.
+// Returns the time until which the caller waits; `timeout` is nullopt if the caller states none.
 steady_time callDeadline(const std::optional<milliseconds> &timeout, const route &route,
                          steady_time startedAt, steady_time shutdownDeadline);
 
@@ -56,9 +56,10 @@
 overload_throttle::request_class throttleClassOf(const proxied_request &request,
                                                  const upstream_id &upstream);
 
-// Returns whether another attempt may help after one that failed for this reason, if the reason
-// allows a further one (isRetryable()). A key has one owner. Waiting for the owner helps only while
-// the key moves; a full queue, a lost host or a restart takes longer than a caller should wait.
+// Returns whether another attempt is useful after one that failed for this reason. Whether the
+// reason permits one is up to isRetryable(). A key has one owner. Waiting for the owner helps only
+// while the key moves; a full queue, a lost host or a restart takes longer than a caller should
+// wait.
 bool mayHelpToRetry(proxy_reason reason, bool hasKey);
 
 // Returns the Retry-After of a rejection. `defaultRetryAfter` applies if the time is unknown.
--- a/src/persimmonrail/proxy/peer_client.h
+++ b/src/persimmonrail/proxy/peer_client.h
@@ -22,8 +22,8 @@
 public:
     // `isStopping` returns whether this daemon is stopping. `shutdownDeadline` returns the time at
     // which requests in flight are abandoned, as in request_proxy_hooks. Both must be thread safe.
-    // Bodies longer than `maxUnaskedBodyBytes`, and chunked ones, are sent once the peer asks for
-    // them with "100 Continue".
+    // Bodies longer than `maxUnaskedBodyBytes`, and chunked ones, are sent only after the peer has
+    // asked for them with "100 Continue".
     peer_client(std::function<bool()> isStopping, std::function<steady_time()> shutdownDeadline,
                 size_t maxUnaskedBodyBytes = maxBodyPieceBytes);
 
@@ -85,7 +85,7 @@
                std::string_view first, bool isComplete) override;
     bool write(std::string_view piece) override;
     bool finish() override;
-    // Counts the bytes that wait for the requester in `bodies`, which must outlive the object.
+    // Counts response bytes that wait for the requester in `bodies`, which must outlive the object.
     void countUnreadBytes(body_budget &bodies) { m_bodies = &bodies; }
     // Returns the number of body bytes that were passed on.
     size_t bodyBytes() const { return m_bodyBytes; }
@@ -94,7 +94,8 @@
     // Registers the response with the link and waits for a permit if `bytes` make the response
     // large.
     void enterQueueIfLarge(size_t bytes);
-    // Sends body bytes and counts them meanwhile. Returns false if the requester has disconnected.
+    // Sends body bytes, and counts them until they are sent. Returns false if the requester has
+    // disconnected.
     bool send(std::string_view bytes);
     // The same without counting; paced if the response is large.
     bool sendPaced(std::string_view bytes);
--- a/src/persimmonrail/proxy/proxied_call.cpp
+++ b/src/persimmonrail/proxy/proxied_call.cpp
@@ -29,8 +29,9 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
-// Returns whether a forwarded request got no response from the other daemon. A daemon that responds
-// states its queue. A deadline may also pass while the upstream is slow, which probes tell.
+// Returns whether a forwarded request got no response from the other daemon. Responses of daemons
+// state a queue. If the deadline has passed, unanswered probes distinguish this case from a slow
+// upstream.
 bool isWithoutResponse(const proxy_result &result)
 {
     switch (result.reason) {
@@ -254,7 +255,7 @@
         proxy_result missing = missingMemberResult(*directory, m_request.service, m_request.key);
         m_isServiceEvacuated = missing.reason == proxy_reason::Evacuated;
         if (!m_isServiceEvacuated && m_bodyRejection) {
-            // Unlike the absence of upstreams, it tells when to retry.
+            // Unlike a rejection for lack of upstreams, this one states when to retry.
             m_bodyRejections = maxBodyRejections;
             return *m_bodyRejection;
         }
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -18,8 +18,8 @@
     return std::chrono::steady_clock::now();
 }
 
-// With budgets for bodies, longer ones are sent to another daemon only after it has asked for them.
-// A link of 10 Mbit/s carries this many bytes in 13 ms; asking takes one round trip.
+// With budgets for bodies, longer ones are sent to another daemon only after its "100 Continue".
+// That takes one round trip; a link of 10 Mbit/s carries this many bytes in 13 ms.
 constexpr size_t maxUnaskedBodyBytes = 16 * 1024;
 
 // Counts a request in flight during its lifetime.
--- a/src/persimmonrail/proxy/return_schedule.h
+++ b/src/persimmonrail/proxy/return_schedule.h
@@ -18,7 +18,8 @@
     size_t maxReturns = 4096;
 };
 
-// Position in the order of a queue, without what distinguishes requests of one position.
+// Position in the order of a queue. Requests of one position are ordered by other properties, such
+// as their group and zone.
 struct queue_position
 {
     // 0 is the most urgent.
@@ -52,8 +53,8 @@
         // Until when the caller waits, and how long its request is expected to run.
         steady_time deadline;
         std::chrono::duration<double> serviceTime{0};
-        // Returns of this position and earlier ones that the upstream can serve in a second; above
-        // 0.
+        // Returns of this position and earlier ones that the upstream can serve in a second. Must
+        // be above 0.
         double returnsPerSecond = 0;
         // Returns that the queue can take at once in addition, by making them wait.
         double queueRoom = 0;
@@ -65,7 +66,7 @@
     // Returns the time that announce() would return, and reserves nothing. For callers that have
     // returned before.
     steady_time expectedReturn(const rejected_request &rejected, steady_time now) const;
-    // Takes an announced return of this position whose time has come. Returns false if there is
+    // Removes an announced return of this position whose time has come. Returns false if there is
     // none.
     bool takeDue(const queue_position &position, steady_time now);
 
--- a/src/persimmonrail/proxy/slot_queue.cpp
+++ b/src/persimmonrail/proxy/slot_queue.cpp
@@ -253,7 +253,7 @@
     return result;
 }
 
-double slot_queue::queueRoom(const slot_request &request) const
+double slot_queue::spareWaitTime(const slot_request &request) const
 {
     double work = 0;
     for (const waiting_request &waiting : m_waiting) {
@@ -280,7 +280,7 @@
         request.deadline,
         serviceTime,
         std::max(available.spare, available.total * m_options.minReturnShare),
-        queueRoom(request) * available.total};
+        spareWaitTime(request) * available.total};
     const steady_time at = request.callerAttempt == caller_attempt::First
         ? m_returns.announce(rejected, now)
         : m_returns.expectedReturn(rejected, now);
@@ -316,8 +316,8 @@
     if (!mayBeOvertaken || wait <= 0) {
         return request.deadline;
     }
-    // Later requests of other zones may start first, and the upstream may become slower. At its
-    // usual speed, a request that starts later would be late.
+    // Requests of other zones that arrive later may start first, and the upstream may become
+    // slower. A request that starts after this time would be late even at the usual speed.
     const std::chrono::duration<double> serviceTime(usualServiceTimeOf(request.route));
     return std::min(request.deadline,
                     request.objectiveEnd
--- a/src/persimmonrail/proxy/slot_queue.h
+++ b/src/persimmonrail/proxy/slot_queue.h
@@ -42,11 +42,12 @@
     // not known, since first attempts may arrive.
     double maxDeferredPerSlot = 2;
     double maxDeferredWaitShare = 0.75;
-    // Share of the slots that stay free for first attempts when such a retry starts.
+    // Share of the slots that stay free for first attempts when a retry that has waited behind them
+    // starts.
     double slotShareKeptFromDeferred = 0.2;
     return_schedule_options returns;
-    // Zone of the upstream if requests of callers in this zone start before equal ones of other
-    // zones; empty if all zones are alike.
+    // Zone of the upstream if requests of callers in this zone start before those of other zones
+    // with equal rank and objective; empty if the zones have no precedence.
     std::string precedingZone;
 };
 
@@ -171,7 +172,8 @@
         // When the request is rejected if it has not started.
         steady_time waitEnd;
     };
-    // Mean time for which a request of a route holds a slot, over several slow spans.
+    // Mean time for which a request of a route holds a slot, over several slow spans (times in
+    // which the upstream works slower than usual).
     struct mean_time
     {
         double seconds = 0;
@@ -240,17 +242,17 @@
     // `earliest` is the time after which one request of this route would be accepted.
     milliseconds scheduleReturn(const slot_request &request, milliseconds earliest,
                                 steady_time now);
-    // Returns how many requests like this one the upstream can serve in a second, in all and beside
-    // the first attempts at the same position and earlier ones; the latter is negative if these
-    // exceed the capacity.
+    // Requests of one route that the upstream can serve in a second.
     struct capacity
     {
         double total = 0;
+        // What the first attempts at the same position and earlier ones leave; negative if these
+        // exceed the capacity.
         double spare = 0;
     };
-    // Returns for how long, in seconds, a request may wait at the usual speed of the upstream and
-    // still be in time, beyond what waits and runs now.
-    double queueRoom(const slot_request &request) const;
+    // Returns for how many seconds longer than the requests ahead need a request may wait at the
+    // usual speed of the upstream, and still be in time.
+    double spareWaitTime(const slot_request &request) const;
     capacity capacityFor(const slot_request &request, steady_time now) const;
     // Returns whether the request waits behind the first attempts of its rank.
     bool isDeferred(const slot_request &request) const
@@ -271,8 +273,8 @@
     // Returns the expected service time of the route in seconds, at the work factor of the last
     // submit().
     double serviceTimeOf(const std::string &route) const;
-    // Takes the arrival of a request into the order, the work factor and the offered loads. Returns
-    // the request as the order takes it.
+    // Updates the order and the work factor, and adds the request to the offered loads. Returns the
+    // request as classify() does.
     slot_request prepare(const slot_request &submitted, steady_time now);
     // Returns the expectation for a request that prepare() has returned, with the earliest useful
     // time of its return if it is rejected.
--- a/src/persimmonrail/proxy/tests/return_schedule_test.cpp
+++ b/src/persimmonrail/proxy/tests/return_schedule_test.cpp
@@ -154,8 +154,8 @@
     CHECK(on.inTimeShare() >= off.inTimeShare() + expected.inTime);
     CHECK(on.servedShare() >= off.servedShare() + expected.served);
     CHECK(on.rejectedReturns <= off.rejectedReturns * expected.rejectedReturns);
-    // Ignoring Retry-After does not pay; the difference between any two groups of this size is
-    // about 0.015.
+    // Callers that ignore Retry-After are not served better than others. 0.03 allows for the chance
+    // difference between two groups of callers.
     CHECK(on.impatientInTimeShare() <= on.inTimeShare() + 0.03);
     CHECK(on.impatientServedShare() <= on.servedShare() + 0.03);
 }
--- a/src/persimmonrail/proxy/upstream_picker.cpp
+++ b/src/persimmonrail/proxy/upstream_picker.cpp
@@ -13,15 +13,15 @@
 
 // Assumed service time of an upstream that has not reported one.
 constexpr double initialServiceSeconds = 0.05;
-// Shorter transfers matter less than what reports of queues leave open, so they don't make the
+// Shorter transfers matter less than the inaccuracy of queue reports, so they don't make the
 // upstream on the own host a third candidate.
 constexpr double minTransferSeconds = 0.005;
 // Entries without requests in flight are erased when there are more entries than this, since no
 // directory may name their upstreams any more.
 constexpr size_t maxEntries = 4096;
 // An upstream that reports less than this share of the mean capacity of its zone counts with what
-// it reports. Cold upstreams report less than a fifth; a slow span makes an upstream 3 times as
-// slow, which the reports of the zones show well enough.
+// it reports. Cold upstreams report less than a fifth. Upstreams in a slow span report a third; for
+// these the reports of the zones suffice.
 constexpr double coldCapacityShare = 0.25;
 // Zones of which reports are kept; their names come from other daemons.
 constexpr size_t maxZones = 16;
@@ -40,17 +40,18 @@
     }
 }
 
-// Adds to the chances of the members what they are if two random ones of `candidates` are compared,
-// times `weight`. Of two with the same expected time, either is the first with equal probability.
-// The upstream on this host, `local`, replaces those that a body reaches considerably later.
+// Adds to the chance of each of `candidates` among the members: `weight` times the probability with
+// which it is chosen by a comparison of two random ones. If their expected times are equal, either
+// is chosen with probability 1/2. The upstream on this host, `local`, is compared as well if a
+// transfer to the chosen one takes long.
 void addChances(std::vector<member_assessment> &members, const member_list &candidates,
                 const upstream_id &local, double weight)
 {
     std::vector<member_assessment *> drawn;
     std::vector<double> times;
-    const std::set<const upstream_member *> names(candidates.begin(), candidates.end());
+    const std::set<const upstream_member *> candidateSet(candidates.begin(), candidates.end());
     for (member_assessment &entry : members) {
-        if (names.contains(entry.member)) {
+        if (candidateSet.contains(entry.member)) {
             drawn.push_back(&entry);
             times.push_back(entry.time.seconds());
         }
@@ -295,7 +296,7 @@
         return zone.capacity;
     }
     const double mean = zone.capacity / zone.upstreams;
-    // Reports that show a loss count fewer upstreams.
+    // Reports made after a loss already count fewer upstreams.
     double present = mean * std::min<double>(zone.upstreams, static_cast<double>(healthy.size()));
     for (const upstream_member *member : healthy) {
         const auto entry = m_entries.find(member->id);
--- a/src/persimmonrail/proxy/zone_usage.cpp
+++ b/src/persimmonrail/proxy/zone_usage.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr milliseconds window{1000};
-// Events of each kind that are kept. A rate above that is far beyond what a daemon forwards.
+// Events of each kind that are kept; more than a daemon forwards within the window.
 constexpr size_t maxEvents = 4096;
 
 } // namespace
--- a/src/persimmonrail/router/move_interval.cpp
+++ b/src/persimmonrail/router/move_interval.cpp
@@ -15,9 +15,9 @@
 // Replaces overloadedInterval if a writer is used. The owner's own rates, an average over half a
 // second, show the effect of the last move by then.
 constexpr milliseconds writerInterval{500};
-// A relay watches the store every 150 ms (relayed_watch_options).
+// Longer than the 150 ms between two watches of a relay (relayed_watch_options).
 constexpr milliseconds watchTime{200};
-// With 63 owners the tries of a second are spread over one second.
+// Spreads the tries of about 60 owners over one second.
 constexpr uint64_t spreadPerOwnerMs = 15;
 
 } // namespace
--- a/src/persimmonrail/router/overload_moves.h
+++ b/src/persimmonrail/router/overload_moves.h
@@ -22,10 +22,10 @@
                                               const std::vector<owner_load> &others,
                                               move_options options = {});
 
-// Least number of requests that moves must let be served in addition. A new version of the record
-// costs five calls to the store in a region of four zones: the write, and a watch of the relay of
-// each zone. With a minimum of two requests for each call, a hot range is spread as well as without
-// a minimum; with four, it is spread less well (hot_range_load_test).
+// Least number of additional requests that are served because of the moves. A new version of the
+// record costs five calls to the store in a region of four zones: the write, and a watch of the
+// relay of each zone. Each call is to gain two requests; with a higher minimum, hot ranges are
+// spread too slowly (docs/design/placement-writer.md).
 inline constexpr double minMoveGain = 10;
 
 // Returns how many requests above the capacity of the owner are expected to be served elsewhere
--- a/src/persimmonrail/router/placement_writer.cpp
+++ b/src/persimmonrail/router/placement_writer.cpp
@@ -158,7 +158,7 @@
     result.responses.resize(changes.size(), {change_outcome::NotApplied, 0});
     m_lastBatchAt = m_hooks.update.now();
     if (base) {
-        // The owner of the first change has waited since before the time of gathering.
+        // The owner of the first change has already waited while changes were gathered.
         const boot_time deadline = *m_lastBatchAt + m_options.maxWait - gathered;
         result = writeChanges(m_store, m_service, *base, changes, deadline, m_hooks.update);
     }
--- a/src/persimmonrail/router/range_controller.cpp
+++ b/src/persimmonrail/router/range_controller.cpp
@@ -494,9 +494,9 @@
 }
 
 // Many owners propose changes at the same moment, such as the activation of the ranges of a lost
-// owner, and all but one of their writes for a version of the record are rejected. A read and a
-// retry of each would double the calls. If the watch does not show a newer record, the owner reads
-// it at the next try.
+// owner, and all but one of their writes for a version of the record are rejected. If
+// each owner read the record and tried again at once, the calls would double. If the watch does not
+// show a newer record, the owner reads it at the next try.
 void range_controller::updateRecordOnce(placement_change change, std::string_view reason)
 {
     const uint64_t version = knownRecord().version;
--- a/src/persimmonrail/router/range_controller.h
+++ b/src/persimmonrail/router/range_controller.h
@@ -263,7 +263,7 @@
     // When the current move began. Its keys are served no longer from then on, or from the response
     // to the next heartbeat.
     steady_time m_moveBeganAt{};
-    // When the last move was recorded, or given up.
+    // When the last move was recorded or abandoned.
     steady_time m_lastMoveEndedAt{};
     std::optional<steady_time> m_membersStableSince;
     size_t m_lastMemberCount = 0;
--- a/src/persimmonrail/router/range_controller_moves.cpp
+++ b/src/persimmonrail/router/range_controller_moves.cpp
@@ -408,8 +408,9 @@
     m_isWithdrawing = m_isWithdrawing || result.result != write_result::Unconfirmed;
 }
 
-// Until the move shows in the known record, the owner would grant the keys again. A record of a
-// later epoch may lack the move; endMove() abandons the keys then.
+// The move must not end before the known record shows it, since the owner would grant the keys
+// again by the older record. A record of a later epoch may lack the move; endMove() abandons the
+// keys then.
 void range_controller::checkAwaitedRecord()
 {
     if (!m_recordAwaitedUntil) {
--- a/src/persimmonrail/router/store_call_counter.h
+++ b/src/persimmonrail/router/store_call_counter.h
@@ -9,7 +9,7 @@
 
 namespace persimmonrail {
 
-// Counts the calls to the store, so that operators see which objects cost how many.
+// Counts the calls to the store, so that operators see how many each kind of object costs.
 
 // A prefix of keys, and the name under which calls for these keys are counted.
 struct counted_prefix
--- a/src/persimmonrail/router/submitted_update.h
+++ b/src/persimmonrail/router/submitted_update.h
@@ -17,7 +17,7 @@
 // the writer reports that it has recorded the change, no call is sent to the store: the result has
 // no object, and `isRecordAwaited` is set. If it may have recorded the change, the record is read,
 // so that the own update only writes what the record lacks. `isChangeOpen` of the result tells
-// whether a record may still take effect, or be learned, that contains the change: then the keys of
+// whether a record with the change may still be written, or is not known here yet: then the keys of
 // the change may be granted again only after a record is known on which the change has no effect.
 // Blocks.
 placement_update_result updateThroughWriter(const object_api &store, const std::string &service,
--- a/src/persimmonrail/router/tests/hot_range_load_test.cpp
+++ b/src/persimmonrail/router/tests/hot_range_load_test.cpp
@@ -279,11 +279,11 @@
 } // namespace
 
 // Load: 60 to 200 neighbouring keys get 35 in 100 of the load of 60 or 80 owners for 5 s, reports
-// of loads are 1 to 2 s old. Before, an owner moved keys once in 12 s, to 6 peers, and a hot range
-// was never spread. Owners choose peers by old reports, so in a few cases several choose the same
-// one, which is above 1.3 times its capacity after 2 s, but not after 3 s. Also guards against
-// moves that cost more calls to the store than they are worth: owners spread the range as well with
-// fewer moves than without a least gain.
+// of loads are 1 to 2 s old. Guards against owners that move keys so seldom, or to so few peers,
+// that a hot range is never spread. Owners choose peers by old reports, so in a few cases several
+// choose the same one, which is above 1.3 times its capacity after 2 s, but not after 3 s. Also
+// guards against moves that cost more calls to the store than they are worth: with the least gain,
+// owners stay within the same bounds with at most three quarters of the moves.
 TEST_CASE("a hot range is spread over its peers within two seconds", "[router]")
 {
     struct row
@@ -319,7 +319,6 @@
                 }
             }
         }
-        // 2 and 8 of 48 cases.
         CHECK(overloaded * 5 <= cases);
         CHECK(moves * 4 <= movesWithoutMinimum * 3);
     }
--- a/src/persimmonrail/routing/caller_returns.h
+++ b/src/persimmonrail/routing/caller_returns.h
@@ -12,14 +12,16 @@
 
 struct caller_returns_options
 {
-    // Largest difference between the deadlines of two attempts of one caller. The deadline is known
-    // as the time left at the arrival, and the way from the caller takes longer at some times.
+    // Largest difference between the deadlines of two attempts of one caller. A deadline is
+    // computed from the arrival and the stated time, and the time on the way from the caller
+    // varies.
     milliseconds maxDeadlineDifference{20};
     // A return may come this much before its announced time, which the caller rounds.
     milliseconds maxEarliness{5};
     // Callers wait for at most this share of the time that they have left.
     double maxWaitShare = 1.0 / 3;
-    // Failed requests that are kept; beyond this number those that end first are dropped.
+    // Failed requests that are kept; beyond this number those with the earliest deadlines are
+    // dropped.
     size_t maxRequests = 4096;
 };
 
--- a/src/persimmonrail/routing/link_delay.cpp
+++ b/src/persimmonrail/routing/link_delay.cpp
@@ -16,7 +16,7 @@
 constexpr microseconds minLogged{3000};
 constexpr milliseconds minLogInterval{1000};
 
-// Returns the value at the share `quantile` of the sorted values, the lower one of two.
+// Returns the quantile of the values; the lower one if it lies between two values.
 template <typename Value> Value lowerQuantile(std::vector<Value> values, double quantile)
 {
     std::sort(values.begin(), values.end());
--- a/src/persimmonrail/routing/link_delay.h
+++ b/src/persimmonrail/routing/link_delay.h
@@ -15,12 +15,13 @@
 {
     // Measurements older than this are dropped.
     milliseconds window{5000};
-    // Measurements of a zone within the window below which they say nothing.
+    // Least number of measurements of a zone within the window for an estimate.
     size_t minMeasurements = 6;
     // Excess that is not counted: two crossings between zones take 1 ms, and the operators'
     // crossing cost includes them.
     std::chrono::microseconds usualExcess{2000};
-    // What an attempt without response costs: the time until that shows, and another attempt.
+    // Time that an attempt without response costs: until the loss is detected, and for another
+    // attempt.
     milliseconds lossCost{250};
     milliseconds maxExcess{1000};
     // Time in which the last known excess of a zone halves while it is not measured, so that a
@@ -34,7 +35,7 @@
     std::string zone;
     std::chrono::microseconds from{0};
     std::chrono::microseconds to{0};
-    // Mean share of attempts without response, by the upstream in the middle.
+    // Share of attempts without response, the median over the upstreams of the zone.
     double lossShare = 0;
     size_t measurements = 0;
 };
@@ -42,7 +43,7 @@
 // Measures how much longer requests are on the way to other availability zones than within the own
 // zone. A measurement is the time from sending a request to the first byte of its response, less
 // the time that the other daemon states as its own. An upstream counts with its lower quartile, and
-// a zone with the lower one of the upstreams in the middle, so that neither single slow requests
+// a zone with the (lower) median of its upstreams, so that neither single slow requests
 // nor a slow host make a zone expensive. Takes the time as an argument and reads no clock. Thread
 // safe.
 class link_delay
@@ -65,7 +66,7 @@
     struct measurement
     {
         std::string upstream;
-        // Nothing if there was no response.
+        // nullopt if there was no response.
         std::optional<std::chrono::microseconds> delay;
         steady_time at{};
     };
@@ -78,10 +79,10 @@
         std::chrono::microseconds logged{0};
         steady_time loggedAt{};
     };
-    // What the recent measurements of a zone say.
+    // Result of the recent measurements of a zone.
     struct zone_estimate
     {
-        // Nothing if there was no response.
+        // nullopt if there was no response.
         std::optional<std::chrono::microseconds> delay;
         double lossShare = 0;
         size_t measurements = 0;
--- a/src/persimmonrail/routing/zone_share.cpp
+++ b/src/persimmonrail/routing/zone_share.cpp
@@ -281,7 +281,7 @@
         || m_split.reason == share_reason::NoUpstream || m_updatedAt == steady_time{};
     const double planned = plan.leaving();
     const milliseconds time =
-        planned < m_split.leaving() ? m_options.returnTime : m_options.smoothingTime;
+        planned < m_split.leaving() ? m_options.fallingSmoothingTime : m_options.smoothingTime;
     const double weight = isImmediate ? 1 : 1 - std::exp(-elapsed / seconds(time));
     const bool stays =
         planned < (m_split.leaving() > 0 ? m_options.minShare : m_options.firstShare);
--- a/src/persimmonrail/routing/zone_share.h
+++ b/src/persimmonrail/routing/zone_share.h
@@ -46,8 +46,9 @@
     // Time constant with which the share follows the plan; about the interval of reports, so that
     // one deviating report does not decide alone.
     milliseconds smoothingTime{400};
-    // The same for a share that falls, since a zone with spare capacity should serve its callers.
-    milliseconds returnTime{150};
+    // The same while the share falls; shorter, since a zone with spare capacity should serve its
+    // own callers.
+    milliseconds fallingSmoothingTime{150};
     // Reports count in full up to the first age and not at all from the second. Reports travel
     // over two polls of up to 1 s and one response.
     milliseconds fullReportAge{3000};
@@ -137,15 +138,16 @@
     std::optional<share_change> takeChange();
 
 private:
-    // Moves the share towards the plan, at once if the capacity of the own zone has collapsed.
+    // Moves the share towards the plan, at once if `hasCollapsed`: the capacity of the own zone has
+    // fallen by more than half since the last update.
     void follow(const zone_split &plan, steady_time now, bool hasCollapsed);
     void noteChange(const std::vector<zone_load> &zones, steady_time now);
     // Returns the factor on the share for a request of this size.
     double sizeFactor(double bytes);
     // Returns the probability with which a request with this factor leaves the zone.
     double leavingChance(double factor) const;
-    // Returns the size of a request that costs the harmonic mean of all requests. Small requests
-    // leave first, so they weigh more.
+    // Returns the size of a request whose crossing costs the harmonic mean over all requests. It
+    // gives small requests more weight, since they leave first.
     double meanBytes() const;
 
     const std::string m_ownZone;
