--- a/review/site-2/site.h
+++ b/review/site-2/site.h
@@ -904,6 +904,14 @@
         m_isReleaseRepeated = isRepeated;
     }
 
+    // Which responses, by their number from 1, never end: a first part of the body, and then a few
+    // bytes each 100 ms until the caller closes the connection.
+    void setEndlessRule(std::function<bool(int number)> rule)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_endlessRule = std::move(rule);
+    }
+
     std::vector<run> runs()
     {
         const std::lock_guard lock(m_mutex);
@@ -917,6 +925,18 @@
         const std::lock_guard lock(m_mutex);
         return holdsKey(key);
     }
+    // The intervals of keys of which a grant is in force now.
+    std::vector<std::pair<int, int>> holdings()
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<std::pair<int, int>> result;
+        for (const held &each : m_held) {
+            if (clock_type::now() < each.end) {
+                result.emplace_back(each.from, each.to);
+            }
+        }
+        return result;
+    }
     int orders() const { return m_orders; }
     int lateOrders() const { return m_lateOrders; }
 
@@ -1056,6 +1076,24 @@
         waitUntil([&] { return !m_server.isOpen() || from.isClosed(); }, 30000);
         return false;
     }
+    bool sendWithoutEnd(connection &from, const std::string &id)
+    {
+        m_log.write(m_options.name + " sends a body without end for request " + id);
+        const auto chunk = [](size_t bytes) {
+            char length[16];
+            std::snprintf(length, sizeof length, "%zx\r\n", bytes);
+            return length + std::string(bytes, 'e') + "\r\n";
+        };
+        bool isOpen = from.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Signature: s-"
+                                 + id + "-" + m_options.name
+                                 + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(90000));
+        while (isOpen && m_server.isOpen() && !from.isClosed()) {
+            sleepFor(100);
+            isOpen = from.write(chunk(100));
+        }
+        m_log.write(m_options.name + " sees the close of the connection of request " + id);
+        return false;
+    }
     bool serve(connection &from, const message &request)
     {
         const std::string target = request.target();
@@ -1118,6 +1156,14 @@
         if (hasEnded) {
             return false;
         }
+        bool isEndless = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            isEndless = m_endlessRule && m_endlessRule(++m_answers);
+        }
+        if (isEndless) {
+            return sendWithoutEnd(from, id);
+        }
         return from.write(responseText(200, "Request-Id: " + id + "\r\nServer-Signature: s-" + id
                                            + "-" + m_options.name + "\r\n", "done " + id));
     }
@@ -1137,6 +1183,8 @@
     order_rule m_orderRule;
     repeat_rule m_repeatRule;
     bool m_isReleaseRepeated = false;
+    std::function<bool(int number)> m_endlessRule;
+    int m_answers = 0;
     moment m_lastGrantAt{};
     std::vector<run> m_runs;
     std::vector<held> m_held;
@@ -1146,17 +1194,18 @@
     server m_server;
 };
 
-// Sends one request of a client to the sidecar of its machine.
+// Sends one request of a client to the sidecar of its machine. The client leaves `extraMs` after its
+// deadline.
 inline message request(const std::string &address, const std::string &method,
                        const std::string &path, const std::string &id, std::optional<int> key,
-                       int timeoutMs, const std::string &body)
+                       int timeoutMs, const std::string &body, int extraMs = 1000)
 {
     std::string head = method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: " + id
         + "\r\nRequest-Timeout-Ms: " + std::to_string(timeoutMs) + "\r\n";
     if (key) {
         head += "Shard-Key: " + std::to_string(*key) + "\r\n";
     }
-    return call(address, head, body, timeoutMs + 1000);
+    return call(address, head, body, timeoutMs + extraMs);
 }
 
 inline std::string route(const std::string &prefix, const std::string &kind,
