--- a/review/site-2/site.h
+++ b/review/site-2/site.h
@@ -904,8 +904,8 @@
         m_isReleaseRepeated = isRepeated;
     }
 
-    // Which responses, by their number from 1, never end: a first part of the body, and then a few
-    // bytes each 100 ms until the caller closes the connection.
+    // Which responses, by their number from 1, have a body that goes on until the caller closes the
+    // connection.
     void setEndlessRule(std::function<bool(int number)> rule)
     {
         const std::lock_guard lock(m_mutex);
@@ -1086,10 +1086,9 @@
         };
         bool isOpen = from.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Signature: s-"
                                  + id + "-" + m_options.name
-                                 + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(90000));
+                                 + "\r\nTransfer-Encoding: chunked\r\n\r\n");
         while (isOpen && m_server.isOpen() && !from.isClosed()) {
-            sleepFor(100);
-            isOpen = from.write(chunk(100));
+            isOpen = from.write(chunk(16384));
         }
         m_log.write(m_options.name + " sees the close of the connection of request " + id);
         return false;
