--- a/review/site-2/site.h
+++ b/review/site-2/site.h
@@ -8,8 +8,8 @@
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
-#include <cstring>
 #include <deque>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -1229,8 +1229,12 @@
 public:
     folder()
     {
-        char path[] = "/tmp/persimmonrail-review-XXXXXX";
-        m_path = ::mkdtemp(path);
+        std::string path =
+            (std::filesystem::temp_directory_path() / "persimmonrail-review-XXXXXX").string();
+        if (::mkdtemp(path.data()) == nullptr) {
+            std::exit(2);
+        }
+        m_path = path;
     }
     ~folder()
     {
