--- a/review/site-2/case_6.cpp
+++ b/review/site-2/case_6.cpp
@@ -98,12 +98,15 @@
             std::this_thread::sleep_until(next);
         }
     });
-    sleepFor(15000);
+    sleepFor(5000);
     if (trouble) {
         log.write("two instances begin to send some of their answers twice");
-        instances[0]->setReleaseRepeated(true);
-        instances[1]->setReleaseRepeated(true);
+        for (int i = 0; i < 2; ++i) {
+            instances[i]->beginFault(0.03);
+            instances[i]->setReleaseRepeated(true);
+        }
     }
+    sleepFor(10000);
     for (const int first : {1000, 18000, 6000, 23000, 11000, 28000}) {
         log.write("busy keys: " + std::to_string(first) + "-"
                   + std::to_string(first + busyKeys - 1));
@@ -117,10 +120,9 @@
     }
     std::ostringstream sum;
     sum << "requests " << sent << ", answered with success " << succeeded
-        << "; responses and answers of the faulty instances "
-        << instances[0]->responses() + instances[0]->orders() + instances[1]->responses()
-            + instances[1]->orders()
-        << ", extra: " << instances[0]->repeated() + instances[1]->repeated()
+        << "; answers of the faulty instances while faulty " << instances[0]->fault().first << " and "
+        << instances[1]->fault().first << ", sent twice " << instances[0]->fault().second << " and "
+        << instances[1]->fault().second
         << "; requests at work on keys that another instance was given: " << keys.broken();
     log.write(sum.str());
     std::cout << sum.str() << "\n";
--- a/review/site-2/site.h
+++ b/review/site-2/site.h
@@ -896,6 +896,20 @@
         m_repeatRule = std::move(rule);
     }
 
+    // From now on the instance may spoil one answer in a while: at most the share `x` of those that it
+    // has given since.
+    void beginFault(double x)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_faultShare = x;
+        m_answersInFault = m_spoilt = 0;
+    }
+    // How many answers were given since then, and how many of them were spoilt.
+    std::pair<int, int> fault()
+    {
+        const std::lock_guard lock(m_mutex);
+        return {m_answersInFault, m_spoilt};
+    }
     // Whether the answer to a release is sent a second time, late: where the next response on its
     // connection is expected.
     void setReleaseRepeated(bool isRepeated)
@@ -904,12 +918,11 @@
         m_isReleaseRepeated = isRepeated;
     }
 
-    // Which responses, by their number from 1, have a body that goes on until the caller closes the
-    // connection.
-    void setEndlessRule(std::function<bool(int number)> rule)
+    // Whether spoilt responses have a body that goes on until the caller closes the connection.
+    void setEndless(bool isEndless)
     {
         const std::lock_guard lock(m_mutex);
-        m_endlessRule = std::move(rule);
+        m_isEndless = isEndless;
     }
 
     std::vector<run> runs()
@@ -959,6 +972,13 @@
         }
         return false;
     }
+    // Must be called with the mutex held.
+    bool maySpoil()
+    {
+        const bool isWithin = m_spoilt + 1 <= m_faultShare * m_answersInFault;
+        m_spoilt += isWithin ? 1 : 0;
+        return isWithin;
+    }
     moment holdEnd(int key) const
     {
         moment end{};
@@ -1048,7 +1068,8 @@
             const std::string answer =
                 responseText(status, isRelease ? "Handover: h1\r\n" : "", "{}");
             const std::lock_guard lock(m_mutex);
-            if (isRelease && m_isReleaseRepeated) {
+            ++m_answersInFault;
+            if (isRelease && m_isReleaseRepeated && maySpoil()) {
                 m_pending[from.number()] = answer;
             }
             return from.write(answer);
@@ -1118,6 +1139,10 @@
             return from.write(responseText(200, "Instance-Id: " + m_options.name + "\r\n", ""));
         }
         ++m_responses;
+        {
+            const std::lock_guard lock(m_mutex);
+            ++m_answersInFault;
+        }
         const std::string id = request.field("Request-Id");
         const std::string key = request.field("Shard-Key");
         bool isHeld = true;
@@ -1142,7 +1167,7 @@
             const std::lock_guard lock(m_mutex);
             const auto sinceGrant =
                 std::chrono::duration_cast<milliseconds>(clock_type::now() - m_lastGrantAt);
-            if (m_repeatRule && m_repeatRule(sinceGrant)) {
+            if (m_repeatRule && m_repeatRule(sinceGrant) && maySpoil()) {
                 m_pending[from.number()] = rejection;
             }
             return from.write(rejection);
@@ -1158,7 +1183,7 @@
         bool isEndless = false;
         {
             const std::lock_guard lock(m_mutex);
-            isEndless = m_endlessRule && m_endlessRule(++m_answers);
+            isEndless = m_isEndless && maySpoil();
         }
         if (isEndless) {
             return sendWithoutEnd(from, id);
@@ -1182,8 +1207,10 @@
     order_rule m_orderRule;
     repeat_rule m_repeatRule;
     bool m_isReleaseRepeated = false;
-    std::function<bool(int number)> m_endlessRule;
-    int m_answers = 0;
+    bool m_isEndless = false;
+    double m_faultShare = 0;
+    int m_answersInFault = 0;
+    int m_spoilt = 0;
     moment m_lastGrantAt{};
     std::vector<run> m_runs;
     std::vector<held> m_held;
