Review case 7: four instances, and the share of spoilt answers

Cause: one instance was added to two, beyond the share of scale_out, and the share of spoilt answers was counted over the whole run. All orders of a run met the same phase of the releases. Change: four instances; at most 0.03 of the answers while the fault lasts; an order each 79 ms.

--- a/review/site-2/case_7.cpp
+++ b/review/site-2/case_7.cpp
@@ -5,8 +5,14 @@
 
 namespace {
 
-constexpr int orderIntervalMs = 75;
-constexpr int calmMs = 40000;
+// No divisor of the time between two releases, so that orders meet each phase of them.
+constexpr int orderIntervalMs = 79;
+constexpr int instanceCount = 4;
+// Keys of the first instance that are moved to the one that is added.
+constexpr int firstKey = 9000;
+constexpr int calmMs = 15000;
+// How long before the instance is added the first one begins to send some of its answers twice.
+constexpr int faultLeadMs = 25000;
 // Releases that are carried out late, and how long after the grant that follows. The daemon renews a
 // grant after 750 ms or a little more.
 constexpr int lateReleases = 8;
@@ -56,11 +62,12 @@
         host.startDaemon();
         instances.back()->startHeartbeats(870);
     };
-    add(1, "shop");
-    add(2, "shop");
-    add(3, "front");
+    for (int number = 1; number <= instanceCount; ++number) {
+        add(number, "shop");
+    }
+    add(instanceCount + 1, "front");
     instance &owner = *instances[0];
-    const std::string caller = machines[2]->callerAddress();
+    const std::string caller = machines.back()->callerAddress();
     int nextId = 0;
     const auto makeId = [&nextId] {
         char id[20];
@@ -72,7 +79,7 @@
             return request(caller, "POST", "/order/first", makeId(), key, 2500, "x").status()
                 == 200;
         };
-        return owner.holds(20000) && served(20000) && served(60000);
+        return owner.holds(firstKey) && served(firstKey) && served(60000);
     }, 25000);
     if (!isServed) {
         std::cerr << "the site isn't served\n";
@@ -84,7 +91,7 @@
     std::deque<order> orders;
     std::vector<std::thread> clients;
     const auto sendOrder = [&](int index) {
-        const int key = 20000 + index % 1000;
+        const int key = firstKey + index % 1000;
         order *sent = nullptr;
         std::string id;
         {
@@ -113,6 +120,10 @@
         }
     };
     sendFor(calmMs);
+    if (trouble) {
+        owner.beginFault(0.03);
+    }
+    sendFor(faultLeadMs);
     if (trouble) {
         auto releases = std::make_shared<int>(0);
         owner.setOrderRule([releases](bool isRelease) -> std::optional<milliseconds> {
@@ -122,7 +133,7 @@
         owner.setRepeatRule([](milliseconds sinceGrant) { return sinceGrant.count() >= 0; });
     }
     log.write("an empty instance is added");
-    add(4, "shop");
+    add(instanceCount + 2, "shop");
     sendFor(46000);
     for (std::thread &client : clients) {
         client.join();
@@ -153,9 +164,10 @@
         sum << " " << status << ": " << count;
     }
     sum << "; run and answered with a promise: " << broken << "; run twice under one id: " << twice
-        << "; responses of the owner " << owner.responses() << ", 421: " << owner.rejections()
-        << ", extra: " << owner.repeated() << "; orders to it " << owner.orders()
-        << ", carried out late: " << owner.lateOrders();
+        << "; answers of the owner while faulty " << owner.fault().first << ", sent twice "
+        << owner.fault().second << ", as an extra response " << owner.repeated() << "; its 421 "
+        << owner.rejections() << "; orders to it " << owner.orders() << ", carried out late "
+        << owner.lateOrders();
     log.write(sum.str());
     std::cout << sum.str() << "\n";
     return broken + twice > 0 ? 1 : 0;
