--- a/review/site-2/case_9.cpp
+++ b/review/site-2/case_9.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr int orderIntervalMs = 40;
+constexpr int instanceCount = 5;
+constexpr int orderIntervalMs = 20;
 constexpr milliseconds drainTimeout{2000};
 // How much longer than the drain timeout the instance serves.
 constexpr int littleLongerMs = 10000;
@@ -53,12 +54,13 @@
         host.startDaemon();
         instances.back()->startHeartbeats(1500);
     };
-    add(1, "orderbook");
-    add(2, "orderbook");
-    add(3, "front");
+    for (int number = 1; number <= instanceCount; ++number) {
+        add(number, "orderbook");
+    }
+    add(instanceCount + 1, "front");
     machine &host = *machines[0];
     instance &leaving = *instances[0];
-    const std::string caller = machines[2]->callerAddress();
+    const std::string caller = machines.back()->callerAddress();
     std::atomic<int> lastId{0};
     const auto makeId = [&lastId] {
         char id[20];
@@ -67,7 +69,11 @@
     };
     const bool isServed = waitUntil([&] {
         request(caller, "POST", "/order/first", makeId(), std::nullopt, 2500, "x");
-        return !instances[0]->runs().empty() && !instances[1]->runs().empty();
+        int serving = 0;
+        for (const auto &each : instances) {
+            serving += each->runs().empty() ? 0 : 1;
+        }
+        return serving == instanceCount;
     }, 25000);
     if (!isServed) {
         std::cerr << "the site isn't served\n";
