Review case 10: count the answers without end

Change: the stand-in keeps to 0.05 of the answers while the fault lasts, and the record shows both counts.

--- a/review/site-2/case_10.cpp
+++ b/review/site-2/case_10.cpp
@@ -9,8 +9,8 @@
 constexpr int routeTimeoutMs = 2000;
 constexpr int clientDeadlineMs = 4000;
 constexpr int judgedMs = routeTimeoutMs + 500;
-// Of the answers of one of two instances, one in this many never ends.
-constexpr int endlessInterval = 20;
+// Of the answers of one of two instances, at most this share never ends.
+constexpr double endlessShare = 0.05;
 
 struct order
 {
@@ -153,7 +153,8 @@
     sleepFor(4000);
     if (trouble) {
         log.write("some responses of " + faulty.name() + " never end");
-        faulty.setEndlessRule([](int number) { return number % endlessInterval == 0; });
+        faulty.beginFault(endlessShare);
+        faulty.setEndless(true);
     }
     sleepFor(25000);
     isSending = false;
@@ -182,7 +183,9 @@
         sum << " " << status << ": " << count;
     }
     sum << "; lasting to the route's timeout: " << lasting
-        << "; of these without a final answer half a second later: " << unanswered;
+        << "; of these without a final answer half a second later: " << unanswered
+        << "; answers of the faulty instance " << faulty.fault().first << ", without end "
+        << faulty.fault().second;
     log.write(sum.str());
     std::cout << sum.str() << "\n";
     return isBroken ? 1 : 0;
