End an exchange at its deadline while bytes keep coming

Cause: the deadline was looked at only while a connection waited. With bytes always there, or a reader that takes a little at a time, it never waits. Once that was mended, callers still saw the end 1.95 s late, since the system had taken 3 MB for them.

Change: http_stream checks the time of an operation before each read and write, so all loops end; 64 KB that have arrived are read later. server_exchange writes an incomplete response until the deadline, and a complete one also later. TCP_NOTSENT_LOWAT bounds what the system takes.

--- a/src/persimmonrail/gateway/caller_sink.cpp
+++ b/src/persimmonrail/gateway/caller_sink.cpp
@@ -60,6 +60,9 @@
     }
     const body_framing sentFraming =
         isComplete ? body_framing{body_framing::kind::Length, first.size()} : framing;
+    if (isComplete) {
+        m_exchange.markResponseReady();
+    }
     return beginRunResponse(m_exchange, response, sentFraming, m_requestId)
         && m_exchange.writeResponse(first) && (!isComplete || m_exchange.endResponse());
 }
@@ -82,6 +85,7 @@
         head.add(name, value);
     }
     const body_framing framing{body_framing::kind::Length, response.body.size()};
+    exchange.markResponseReady();
     return beginRunResponse(exchange, head, framing, requestId)
         && exchange.writeResponse(response.body) && exchange.endResponse();
 }
--- a/src/persimmonrail/gateway/routed_request.cpp
+++ b/src/persimmonrail/gateway/routed_request.cpp
@@ -104,6 +104,7 @@
         timeout = std::min(timeout, milliseconds(remainingMs));
     }
     m_request.deadline = m_startedAt + timeout;
+    m_exchange.setDeadline(m_request.deadline);
     return std::nullopt;
 }
 
@@ -361,6 +362,7 @@
     removePersimmonrailFields(m_request.message);
     m_request.target = *std::move(target);
     m_request.deadline = m_startedAt + milliseconds(remainingMs);
+    m_exchange.setDeadline(m_request.deadline);
     m_view = m_router.m_hooks.view();
     if (m_view) {
         const auto document = m_view->documents.find(m_request.target.service);
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -334,7 +334,7 @@
             }
             if (hasBegun) {
                 if (!piece.empty() && !m_sink.write(piece)) {
-                    return failDisconnectedSink();
+                    return failSink();
                 }
                 continue;
             }
@@ -342,7 +342,7 @@
             if (first.size() >= maxBodyPieceBytes && !reader.isComplete()) {
                 hasBegun = m_result.responseStarted = true;
                 if (!m_sink.begin(m_result.head, forwardedFraming(), first, false)) {
-                    return failDisconnectedSink();
+                    return failSink();
                 }
                 first.clear();
             }
@@ -365,9 +365,14 @@
             : m_responseFraming;
     }
 
-    void failDisconnectedSink()
+    // The sink accepts no bytes of an incomplete response after the deadline.
+    void failSink()
     {
         m_isReusable = false;
+        if (std::chrono::steady_clock::now() >= m_request.deadline) {
+            failIo(io_status::TimedOut, exchange_state::Truncated);
+            return;
+        }
         m_result.receiverDisconnected = true;
         fail(exchange_state::CallerDisconnected, "caller disconnected");
     }
--- a/src/persimmonrail/http/http_server.h
+++ b/src/persimmonrail/http/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "persimmonrail/http/http_client.h"
+#include "persimmonrail/http/write_deadlines.h"
 
 #include <Poco/Net/SocketAddress.h>
 
@@ -16,9 +17,9 @@
 // connection are written in order. Empty functions: directly.
 struct exchange_hooks
 {
-    // Writes bytes of the response, like http_stream::write(). Waits for earlier responses at most
-    // until `turnDeadline`.
-    std::function<io_status(std::string_view bytes, size_t &written, steady_time turnDeadline)>
+    // Writes bytes of the response, like http_stream::write().
+    std::function<io_status(std::string_view bytes, size_t &written,
+                            const write_deadlines &deadlines)>
         write;
     // Called when the handler asks to close the connection after the response.
     std::function<void()> onCloseAfterResponse;
@@ -36,9 +37,13 @@
     const Poco::Net::HTTPRequest &request() const { return m_request; }
     // Returns the connection to the client. Use it only to wait for the end of the connection.
     http_stream &connection() { return m_stream; }
-    // Sets the time until which the response may wait for the responses to earlier requests of the
-    // connection if it is too large to be held. Without it, the idle timeout applies.
+    // Sets the end of the exchange. Until then, the response may wait for the responses to earlier
+    // requests of the connection if it is too large to be held, and is written while its end has
+    // not arrived. A response that is ready is written also later. Without a deadline, only the
+    // idle timeout applies.
     void setDeadline(steady_time deadline) { m_deadline = deadline; }
+    // Tells that the rest of the response is in memory, so that only its receiver can delay it.
+    void markResponseReady() { m_isResponseReady = true; }
 
     // Body of the request. A body of at most maxBodyPieceBytes bytes is buffered while it is read,
     // so that it can be read again after rewind().
@@ -60,10 +65,10 @@
     bool respond(int status, std::string_view body, const std::string &contentType);
     // Send a streamed response: one beginResponse(), any number of writeResponse(), one
     // endResponse(). Each returns false if the client has disconnected; endResponse() also does so
-    // if the body is shorter or longer than its framing states. The server closes the connection
-    // if a response is not ended, so that the client detects the truncation. beginResponse() also
-    // discards an unread body whose stated length is at most maxBodyPieceBytes, so that the
-    // connection can be reused.
+    // if the body is shorter or longer than its framing states, and writeResponse() at the
+    // deadline. The server closes the connection if a response is not ended, so that the client
+    // detects the truncation. beginResponse() also discards an unread body whose stated length is
+    // at most maxBodyPieceBytes, so that the connection can be reused.
     bool beginResponse(Poco::Net::HTTPResponse &head, const body_framing &framing);
     bool writeResponse(std::string_view piece);
     bool endResponse();
@@ -97,6 +102,7 @@
     bool m_keepAlive;
     bool m_hasResponseStarted = false;
     bool m_hasResponseEnded = false;
+    bool m_isResponseReady = false;
     body_framing m_responseFraming;
     uint64_t m_sentBodyBytes = 0;
 };
--- a/src/persimmonrail/http/http_server_pipeline.cpp
+++ b/src/persimmonrail/http/http_server_pipeline.cpp
@@ -97,8 +97,8 @@
     response_pipeline &pipeline = *target.pipeline;
     http_stream watch(target.stream, request.cancelDescriptor());
     exchange_hooks hooks;
-    hooks.write = [&](std::string_view bytes, size_t &written, steady_time turnDeadline) {
-        return pipeline.write(request, bytes, written, turnDeadline);
+    hooks.write = [&](std::string_view bytes, size_t &written, const write_deadlines &deadlines) {
+        return pipeline.write(request, bytes, written, deadlines);
     };
     hooks.onCloseAfterResponse = [&] { pipeline.closeAfter(request); };
     hooks.closesAfterResponse = [&] { return pipeline.closesAfter(request, isDraining()); };
--- a/src/persimmonrail/http/http_stream.cpp
+++ b/src/persimmonrail/http/http_stream.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -18,6 +19,10 @@
 // Replaces defaultReadBytes after a read that filled the buffer, to save system calls.
 constexpr size_t largeReadBytes = 32 * 1024;
 
+// Bytes that the system accepts for a connection beyond those in flight. Without a bound it takes
+// megabytes for a slow reader, who then sees the end of the connection long after it was closed.
+constexpr int maxUnsentBytes = 2 * maxBodyPieceBytes;
+
 int pollTimeoutMs(steady_time until)
 {
     const auto remaining =
@@ -54,8 +59,10 @@
     try {
         m_socket.setBlocking(false);
         m_socket.setNoDelay(true);
+        m_socket.setOption(IPPROTO_TCP, TCP_NOTSENT_LOWAT, maxUnsentBytes);
     } catch (const Poco::Exception &) {
-        // The connection was reset meanwhile. The first read or write reports the reset.
+        // The connection was reset meanwhile, which the first read or write reports, or the system
+        // has no such bound.
     }
 }
 
@@ -103,6 +110,12 @@
 
 io_status http_stream::fillBuffer(steady_time until)
 {
+    // The bytes of a peer that sends without end are always there, so a check in wait() alone would
+    // never end the operations on this buffer.
+    const bool isLate = std::chrono::steady_clock::now() >= until;
+    if (isLate && m_lateBytes >= maxLateBytes) {
+        return io_status::TimedOut;
+    }
     m_buffer.erase(0, m_position);
     m_position = 0;
     const size_t before = m_buffer.size();
@@ -111,6 +124,7 @@
     for (;;) {
         const ssize_t n = ::recv(m_descriptor, m_buffer.data() + before, step, MSG_DONTWAIT);
         if (n > 0) {
+            m_lateBytes = isLate ? m_lateBytes + static_cast<size_t>(n) : 0;
             m_wasLastReadFull = static_cast<size_t>(n) == step;
             m_buffer.resize(before + static_cast<size_t>(n));
             return io_status::Ok;
@@ -219,6 +233,9 @@
         if (stopOnInput && hasInput()) {
             return io_status::Ok;
         }
+        if (std::chrono::steady_clock::now() >= until) {
+            return io_status::TimedOut;
+        }
         const ssize_t n = ::send(m_descriptor, bytes.data() + written, bytes.size() - written,
                                  MSG_DONTWAIT | MSG_NOSIGNAL);
         if (n >= 0) {
--- a/src/persimmonrail/http/http_stream.h
+++ b/src/persimmonrail/http/http_stream.h
@@ -16,6 +16,9 @@
 inline constexpr size_t maxBodyPieceBytes = 64 * 1024;
 // Maximum size of a request or response head.
 inline constexpr size_t maxHeadBytes = 32 * 1024;
+// Maximum number of bytes that a connection reads after the end of a read's time, without waiting:
+// a short response that has arrived by then is still delivered.
+inline constexpr size_t maxLateBytes = 64 * 1024;
 
 // Result of an operation on a connection.
 enum class io_status {
@@ -45,7 +48,9 @@
 };
 
 // Reads and writes one HTTP/1.1 connection over a non-blocking socket, with a read buffer and with
-// timeouts. The HTTP streams of Poco are not used for bodies, because Poco's chunked stream reports
+// timeouts. The time `until` of an operation bounds the operation and not only its waits: it ends
+// with TimedOut also while bytes keep coming, or space for them; only maxLateBytes may be read
+// later. The HTTP streams of Poco are not used for bodies, because Poco's chunked stream reports
 // a broken connection as the regular end of the body. Not thread safe, except for shutdown() and
 // shutdownSending(), and except that one thread may write while another one reads.
 class http_stream
@@ -115,6 +120,8 @@
     http_stream *m_watched = nullptr;
     bool m_wasClosedGracefully = false;
     bool m_wasLastReadFull = false;
+    // Bytes received since the last read that was in time.
+    size_t m_lateBytes = 0;
     std::string m_buffer;
     // Offset of the first unread byte in m_buffer.
     size_t m_position = 0;
--- a/src/persimmonrail/http/response_pipeline.cpp
+++ b/src/persimmonrail/http/response_pipeline.cpp
@@ -48,7 +48,7 @@
 }
 
 io_status response_pipeline::write(request &target, std::string_view bytes, size_t &written,
-                                   steady_time turnDeadline)
+                                   const write_deadlines &deadlines)
 {
     written = 0;
     std::unique_lock lock(m_mutex);
@@ -58,7 +58,8 @@
         written = bytes.size();
         return io_status::Ok;
     }
-    if (!m_changed.wait_until(lock, turnDeadline, [&] { return slot.isCancelled || canWrite(); })) {
+    if (!m_changed.wait_until(lock, deadlines.turn,
+                              [&] { return slot.isCancelled || canWrite(); })) {
         return io_status::TimedOut;
     }
     if (slot.isCancelled) {
@@ -67,8 +68,8 @@
     // A thread that wrote the held bytes has written all of them, so the order is kept.
     m_isWriting = true;
     lock.unlock();
-    const io_status status =
-        m_hooks.write(bytes, written, std::chrono::steady_clock::now() + m_idleTimeout);
+    const io_status status = m_hooks.write(
+        bytes, written, std::min(std::chrono::steady_clock::now() + m_idleTimeout, deadlines.end));
     lock.lock();
     m_isWriting = false;
     m_changed.notify_all();
--- a/src/persimmonrail/http/response_pipeline.h
+++ b/src/persimmonrail/http/response_pipeline.h
@@ -2,6 +2,7 @@
 
 #include "persimmonrail/http/http_stream.h"
 #include "persimmonrail/http/response_order.h"
+#include "persimmonrail/http/write_deadlines.h"
 
 #include <condition_variable>
 #include <functional>
@@ -62,9 +63,9 @@
     // request must not run, or if no descriptor is free, after which the connection closes.
     request_pointer add(bool isLast);
     // Writes bytes of a response, or holds them. Beyond the bounds, waits until the response is
-    // next, at most until `turnDeadline`. Returns Cancelled if the response is never written.
+    // next. Returns Cancelled if the response is never written.
     io_status write(request &target, std::string_view bytes, size_t &written,
-                    steady_time turnDeadline);
+                    const write_deadlines &deadlines);
     // Ends the response of a request and writes the held responses that are next.
     void finish(request &target, request_end end);
     // Makes the connection close after the response and cancels the requests behind it.
--- a/src/persimmonrail/http/server_exchange.cpp
+++ b/src/persimmonrail/http/server_exchange.cpp
@@ -118,8 +118,9 @@
 io_status server_exchange::writeSome(std::string_view bytes, size_t &written)
 {
     const steady_time idleEnd = std::chrono::steady_clock::now() + m_idleTimeout;
-    return m_hooks.write ? m_hooks.write(bytes, written, m_deadline.value_or(idleEnd))
-                         : m_stream.write(bytes, written, idleEnd);
+    const steady_time end = m_deadline && !m_isResponseReady ? *m_deadline : steady_time::max();
+    return m_hooks.write ? m_hooks.write(bytes, written, {m_deadline.value_or(idleEnd), end})
+                         : m_stream.write(bytes, written, std::min(idleEnd, end));
 }
 
 void server_exchange::closeAfterResponse()
@@ -132,6 +133,7 @@
 
 bool server_exchange::respond(Poco::Net::HTTPResponse &head, std::string_view body)
 {
+    markResponseReady();
     return beginResponse(head, {body_framing::kind::Length, body.size()}) && writeResponse(body)
         && endResponse();
 }
@@ -180,12 +182,16 @@
         return true;
     }
     m_sentBodyBytes += piece.size();
+    m_isResponseReady = m_isResponseReady
+        || (m_responseFraming.type == body_framing::kind::Length
+            && m_sentBodyBytes >= m_responseFraming.length);
     return m_responseFraming.type == body_framing::kind::Chunked ? send(frameChunk(piece))
                                                                  : send(piece);
 }
 
 bool server_exchange::endResponse()
 {
+    markResponseReady();
     if (m_responseFraming.type == body_framing::kind::Chunked && !send(lastChunk)) {
         return false;
     }
--- a/src/persimmonrail/proxy/peer_client.cpp
+++ b/src/persimmonrail/proxy/peer_client.cpp
@@ -412,6 +412,9 @@
     const body_framing sent =
         isComplete ? body_framing{body_framing::kind::Length, first.size()} : framing;
     enterQueueIfLarge(sent.type == body_framing::kind::Length ? sent.length : first.size());
+    if (isComplete) {
+        m_exchange.markResponseReady();
+    }
     return m_exchange.beginResponse(response, sent) && send(first) && (!isComplete || finish());
 }
 
--- a/src/persimmonrail/proxy/request_proxy.cpp
+++ b/src/persimmonrail/proxy/request_proxy.cpp
@@ -217,6 +217,7 @@
         return;
     }
     request->deadline = std::min(request->deadline, m_hooks.shutdownDeadline());
+    exchange.setDeadline(request->deadline);
     const peer_request_guard inFlightGuard(*this, request->requestId);
     dispatch_times times;
     recordArrival(*request);
--- a/src/persimmonrail/proxy/tests/request_proxy_test.cpp
+++ b/src/persimmonrail/proxy/tests/request_proxy_test.cpp
@@ -25,6 +25,8 @@
     // The requests to this upstream end with the reason `failure`.
     std::string failingUpstream = "none";
     proxy_reason failure = proxy_reason::None;
+    // Whether the upstreams respond without end, for up to 15 s.
+    bool isEndless = false;
     std::atomic<int> failedRequests{0};
     std::promise<void> served;
     decision_log log{{log_level::Off, "", 100, false}};
@@ -53,6 +55,10 @@
             }
             Poco::Net::HTTPResponse head;
             head.set(outcomeHeader, "run");
+            if (isEndless) {
+                respondWithoutEnd(exchange, head);
+                return;
+            }
             exchange.respond(head, "whole");
         }));
         exchange_codec codec;
@@ -89,6 +95,15 @@
     }
     ~proxy_site() { callers.reset(); }
 
+    static void respondWithoutEnd(server_exchange &exchange, Poco::Net::HTTPResponse &head)
+    {
+        const steady_time end = std::chrono::steady_clock::now() + 15s;
+        bool isOpen = exchange.beginResponse(head, {body_framing::kind::Chunked, 0});
+        while (isOpen && std::chrono::steady_clock::now() < end) {
+            isOpen = exchange.writeResponse(std::string(maxBodyPieceBytes, 'x'));
+        }
+    }
+
     // Serves one request. With `isClosedFirst`, the caller closes its connection before the proxy
     // serves the request.
     void serve(const std::string &request, bool isClosedFirst)
@@ -135,6 +150,17 @@
     CHECK(site.values.renderText().find("stopping") != std::string::npos);
 }
 
+// Guards against CONFIG: a response without end at a caller that reads nothing of it, which held
+// its request beyond the route's timeout of 2 s.
+TEST_CASE("a response without end is given up at the route's timeout", "[relay]")
+{
+    proxy_site site;
+    site.isEndless = true;
+    const steady_time startedAt = std::chrono::steady_clock::now();
+    site.serve("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false);
+    CHECK(std::chrono::steady_clock::now() - startedAt < 10s);
+}
+
 // All 22 upstreams of a service are full. Guards against hosts that spend their CPU time on
 // rejecting each request 22 times.
 TEST_CASE("a request is sent to few overloaded upstreams", "[relay]")
