Send a rejected request again on another connection

Cause: both attempts of an order had the same id on the same pooled connection, so a late copy of the rejection of the first one was taken for the response to the second, which ran.

The router's dispatcher and the upstream client of persimmonraild name the id.

--- a/src/persimmonrail/http/connection_pool.cpp
+++ b/src/persimmonrail/http/connection_pool.cpp
@@ -33,45 +33,54 @@
     : m_options(options)
 { }
 
-// Removes and returns the connection to the address that became idle last, or null if none became
-// idle after `idleSince`.
-std::unique_ptr<http_stream> connection_pool::acquireIdle(const std::string &address,
-                                                          steady_time idleSince)
+// Removes and returns the connection to the address that became idle last and may carry the
+// request, or nullopt if none of them became idle after `idleSince`.
+std::optional<connection_pool::connection>
+connection_pool::acquireIdle(const std::string &address, steady_time idleSince,
+                             const std::string &requestId, steady_time now)
 {
     const std::lock_guard lock(m_mutex);
     const auto entry = m_byAddress.find(address);
-    if (entry == m_byAddress.end() || entry->second.back()->idleSince <= idleSince) {
-        return nullptr;
+    if (entry == m_byAddress.end()) {
+        return std::nullopt;
     }
-    const idle_list::iterator newest = entry->second.back();
-    std::unique_ptr<http_stream> stream = std::move(newest->stream);
-    m_idle.erase(newest);
-    entry->second.pop_back();
-    if (entry->second.empty()) {
+    auto &idleAtAddress = entry->second;
+    const auto newest =
+        std::find_if(idleAtAddress.rbegin(), idleAtAddress.rend(), [&](const auto &idle) {
+            return !idle->open.rejected.contains(requestId, now);
+        });
+    if (newest == idleAtAddress.rend() || (*newest)->idleSince <= idleSince) {
+        return std::nullopt;
+    }
+    connection open = std::move((*newest)->open);
+    m_idle.erase(*newest);
+    idleAtAddress.erase(std::prev(newest.base()));
+    if (idleAtAddress.empty()) {
         m_byAddress.erase(entry);
     }
-    return stream;
+    return open;
 }
 
-absl::StatusOr<connection_pool::connection> connection_pool::acquire(const std::string &address,
-                                                                     bool repeatable,
-                                                                     steady_time now,
-                                                                     steady_time until)
+absl::StatusOr<connection_pool::connection>
+connection_pool::acquire(const std::string &address, bool repeatable, steady_time now,
+                         steady_time until, const std::string &requestId)
 {
-    auto open = acquireOpen(address, repeatable, now);
+    auto open = acquireOpen(address, repeatable, now, requestId);
     return open.ok() ? std::move(open) : connect(address, until);
 }
 
 absl::StatusOr<connection_pool::connection>
-connection_pool::acquireOpen(const std::string &address, bool repeatable, steady_time now)
+connection_pool::acquireOpen(const std::string &address, bool repeatable, steady_time now,
+                             const std::string &requestId)
 {
     const steady_time idleSince =
         now - (repeatable ? m_options.idleTimeout : m_options.nonRepeatableIdleTimeout);
-    while (std::unique_ptr<http_stream> stream = acquireIdle(address, idleSince)) {
+    while (auto idle = acquireIdle(address, idleSince, requestId, now)) {
         // A connection with input was closed by its peer, or holds bytes that belong to no
         // exchange, and can't be reused.
-        if (!stream->hasInput()) {
-            return connection{address, std::move(stream), true};
+        if (!idle->stream->hasInput()) {
+            idle->reused = true;
+            return std::move(*idle);
         }
     }
     return absl::NotFoundError("no open connection");
@@ -102,7 +111,7 @@
 
 void connection_pool::closeLongestIdle()
 {
-    const auto entry = m_byAddress.find(m_idle.front().address);
+    const auto entry = m_byAddress.find(m_idle.front().open.address);
     entry->second.pop_front();
     if (entry->second.empty()) {
         m_byAddress.erase(entry);
@@ -112,6 +121,9 @@
 
 void connection_pool::release(connection connection, steady_time now)
 {
+    if (connection.rejected.isFull(now)) {
+        return;
+    }
     connection.stream->watchForClose(nullptr);
     connection.stream->releaseBuffer();
     const std::lock_guard lock(m_mutex);
@@ -122,7 +134,7 @@
     }
     auto &idleAtAddress = m_byAddress[connection.address];
     if (idleAtAddress.size() < m_options.maxIdlePerAddress) {
-        m_idle.push_back({connection.address, std::move(connection.stream), now});
+        m_idle.push_back({std::move(connection), now});
         idleAtAddress.push_back(std::prev(m_idle.end()));
     }
 }
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -445,11 +445,11 @@
 {
     const steady_time now = std::chrono::steady_clock::now();
     if (request.needsIdleConnection) {
-        return m_pool->acquireOpen(request.address, true, now);
+        return m_pool->acquireOpen(request.address, true, now, request.requestId);
     }
-    return needsNewConnection
-        ? m_pool->connect(request.address, request.deadline)
-        : m_pool->acquire(request.address, request.repeatable, now, request.deadline);
+    return needsNewConnection ? m_pool->connect(request.address, request.deadline)
+                              : m_pool->acquire(request.address, request.repeatable, now,
+                                                request.deadline, request.requestId);
 }
 
 exchange_result http_client::exchange(const client_request &request, response_sink &sink)
@@ -493,7 +493,11 @@
         const bool isFinished =
             result.state == exchange_state::Complete || result.state == exchange_state::Declined;
         if (isFinished && current.isReusable()) {
-            m_pool->release(std::move(*connection), std::chrono::steady_clock::now());
+            const steady_time now = std::chrono::steady_clock::now();
+            if (result.state == exchange_state::Declined && !request.requestId.empty()) {
+                connection->rejected.record(request.requestId, request.deadline, now);
+            }
+            m_pool->release(std::move(*connection), now);
         }
         return withEarlierAttempts(std::move(result));
     }
--- a/src/persimmonrail/http/http_client.h
+++ b/src/persimmonrail/http/http_client.h
@@ -2,6 +2,7 @@
 
 #include "persimmonrail/http/guarded_fields.h"
 #include "persimmonrail/http/http_stream.h"
+#include "persimmonrail/http/rejected_requests.h"
 
 #include <absl/status/statusor.h>
 
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,23 +50,27 @@
         std::unique_ptr<http_stream> stream;
         // Whether the connection has served an earlier exchange.
         bool reused = false;
+        rejected_requests rejected = {};
     };
 
     explicit connection_pool(const connection_pool_options &options = {});
 
     // Returns an idle connection that its peer has not closed, or establishes a new one.
-    // `repeatable` tells whether the request to be sent may be repeated. Errors:
-    // FailedPrecondition if the peer refuses the connection, Unavailable if no connection can be
-    // established before `until` or within `connectTimeout`.
+    // `repeatable` tells whether the request to be sent may be repeated. A connection on which the
+    // request with the id `requestId` was rejected is left to others. Errors: FailedPrecondition if
+    // the peer refuses the connection, Unavailable if no connection can be established before
+    // `until` or within `connectTimeout`.
     absl::StatusOr<connection> acquire(const std::string &address, bool repeatable, steady_time now,
-                                       steady_time until);
-    // Returns an idle connection that its peer has not closed. Errors: NotFound if there is none.
+                                       steady_time until, const std::string &requestId = {});
+    // Returns an idle connection that its peer has not closed, with the rule of acquire() for
+    // rejected requests. Errors: NotFound if there is none.
     absl::StatusOr<connection> acquireOpen(const std::string &address, bool repeatable,
-                                           steady_time now);
+                                           steady_time now, const std::string &requestId = {});
     // Establishes a new connection, with the errors of acquire().
     absl::StatusOr<connection> connect(const std::string &address, steady_time until);
     // Returns a connection to the pool after a complete exchange. The pool closes the connection
-    // if it keeps `maxIdlePerAddress` connections to the address already.
+    // if it keeps `maxIdlePerAddress` connections to the address already, or if too many requests
+    // were rejected on it.
     void release(connection connection, steady_time now);
     // Closes the idle connections to an address.
     void closeIdle(const std::string &address);
@@ -74,13 +80,13 @@
 private:
     struct idle_connection
     {
-        std::string address;
-        std::unique_ptr<http_stream> stream;
+        connection open;
         steady_time idleSince;
     };
     using idle_list = std::list<idle_connection>;
 
-    std::unique_ptr<http_stream> acquireIdle(const std::string &address, steady_time idleSince);
+    std::optional<connection> acquireIdle(const std::string &address, steady_time idleSince,
+                                          const std::string &requestId, steady_time now);
     void closeLongestIdle();
 
     const connection_pool_options m_options;
@@ -173,6 +179,11 @@
     bool expectContinue = false;
     // Whether the request may be sent again after bytes of it were sent.
     bool repeatable = false;
+    // Id by which `matchesRequest` tells responses to this request from others. If
+    // `acceptsResponse` declines the response, later requests with the id are sent on other
+    // connections until the deadline, since a copy of the declined response may follow it late.
+    // Empty: none.
+    std::string requestId;
     // Asked before the request is sent a second time, on a new connection. With an empty function
     // it may be.
     std::function<bool()> mayResend;
--- a/src/persimmonrail/proxy/tests/dispatcher_site.h
+++ b/src/persimmonrail/proxy/tests/dispatcher_site.h
@@ -31,13 +31,14 @@
     upstream_dispatcher &dispatcher() { return m_dispatcher; }
     // Makes the upstream take no requests for this reason.
     void setRejectReason(proxy_reason reason) { m_rejectReason = reason; }
-    // Sends a request and returns the status of the response; 0 if there was none.
-    std::future<int> send()
+    // Sends a request and returns the status of the response; 0 if there was none. The upstream
+    // gets the id with the path "/ID".
+    std::future<int> send(const std::string &id = "")
     {
-        return std::async(std::launch::async, [address = m_server->address()] {
+        return std::async(std::launch::async, [address = m_server->address(), id] {
             http_client client(std::make_shared<connection_pool>());
             const auto response =
-                simpleRequest(client, address, "GET", "/", "",
+                simpleRequest(client, address, "GET", "/" + id, "",
                               std::chrono::steady_clock::now() + std::chrono::seconds(20));
             return response.ok() ? response->status : 0;
         });
@@ -73,6 +74,7 @@
         const steady_time now = std::chrono::steady_clock::now();
         proxied_request request;
         request.message = exchange.request();
+        request.requestId = exchange.request().getURI().substr(1);
         request.service = "ledger";
         request.route = "r";
         request.upstream = {"i-1", 1};
--- a/src/persimmonrail/proxy/tests/upstream_dispatcher_test.cpp
+++ b/src/persimmonrail/proxy/tests/upstream_dispatcher_test.cpp
@@ -96,6 +96,30 @@
     CHECK(received == sendings);
 }
 
+// Guards against REFUSED: an order that was rejected and sent again, on the connection of the first
+// attempt, was run and answered with a late copy of the rejection, which promises that it was not.
+TEST_CASE("a late copy of a rejection is no answer to a later attempt", "[relay]")
+{
+    const std::string rejection = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+    std::atomic<int> runs{0};
+    scripted_server upstream([&](Poco::Net::StreamSocket &socket, int connection) {
+        for (int i = 0; !readHeadText(socket).empty(); ++i) {
+            const bool isFirst = connection == 0 && i == 0;
+            if (connection == 0) {
+                sendText(socket, rejection);
+            }
+            if (!isFirst) {
+                ++runs;
+                sendText(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            }
+        }
+    });
+    dispatcher_site site(upstream.address());
+    CHECK(site.send("order").get() != 200);
+    CHECK(site.send("order").get() == 200);
+    CHECK(runs == 1);
+}
+
 // Guards against a limit that counts other requests than a cold upstream does: those that it
 // answers with 421 and those that are not sent don't count, and those that are sent again do.
 TEST_CASE("requests count at a cold upstream if it counts them", "[relay][cold]")
--- a/src/persimmonrail/proxy/upstream_dispatcher.cpp
+++ b/src/persimmonrail/proxy/upstream_dispatcher.cpp
@@ -295,6 +295,7 @@
     m_codec.setUpstreamFields(call.message, {target.id.name, left, request.callerService});
     call.body = exchange.framing().type == body_framing::kind::None ? nullptr : &body;
     call.repeatable = request.repeatable;
+    call.requestId = request.requestId;
     call.mayResend = [&] { return mayResend(request, body); };
     call.deadline = request.deadline;
     call.abandonTime = [this] { return m_end.load(); };
--- a/src/persimmonrail/upstream/upstream_client.cpp
+++ b/src/persimmonrail/upstream/upstream_client.cpp
@@ -308,6 +308,7 @@
     }
     exchange.body = request.body;
     exchange.repeatable = request.repeatable;
+    exchange.requestId = request.requestId;
     exchange.deadline = request.deadline;
     if (request.leaseEnd) {
         exchange.sendDeadline = [this, &request] {
