Confirm an upstream's shutdown once the fleet's record says so

Cause: a daemon that had just started answered 200 to the deregistration of an upstream that it did not know and kept nothing of it; what the process before had confirmed was forgotten as well. A late heartbeat then made the upstream ready.

Change: local_upstream remembers announced shutdowns, also before the first report; the member entry says that the upstream has announced its shutdown (shutdown_announced), and a daemon that starts takes it from there. The 200 waits for the entry, at most 800 ms, else 503.

--- a/src/persimmonrail/fleet/fleet_directory.cpp
+++ b/src/persimmonrail/fleet/fleet_directory.cpp
@@ -145,6 +145,20 @@
                });
 }
 
+shutdown_entry findShutdownEntry(const fleet_directory &directory, std::string_view peerAddress,
+                                 const upstream_id &id)
+{
+    if (isSuperseded(directory, peerAddress, id)) {
+        return shutdown_entry::Recorded;
+    }
+    const auto *known = directory.findMember(id.name);
+    if (known == nullptr || known->member.peerAddress != peerAddress) {
+        return shutdown_entry::None;
+    }
+    return known->member.id == id && known->member.hasAnnouncedShutdown ? shutdown_entry::Recorded
+                                                                        : shutdown_entry::Missing;
+}
+
 std::vector<upstream_id> earlierIncarnationsAt(const fleet_directory &directory,
                                                std::string_view peerAddress,
                                                const upstream_id &present)
--- a/src/persimmonrail/fleet/fleet_directory.h
+++ b/src/persimmonrail/fleet/fleet_directory.h
@@ -120,6 +120,18 @@
 bool isSuperseded(const fleet_directory &directory, std::string_view peerAddress,
                   const upstream_id &id);
 
+// What a directory tells about the shutdown that an incarnation has announced to its daemon.
+enum class shutdown_entry {
+    // There is no entry of the upstream at this daemon.
+    None,
+    // The entry says neither that the incarnation shuts down nor that it has ended.
+    Missing,
+    // Whatever it reports, a daemon that knows only the directory sends it no requests.
+    Recorded,
+};
+shutdown_entry findShutdownEntry(const fleet_directory &directory, std::string_view peerAddress,
+                                 const upstream_id &id);
+
 // Returns the members at `peerAddress` that did not start after `present`, have another name and
 // are not shown as terminated by the directory. The returned entries are marked as draining and
 // terminated: a host runs only one upstream at a time, so the upstreams that ran beside the same
--- a/src/persimmonrail/fleet/upstream_member.cpp
+++ b/src/persimmonrail/fleet/upstream_member.cpp
@@ -30,6 +30,9 @@
     object.set("link_mbps", member.host.linkMbps);
     object.set("leaving", member.isDraining);
     object.set("gone", member.isTerminated);
+    if (member.hasAnnouncedShutdown) {
+        object.set("shutdown_announced", true);
+    }
     return renderJson(object);
 }
 
@@ -44,9 +47,10 @@
             member.availabilityZone = textMember(object, "availability_zone");
             member.peerAddress = textMember(object, "peer_address");
             member.slots = integerMember<int>(object, "slots");
-            // Daemons of earlier versions do not write these two fields.
+            // Daemons of earlier versions do not write these three fields.
             member.host.processors = numberMemberOr(object, "processors", 0);
             member.host.linkMbps = numberMemberOr(object, "link_mbps", 0);
+            member.hasAnnouncedShutdown = flagMemberOr(object, "shutdown_announced", false);
             member.isDraining = flagMember(object, "leaving");
             member.isTerminated = flagMember(object, "gone");
             if (member.id.isEmpty() || member.service.empty() || member.slots < 1) {
--- a/src/persimmonrail/fleet/upstream_member.h
+++ b/src/persimmonrail/fleet/upstream_member.h
@@ -80,6 +80,9 @@
     // Whether the upstream has ended. A terminated upstream runs no requests and holds no keys.
     bool isTerminated = false;
     host_resources host = {};
+    // Whether the upstream itself has announced its shutdown, after which it never becomes ready
+    // again. A daemon that was started since knows it from here only.
+    bool hasAnnouncedShutdown = false;
 
     bool operator==(const upstream_member &) const = default;
 };
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -18,6 +18,7 @@
 #include "persimmonrail/router/zone_load_monitor.h"
 
 #include <atomic>
+#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -82,10 +83,33 @@
     void restrictToAdmission(local_upstream_state &target, steady_time now) const;
 
     // Upstream.
+    // What became of a message from the local upstream.
+    enum class report_effect {
+        // It names no known incarnation.
+        NotApplied,
+        // It is of another incarnation than the present one, or older than its newest message.
+        Late,
+        Current,
+    };
     void serveReport(server_exchange &exchange);
+    // Applies a message, and completes the id of a departure.
+    report_effect applyReport(upstream_message &message, steady_time arrivedAt, steady_time now);
+    // Returns the keys that the response to a heartbeat grants.
+    std::optional<holdings> takeHoldings(const upstream_message &message, report_effect effect,
+                                         boot_time receivedAt);
     // Returns whether the message is about the upstream that the settings name. A departure names
     // only an id, which is compared with that of the present incarnation.
     bool isFromLocalUpstream(const upstream_message &message) const;
+    // Completes the id of a departure that states no start time. Returns false if it names an
+    // incarnation that is unknown.
+    bool resolveDeparture(upstream_id &id) const;
+    // Waits until the fleet knows that the incarnation shuts down, so that also a daemon that is
+    // started later does. Returns false if that takes longer than a confirmation may.
+    bool awaitShutdownEntry(const upstream_id &id);
+    // Takes what the directory says about an upstream beside this daemon.
+    void takeMemberEntry(const std::string &upstream, steady_time now);
+    // Publishes an announced shutdown at once, since its sender waits.
+    void publishShutdown(steady_time now);
     // Returns whether the message is from the present incarnation and newer than the ones before.
     bool onUpstreamMessage(const upstream_message &message, steady_time now);
     std::string encodeWithinBound(std::optional<holdings> holdings);
@@ -180,6 +204,8 @@
     mutable std::mutex m_mutex;
     std::shared_ptr<const route_table> m_routes;
     std::shared_ptr<const fleet_directory> m_directory;
+    // Notified when m_directory changes.
+    std::condition_variable m_directoryChanged;
     bool m_isDirectoryListed = false;
     // When m_routes was received, when the store or a relay last confirmed m_directory, and when
     // the evacuations were last received.
--- a/src/persimmonrail/router/router_state_store.cpp
+++ b/src/persimmonrail/router/router_state_store.cpp
@@ -199,6 +199,7 @@
         m_directory = directory;
         hasUnknownZones = m_evacuation.hasUnknownZones();
     }
+    m_directoryChanged.notify_all();
     if (directory->epoch() != previousEpoch) {
         logEvent("store-epoch",
                  absl::StrCat("epoch=", directory->epoch(), " previous=", previousEpoch));
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds repeatMarkInterval{10000};
 constexpr size_t maxReportBytes = 64 * 1024;
 constexpr milliseconds reportTimeout{2000};
+// Longest wait for the entry of a shutdown before its announcement is answered. An upstream takes a
+// later answer for none.
+constexpr milliseconds shutdownEntryTimeout{800};
 
 } // namespace
 
@@ -32,7 +35,7 @@
     }
     const boot_time receivedAt = bootNow();
     const steady_time reportedAt = std::chrono::steady_clock::now();
-    const auto message = m_platform.parseReport(exchange.request().getURI(), body);
+    auto message = m_platform.parseReport(exchange.request().getURI(), body);
     if (!message.ok()) {
         m_log.write(log_level::Warn,
                     absl::StrCat("report ignored reason=", message.status().ToString()));
@@ -52,19 +55,113 @@
                     absl::StrCat("report holdings malformed=", message->holdings->malformedCount));
     }
     // The acknowledgement is binding, so the daemon applies the message before it responds.
+    const bool isLeaving = message->isDeparture || message->report.isDraining;
+    report_effect effect = report_effect::NotApplied;
     std::optional<holdings> holdings;
     m_loop.postAndWait([&](steady_time now) {
-        const bool isCurrent = onUpstreamMessage(*message, now);
-        if (isCurrent && !message->isDeparture) {
-            m_coldWatch->onReport(message->report.warmUpRemaining, reportedAt, now);
-        }
-        if (isCurrent && message->holdings) {
-            holdings = m_ranges->onHeartbeat(*message->holdings, receivedAt);
+        effect = applyReport(*message, reportedAt, now);
+        if (!isLeaving) {
+            holdings = takeHoldings(*message, effect, receivedAt);
         }
     });
+    if (effect == report_effect::NotApplied
+        || (isLeaving && !awaitShutdownEntry(message->report.id))) {
+        m_log.write(log_level::Warn,
+                    absl::StrCat("report not-confirmed upstream=", toString(message->report.id),
+                                 " reason=",
+                                 effect == report_effect::NotApplied ? "not-applied" : "no-entry"));
+        m_metrics.count("persimmonrail_reports_not_confirmed_total");
+        exchange.respond(503, "{}", "application/json");
+        return;
+    }
+    if (isLeaving) {
+        m_loop.postAndWait(
+            [&](steady_time) { holdings = takeHoldings(*message, effect, bootNow()); });
+    }
     exchange.respond(200, encodeWithinBound(std::move(holdings)), "application/json");
 }
 
+router::state::report_effect router::state::applyReport(upstream_message &message,
+                                                        steady_time arrivedAt, steady_time now)
+{
+    if (message.isDeparture && !resolveDeparture(message.report.id)) {
+        return report_effect::NotApplied;
+    }
+    const bool isCurrent = onUpstreamMessage(message, now);
+    if (message.isDeparture || message.report.isDraining) {
+        publishShutdown(now);
+    }
+    if (isCurrent && !message.isDeparture) {
+        m_coldWatch->onReport(message.report.warmUpRemaining, arrivedAt, now);
+    }
+    return isCurrent ? report_effect::Current : report_effect::Late;
+}
+
+std::optional<holdings> router::state::takeHoldings(const upstream_message &message,
+                                                    report_effect effect, boot_time receivedAt)
+{
+    return effect == report_effect::Current && message.holdings
+        ? m_ranges->onHeartbeat(*message.holdings, receivedAt)
+        : std::nullopt;
+}
+
+bool router::state::resolveDeparture(upstream_id &id) const
+{
+    if (id.startedAt == 0 && m_upstream.report() && m_upstream.report()->id.name == id.name) {
+        id = m_upstream.report()->id;
+    }
+    if (id.startedAt == 0) {
+        const std::lock_guard lock(m_mutex);
+        const auto *known = m_directory->findMember(id.name);
+        if (known != nullptr && known->member.peerAddress == m_settings.peerAddress) {
+            id = known->member.id;
+        }
+    }
+    return id.startedAt != 0;
+}
+
+bool router::state::awaitShutdownEntry(const upstream_id &id)
+{
+    const auto isRecorded = [&] {
+        return m_isDirectoryListed
+            && findShutdownEntry(*m_directory, m_settings.peerAddress, id)
+            == shutdown_entry::Recorded;
+    };
+    std::unique_lock lock(m_mutex);
+    return m_directoryChanged.wait_for(lock, shutdownEntryTimeout, isRecorded);
+}
+
+void router::state::takeMemberEntry(const std::string &upstream, steady_time now)
+{
+    std::shared_ptr<const fleet_directory> directory;
+    {
+        const std::lock_guard lock(m_mutex);
+        directory = m_directory;
+    }
+    const auto *known = directory->findMember(upstream);
+    if (known == nullptr || known->member.peerAddress != m_settings.peerAddress
+        || isSuperseded(*directory, m_settings.peerAddress, known->member.id)) {
+        return;
+    }
+    if (m_upstream.onMemberEntry(known->recorded(), m_settings.upstreamAddress, now)
+        == local_upstream::verdict::Changed) {
+        onUpstreamChanged("member-entry", now);
+    }
+}
+
+void router::state::publishShutdown(steady_time now)
+{
+    std::shared_ptr<const fleet_directory> directory;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_isDirectoryListed) {
+            return;
+        }
+        directory = m_directory;
+    }
+    publishMembers(*directory, now);
+}
+
 // The settings name the service and the address of the only upstream on this host, so a report that
 // names others is not about that upstream.
 bool router::state::isFromLocalUpstream(const upstream_message &message) const
@@ -99,11 +196,17 @@
                     absl::StrCat("report late upstream=", toString(message.report.id)));
         return false;
     }
+    takeMemberEntry(message.report.id.name, now);
     const std::optional<upstream_report> before = m_upstream.report();
     const upstream_phase phaseBefore = m_upstream.phase();
     const local_upstream::verdict verdict = message.isDeparture
         ? m_upstream.onShutdownAnnounced(message.report.id, now)
         : m_upstream.onReport(message.report, now);
+    if (verdict == local_upstream::verdict::Remembered) {
+        m_log.write(log_level::Info,
+                    absl::StrCat("shutdown remembered upstream=", toString(message.report.id)));
+        return false;
+    }
     if (verdict == local_upstream::verdict::Stale) {
         m_log.write(log_level::Info,
                     absl::StrCat("report stale upstream=", toString(message.report.id),
@@ -163,6 +266,7 @@
     member.host = {m_settings.processorShare * m_settings.processorSpeed, m_settings.linkMbps};
     member.isTerminated = m_upstream.phase() == upstream_phase::Absent;
     member.isDraining = !m_upstream.acceptsRequests() || m_isStopping;
+    member.hasAnnouncedShutdown = m_upstream.hasAnnouncedShutdown(report.id);
     return member;
 }
 
@@ -231,6 +335,9 @@
 void router::state::publishMembers(const fleet_directory &directory, steady_time now)
 {
     forgetSupersededUpstream();
+    for (const std::string &upstream : m_upstream.names()) {
+        takeMemberEntry(upstream, now);
+    }
     bool areReleased = true;
     for (const upstream_id &id : endedIncarnations(directory)) {
         areReleased = m_ranges->releaseEnded(id) && areReleased;
