Answer 504 if a long response begins after its deadline; split serveReport

Cause: a long response whose first 64 KB had arrived late was begun and broken off at once, so its caller got a closed connection in place of the 504 of the daemon. serveReport read, checked, applied and confirmed in one function.

Change: http_client begins no incomplete response at the sink after the deadline. router::state::readReport reads and checks a report.

--- a/src/persimmonrail/fleet/local_upstream.cpp
+++ b/src/persimmonrail/fleet/local_upstream.cpp
@@ -82,9 +82,10 @@
         rememberShutdown(entry.id);
     }
     if (m_report) {
-        return m_phase != upstream_phase::Draining && hasAnnouncedShutdown(m_report->id)
-            ? drain(now)
-            : verdict::Unchanged;
+        const bool mayGetRequests =
+            m_phase == upstream_phase::Ready || m_phase == upstream_phase::Silent;
+        return mayGetRequests && hasAnnouncedShutdown(m_report->id) ? drain(now)
+                                                                    : verdict::Unchanged;
     }
     if (entry.isTerminated || !hasAnnouncedShutdown(entry.id)) {
         return verdict::Unchanged;
--- a/src/persimmonrail/http/http_client.cpp
+++ b/src/persimmonrail/http/http_client.cpp
@@ -340,6 +340,12 @@
             }
             first += piece;
             if (first.size() >= maxBodyPieceBytes && !reader.isComplete()) {
+                if (std::chrono::steady_clock::now() >= m_request.deadline) {
+                    // The sink would break off what it has begun.
+                    m_isReusable = false;
+                    failIo(io_status::TimedOut, exchange_state::Truncated);
+                    return;
+                }
                 hasBegun = m_result.responseStarted = true;
                 if (!m_sink.begin(m_result.head, forwardedFraming(), first, false)) {
                     return failSink();
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -91,6 +91,8 @@
         Late,
         Current,
     };
+    // Reads a report. If it is malformed or of another upstream, rejects it and returns nullopt.
+    std::optional<upstream_message> readReport(server_exchange &exchange);
     void serveReport(server_exchange &exchange);
     // Applies a message, and completes the id of a departure.
     report_effect applyReport(upstream_message &message, steady_time arrivedAt, steady_time now);
--- a/src/persimmonrail/router/router_state_upstream.cpp
+++ b/src/persimmonrail/router/router_state_upstream.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-void router::state::serveReport(server_exchange &exchange)
+std::optional<upstream_message> router::state::readReport(server_exchange &exchange)
 {
     std::string body;
     const io_status status =
@@ -31,16 +31,14 @@
     if (status != io_status::Ok) {
         exchange.closeAfterResponse();
         exchange.respond(400, "", "text/plain");
-        return;
+        return std::nullopt;
     }
-    const boot_time receivedAt = bootNow();
-    const steady_time reportedAt = std::chrono::steady_clock::now();
     auto message = m_platform.parseReport(exchange.request().getURI(), body);
     if (!message.ok()) {
         m_log.write(log_level::Warn,
                     absl::StrCat("report ignored reason=", message.status().ToString()));
         exchange.respond(400, "{}", "application/json");
-        return;
+        return std::nullopt;
     }
     if (!isFromLocalUpstream(*message)) {
         m_log.write(log_level::Warn,
@@ -48,12 +46,23 @@
                                  toString(message->report.id), " service=", message->report.service,
                                  " address=", message->report.address));
         exchange.respond(400, "{}", "application/json");
-        return;
+        return std::nullopt;
     }
     if (message->holdings && message->holdings->malformedCount > 0) {
         m_log.write(log_level::Warn,
                     absl::StrCat("report holdings malformed=", message->holdings->malformedCount));
     }
+    return *std::move(message);
+}
+
+void router::state::serveReport(server_exchange &exchange)
+{
+    std::optional<upstream_message> message = readReport(exchange);
+    if (!message) {
+        return;
+    }
+    const boot_time receivedAt = bootNow();
+    const steady_time reportedAt = std::chrono::steady_clock::now();
     // The acknowledgement is binding, so the daemon applies the message before it responds.
     const bool isLeaving = message->isDeparture || message->report.isDraining;
     report_effect effect = report_effect::NotApplied;
@@ -64,17 +73,17 @@
             holdings = takeHoldings(*message, effect, receivedAt);
         }
     });
-    if (effect == report_effect::NotApplied
-        || (isLeaving && !awaitShutdownEntry(message->report.id))) {
+    const bool isApplied = effect != report_effect::NotApplied;
+    if (!isApplied || (isLeaving && !awaitShutdownEntry(message->report.id))) {
         m_log.write(log_level::Warn,
                     absl::StrCat("report not-confirmed upstream=", toString(message->report.id),
-                                 " reason=",
-                                 effect == report_effect::NotApplied ? "not-applied" : "no-entry"));
+                                 " reason=", isApplied ? "no-entry" : "not-applied"));
         m_metrics.count("persimmonrail_reports_not_confirmed_total");
         exchange.respond(503, "{}", "application/json");
         return;
     }
     if (isLeaving) {
+        // The time of the grants must not begin before the wait for the entry.
         m_loop.postAndWait(
             [&](steady_time) { holdings = takeHoldings(*message, effect, bootNow()); });
     }
