Review case 14: a pause within a trailer cuts a whole response

Cause: the reading of a trailer is resumed as the header of a chunk after a second without progress.

--- a/review/site-3/site.cpp
+++ b/review/site-3/site.cpp
@@ -309,6 +309,12 @@
     m_extra = std::move(extra);
 }
 
+void instance::setResponder(std::function<bool(connection &to, const message &request)> respond)
+{
+    const std::lock_guard lock(m_mutex);
+    m_respond = std::move(respond);
+}
+
 std::vector<run> instance::runs()
 {
     const std::lock_guard lock(m_mutex);
@@ -375,6 +381,16 @@
     }
     m_log.write(m_options.id + " runs " + id);
     std::this_thread::sleep_for(m_options.work);
+    std::function<bool(connection & to, const message &request)> respond;
+    {
+        const std::lock_guard lock(m_mutex);
+        respond = m_respond;
+    }
+    if (respond) {
+        const bool isOpen = respond(from, request);
+        end();
+        return isOpen;
+    }
     end();
     const std::string body = "result of " + id + " at " + m_options.id + "\n";
     const bool isOpen = from.write(render(makeResponse(
--- a/review/site-3/site.h
+++ b/review/site-3/site.h
@@ -106,6 +106,9 @@
     // If `extra` returns bytes after a run, they are sent late: on the same connection, when the
     // next request has arrived there.
     void sendExtra(std::function<std::string(const std::string &requestId)> extra);
+    // From now on `respond` sends the response to each request that has been run, and returns
+    // whether the connection stays open.
+    void setResponder(std::function<bool(connection &to, const message &request)> respond);
     std::vector<run> runs();
     int runningCount();
 
@@ -125,6 +128,7 @@
     bool m_isStopping = false;
     std::vector<run> m_runs;
     std::function<std::string(const std::string &requestId)> m_extra;
+    std::function<bool(connection &to, const message &request)> m_respond;
     // Bytes that are due on a connection.
     std::map<const connection *, std::string> m_due;
     std::unique_ptr<server> m_server;
