--- a/review/site-3/site.cpp
+++ b/review/site-3/site.cpp
@@ -122,6 +122,32 @@
     m_isLost = std::move(isLost);
 }
 
+void store::copyContent()
+{
+    const std::lock_guard lock(m_mutex);
+    m_copy = {m_revision, m_objects, m_history};
+    m_log.write("the store's content is copied at revision " + std::to_string(m_revision));
+}
+
+void store::goAway()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isAway = true;
+    m_changed.notify_all();
+    m_log.write("the store is away");
+}
+
+void store::returnFromCopy()
+{
+    const std::lock_guard lock(m_mutex);
+    m_revision = m_copy.revision;
+    m_objects = m_copy.objects;
+    m_history = m_copy.history;
+    ++m_era;
+    m_isAway = false;
+    m_log.write("the store is back from its copy, revision " + std::to_string(m_revision));
+}
+
 void store::storeObject(const std::string &kind, const std::string &name,
                         const std::string &specification, bool isRemoval)
 {
@@ -144,10 +170,14 @@
 
 bool store::serve(connection &from, const message &call)
 {
-    const message response = respond(call);
+    message response = respond(call);
     bool isLost = false;
     {
         const std::lock_guard lock(m_mutex);
+        if (m_isAway) {
+            response = json(503, "{}");
+        }
+        response.fields.emplace_back("Store-Era", std::to_string(m_era));
         isLost = m_isLost && m_isLost(call);
     }
     if (!isLost) {
@@ -179,6 +209,9 @@
                      milliseconds(std::atoi(queryValue(target, "waitMs").c_str())));
     }
     const std::lock_guard lock(m_mutex);
+    if (m_isAway) {
+        return json(503, "{}");
+    }
     return call.word(0) == "GET" ? read(kind, name) : write(kind, name, call);
 }
 
@@ -188,8 +221,11 @@
     const auto isNew = [&](const change &each) {
         return each.kind == kind && each.revision > revision;
     };
+    if (revision > m_revision) {
+        return json(410, "{}");
+    }
     m_changed.wait_for(lock, wait, [&] {
-        return m_isStopping || std::any_of(m_history.begin(), m_history.end(), isNew);
+        return m_isStopping || m_isAway || std::any_of(m_history.begin(), m_history.end(), isNew);
     });
     std::string events;
     for (const change &each : m_history) {
@@ -280,29 +316,51 @@
 
 void instance::reportTo(const std::string &controlAddress)
 {
+    m_isReporting = true;
     m_beats = std::thread([this, controlAddress] { beat(controlAddress); });
 }
 
+void instance::stopReports()
+{
+    m_isReporting = false;
+}
+
 void instance::beat(const std::string &controlAddress)
 {
     int sequence = 0;
     std::unique_lock lock(m_mutex);
-    while (!m_isStopping) {
+    while (!m_isStopping && m_isReporting) {
         lock.unlock();
-        const std::string body = R"({"service":")" + m_options.service + R"(","address":")"
-            + address() + R"(","zone":")" + m_options.zone + R"(","version":"v1","slots":)"
-            + std::to_string(m_options.slots) + R"(,"state":"ready","coldRemaining":"0ms",)"
-            + R"("sequence":)" + std::to_string(++sequence) + R"(,"born":)" + std::to_string(m_born)
-            + "}";
-        exchange(controlAddress,
-                 makeRequest("POST", "/rpc?call=instances.heartbeat&of=" + m_options.id,
-                             controlAddress, {{"Content-Type", "application/json"}}, body),
-                 beatTimeout);
+        report(controlAddress, ++sequence);
         lock.lock();
         m_freed.wait_for(lock, beatInterval, [this] { return m_isStopping; });
     }
 }
 
+int instance::report(const std::string &controlAddress, int sequence)
+{
+    const std::string body = R"({"service":")" + m_options.service + R"(","address":")" + address()
+        + R"(","zone":")" + m_options.zone + R"(","version":"v1","slots":)"
+        + std::to_string(m_options.slots) + R"(,"state":"ready","coldRemaining":"0ms",)"
+        + R"("sequence":)" + std::to_string(sequence) + R"(,"born":)" + std::to_string(m_born)
+        + "}";
+    return exchange(controlAddress,
+                    makeRequest("POST", "/rpc?call=instances.heartbeat&of=" + m_options.id,
+                                controlAddress, {{"Content-Type", "application/json"}}, body),
+                    beatTimeout)
+        .status();
+}
+
+int instance::deregister(const std::string &controlAddress)
+{
+    return exchange(controlAddress,
+                    makeRequest("POST", "/rpc?call=instances.deregister&of=" + m_options.id,
+                                controlAddress, {{"Content-Type", "application/json"}},
+                                R"({"born":)" + std::to_string(m_born) + "}"),
+                    beatTimeout)
+        .status();
+}
+
 void instance::sendExtra(std::function<std::string(const std::string &requestId)> extra)
 {
     const std::lock_guard lock(m_mutex);
@@ -412,18 +470,23 @@
     , m_path(folder + "/" + name + ".settings")
 {
     writeSettings({});
-    const std::string logPath = folder + "/" + name + ".log";
+    start();
+    m_app.reportTo(m_control);
+}
+
+void machine::start()
+{
+    const std::string logPath = m_path + ".log";
     m_process = ::fork();
     if (m_process == 0) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        const int output = ::open(logPath.c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0644);
+        const int output = ::open(logPath.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
         ::dup2(output, 1);
         ::dup2(output, 2);
         ::setenv("PERSIMMONRAIL_NODE_FILE", m_path.c_str(), 1);
         ::execl("target/persimmonrail-sidecar", "target/persimmonrail-sidecar", nullptr);
         ::_exit(127);
     }
-    m_app.reportTo(m_control);
 }
 
 machine::~machine()
--- a/review/site-3/site.h
+++ b/review/site-3/site.h
@@ -40,6 +40,13 @@
     // From now on the response to a call is lost if `isLost` says so. Nothing further is returned
     // on its connection, which stays open.
     void loseResponses(std::function<bool(const message &call)> isLost);
+    // Keeps a copy of the content, its revisions and its history.
+    void copyContent();
+    // From now on all calls are answered 503, which means that nothing was done, and waiting
+    // watches are cut off.
+    void goAway();
+    // Serves again, with the content of the copy; the era rises by one.
+    void returnFromCopy();
 
 private:
     struct object
@@ -67,10 +74,19 @@
     record &m_log;
     std::mutex m_mutex;
     std::condition_variable m_changed;
+    struct content
+    {
+        uint64_t revision = 1;
+        std::map<std::string, std::map<std::string, object>> objects;
+        std::vector<change> history;
+    };
     bool m_isStopping = false;
+    bool m_isAway = false;
+    int m_era = 1;
     uint64_t m_revision = 1;
     std::map<std::string, std::map<std::string, object>> m_objects;
     std::vector<change> m_history;
+    content m_copy;
     std::function<bool(const message &call)> m_isLost;
     std::unique_ptr<server> m_server;
 };
@@ -103,6 +119,12 @@
     const options &settings() const { return m_options; }
     // Starts to send heartbeats to the address every 870 ms.
     void reportTo(const std::string &controlAddress);
+    // Ends the heartbeats.
+    void stopReports();
+    // Sends one heartbeat and returns the status of the response; 0 without one.
+    int report(const std::string &controlAddress, int sequence);
+    // Announces the shutdown by a deregistration and returns the status of the response.
+    int deregister(const std::string &controlAddress);
     // If `extra` returns bytes after a run, they are sent late: on the same connection, when the
     // next request has arrived there.
     void sendExtra(std::function<std::string(const std::string &requestId)> extra);
@@ -132,6 +154,7 @@
     // Bytes that are due on a connection.
     std::map<const connection *, std::string> m_due;
     std::unique_ptr<server> m_server;
+    std::atomic<bool> m_isReporting{false};
     std::thread m_beats;
 };
 
@@ -149,11 +172,14 @@
             const std::string &folder, record &log);
     ~machine();
     const std::string &outbound() const { return m_outbound; }
+    const std::string &control() const { return m_control; }
     const std::string &name() const { return m_name; }
     bool isReady() const;
     // Writes the settings file, as the platform does.
     void writeSettings(const machine_settings &settings);
     void signal(int number);
+    // Starts the daemon again after it has ended.
+    void start();
     // Waits until the daemon has ended. Returns whether it has.
     bool awaitEnd(milliseconds timeout);
 
