List what a daemon follows when a watch of it is doubted

Cause: object_watcher took "no response yet" for "nothing has changed" for as long as it had asked the store to wait. The connection of a lost response is alive, so keep-alive shows nothing, and no other daemon told it of a newer version.

Change: what a daemon knows is doubted after 2 s without a confirmation, or 250 ms after its relay told of a newer version, and is listed beside the watch that waits. The watch of the fleet confirms it without a call if its responses explain all revisions of the store. Relays send the version of the newest change, and the age of their own confirmation, with the fleet's changes. The age is a metric.

--- a/src/persimmonrail/feed/change_feed.cpp
+++ b/src/persimmonrail/feed/change_feed.cpp
@@ -90,6 +90,18 @@
     m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
 }
 
+void change_feed::notice(const std::string &prefix, uint64_t version, boot_time confirmedAt)
+{
+    const std::lock_guard lock(m_mutex);
+    known_change &known = m_noticed[prefix];
+    known.confirmedAt = std::max(known.confirmedAt, confirmedAt);
+    if (version > known.version) {
+        known.version = version;
+        ++m_position;
+        m_changed.notify_all();
+    }
+}
+
 feed_changes change_feed::collectChanges(uint64_t position, uint64_t revision, boot_time now) const
 {
     feed_changes result;
@@ -101,6 +113,10 @@
             result.changes.objects.push_back(stored.object);
         }
     }
+    for (const auto &[prefix, known] : m_noticed) {
+        result.notices.push_back(
+            {prefix, known.version, std::chrono::ceil<milliseconds>(now - known.confirmedAt)});
+    }
     return result;
 }
 
--- a/src/persimmonrail/feed/change_feed.h
+++ b/src/persimmonrail/feed/change_feed.h
@@ -2,6 +2,7 @@
 
 #include "persimmonrail/base/boot_clock.h"
 #include "persimmonrail/base/clock.h"
+#include "persimmonrail/feed/change_notice.h"
 #include "persimmonrail/objects/object_api.h"
 
 #include <absl/status/statusor.h>
@@ -11,6 +12,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace persimmonrail {
 
@@ -31,6 +33,8 @@
     object_list changes;
     // Cursor from which the follower continues.
     feed_cursor cursor;
+    // What the feed's daemon knows of the objects that are not in the feed.
+    std::vector<change_notice> notices = {};
 };
 
 // This daemon's copy of the objects under one prefix of the store. Other daemons ("followers") read
@@ -61,6 +65,10 @@
     // Records that the store certainly held the feed's content at `confirmedAt`. Must be called
     // after the content was applied.
     void confirm(boot_time confirmedAt);
+    // Records what this daemon knows of the objects under another prefix: the version of the newest
+    // change, and when the store showed that there was no newer one. A newer version ends the waits
+    // of the followers.
+    void notice(const std::string &prefix, uint64_t version, boot_time confirmedAt);
 
     // Returns the changes after `cursor`, with their age at `now`, when the follower's call
     // arrived. If there are none, waits for one until `until` and returns no changes if the wait
@@ -81,6 +89,11 @@
         // Position of the object's latest change.
         uint64_t position = 0;
     };
+    struct known_change
+    {
+        uint64_t version = 0;
+        boot_time confirmedAt{};
+    };
     // The following functions require m_mutex to be held.
     // Adds or replaces an object, unless the known one is as new or the feed has the listing of a
     // newer epoch of the store.
@@ -92,8 +105,10 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, entry> m_entries;
+    // The newest changes under other prefixes.
+    std::map<std::string, known_change> m_noticed;
     uint64_t m_id;
-    // Number of changes of objects that the feed has applied.
+    // Number of changes that the feed has applied or noticed.
     uint64_t m_position = 0;
     uint64_t m_revision = 0;
     // When the store certainly held the feed's content.
--- a/src/persimmonrail/feed/relayed_watch.cpp
+++ b/src/persimmonrail/feed/relayed_watch.cpp
@@ -5,6 +5,7 @@
 #include "persimmonrail/http/http_client.h"
 #include "persimmonrail/objects/object_list_codec.h"
 
+#include <Poco/JSON/Array.h>
 #include <Poco/URI.h>
 
 #include <absl/strings/numbers.h>
@@ -34,6 +35,19 @@
     milliseconds wait{0};
 };
 
+Poco::JSON::Array encodeNotices(const std::vector<change_notice> &notices)
+{
+    Poco::JSON::Array array;
+    for (const change_notice &notice : notices) {
+        Poco::JSON::Object object;
+        object.set("prefix", notice.prefix);
+        object.set("version", notice.version);
+        object.set("age_ms", notice.age.count());
+        array.add(object);
+    }
+    return array;
+}
+
 // The age counts from the request, so it is negative if the store responded while the relay waited.
 // Throws a Poco::Exception if the member is missing or of another type.
 milliseconds parseAge(const Poco::JSON::Object &object)
@@ -42,6 +56,22 @@
     return std::clamp(age, -maxAge, maxAge);
 }
 
+// Returns nothing if the member is missing, as in responses of daemons that send no notices. Throws
+// a Poco::Exception if a notice is malformed.
+std::vector<change_notice> parseNotices(const Poco::JSON::Object &object)
+{
+    std::vector<change_notice> notices;
+    const Poco::JSON::Array::Ptr array = object.getArray("notices");
+    for (size_t i = 0; array && i < array->size(); ++i) {
+        const Poco::JSON::Object::Ptr notice = array->getObject(i);
+        if (notice) {
+            notices.push_back({textMember(*notice, "prefix"),
+                               integerMember<uint64_t>(*notice, "version"), parseAge(*notice)});
+        }
+    }
+    return notices;
+}
+
 std::string encodeQuery(const changes_query &query)
 {
     return absl::StrCat(changesPath, "?feed=", query.cursor.feed,
@@ -81,7 +111,8 @@
             list->age = object.has("age_ms") ? std::optional(parseAge(object)) : std::nullopt;
             return feed_changes{std::move(*list),
                                 {integerMember<uint64_t>(object, "feed"),
-                                 integerMember<uint64_t>(object, "position")}};
+                                 integerMember<uint64_t>(object, "position")},
+                                parseNotices(object)};
         });
 }
 
@@ -122,23 +153,30 @@
     }
 
 private:
-    static constexpr char storeSource[] = "store";
-
     // Requests the changes after the cursor if the relay is the current source, otherwise those
     // after `revision`. Errors: OutOfRange if the store must be listed.
     absl::StatusOr<feed_changes> fetchChanges(const std::string &address, uint64_t revision)
     {
         const feed_cursor cursor = address == m_source ? m_cursor : feed_cursor();
         const std::string uri = encodeQuery({cursor, revision, m_options.relayWaitTimeout});
+        const boot_time sentAt = bootNow();
         const auto response =
             simpleRequest(m_client, address, "GET", uri, "",
                           m_hooks.now() + m_options.relayWaitTimeout + m_options.responseTimeout);
         if (!response.ok()) {
             return absl::UnavailableError(response.status().message());
         }
-        return response->status == 200 ? parseChanges(response->body)
-                                       : absl::UnavailableError(absl::StrCat(
-                                           "the relay responded with status ", response->status));
+        if (response->status != 200) {
+            return absl::UnavailableError(
+                absl::StrCat("the relay responded with status ", response->status));
+        }
+        auto changes = parseChanges(response->body);
+        if (changes.ok() && m_hooks.onNotice) {
+            for (const change_notice &notice : changes->notices) {
+                m_hooks.onNotice(notice, sentAt);
+            }
+        }
+        return changes;
     }
 
     // Sets the source and the cursor of the next request and reports a change of the source.
@@ -239,6 +277,7 @@
     Poco::JSON::Object object = encodeObjectList(changes->changes);
     object.set("feed", changes->cursor.feed);
     object.set("position", changes->cursor.position);
+    object.set("notices", encodeNotices(changes->notices));
     if (const auto age = changes->changes.age) {
         // 0 would stand for a response of the store itself.
         object.set("age_ms", age->count() == 0 ? 1 : age->count());
--- a/src/persimmonrail/feed/relayed_watch.h
+++ b/src/persimmonrail/feed/relayed_watch.h
@@ -33,14 +33,21 @@
     milliseconds minStoreWatchInterval{150};
 };
 
+// Name of the store as a source of changes.
+inline constexpr char storeSource[] = "store";
+
 struct relayed_watch_hooks
 {
     // Returns the addresses of the relays' peer ports in the order in which the relays are asked;
     // empty if this daemon watches the store itself.
     std::function<std::vector<std::string>()> relays;
     // Called when the source of changes differs from the previous one. `source` is the address of a
-    // relay's peer port, or "store". `reason` is the error of the last relay that failed, or OK.
+    // relay's peer port, or storeSource. `reason` is the error of the last relay that failed, or
+    // OK.
     std::function<void(std::string_view source, const absl::Status &reason)> onSourceChanged;
+    // Called for each notice in the response of a relay to a request that was sent at `sentAt`.
+    // Optional.
+    std::function<void(const change_notice &notice, boot_time sentAt)> onNotice;
     std::function<steady_time()> now;
     // Blocks for `time`.
     std::function<void(milliseconds time)> pause;
--- a/src/persimmonrail/feed/tests/relayed_watch_test.cpp
+++ b/src/persimmonrail/feed/tests/relayed_watch_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <set>
+#include <thread>
 
 using namespace persimmonrail;
 using namespace std::chrono_literals;
@@ -26,6 +27,7 @@
     std::vector<std::string> sources;
     std::vector<milliseconds> storeWaits;
     std::vector<milliseconds> pauses;
+    std::vector<change_notice> notices;
     absl::StatusOr<object_list> storeResult = object_list{30, {}};
     milliseconds clockOffset{0};
     object_api follower;
@@ -51,6 +53,9 @@
         hooks.onSourceChanged = [this](std::string_view source, const absl::Status &) {
             sources.emplace_back(source);
         };
+        hooks.onNotice = [this](const change_notice &notice, boot_time) {
+            notices.push_back(notice);
+        };
         hooks.now = [this] { return std::chrono::steady_clock::now() + clockOffset; };
         hooks.pause = [this](milliseconds time) { pauses.push_back(time); };
         relayed_watch_options options;
@@ -112,6 +117,57 @@
     CHECK(fixture.storeWaits.empty());
 }
 
+// Guards against followers that learn of a change only from a response that was lost.
+TEST_CASE("a relay tells its followers of changes that they read elsewhere", "[feed]")
+{
+    relay_fixture fixture;
+    REQUIRE(fixture.watch().ok());
+    CHECK(fixture.notices.empty());
+    fixture.feed.notice("config/", 25, bootNow() - 3s);
+    const auto changes = fixture.watch();
+    REQUIRE(changes.ok());
+    CHECK(changes->objects.empty());
+    REQUIRE(fixture.notices.size() == 1);
+    CHECK(fixture.notices[0].prefix == "config/");
+    CHECK(fixture.notices[0].version == 25);
+    CHECK(fixture.notices[0].age >= 3s);
+    CHECK(fixture.notices[0].age < 5s);
+    // An older version confirms nothing and takes nothing back.
+    fixture.feed.notice("config/", 24, bootNow() - 5s);
+    REQUIRE(fixture.watch().ok());
+    REQUIRE(fixture.notices.size() == 2);
+    CHECK(fixture.notices[1].version == 25);
+    CHECK(fixture.notices[1].age < 5s);
+}
+
+// Guards against followers that hear of a newer change only when their wait ends.
+TEST_CASE("a newer change that a relay notices ends the waits of its followers", "[feed]")
+{
+    change_feed feed(7);
+    feed.reset({20, {object("a", 20)}});
+    feed.confirm(bootNow());
+    feed.notice("config/", 25, bootNow());
+    const auto first = feed.changesAfter({}, 20, bootNow(), std::chrono::steady_clock::now());
+    REQUIRE(first.ok());
+    std::thread relay([&] {
+        std::this_thread::sleep_for(50ms);
+        feed.notice("config/", 26, bootNow());
+    });
+    const steady_time askedAt = std::chrono::steady_clock::now();
+    const auto second = feed.changesAfter(first->cursor, 20, bootNow(), askedAt + 10s);
+    relay.join();
+    REQUIRE(second.ok());
+    CHECK(std::chrono::steady_clock::now() - askedAt < 5s);
+    REQUIRE(second->notices.size() == 1);
+    CHECK(second->notices[0].version == 26);
+    // A confirmation alone ends no wait.
+    feed.notice("config/", 26, bootNow());
+    const auto third =
+        feed.changesAfter(second->cursor, 20, bootNow(), std::chrono::steady_clock::now() + 20ms);
+    REQUIRE(third.ok());
+    CHECK(third->cursor == second->cursor);
+}
+
 TEST_CASE("a follower whose relay fails watches the store and returns to a relay later", "[feed]")
 {
     relay_fixture fixture;
--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -16,6 +16,7 @@
 constexpr uint64_t maxLogLinesPerSecond = 500;
 constexpr milliseconds rangeTickInterval{100};
 constexpr milliseconds upstreamCheckInterval{250};
+constexpr milliseconds watchCheckInterval{200};
 constexpr milliseconds lossLogInterval{1000};
 // Lags of the control thread below this are not logged.
 constexpr milliseconds minLoggedLag{200};
@@ -166,10 +167,11 @@
     m_readyServer.reset();
     m_callerServer.reset();
     m_peerServer.reset();
-    m_evacuationWatcher.reset();
+    // The control thread and the watch of the fleet use the other watchers.
+    m_loop.stop();
     m_fleetWatcher.reset();
+    m_evacuationWatcher.reset();
     m_desiredStateWatcher.reset();
-    m_loop.stop();
 }
 
 absl::Status router::state::start()
@@ -178,6 +180,7 @@
              absl::StrCat("host=", m_settings.hostName, " service=", m_settings.service,
                           " availability_zone=", m_settings.availabilityZone,
                           " version=" PERSIMMONRAIL_VERSION));
+    createWatchers();
     addGauges();
     schedulePeriodicTasks();
     m_loop.start();
@@ -281,6 +284,11 @@
         const std::lock_guard lock(m_mutex);
         return static_cast<double>(revisionOf(m_directory->revision()));
     });
+    visitFollowedObjects([this](std::string_view name, object_watcher &watcher) {
+        m_metrics.addGauge(
+            "persimmonrail_watch_age_seconds", absl::StrCat("prefix=\"", toAbsl(name), "\""),
+            [&watcher] { return std::chrono::duration<double>(watcher.age(bootNow())).count(); });
+    });
     m_metrics.addGauge("persimmonrail_quarantine_entries",
                        [this] { return static_cast<double>(m_quarantine.size()); });
     m_metrics.addGauge("persimmonrail_store_epoch", [this] {
@@ -325,6 +333,11 @@
         m_coldWatch->tick(routes.get(), localUpstreamState(), now);
     });
     m_loop.every(upstreamCheckInterval, [this](steady_time now) { expireUpstreamReports(now); });
+    m_loop.every(watchCheckInterval, [this](steady_time) {
+        const boot_time now = bootNow();
+        visitFollowedObjects(
+            [now](std::string_view, object_watcher &watcher) { watcher.checkIfDoubtful(now); });
+    });
     m_loop.every(peer_monitor_options().pollInterval, [this](steady_time now) { pollPeers(now); });
 }
 
--- a/src/persimmonrail/router/router_state.h
+++ b/src/persimmonrail/router/router_state.h
@@ -46,7 +46,20 @@
     // Returns the options with which requests of one caller run side by side.
     http_server_options pipelineOptions();
     void addGauges();
+    // The watchers are created before the control thread starts, and started after it.
+    void createWatchers();
     void startWatchers();
+    // Returns the options for objects that every daemon reads from the store itself.
+    object_watcher_options followedObjectOptions() const;
+    object_watcher::hooks makeDesiredStateHooks();
+    object_watcher::hooks makeFleetHooks();
+    // Tells the watchers of such objects what a response of the store shows of them.
+    void reportStoreProgress(const object_list &fleetChanges);
+    // Takes what a relay knows of objects that this daemon reads from the store itself.
+    void onNotice(const change_notice &notice, boot_time sentAt);
+    // Calls `visit` with the name and the watcher of each kind of such objects.
+    void visitFollowedObjects(
+        const std::function<void(std::string_view name, object_watcher &watcher)> &visit);
     store_proxy_hooks makeStoreProxyHooks();
     relayed_watch_hooks makeWatchHooks();
     // Returns the peer addresses of the relays that this daemon follows; empty if the daemon
@@ -65,7 +78,7 @@
 
     // Evacuation of zones.
     bool usesEvacuation() const;
-    void startEvacuationWatcher(const object_watcher_options &options);
+    void createEvacuationWatcher(const object_watcher_options &options);
     void onEvacuations(const object_list &objects, bool isFullList);
     // Makes the directory, the range controller and the log follow the evacuations.
     void showEvacuations(steady_time receivedAt);
@@ -189,6 +202,9 @@
     // accepting requests from callers.
     std::atomic<bool> m_isDispatchClosed{false};
 
+    // Revision of the fleet's objects, used only by the hooks of m_fleetWatcher.
+    uint64_t m_fleetRevision = 0;
+
     // Control state, used only on the control thread.
     fleet_directory_builder m_builder;
     // The evacuated zones that m_builder shows.
--- a/src/persimmonrail/router/router_state_evacuation.cpp
+++ b/src/persimmonrail/router/router_state_evacuation.cpp
@@ -18,7 +18,7 @@
     return m_settings.evacuationTimeout.count() > 0 && !m_platform.evacuationPrefix.empty();
 }
 
-void router::state::startEvacuationWatcher(const object_watcher_options &options)
+void router::state::createEvacuationWatcher(const object_watcher_options &options)
 {
     if (!usesEvacuation()) {
         const std::lock_guard lock(m_mutex);
@@ -36,9 +36,11 @@
     hooks.onReachabilityChange = [this](bool isReachable, const absl::Status &status) {
         onStoreReachabilityChange("evacuations", isReachable, status);
     };
+    hooks.onConfirmed = [this](uint64_t newestChange, boot_time confirmedAt) {
+        m_feed.notice(m_platform.evacuationPrefix, newestChange, confirmedAt);
+    };
     m_evacuationWatcher = std::make_unique<object_watcher>(m_store, m_platform.evacuationPrefix,
                                                            std::move(hooks), options);
-    m_evacuationWatcher->start();
 }
 
 // Runs on the watcher's thread, so that a late control thread does not delay the admission that
--- a/src/persimmonrail/router/router_state_store.cpp
+++ b/src/persimmonrail/router/router_state_store.cpp
@@ -13,23 +13,57 @@
 
 namespace persimmonrail {
 
+object_watcher_options router::state::followedObjectOptions() const
+{
+    object_watcher_options options;
+    options.freshness = watch_freshness_options();
+    options.freshness->informedWait = m_platform.maxWatchWait;
+    return options;
+}
+
+void router::state::createWatchers()
+{
+    m_desiredStateWatcher = std::make_unique<object_watcher>(
+        m_store, m_platform.desiredStatePrefix, makeDesiredStateHooks(), followedObjectOptions());
+    createEvacuationWatcher(followedObjectOptions());
+    object_watcher_options fleetOptions;
+    fleetOptions.maxWatchWait = m_platform.maxWatchWait;
+    m_fleetWatcher = std::make_unique<object_watcher>(makeRelayedWatch(m_store, makeWatchHooks()),
+                                                      fleetPrefix, makeFleetHooks(), fleetOptions);
+}
+
 void router::state::startWatchers()
 {
-    object_watcher_options watchOptions;
-    watchOptions.maxWatchWait = m_platform.maxWatchWait;
-    object_watcher::hooks desiredStateHooks;
-    desiredStateHooks.onList = desiredStateHooks.onChanges =
-        [this](const object_list &objects, boot_time) { onDesiredState(objects); };
-    desiredStateHooks.onEvent = [this](std::string_view event) {
+    m_desiredStateWatcher->start();
+    if (m_evacuationWatcher != nullptr) {
+        m_evacuationWatcher->start();
+    }
+    m_fleetWatcher->start();
+}
+
+object_watcher::hooks router::state::makeDesiredStateHooks()
+{
+    object_watcher::hooks hooks;
+    hooks.onList = hooks.onChanges = [this](const object_list &objects, boot_time) {
+        onDesiredState(objects);
+    };
+    hooks.onEvent = [this](std::string_view event) {
         logEvent("watch", absl::StrCat("prefix=desired-state event=", toAbsl(event)));
     };
-    desiredStateHooks.onReachabilityChange = [this](bool isReachable, const absl::Status &status) {
+    hooks.onReachabilityChange = [this](bool isReachable, const absl::Status &status) {
         onStoreReachabilityChange("desired-state", isReachable, status);
     };
-    m_desiredStateWatcher = std::make_unique<object_watcher>(m_store, m_platform.desiredStatePrefix,
-                                                             desiredStateHooks, watchOptions);
-    object_watcher::hooks fleetHooks;
-    fleetHooks.onList = [this](const object_list &objects, boot_time sentAt) {
+    hooks.onConfirmed = [this](uint64_t newestChange, boot_time confirmedAt) {
+        m_feed.notice(m_platform.desiredStatePrefix, newestChange, confirmedAt);
+    };
+    return hooks;
+}
+
+object_watcher::hooks router::state::makeFleetHooks()
+{
+    object_watcher::hooks hooks;
+    hooks.onList = [this](const object_list &objects, boot_time sentAt) {
+        m_fleetRevision = objects.revision;
         m_feed.reset(objects);
         if (relayAddresses().empty()) {
             m_feed.confirm(sentAt);
@@ -37,26 +71,54 @@
         m_loop.post(
             [this, objects, sentAt](steady_time) { onFleetObjects(objects, true, sentAt); });
     };
-    fleetHooks.onChanges = [this](const object_list &objects, boot_time sentAt) {
+    hooks.onChanges = [this](const object_list &objects, boot_time sentAt) {
         m_feed.apply(objects);
         // Daemons whose views differ may follow each other, so only the store confirms a feed.
         if (objects.age == milliseconds(0)) {
             m_feed.confirm(sentAt);
+            reportStoreProgress(objects);
         }
+        m_fleetRevision = std::max(m_fleetRevision, objects.revision);
         m_loop.post(
             [this, objects, sentAt](steady_time) { onFleetObjects(objects, false, sentAt); });
     };
-    fleetHooks.onEvent = [this](std::string_view event) {
+    hooks.onEvent = [this](std::string_view event) {
         logEvent("watch", absl::StrCat("prefix=fleet event=", toAbsl(event)));
     };
-    fleetHooks.onReachabilityChange = [this](bool isReachable, const absl::Status &status) {
+    hooks.onReachabilityChange = [this](bool isReachable, const absl::Status &status) {
         onStoreReachabilityChange("fleet", isReachable, status);
     };
-    m_fleetWatcher = std::make_unique<object_watcher>(makeRelayedWatch(m_store, makeWatchHooks()),
-                                                      fleetPrefix, fleetHooks, watchOptions);
-    startEvacuationWatcher(watchOptions);
-    m_desiredStateWatcher->start();
-    m_fleetWatcher->start();
+    return hooks;
+}
+
+void router::state::visitFollowedObjects(
+    const std::function<void(std::string_view name, object_watcher &watcher)> &visit)
+{
+    visit("desired-state", *m_desiredStateWatcher);
+    if (m_evacuationWatcher != nullptr) {
+        visit("evacuations", *m_evacuationWatcher);
+    }
+}
+
+void router::state::reportStoreProgress(const object_list &fleetChanges)
+{
+    store_progress progress{m_fleetRevision, fleetChanges.revision, {}};
+    for (const stored_object &object : fleetChanges.objects) {
+        progress.versions.push_back(object.version);
+    }
+    visitFollowedObjects([&](std::string_view, object_watcher &watcher) {
+        watcher.onStoreProgress(progress, bootNow());
+    });
+}
+
+void router::state::onNotice(const change_notice &notice, boot_time sentAt)
+{
+    const boot_time confirmedAt = sentAt - notice.age;
+    if (notice.prefix == m_platform.desiredStatePrefix) {
+        m_desiredStateWatcher->onNotice(notice.version, confirmedAt, bootNow());
+    } else if (m_evacuationWatcher != nullptr && notice.prefix == m_platform.evacuationPrefix) {
+        m_evacuationWatcher->onNotice(notice.version, confirmedAt, bootNow());
+    }
 }
 
 store_proxy_hooks router::state::makeStoreProxyHooks()
@@ -98,6 +160,13 @@
     hooks.relays = [this] { return relayAddresses(); };
     hooks.onSourceChanged = [this](std::string_view source, const absl::Status &reason) {
         logEvent("follow", absl::StrCat("source=", toAbsl(source), " reason=", reason.ToString()));
+        if (source == storeSource) {
+            visitFollowedObjects(
+                [](std::string_view, object_watcher &watcher) { watcher.onNoticesEnded(); });
+        }
+    };
+    hooks.onNotice = [this](const change_notice &notice, boot_time sentAt) {
+        onNotice(notice, sentAt);
     };
     hooks.now = [] { return std::chrono::steady_clock::now(); };
     hooks.pause = [](milliseconds time) { std::this_thread::sleep_for(time); };
