Lose responses of the store in the soak

Change: at times the store loses 35 in 100 of its responses while the desired state changes. The last change is judged from 2 s after it and from 3 s after the last loss, the users' bounds.

--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -1,5 +1,6 @@
 // A soak of the router daemon: clients use open connections until the process is gone, while
-// signals, restarts and changes of the desired state come in series and overlap. Each seed is one
+// signals, restarts, changes of the desired state, and outages and losses of the store come in
+// series and overlap. Each seed is one
 // run. PERSIMMONRAIL_SOAK_SEEDS="FIRST COUNT" plays other seeds than the two of CI; each tenth seed
 // has many hosts.
 #include "soak/soak_site.h"
@@ -22,6 +23,10 @@
 constexpr milliseconds maxStopTime{8000};
 // The users' bound for a change of the desired state.
 constexpr milliseconds configApply{2000};
+// The users' time from the end of a disturbance of the store until bounds hold.
+constexpr milliseconds contactTime{3000};
+// The share of its responses that the users' store loses at times.
+constexpr int lostPercentage = 35;
 constexpr int smallSiteHosts = 4;
 constexpr int largeSiteHosts = 40;
 
@@ -159,10 +164,13 @@
         }
         while (std::chrono::steady_clock::now() < end) {
             pause(m_random);
-            if (m_random() % 4 == 0) {
+            const uint64_t kind = m_random() % 5;
+            if (kind == 0) {
                 m_site.store().setFaultMode(store_standin::fault_mode::Unavailable);
                 pause(m_random);
                 m_site.store().setFaultMode(store_standin::fault_mode::None);
+            } else if (kind == 1) {
+                changeWithLosses();
             } else {
                 m_site.addRoute();
             }
@@ -172,8 +180,22 @@
         }
         return m_badStops;
     }
+    // Returns when the store lost no more responses; the clock's epoch if it never lost any.
+    steady_time lossesEndedAt() const { return m_lossesEndedAt; }
 
 private:
+    // Changes the desired state while the store loses a part of its responses.
+    void changeWithLosses()
+    {
+        m_site.store().loseResponses(
+            [random = std::mt19937_64(m_random())](const store_standin::store_call &) mutable {
+                return random() % 100 < lostPercentage;
+            });
+        m_site.addRoute();
+        pause(m_random);
+        m_site.store().loseResponses({});
+        m_lossesEndedAt = std::chrono::steady_clock::now();
+    }
     static void pause(std::mt19937_64 &random)
     {
         const steady_time end = std::chrono::steady_clock::now() + milliseconds(random() % 600);
@@ -204,6 +226,7 @@
 
     soak_site &m_site;
     std::mt19937_64 m_random;
+    steady_time m_lossesEndedAt{};
     std::atomic<int> m_badStops{0};
 };
 
@@ -246,7 +269,8 @@
                 std::make_unique<soak_client>(*site.hosts()[i], name, random(), isStopping));
         }
     }
-    CHECK(disturbances(site, random()).play(eventTime) == 0);
+    disturbances disturbances(site, random());
+    CHECK(disturbances.play(eventTime) == 0);
     isStopping = true;
     std::vector<observation> seen;
     for (const auto &client : clients) {
@@ -255,8 +279,9 @@
     }
     checkObservations(seen, site.startCounts());
     site.addRoute();
-    const steady_time inForceBy = std::chrono::steady_clock::now() + configApply;
-    waitUntil([inForceBy] { return std::chrono::steady_clock::now() >= inForceBy; }, configApply);
+    const steady_time inForceBy = std::max(std::chrono::steady_clock::now() + configApply,
+                                           disturbances.lossesEndedAt() + contactTime);
+    std::this_thread::sleep_until(inForceBy);
     for (const auto &host : site.hosts()) {
         CHECK(callRouter(host->callerAddress(), "last", site.newestPrefix() + "x", {}).status
               != 404);
