Let removals explain no revision of the store

Cause: a removal has the revision of its response in place of its own. A watch of the fleet that returned a removal from before what is known of the desired state counted it once too often, so it could confirm the desired state although the response with a change was lost. Found by reading; the router's daemons remove no objects of the fleet, an operator may.

Change: removals are left out of the changes that explain revisions, so a list follows.

Measured: the new row of watch_freshness_test fails without the change ("none", not "silence") and passes.

--- a/src/persimmonrail/router/router_state_store.cpp
+++ b/src/persimmonrail/router/router_state_store.cpp
@@ -102,10 +102,7 @@
 
 void router::state::reportStoreProgress(const object_list &fleetChanges)
 {
-    store_progress progress{m_fleetRevision, fleetChanges.revision, {}};
-    for (const stored_object &object : fleetChanges.objects) {
-        progress.versions.push_back(object.version);
-    }
+    const store_progress progress = progressOf(m_fleetRevision, fleetChanges);
     visitFollowedObjects([&](std::string_view, object_watcher &watcher) {
         watcher.onStoreProgress(progress, bootNow());
     });
--- a/src/persimmonrail/router/tests/watch_freshness_test.cpp
+++ b/src/persimmonrail/router/tests/watch_freshness_test.cpp
@@ -83,11 +83,18 @@
              freshness.onStoreProgress({10, 13, {11, 13}}, start + 1500ms);
          },
          2s, doubt::Silence},
-        {"a removal and a change have one version",
+        {"two changes have one version",
          [](watch_freshness &freshness) {
              freshness.onStoreProgress({10, 12, {12, 12}}, start + 1500ms);
          },
          2s, doubt::Silence},
+        // The removal was of revision 9, and revision 11 is a change whose response was lost.
+        {"a removal has the revision of its response",
+         [](watch_freshness &freshness) {
+             const object_list changes{11, {{"fleet/member.a", 11, true, ""}}};
+             freshness.onStoreProgress(progressOf(8, changes), start + 1500ms);
+         },
+         2s, doubt::Silence},
         {"changes before the other watch are not known",
          [](watch_freshness &freshness) {
              freshness.onStoreProgress({12, 13, {13}}, start + 1500ms);
--- a/src/persimmonrail/router/watch_freshness.cpp
+++ b/src/persimmonrail/router/watch_freshness.cpp
@@ -6,6 +6,17 @@
 
 namespace persimmonrail {
 
+store_progress progressOf(uint64_t from, const object_list &changes)
+{
+    store_progress progress{from, changes.revision, {}};
+    for (const stored_object &object : changes.objects) {
+        if (!object.deleted) {
+            progress.versions.push_back(object.version);
+        }
+    }
+    return progress;
+}
+
 watch_freshness::watch_freshness(watch_freshness_options options)
     : m_options(options)
 { }
--- a/src/persimmonrail/router/watch_freshness.h
+++ b/src/persimmonrail/router/watch_freshness.h
@@ -2,6 +2,7 @@
 
 #include "persimmonrail/base/boot_clock.h"
 #include "persimmonrail/base/clock.h"
+#include "persimmonrail/objects/object_api.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -40,6 +41,10 @@
     std::vector<uint64_t> versions;
 };
 
+// Returns what the response to a watch from `from` shows. Removals are left out, since they have
+// the revision of the response in place of their own.
+store_progress progressOf(uint64_t from, const object_list &changes);
+
 // Decides whether a watch of the store has to be doubted. A lost response looks like a store in
 // which nothing changes, so what a daemon knows counts as current only for a bounded time after the
 // store has confirmed it: by a response, by a watch of other objects that shows all changes of the
