--- a/tests/process/site.cpp
+++ b/tests/process/site.cpp
@@ -89,13 +89,23 @@
     }
     argv.push_back(nullptr);
     const int out = open(m_outputFile.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    // A signal to the new process must not run the test program's handlers in it.
+    sigset_t allSignals;
+    sigset_t previousMask;
+    sigfillset(&allSignals);
+    pthread_sigmask(SIG_SETMASK, &allSignals, &previousMask);
     m_pid = fork();
     if (m_pid == 0) {
+        for (const int number : {SIGHUP, SIGINT, SIGTERM}) {
+            std::signal(number, SIG_DFL);
+        }
+        pthread_sigmask(SIG_SETMASK, &previousMask, nullptr);
         dup2(out, STDOUT_FILENO);
         dup2(out, STDERR_FILENO);
         execv(path.c_str(), argv.data());
         _exit(127);
     }
+    pthread_sigmask(SIG_SETMASK, &previousMask, nullptr);
     close(out);
     require(m_pid > 0, "fork failed");
 }
