Replace a watch that may have lost its response

Cause: after a check, the watch that had lost its response went on waiting for up to 22 s and hid further changes. Each of them was found by the next check only, up to 2.2 s later at a relay and 2.7 s at a follower; the users' bound is 2 s.

Change: after a list beside a waiting watch, a new watch takes over on a thread of its own.

--- a/src/persimmonrail/router/object_watcher.cpp
+++ b/src/persimmonrail/router/object_watcher.cpp
@@ -9,6 +9,9 @@
 namespace persimmonrail {
 namespace {
 
+// Watches that may wait for a lost response at the same time, and the current one.
+constexpr size_t maxSessions = 4;
+
 milliseconds elapsed(boot_time from, boot_time to)
 {
     return std::chrono::duration_cast<milliseconds>(to - from);
@@ -33,9 +36,9 @@
         m_isStopping = true;
     }
     m_wakeUp.notify_all();
-    if (m_thread.joinable()) {
-        m_thread.join();
-    }
+    // A check may start a session.
+    m_checker.reset();
+    m_sessions.clear();
 }
 
 void object_watcher::start()
@@ -43,19 +46,27 @@
     if (m_options.freshness) {
         m_checker = std::make_unique<background_worker>();
     }
-    m_thread = std::thread([this] { run(); });
+    const std::lock_guard lock(m_mutex);
+    startSession(false);
 }
 
-void object_watcher::waitFor(milliseconds time)
+void object_watcher::startSession(bool isListed)
 {
-    std::unique_lock lock(m_mutex);
-    m_wakeUp.wait_for(lock, time, [this] { return m_isStopping; });
+    const session next{++m_sessionNumber, isListed};
+    m_sessions.push_back(std::make_unique<background_worker>());
+    m_sessions.back()->enqueue([this, next] { run(next); });
 }
 
-bool object_watcher::isStopping()
+bool object_watcher::isCurrent(const session &session) const
 {
     const std::lock_guard lock(m_mutex);
-    return m_isStopping;
+    return !m_isStopping && session.number == m_sessionNumber;
+}
+
+void object_watcher::waitFor(milliseconds time)
+{
+    std::unique_lock lock(m_mutex);
+    m_wakeUp.wait_for(lock, time, [this] { return m_isStopping; });
 }
 
 void object_watcher::reportEvent(const std::string &event)
@@ -65,40 +76,45 @@
     }
 }
 
-absl::Status object_watcher::listOrWatch()
+absl::Status object_watcher::listOrWatch(session &session)
 {
-    m_hasWatchResponded = false;
-    return m_isListed ? watch() : list();
+    session.hasWatchResponded = false;
+    return session.isListed ? watch(session) : list(session);
 }
 
-absl::Status object_watcher::list()
+absl::Status object_watcher::list(session &session)
 {
     const sent_call call = beginCall();
     const auto list = m_api.list(m_prefix);
     if (!list.ok()) {
         return list.status();
     }
-    m_isListed = true;
+    session.isListed = true;
     applyList(*list, call);
     return absl::OkStatus();
 }
 
-absl::Status object_watcher::watch()
+absl::Status object_watcher::watch(session &session)
 {
     const sent_call call = beginCall();
     milliseconds wait = m_options.maxWatchWait;
     {
         const std::lock_guard lock(m_mutex);
+        ++m_watchNumber;
         m_isWatching = true;
         wait = m_options.freshness ? m_freshness.watchWait(call.sentAt) : wait;
     }
     const auto changes = m_api.watch(m_prefix, call.revision, wait);
     {
         const std::lock_guard lock(m_mutex);
+        if (session.number != m_sessionNumber) {
+            // A new watch has taken over.
+            return absl::OkStatus();
+        }
         m_isWatching = false;
     }
     if (absl::IsOutOfRange(changes.status())) {
-        m_isListed = false;
+        session.isListed = false;
         const auto waited = elapsed(call.sentAt, bootNow());
         reportEvent(absl::StrCat("history-gone waited_ms=", waited.count()));
         return absl::OkStatus();
@@ -106,12 +122,23 @@
     if (!changes.ok()) {
         return changes.status();
     }
-    m_hasWatchResponded = true;
+    session.hasWatchResponded = true;
     // If a check was faster, the next watch returns what this one had beyond it.
     applyChanges(*changes, call);
     return absl::OkStatus();
 }
 
+// The watch that waits may have lost its response, and would then hide further changes.
+void object_watcher::replaceWatch(uint64_t number)
+{
+    const std::lock_guard lock(m_mutex);
+    std::erase_if(m_sessions, [](const auto &each) { return each->pendingCalls() == 0; });
+    if (m_isWatching && m_watchNumber == number && m_sessions.size() < maxSessions) {
+        m_isWatching = false;
+        startSession(true);
+    }
+}
+
 object_watcher::sent_call object_watcher::beginCall()
 {
     const std::lock_guard lock(m_mutex);
@@ -239,9 +266,11 @@
 {
     const sent_call call = beginCall();
     uint64_t noticedVersion = 0;
+    uint64_t watchNumber = 0;
     milliseconds age{0};
     {
         const std::lock_guard lock(m_mutex);
+        watchNumber = m_watchNumber;
         noticedVersion = m_freshness.noticedVersion();
         age = m_freshness.age(call.sentAt);
     }
@@ -250,6 +279,9 @@
                              " noticed_version=", noticedVersion));
     const auto list = m_api.list(m_prefix);
     const bool isApplied = list.ok() && applyList(*list, call);
+    if (isApplied) {
+        replaceWatch(watchNumber);
+    }
     const boot_time now = bootNow();
     {
         const std::lock_guard lock(m_mutex);
@@ -266,26 +298,28 @@
                              " took_ms=", elapsed(call.sentAt, now).count()));
 }
 
-void object_watcher::run()
+void object_watcher::run(session session)
 {
     milliseconds retryDelay = m_options.initialRetryDelay;
-    bool hasReported = false;
-    while (!isStopping()) {
-        const absl::Status status = listOrWatch();
-        if (status.ok() != m_isReachable || !hasReported) {
-            hasReported = true;
+    while (isCurrent(session)) {
+        const absl::Status status = listOrWatch(session);
+        if (!isCurrent(session)) {
+            return;
+        }
+        if (status.ok() != m_isReachable || !m_hasReportedReachability) {
+            m_hasReportedReachability = true;
             m_isReachable = status.ok();
             m_hooks.onReachabilityChange(status.ok(), status);
         }
         if (status.ok()) {
             // A list may take another path to the store than a watch, so only a successful watch
             // resets the delay.
-            retryDelay = m_hasWatchResponded ? m_options.initialRetryDelay : retryDelay;
+            retryDelay = session.hasWatchResponded ? m_options.initialRetryDelay : retryDelay;
             continue;
         }
         // The store may have dropped the history since the failure, and a list is correct in any
         // case.
-        m_isListed = false;
+        session.isListed = false;
         waitFor(retryDelay);
         retryDelay = std::min(retryDelay * 2, m_options.maxRetryDelay);
     }
--- a/src/persimmonrail/router/object_watcher.h
+++ b/src/persimmonrail/router/object_watcher.h
@@ -13,7 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <thread>
+#include <vector>
 
 namespace persimmonrail {
 
@@ -32,7 +32,8 @@
 
 // Follows the objects under one prefix. A thread lists the objects, then watches from the list's
 // revision, and lists again when the store no longer has the history. While a watch waits, what is
-// known may be doubted (watch_freshness); a second thread then lists the objects beside the watch.
+// known may be doubted (watch_freshness); another thread then lists the objects beside the watch,
+// and a new watch, on a thread of its own, takes over from the one that may have lost its response.
 // Thread safe.
 class object_watcher
 {
@@ -88,11 +89,25 @@
         // m_appliedCount at that time.
         uint64_t appliedCount = 0;
     };
-    void run();
+    // One series of calls on a thread of its own, until another one takes over.
+    struct session
+    {
+        uint64_t number = 0;
+        bool isListed = false;
+        // Whether the last call was a watch that got a response.
+        bool hasWatchResponded = false;
+    };
+    void run(session session);
+    // Starts a series of calls. Must be called with m_mutex held.
+    void startSession(bool isListed);
+    // Returns whether no other series has taken over and the watcher isn't stopping.
+    bool isCurrent(const session &session) const;
     // Makes one list or watch call. Errors: those of object_api.
-    absl::Status listOrWatch();
-    absl::Status list();
-    absl::Status watch();
+    absl::Status listOrWatch(session &session);
+    absl::Status list(session &session);
+    absl::Status watch(session &session);
+    // Replaces the watch `number`, if it still waits.
+    void replaceWatch(uint64_t number);
     // Lists the objects while a watch waits.
     void check(watch_freshness::doubt doubt);
     sent_call beginCall();
@@ -107,18 +122,14 @@
     void recordListed(const object_list &list);
     void recordChanged(const object_list &changes);
     void reportEvent(const std::string &event);
-    bool isStopping();
     void waitFor(milliseconds time);
 
     const object_api m_api;
     const std::string m_prefix;
     const hooks m_hooks;
     const object_watcher_options m_options;
-    // Used by the thread of the watch only.
-    bool m_isListed = false;
-    // Whether the last call was a watch that got a response.
-    bool m_hasWatchResponded = false;
     std::atomic<bool> m_isReachable{false};
+    std::atomic<bool> m_hasReportedReachability{false};
 
     // Held while a result is applied.
     std::mutex m_applyMutex;
@@ -135,13 +146,17 @@
     // Number of results that were applied.
     uint64_t m_appliedCount = 0;
     watch_freshness m_freshness;
+    uint64_t m_sessionNumber = 0;
+    // The current and, until their calls return, earlier sessions.
+    std::vector<std::unique_ptr<background_worker>> m_sessions;
+    // Number of watches sent, and whether the last one waits.
+    uint64_t m_watchNumber = 0;
     bool m_isWatching = false;
     bool m_isChecking = false;
     // Delay after a failed check, and when the next check may begin.
     milliseconds m_checkDelay{0};
     boot_time m_nextCheckAt{};
 
-    std::thread m_thread;
     // Null without `freshness`. Declared last, because its thread uses the members above.
     std::unique_ptr<background_worker> m_checker;
 };
--- a/src/persimmonrail/router/tests/object_watcher_test.cpp
+++ b/src/persimmonrail/router/tests/object_watcher_test.cpp
@@ -108,8 +108,9 @@
     object_list content{5, {{"config/main", 5, false, "a"}}};
     int listCalls = 0;
     int watchCalls = 0;
-    // Ends the watch that waits, with this result.
+    // Ends the watch with the number `endedWatch`, with this result.
     std::optional<absl::StatusOr<object_list>> watchResult;
+    int endedWatch = 1;
     bool ended = false;
     // Runs while a list is on its way back.
     std::function<void()> duringList;
@@ -133,14 +134,15 @@
         api.watch = [this](const std::string &, uint64_t,
                            milliseconds) -> absl::StatusOr<object_list> {
             std::unique_lock lock(mutex);
-            ++watchCalls;
+            const int number = ++watchCalls;
             changed.notify_all();
-            changed.wait(lock, [this] { return ended || watchResult; });
+            changed.wait(lock, [&] { return ended || (watchResult && number == endedWatch); });
             if (ended) {
                 return absl::UnavailableError("no response");
             }
             auto result = *watchResult;
             watchResult.reset();
+            changed.notify_all();
             return result;
         };
         return api;
@@ -228,6 +230,8 @@
     CHECK(site.applied == std::vector<std::string>{"list 5", "list 8"});
     CHECK(site.confirmed == std::vector<uint64_t>{5, 7});
     CHECK(site.watcher->age(bootNow()) < 2s);
+    // A new watch takes over, so that the lost one doesn't hide the next change.
+    CHECK(site.store.waitUntil([&] { return site.store.watchCalls == 2; }));
 }
 
 // Guards against calls to the store without a cause.
@@ -254,9 +258,13 @@
         site.setContent({8, {{"config/main", 8, false, "c"}}});
         site.watcher->checkIfDoubtful(now + 2s);
         REQUIRE(site.waitForApplied(2));
-        const std::lock_guard lock(site.store.mutex);
-        site.store.watchResult = object_list{7, {{"config/main", 7, false, "b"}}};
-        site.store.changed.notify_all();
+        {
+            const std::lock_guard lock(site.store.mutex);
+            site.store.watchResult = object_list{7, {{"config/main", 7, false, "b"}}};
+            site.store.changed.notify_all();
+        }
+        REQUIRE(site.store.waitUntil([&] { return !site.store.watchResult; }));
+        std::this_thread::sleep_for(50ms);
     }
     SECTION("the check is late")
     {
