Look for doubted watches with the other periodic work

Cause: a periodic task of its own woke the control thread five times a second more, and found a doubt up to 200 ms late.

Change: the check runs with the task that runs each 100 ms.

Measured: router_tests and the cases of lost responses for evacuations pass.

--- a/src/persimmonrail/router/router_state.cpp
+++ b/src/persimmonrail/router/router_state.cpp
@@ -16,7 +16,6 @@
 constexpr uint64_t maxLogLinesPerSecond = 500;
 constexpr milliseconds rangeTickInterval{100};
 constexpr milliseconds upstreamCheckInterval{250};
-constexpr milliseconds watchCheckInterval{200};
 constexpr milliseconds lossLogInterval{1000};
 // Lags of the control thread below this are not logged.
 constexpr milliseconds minLoggedLag{200};
@@ -302,6 +301,9 @@
     m_loop.every(lossLogInterval, [this](steady_time now) { logLosses(now); });
     m_loop.every(rangeTickInterval, [this](steady_time now) {
         recordLag(now);
+        visitFollowedObjects([sinceBoot = bootNow()](std::string_view, object_watcher &watcher) {
+            watcher.checkIfDoubtful(sinceBoot);
+        });
         m_ranges->setLocalQueue(m_dispatcher->queue());
         std::shared_ptr<const route_table> routes;
         std::shared_ptr<const fleet_directory> directory;
@@ -333,11 +335,6 @@
         m_coldWatch->tick(routes.get(), localUpstreamState(), now);
     });
     m_loop.every(upstreamCheckInterval, [this](steady_time now) { expireUpstreamReports(now); });
-    m_loop.every(watchCheckInterval, [this](steady_time) {
-        const boot_time now = bootNow();
-        visitFollowedObjects(
-            [now](std::string_view, object_watcher &watcher) { watcher.checkIfDoubtful(now); });
-    });
     m_loop.every(peer_monitor_options().pollInterval, [this](steady_time now) { pollPeers(now); });
 }
 
