--- a/src/persimmonrail/router/object_watcher.h
+++ b/src/persimmonrail/router/object_watcher.h
@@ -38,7 +38,7 @@
 class object_watcher
 {
 public:
-    // The hooks are called by one thread at a time.
+    // onList, onChanges and onConfirmed are called by one thread at a time, the others beside them.
     struct hooks
     {
         // Called with the full content, which replaces all content seen before. `sentAt` is the
